--- /dev/null
+++ b/peer/message.go
@@ -0,0 +1,214 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/verdict"
+)
+
+// Message is what two nodes say to each other. Each type below has a number in
+// the codec; an unknown number is answered with Failed.
+type Message interface{ message() }
+
+// Ping asks for a Pong; it proves that the connection makes progress.
+type Ping struct{ Nonce uint64 }
+
+// Pong answers a Ping.
+type Pong struct{ Nonce uint64 }
+
+// Failed answers a request that could not be done.
+type Failed struct {
+	Verdict    verdict.Verdict
+	Reason     verdict.Reason
+	Message    string
+	RetryAfter time.Duration
+}
+
+// Wake asks the home of a model for loaded replicas, waking one if need be. The
+// answer is Replicas or Failed.
+type Wake struct {
+	Request  domain.RequestID
+	Model    domain.ModelName
+	Adapter  domain.AdapterName
+	Team     domain.TeamName
+	Priority domain.Priority
+	// Region is where the caller came in.
+	Region domain.Region
+	// Within is how long the caller can still wait for a first token.
+	Within time.Duration
+	// Exclude are servers that just failed this request.
+	Exclude []domain.ServerID
+}
+
+// Replicas answers Wake with the servers that have the model loaded.
+type Replicas struct {
+	Model   domain.ModelName
+	Servers []domain.ServerID
+	// Woken tells whether the model had to be loaded for the asker.
+	Woken bool
+	// ValidFor is how long the asker may route by this answer without asking
+	// again.
+	ValidFor time.Duration
+}
+
+// Load asks the owner of a server to load a model there, attaching a permit if
+// need be. The answer is Loaded or Failed.
+type Load struct {
+	Server  domain.ServerID
+	Model   domain.ModelName
+	Adapter domain.AdapterName
+	Within  time.Duration
+}
+
+// Loaded answers Load once the server has confirmed.
+type Loaded struct {
+	Server domain.ServerID
+	Model  domain.ModelName
+	// Waited is how long the load took at the owner.
+	Waited time.Duration
+}
+
+// AcquirePace asks the pacer for a slot at the weight store. The answer is Paced
+// or Failed.
+type AcquirePace struct {
+	Model  domain.ModelName
+	Within time.Duration
+	// Waiting is how many callers wait for the load.
+	Waiting int
+}
+
+// Paced grants a slot until ReleasePace or until For has passed.
+type Paced struct {
+	Slot uint64
+	For  time.Duration
+}
+
+// ReleasePace gives a slot back; it has no answer.
+type ReleasePace struct{ Slot uint64 }
+
+// Reports carries load reports of backend servers from their owner; it has no
+// answer.
+type Reports struct{ Servers []ServerReport }
+
+// ServerReport is what an owner knows of one backend server.
+type ServerReport struct {
+	Server domain.ServerID
+	// Fence is the owner's; a report with an older fence is ignored.
+	Fence domain.Fence
+	// Sequence orders reports under one fence.
+	Sequence uint64
+	// Alive is false where the server does not answer its owner.
+	Alive bool
+	// Leaving servers take no new work.
+	Leaving bool
+	// FreeMemory is what is neither loaded nor reserved.
+	FreeMemory domain.Bytes
+	Models     []ModelReport
+}
+
+// ModelReport is the state of one replica.
+type ModelReport struct {
+	Model domain.ModelName
+	// Running and Waiting count requests in the engine.
+	Running, Waiting int
+	// Loading replicas cannot be used yet; ReadyIn is the owner's estimate.
+	Loading bool
+	ReadyIn time.Duration
+	// Adapters are loaded on the replica.
+	Adapters []domain.AdapterName
+}
+
+// CommandQuery asks the node that holds a claim how the command went. The answer
+// is CommandAnswer or Failed.
+type CommandQuery struct {
+	Key [32]byte
+	// Within is how long the asker can wait for the command to finish.
+	Within time.Duration
+}
+
+// CommandAnswer tells the state of a command at the node that claimed it.
+type CommandAnswer struct {
+	// Known is false where the node never saw the key.
+	Known bool
+	// Running is true while the service has not answered.
+	Running bool
+}
+
+// Suspects spreads hashes of requests that were in flight when a backend server
+// crashed; it has no answer.
+type Suspects struct{ Suspects []Suspect }
+
+// Suspect is one request content under suspicion.
+type Suspect struct {
+	Content [32]byte
+	// Crashes counts the servers that crashed while they ran it.
+	Crashes int
+	// Server is the one that crashed last, so that one crash counts once.
+	Server domain.ServerID
+}
+
+// SnapshotRequest asks a peer for its encoded fold state. The answer is Snapshot
+// or Failed.
+type SnapshotRequest struct{ AtLeast domain.Offset }
+
+// Snapshot carries an encoded fold state.
+type Snapshot struct {
+	Through domain.Offset
+	Data    []byte
+}
+
+// LogRecords passes records of the decision stream on; it has no answer.
+type LogRecords struct {
+	First   domain.Offset
+	Records [][]byte
+}
+
+// Applied tells how far a node has folded, for status and for config --wait.
+type Applied struct {
+	Decision      domain.Offset
+	Configuration domain.Offset
+}
+
+// Usage tells what a node's callers used since the last one, for limits.
+type Usage struct{ Counters []UsageCounter }
+
+// UsageCounter is the demand and use of one limit at one node.
+type UsageCounter struct {
+	// Name is the limit, for example "team/coral/requests".
+	Name string
+	// Demand and Used are amounts a second.
+	Demand, Used float64
+}
+
+// StatusRequest asks a node for its status. The answer is Status.
+type StatusRequest struct{}
+
+// Status is a node's own view as JSON, passed through to operators.
+type Status struct{ JSON []byte }
+
+// Leave says that the sender stops and takes no new work; it has no answer.
+type Leave struct{}
+
+func (Ping) message()            {}
+func (Pong) message()            {}
+func (Failed) message()          {}
+func (Wake) message()            {}
+func (Replicas) message()        {}
+func (Load) message()            {}
+func (Loaded) message()          {}
+func (AcquirePace) message()     {}
+func (Paced) message()           {}
+func (ReleasePace) message()     {}
+func (Reports) message()         {}
+func (CommandQuery) message()    {}
+func (CommandAnswer) message()   {}
+func (Suspects) message()        {}
+func (SnapshotRequest) message() {}
+func (Snapshot) message()        {}
+func (LogRecords) message()      {}
+func (Applied) message()         {}
+func (Usage) message()           {}
+func (StatusRequest) message()   {}
+func (Status) message()          {}
+func (Leave) message()           {}
