Serve callers: chat completions, models and plain services

Cause: nothing took a caller's request to a backend server. Change: package caller serves the OpenAI-compatible API and /services/ through go-kit endpoints.

--- /dev/null
+++ b/caller/services.go
@@ -0,0 +1,220 @@
+package caller
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"slices"
+	"time"
+
+	"github.com/parsleylug/parsleylug/configuration"
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/fold"
+	"github.com/parsleylug/parsleylug/retries"
+	"github.com/parsleylug/parsleylug/routing"
+	"github.com/parsleylug/parsleylug/verdict"
+)
+
+// ServiceRequest is one call to a plain service.
+type ServiceRequest struct {
+	Method      string
+	Path        string
+	RawQuery    string
+	Body        []byte
+	ContentType string
+	Request     domain.RequestID
+	Key         domain.IdempotencyKey
+}
+
+// Forwarder calls a plain service at an address (HOST:PORT) once. An error
+// carries NotRun only where no byte of the call was sent.
+type Forwarder interface {
+	Forward(ctx context.Context, address string, r ServiceRequest) (Outcome, error)
+}
+
+// serviceCall is one decoded call to a plain service.
+type serviceCall struct {
+	service    configuration.Service
+	team       configuration.Team
+	deadline   domain.Deadline
+	request    ServiceRequest
+	idempotent bool
+}
+
+func (a *API) decodeForward(ctx context.Context, r *http.Request) (any, error) {
+	now := time.Now()
+	team, err := a.authenticate(now, r.Header.Get("Authorization"))
+	if err != nil {
+		return nil, err
+	}
+	service, ok := a.Catalogue.Service(domain.ServiceName(r.PathValue("name")))
+	if !ok {
+		return nil, verdict.Refuse(verdict.UnknownService, "no such service is configured")
+	}
+	due, err := deadline(now, r.Header.Get(requestTimeoutHeader), a.Catalogue.Deployment())
+	if err != nil {
+		return nil, err
+	}
+	key, err := idempotencyKey(r.Header)
+	if err != nil {
+		return nil, err
+	}
+	body, err := readBody(r)
+	if err != nil {
+		return nil, err
+	}
+	return &serviceCall{
+		service: service, team: team, deadline: due, idempotent: idempotent(service, r.Method),
+		request: ServiceRequest{
+			Method: r.Method, Path: servicePath(r.URL), RawQuery: r.URL.RawQuery, Body: body,
+			ContentType: r.Header.Get("Content-Type"), Request: requestOf(ctx), Key: key,
+		},
+	}, nil
+}
+
+func idempotencyKey(h http.Header) (domain.IdempotencyKey, error) {
+	given := h.Values(idempotencyKeyHeader)
+	if len(given) == 0 {
+		return "", nil
+	}
+	if len(given) > 1 || given[0] == "" || len(given[0]) > maximumIdempotencyKey {
+		return "", verdict.Refuse(verdict.BadRequest, "Idempotency-Key must be one value of 1 to 256 bytes")
+	}
+	return domain.IdempotencyKey(given[0]), nil
+}
+
+// servicePath is the escaped path after /services/{name}.
+func servicePath(u *url.URL) string {
+	path := u.EscapedPath()
+	for range 2 { // "services" and the name
+		next := 1
+		for next < len(path) && path[next] != '/' {
+			next++
+		}
+		path = path[min(next, len(path)):]
+	}
+	if path == "" {
+		return "/"
+	}
+	return path
+}
+
+func idempotent(s configuration.Service, method string) bool {
+	if len(s.IdempotentMethods) > 0 {
+		return slices.Contains(s.IdempotentMethods, method)
+	}
+	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
+}
+
+// forward is the endpoint of plain services.
+func (a *API) forward(ctx context.Context, request any) (any, error) {
+	call, _ := request.(*serviceCall)
+	ctx, cancel := context.WithDeadlineCause(ctx, call.deadline.At, errDeadline)
+	defer cancel()
+	if call.idempotent || call.request.Key == "" {
+		return a.send(ctx, call)
+	}
+	command := Command{Key: commandKey(call), Request: requestHash(call), Deadline: call.deadline}
+	outcome, err := a.Claims.Run(ctx, command, func(ctx context.Context) (Outcome, error) { return a.send(ctx, call) })
+	if err != nil {
+		return nil, err
+	}
+	if outcome.Truncated {
+		return nil, &verdict.Error{
+			Verdict: verdict.Ran, Reason: verdict.CommandInDoubt, Message: "the command ran; its answer was too large to keep",
+		}
+	}
+	return outcome, nil
+}
+
+// send forwards a call, again only where its failure's verdict allows that.
+func (a *API) send(ctx context.Context, c *serviceCall) (Outcome, error) {
+	var exclude []domain.ServerID
+	mayHaveRun := false
+	budget := domain.ModelName("service/" + c.service.Name)
+	a.budgets.request(time.Now(), budget)
+	for try := 1; ; try++ {
+		outcome, server, err := a.sendOnce(ctx, c, exclude)
+		if err == nil {
+			return outcome, nil
+		}
+		mayHaveRun = mayHaveRun || verdict.Of(err).Verdict != verdict.NotRun
+		exclude = append(exclude, server)
+		again := ctx.Err() == nil && try < maximumAttempts && server != "" &&
+			verdict.MayRetry(err, c.idempotent) && a.budgets.spend(time.Now(), budget)
+		if !again {
+			return Outcome{}, serviceFailure(ctx, err, mayHaveRun)
+		}
+		sleep(ctx, retries.Backoff(try, rand.Float64()))
+	}
+}
+
+// serviceFailure gives a failure the verdict that is true of all attempts.
+func serviceFailure(ctx context.Context, err error, mayHaveRun bool) error {
+	e := *verdict.Of(err)
+	if e.Reason == verdict.Unknown {
+		e.Reason, e.Message = verdict.BackendFailed, "the service did not answer"
+	}
+	if ctx.Err() != nil {
+		e.Reason, e.Message = verdict.DeadlinePassed, "the deadline passed before the service answered"
+	}
+	if mayHaveRun && e.Verdict == verdict.NotRun {
+		e.Verdict = verdict.MayHaveRun
+	}
+	return &e
+}
+
+func (a *API) sendOnce(ctx context.Context, c *serviceCall, exclude []domain.ServerID) (Outcome, domain.ServerID, error) {
+	set := routing.Group(a.Region, a.Zone, a.Backends.Service(c.service.Name))
+	i, ok := a.chooser.Choose(time.Now(), set, routing.Request{Exclude: exclude})
+	if !ok {
+		return Outcome{}, "", verdict.Refuse(verdict.NoCapacity, "no server of the service takes new work").After(time.Second)
+	}
+	r := set.Replicas[i]
+	defer a.chooser.Done(r.Server)
+	outcome, err := a.Services.Forward(ctx, r.Address, c.request)
+	return outcome, r.Server, err
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func commandKey(c *serviceCall) fold.CommandKey {
+	return hashParts([]byte(c.team.Name), []byte(c.service.Name), []byte(c.request.Key))
+}
+
+func requestHash(c *serviceCall) [32]byte {
+	target := c.request.Path + "?" + c.request.RawQuery
+	return hashParts([]byte(c.request.Method), []byte(target), c.request.Body)
+}
+
+// hashParts hashes parts with their lengths, so that no two lists look alike.
+func hashParts(parts ...[]byte) [32]byte {
+	h := sha256.New()
+	for _, p := range parts {
+		var size [8]byte
+		binary.BigEndian.PutUint64(size[:], uint64(len(p)))
+		h.Write(size[:])
+		h.Write(p)
+	}
+	return [32]byte(h.Sum(nil))
+}
+
+func encodeForward(_ context.Context, w http.ResponseWriter, response any) error {
+	outcome, _ := response.(Outcome)
+	if outcome.ContentType != "" {
+		w.Header().Set("Content-Type", outcome.ContentType)
+	}
+	w.WriteHeader(outcome.Status)
+	_, _ = w.Write(outcome.Body)
+	return nil
+}
