--- a/caller/attempt.go
+++ b/caller/attempt.go
@@ -99,8 +99,6 @@
 		Model:    s.call.model.Name,
 		Adapter:  s.call.adapter,
 		Priority: s.call.team.Priority,
-		Region:   t.api.Region,
-		Fresh:    len(s.silent) > 0,
 		Within:   left,
 		Body:     s.call.body,
 		Resume:   s.relay.next,
--- a/caller/events.go
+++ b/caller/events.go
@@ -64,7 +64,8 @@
 
 // failure encodes an error that ends the stream.
 func (e *events) failure(v *verdict.Error) []byte {
-	b := append(e.buffer[:0], "event: error\ndata: "...)
+	b := e.buffer[:0]
+	b = append(b, "event: error\ndata: "...)
 	b = append(b, refusalJSON(v, e.request)...)
 	return e.keep(append(b, '\n', '\n'))
 }
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -87,11 +87,6 @@
 	Model    domain.ModelName
 	Adapter  domain.AdapterName
 	Priority domain.Priority
-	// Region is where the caller came in; the engine counts bytes that leave its
-	// own region.
-	Region domain.Region
-	// Fresh asks for a new connection, because one to this engine went silent.
-	Fresh bool
 	// Within is what is left of the caller's deadline.
 	Within time.Duration
 	// Body is the caller's OpenAI-compatible body, unchanged.
