--- /dev/null
+++ b/httponce/client_test.go
@@ -0,0 +1,161 @@
+package httponce
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/parsleylug/parsleylug/verdict"
+)
+
+// droppingServer answers the first request of each connection and closes the
+// connection, without an answer, once it has read the second.
+func droppingServer(t *testing.T, seen *atomic.Int64) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go answerOnce(c, seen)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func answerOnce(c net.Conn, seen *atomic.Int64) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for n := range 2 {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, r.Body)
+		if r.URL.Path == "/counted" && r.Header.Get("Idempotency-Key") == "k" {
+			seen.Add(1)
+		}
+		if n == 0 {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	}
+}
+
+func request(t *testing.T, method, url, body string) *http.Request {
+	t.Helper()
+	r, err := http.NewRequestWithContext(context.Background(), method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Idempotency-Key", "k")
+	return r
+}
+
+func TestRequestIsNeverReplayedOnAnotherConnection(t *testing.T) {
+	for _, method := range []string{"POST", "PUT", "DELETE", "GET"} {
+		for _, body := range []string{"", "frame 12"} {
+			t.Run(method+" "+body, func(t *testing.T) {
+				var seen atomic.Int64
+				address := droppingServer(t, &seen)
+				pooled := &Client{HTTP: &http.Client{Transport: &http.Transport{}}}
+				first, err := pooled.Do(request(t, method, "http://"+address+"/first", body))
+				if err != nil {
+					t.Fatal(err)
+				}
+				first.Body.Close()
+				_, err = pooled.Do(request(t, method, "http://"+address+"/counted", body))
+				if err == nil {
+					t.Fatal("got an answer, want an error")
+				}
+				if got, want := verdict.Of(err).Verdict, verdict.MayHaveRun; got != want {
+					t.Errorf("got verdict %v, want %v", got, want)
+				}
+				if got, want := seen.Load(), int64(1); got != want {
+					t.Errorf("got %d requests at the server, want %d", got, want)
+				}
+			})
+		}
+	}
+}
+
+func TestPlainTransportReplays(t *testing.T) {
+	var seen atomic.Int64
+	address := droppingServer(t, &seen)
+	plain := &http.Client{Transport: &http.Transport{}}
+	first, err := plain.Do(request(t, "POST", "http://"+address+"/first", "x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	first.Body.Close()
+	if second, err := plain.Do(request(t, "POST", "http://"+address+"/counted", "x")); err == nil {
+		second.Body.Close()
+	}
+	if got := seen.Load(); got < 2 {
+		t.Errorf("got %d requests, want a replay: without one the test beside this proves nothing", got)
+	}
+}
+
+func TestVerdictOfRefusedDial(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	l.Close()
+	var client Client
+	_, err = client.Do(request(t, "POST", "http://"+address+"/", "x"))
+	if got, want := verdict.Of(err).Verdict, verdict.NotRun; got != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
+type refusingTransport struct{}
+
+func (refusingTransport) RoundTrip(*http.Request) (*http.Response, error) {
+	return nil, io.ErrUnexpectedEOF
+}
+
+func TestVerdictOfUnknownTransport(t *testing.T) {
+	client := Client{HTTP: &http.Client{Transport: refusingTransport{}}}
+	_, err := client.Do(request(t, "POST", "http://127.0.0.1:1/", "x"))
+	if got, want := verdict.Of(err).Verdict, verdict.MayHaveRun; got != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
+func TestNoRedirectIsFollowed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var seen atomic.Int64
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		seen.Add(1)
+		http.Redirect(w, r, "/again", http.StatusTemporaryRedirect)
+	})}
+	go server.Serve(l)
+	t.Cleanup(func() { server.Close() })
+	var client Client
+	response, err := client.Do(request(t, "POST", "http://"+l.Addr().String()+"/", "x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	if got, want := response.StatusCode, http.StatusTemporaryRedirect; got != want {
+		t.Errorf("got status %d, want %d", got, want)
+	}
+	if got, want := seen.Load(), int64(1); got != want {
+		t.Errorf("got %d requests, want %d", got, want)
+	}
+}
--- /dev/null
+++ b/service/client.go
@@ -0,0 +1,121 @@
+// Package service speaks to plain services beside the model engines.
+package service
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/httponce"
+	"github.com/parsleylug/parsleylug/verdict"
+)
+
+// MaximumBody is the longest answer that is taken from a service.
+const MaximumBody = 16 * domain.Mebibyte
+
+// Request is one call to a service.
+type Request struct {
+	Method string
+	// Path is the path at the service, with a slash at the start.
+	Path        string
+	RawQuery    string
+	Body        []byte
+	ContentType string
+	Request     domain.RequestID
+	// Key is passed on where it is set.
+	Key domain.IdempotencyKey
+}
+
+// Response is a service's whole answer.
+type Response struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Client calls services over HTTP. The zero Client works and opens a new
+// connection for each call. A Client must not be copied after first use.
+type Client struct {
+	// HTTP replaces the client's own connections.
+	HTTP *http.Client
+	// Region is where this process runs; services are told for the traffic count.
+	Region domain.Region
+
+	sender httponce.Client
+}
+
+// Do calls the service at an address (HOST:PORT) once; it never repeats a call
+// and follows no redirect. Every error is a *verdict.Error: NotRun only where no
+// byte was sent, Ran where the service answered but the answer is lost.
+func (c *Client) Do(ctx context.Context, address string, r Request) (Response, error) {
+	request, err := c.request(ctx, address, r)
+	if err != nil {
+		return Response{}, err
+	}
+	response, err := c.send(request)
+	if err != nil {
+		return Response{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return readResponse(response)
+}
+
+func (c *Client) send(r *http.Request) (*http.Response, error) {
+	if c.HTTP != nil {
+		once := httponce.Client{HTTP: c.HTTP}
+		return once.Do(r)
+	}
+	return c.sender.Do(r)
+}
+
+func (c *Client) request(ctx context.Context, address string, r Request) (*http.Request, error) {
+	target := url.URL{Scheme: "http", Host: address, RawQuery: r.RawQuery}
+	path, err := url.PathUnescape(r.Path)
+	if err != nil {
+		return nil, invalid(err)
+	}
+	target.Path, target.RawPath = path, r.Path
+	request, err := http.NewRequestWithContext(ctx, r.Method, target.String(), bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, invalid(err)
+	}
+	setHeader(request.Header, "Content-Type", r.ContentType)
+	setHeader(request.Header, "X-Request-Id", string(r.Request))
+	setHeader(request.Header, "Idempotency-Key", string(r.Key))
+	setHeader(request.Header, "X-Region", string(c.Region))
+	return request, nil
+}
+
+func setHeader(h http.Header, name, value string) {
+	if value != "" {
+		h.Set(name, value)
+	}
+}
+
+func invalid(err error) *verdict.Error {
+	e := verdict.Refuse(verdict.BadRequest, "the request to the service is not valid")
+	e.Cause = errors.WithStack(err)
+	return e
+}
+
+// readResponse reads the whole answer. Headers that came show that the service
+// ran the call.
+func readResponse(r *http.Response) (Response, error) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, int64(MaximumBody)+1))
+	if err != nil {
+		return Response{}, lost("the service's answer broke off", errors.WithStack(err))
+	}
+	if len(body) > int(MaximumBody) {
+		return Response{}, lost("the service's answer is too long", nil)
+	}
+	return Response{Status: r.StatusCode, ContentType: r.Header.Get("Content-Type"), Body: body}, nil
+}
+
+func lost(message string, cause error) *verdict.Error {
+	return &verdict.Error{Verdict: verdict.Ran, Reason: verdict.BackendFailed, Message: message, Cause: cause}
+}
