Tell silent connections of the engine client apart from broken ones

Cause: the client's own timeout on silence looked like a crashed server, so that its request would have been suspected. Change: engine.ErrSilent is exported and counted as silence; Services is an interface that *service.Client implements.

--- a/caller/attempt.go
+++ b/caller/attempt.go
@@ -50,7 +50,7 @@
 
 func failureOf(err error, wentSilent bool) failure {
 	switch {
-	case wentSilent:
+	case wentSilent || errors.Is(err, engine.ErrSilent):
 		return silent
 	case errors.Is(err, engine.ErrModelNotLoaded):
 		return notLoaded
--- a/caller/services.go
+++ b/caller/services.go
@@ -15,24 +15,15 @@
 	"github.com/parsleylug/parsleylug/fold"
 	"github.com/parsleylug/parsleylug/retries"
 	"github.com/parsleylug/parsleylug/routing"
+	"github.com/parsleylug/parsleylug/service"
 	"github.com/parsleylug/parsleylug/verdict"
 )
 
-// ServiceRequest is one call to a plain service.
-type ServiceRequest struct {
-	Method      string
-	Path        string
-	RawQuery    string
-	Body        []byte
-	ContentType string
-	Request     domain.RequestID
-	Key         domain.IdempotencyKey
-}
-
 // Forwarder calls a plain service at an address (HOST:PORT) once. An error
-// carries NotRun only where no byte of the call was sent.
+// carries NotRun only where no byte of the call was sent. *service.Client
+// implements it.
 type Forwarder interface {
-	Forward(ctx context.Context, address string, r ServiceRequest) (Outcome, error)
+	Do(ctx context.Context, address string, r service.Request) (service.Response, error)
 }
 
 // serviceCall is one decoded call to a plain service.
@@ -40,7 +31,7 @@
 	service    configuration.Service
 	team       configuration.Team
 	deadline   domain.Deadline
-	request    ServiceRequest
+	request    service.Request
 	idempotent bool
 }
 
@@ -50,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	service, ok := a.Catalogue.Service(domain.ServiceName(r.PathValue("name")))
+	configured, ok := a.Catalogue.Service(domain.ServiceName(r.PathValue("name")))
 	if !ok {
 		return nil, verdict.Refuse(verdict.UnknownService, "no such service is configured")
 	}
@@ -67,8 +58,8 @@
 		return nil, err
 	}
 	return &serviceCall{
-		service: service, team: team, deadline: due, idempotent: idempotent(service, r.Method),
-		request: ServiceRequest{
+		service: configured, team: team, deadline: due, idempotent: idempotent(configured, r.Method),
+		request: service.Request{
 			Method: r.Method, Path: servicePath(r.URL), RawQuery: r.URL.RawQuery, Body: body,
 			ContentType: r.Header.Get("Content-Type"), Request: requestOf(ctx), Key: key,
 		},
@@ -175,8 +166,11 @@
 	}
 	r := set.Replicas[i]
 	defer a.chooser.Done(r.Server)
-	outcome, err := a.Services.Forward(ctx, r.Address, c.request)
-	return outcome, r.Server, err
+	answer, err := a.Services.Do(ctx, r.Address, c.request)
+	if err != nil {
+		return Outcome{}, r.Server, err
+	}
+	return Outcome{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body}, r.Server, nil
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/caller/services_test.go
+++ b/caller/services_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 
 	"github.com/parsleylug/parsleylug/fold"
+	"github.com/parsleylug/parsleylug/service"
 	"github.com/parsleylug/parsleylug/verdict"
 )
 
@@ -18,10 +19,10 @@
 	mu     sync.Mutex
 	errs   []error
 	ran    int
-	latest ServiceRequest
+	latest service.Request
 }
 
-func (f *fakeService) Forward(_ context.Context, _ string, r ServiceRequest) (Outcome, error) {
+func (f *fakeService) Do(_ context.Context, _ string, r service.Request) (service.Response, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.latest = r
@@ -29,11 +30,11 @@
 		err := f.errs[0]
 		f.errs = f.errs[1:]
 		if err != nil {
-			return Outcome{}, err
+			return service.Response{}, err
 		}
 	}
 	f.ran++
-	return Outcome{Status: http.StatusCreated, ContentType: "application/json", Body: []byte(`{"Booking":"1"}`)}, nil
+	return service.Response{Status: http.StatusCreated, ContentType: "application/json", Body: []byte(`{"Booking":"1"}`)}, nil
 }
 
 // fakeClaims lets the first claim win and keeps its outcome.
--- a/engine/chat.go
+++ b/engine/chat.go
@@ -21,8 +21,9 @@
 	ErrOverloaded       = errors.New("engine overloaded")
 )
 
-// errSilent is why a stream without bytes was given up.
-var errSilent = errors.New("the connection is silent")
+// ErrSilent is in the chain of a failure where the connection brought no byte for
+// too long; the engine itself may be well.
+var ErrSilent = errors.New("the connection is silent")
 
 // maximumRefusal bounds the body of a refused chat.
 const maximumRefusal = 4 * domain.Kibibyte
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -122,7 +122,7 @@
 
 // watch cancels the attempt if the returned function is not called in time.
 func (s *stream) watch() (stop func()) {
-	t := time.AfterFunc(s.silence, func() { s.cancel(errSilent) })
+	t := time.AfterFunc(s.silence, func() { s.cancel(ErrSilent) })
 	return func() { t.Stop() }
 }
 
@@ -139,9 +139,9 @@
 	e := *verdict.Of(err)
 	cause := context.Cause(s.ctx)
 	switch {
-	case stderrors.Is(cause, errSilent):
+	case stderrors.Is(cause, ErrSilent):
 		e.Message = "the connection to the engine went silent"
-		e.Cause = errSilent
+		e.Cause = ErrSilent
 	case stderrors.Is(cause, context.DeadlineExceeded):
 		e.Reason = verdict.DeadlinePassed
 	}
