Refuse at once what cannot be answered by its deadline

Cause: at three times the capacity every request went to the engines and most waited in vain; a plain earliest-deadline queue served only those about to be late.

--- /dev/null
+++ b/admission/queue_test.go
@@ -0,0 +1,188 @@
+package admission
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/parsleylug/parsleylug/domain"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func due(d time.Duration) domain.Deadline { return domain.Deadline{At: start.Add(d)} }
+
+func TestEarliestDeadlineGoesFirst(t *testing.T) {
+	var q Queue
+	q.Offer(start, Item{ID: 1, Deadline: due(time.Minute)})
+	q.Offer(start, Item{ID: 2, Deadline: due(3 * time.Minute)})
+	q.Offer(start, Item{ID: 3, Deadline: due(2 * time.Minute)})
+	if got, want := q.Finish(start, 1).Admitted, []ID{3}; !slices.Equal(got, want) {
+		t.Errorf("got %v admitted, want %v", got, want)
+	}
+}
+
+func TestTeamsShareByTheirWeights(t *testing.T) {
+	var q Queue
+	next := ID(1)
+	for range 100 {
+		q.Offer(start, Item{ID: next, Team: "coral", Share: 3, Deadline: due(time.Hour)})
+		q.Offer(start, Item{ID: next + 1, Team: "imnar", Share: 1, Deadline: due(time.Hour)})
+		next += 2
+	}
+	coral, running := 0, ID(1)
+	for range 80 {
+		admitted := q.Finish(start, running).Admitted
+		running = admitted[0]
+		coral += int(running % 2)
+	}
+	if want := 60; coral < want-1 || coral > want+1 {
+		t.Errorf("got %d of 80 slots for the team with three quarters, want %d", coral, want)
+	}
+}
+
+func TestLateRequestIsRefusedAtOnce(t *testing.T) {
+	var q Queue
+	q.Offer(start, Item{ID: 1})
+	q.Finish(start.Add(time.Second), 1)
+	now := start.Add(time.Second)
+	q.Offer(now, Item{ID: 2})
+	for id := ID(3); id < 6; id++ {
+		if got := q.Offer(now, Item{ID: id, Deadline: due(time.Minute)}).Answer; got != Queued {
+			t.Errorf("got %v, want Queued", got)
+		}
+	}
+	got := q.Offer(now, Item{ID: 9, Deadline: due(1500 * time.Millisecond), Team: "imnar"})
+	if got.Answer != RefusedLate || got.RetryAfter < minimumRetryAfter || got.RetryAfter > 4*time.Second {
+		t.Errorf("got %+v, want RefusedLate with a Retry-After of 1 to 4 s", got)
+	}
+}
+
+// TestQueueKeepsItsBounds: slots and waiting items never pass their bounds,
+// and no item is lost or admitted twice.
+func TestQueueKeepsItsBounds(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var q Queue
+		now, next := start, ID(0)
+		running, waiting := map[ID]bool{}, map[ID]bool{}
+		apply := func(c Change) {
+			for _, id := range c.Admitted {
+				if !waiting[id] {
+					rt.Fatalf("admitted %d, which does not wait", id)
+				}
+				delete(waiting, id)
+				running[id] = true
+			}
+			for _, id := range c.Late {
+				delete(waiting, id)
+			}
+		}
+		for range rapid.IntRange(1, 200).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(rt, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(rt, "step") {
+			case 0, 1:
+				next++
+				left := time.Duration(rapid.IntRange(1, 5000).Draw(rt, "left")) * time.Millisecond
+				name := rapid.SampledFrom([]domain.TeamName{"a", "b", "c"}).Draw(rt, "team")
+				d := q.Offer(now, Item{ID: next, Team: name, Deadline: domain.Deadline{At: now.Add(left)}})
+				apply(Change{Late: d.Late})
+				switch d.Answer {
+				case Admitted:
+					running[next] = true
+				case Queued:
+					waiting[next] = true
+				}
+			case 2:
+				for id := range next + 1 {
+					if running[id] {
+						delete(running, id)
+						apply(q.Finish(now, id))
+						break
+					}
+				}
+			case 3:
+				apply(q.SetCapacity(now, max(len(running), rapid.IntRange(1, 8).Draw(rt, "capacity"))))
+			}
+			if q.Running() != len(running) || q.Waiting() != len(waiting) || len(running) > q.slots() {
+				rt.Fatalf("got %d running of %d and %d waiting, want %d and %d", q.Running(), q.slots(), q.Waiting(), len(running), len(waiting))
+			}
+		}
+	})
+}
+
+// TestOverloadKeepsGoodput offers three times the capacity for a minute: 16
+// slots of 0.5 to 1.5 s each, against callers with 2 to 10 s.
+func TestOverloadKeepsGoodput(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			slots    = 16
+			service  = time.Second
+			duration = time.Minute
+		)
+		var q Queue
+		q.SetCapacity(time.Now(), slots)
+		offered, deadlines := map[ID]time.Time{}, map[ID]time.Time{}
+		good := 0
+		var refused []time.Duration
+		var apply func(c Change)
+		run := func(id ID) {
+			held := service/2 + time.Duration(id*7919%1000)*service/1000
+			time.AfterFunc(held, func() {
+				if !time.Now().After(deadlines[id]) {
+					good++
+				}
+				apply(q.Finish(time.Now(), id))
+			})
+		}
+		apply = func(c Change) {
+			for _, id := range c.Admitted {
+				run(id)
+			}
+			for _, id := range c.Late {
+				refused = append(refused, time.Since(offered[id]))
+			}
+		}
+		begin := time.Now()
+		for id := ID(1); time.Since(begin) < duration; id++ {
+			offered[id] = time.Now()
+			deadlines[id] = time.Now().Add(time.Duration(2+id%9) * time.Second)
+			d := q.Offer(time.Now(), Item{ID: id, Deadline: domain.Deadline{At: deadlines[id]}})
+			apply(Change{Late: d.Late})
+			switch d.Answer {
+			case Admitted:
+				run(id)
+			case RefusedLate, RefusedFull:
+				refused = append(refused, 0)
+			}
+			time.Sleep(service / slots / 3)
+			synctest.Wait()
+		}
+		slices.Sort(refused)
+		ratio := float64(good) / (slots * duration.Seconds())
+		p95 := refused[len(refused)*95/100]
+		t.Logf("goodput %.3f of capacity, %d refusals, 95th percentile %v, latest %v", ratio, len(refused), p95, refused[len(refused)-1])
+		if want := 0.95; ratio < want {
+			t.Errorf("got goodput %.3f of capacity, want %v", ratio, want)
+		}
+		if want := 100 * time.Millisecond; p95 > want {
+			t.Errorf("got refusals after %v at the 95th percentile, want %v", p95, want)
+		}
+	})
+}
+
+func BenchmarkOffer(b *testing.B) {
+	var q Queue
+	q.SetCapacity(start, 16)
+	for id := ID(0); id < 16+MaximumWaiting/2; id++ {
+		q.Offer(start, Item{ID: id, Deadline: due(time.Hour)})
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		id := ID(i + 10_000)
+		q.Offer(start, Item{ID: id, Deadline: due(2 * time.Hour)})
+		q.Leave(id)
+	}
+}
--- a/caller/api.go
+++ b/caller/api.go
@@ -44,6 +44,7 @@
 	attempts atomic.Uint64
 	inFlight atomic.Int64
 	budgets  budgets
+	gates    gates
 }
 
 // New returns an API over d.
@@ -89,6 +90,15 @@
 			a.encodeError(ctx, err, w)
 			return
 		}
+		size, err := bodySize(r)
+		if err == nil && !a.gates.hold(size) {
+			err = verdict.Refuse(verdict.QueueFull, "this node holds as many requests as it can").After(retryElsewhere)
+		}
+		if err != nil {
+			a.encodeError(ctx, err, w)
+			return
+		}
+		defer a.gates.release(size)
 		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
--- /dev/null
+++ b/caller/overload_test.go
@@ -0,0 +1,124 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"runtime"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/parsleylug/parsleylug/engine"
+)
+
+// batcher is a fake engine that runs at most size attempts at once, each for
+// hold, and queues the others.
+func batcher(size int, hold time.Duration) behaviour {
+	slots := make(chan struct{}, size)
+	return func(ctx context.Context, e *fakeEngine, r engine.ChatRequest) (engine.Stream, error) {
+		select {
+		case slots <- struct{}{}:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		time.AfterFunc(hold, func() { <-slots })
+		p := parts(r)
+		return &fakeStream{ctx: ctx, e: e, parts: p, pace: hold / time.Duration(len(p))}, nil
+	}
+}
+
+// TestOverloadAtThreeTimesCapacityKeepsGoodput: two engines of 16 slots of 1 s
+// get 96 requests a second for 30 s. The first second, in which nothing can
+// finish yet, does not count.
+func TestOverloadAtThreeTimesCapacityKeepsGoodput(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			slots    = 32
+			hold     = time.Second
+			duration = 30 * time.Second
+		)
+		b := newBench(batcher(slots/2, hold), batcher(slots/2, hold))
+		var mu sync.Mutex
+		var refused []time.Duration
+		good := 0
+		begin := time.Now()
+		var all sync.WaitGroup
+		for i := range int(duration / hold * slots * 3) {
+			all.Go(func() {
+				timeout := 2 + i%9
+				start := time.Now()
+				w := b.post(t.Context(), hello, requestTimeoutHeader, strconv.Itoa(timeout))
+				took := time.Since(start)
+				mu.Lock()
+				defer mu.Unlock()
+				if took > time.Duration(timeout)*time.Second+250*time.Millisecond {
+					t.Errorf("got an end after %v, want at most %d s and 250 ms", took, timeout)
+				}
+				if w.Code != http.StatusOK {
+					refused = append(refused, took)
+					return
+				}
+				if _, last := streamed(t, w); last == "[DONE]" && time.Since(begin) <= duration {
+					good++
+				}
+			})
+			time.Sleep(hold / slots / 3)
+		}
+		all.Wait()
+		slices.Sort(refused)
+		ratio := float64(good) / (slots * (duration - hold).Seconds())
+		p95 := refused[len(refused)*95/100]
+		t.Logf("goodput %.3f of capacity, %d refused, 95th percentile %v, latest %v", ratio, len(refused), p95, refused[len(refused)-1])
+		if want := 0.95; ratio < want {
+			t.Errorf("got goodput %.3f of capacity, want %v", ratio, want)
+		}
+		if want := 100 * time.Millisecond; p95 > want {
+			t.Errorf("got refusals after %v at the 95th percentile, want %v", p95, want)
+		}
+	})
+}
+
+// BenchmarkWaitingRequestMemory reports what one waiting request of about
+// 100 bytes takes, goroutine and all.
+func BenchmarkWaitingRequestMemory(b *testing.B) {
+	const requests = 500
+	for b.Loop() {
+		bench := newBench(silentAfter(0))
+		bench.placer.replicas[0].Concurrency = 1
+		ctx, cancel := context.WithCancel(b.Context())
+		before := memory()
+		var all sync.WaitGroup
+		for range requests {
+			all.Go(func() { bench.post(ctx, hello) })
+		}
+		for bench.api.InFlight() < requests {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(50 * time.Millisecond)
+		b.ReportMetric(float64(memory()-before)/requests, "B/request")
+		cancel()
+		all.Wait()
+	}
+}
+
+func memory() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
+
+func TestNodeHoldsABoundedAmountOfBodies(t *testing.T) {
+	b := newBench(answer)
+	if !b.api.gates.hold(MaximumWaitingBytes - 10) {
+		t.Fatal("got no room in an empty node")
+	}
+	w := b.post(t.Context(), hello)
+	if got := refusal(t, w); w.Code != http.StatusServiceUnavailable || got.Reason != "QueueFull" || got.Verdict != "NotRun" {
+		t.Errorf("got %s, want 503 QueueFull NotRun", fmt.Sprint(w.Code, got))
+	}
+}
--- a/caller/request.go
+++ b/caller/request.go
@@ -112,11 +112,20 @@
 	return team, nil
 }
 
-// readBody reads a whole body within the bound.
-func readBody(r *http.Request) ([]byte, error) {
+// bodySize is the most that a body can take; one of unknown length counts as the
+// largest.
+func bodySize(r *http.Request) (domain.Bytes, error) {
 	if r.ContentLength > int64(maximumBody) {
-		return nil, bodyTooLarge()
+		return 0, bodyTooLarge()
+	}
+	if r.ContentLength < 0 {
+		return maximumBody, nil
 	}
+	return domain.Bytes(r.ContentLength), nil
+}
+
+// readBody reads a whole body within the bound.
+func readBody(r *http.Request) ([]byte, error) {
 	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, int64(maximumBody)))
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
--- a/caller/session.go
+++ b/caller/session.go
@@ -34,7 +34,9 @@
 	cancel  context.CancelFunc
 	relay   relay
 	current *attempt
-	tries   int
+	// slot is the session's place among those that run; nil until it has one.
+	slot  *slot
+	tries int
 	// mayHaveRun is true once an attempt failed in a way that may have run.
 	mayHaveRun bool
 	exclude    []domain.ServerID
@@ -84,11 +86,10 @@
 		return s.give(verdict.BackendFailed, "every attempt failed", s.last)
 	}
 	s.tries++
-	replicas, err := s.api.Placer.Place(s.ctx, s.need())
+	set, err := s.place()
 	if err != nil {
 		return s.notPlaced(err)
 	}
-	set := routing.Group(s.api.Region, s.api.Zone, replicas)
 	i, ok := s.api.chooser.Choose(time.Now(), set, routing.Request{Adapter: s.call.adapter, Exclude: s.exclude})
 	if !ok {
 		s.exclude = nil
@@ -102,6 +103,32 @@
 	return nil
 }
 
+// staleAfter is how long a request may wait in the queue before its replicas are
+// looked up again.
+const staleAfter = 100 * time.Millisecond
+
+// place finds the replicas and waits for a slot on them.
+func (s *session) place() (routing.Set, error) {
+	set, err := s.lookUp()
+	if err != nil || s.slot != nil {
+		return set, err
+	}
+	found := time.Now()
+	s.slot, err = s.api.gates.enter(s.ctx, s.call, s.api.chooser.Room(set))
+	if err != nil || time.Since(found) < staleAfter {
+		return set, err
+	}
+	return s.lookUp()
+}
+
+func (s *session) lookUp() (routing.Set, error) {
+	replicas, err := s.api.Placer.Place(s.ctx, s.need())
+	if err != nil {
+		return routing.Set{}, err
+	}
+	return routing.Group(s.api.Region, s.api.Zone, replicas), nil
+}
+
 func (s *session) need() Need {
 	c := s.call
 	return Need{
@@ -217,5 +244,9 @@
 		s.current.close()
 		s.current = nil
 	}
+	if s.slot != nil {
+		s.slot.leave()
+		s.slot = nil
+	}
 	s.cancel()
 }
--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -122,6 +122,29 @@
 	return 0
 }
 
+// Room returns how many requests this node may have in flight over the replicas
+// of s. While they have room, that is what this node has and what is free; once
+// they are full, each node falls back in proportion and all approach equal
+// shares. It is at least one.
+func (c *Chooser) Room(s Set) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	concurrency, reported, mine := 0, 0, 0
+	for i := range s.Replicas {
+		p := &s.Replicas[i]
+		concurrency += max(p.Concurrency, 1)
+		reported += p.Running + p.Waiting
+		if l := c.loads[p.Server]; l != nil {
+			l.see(p)
+			mine += min(l.atReport, p.Running+p.Waiting)
+		}
+	}
+	if reported <= concurrency {
+		return mine + concurrency - reported + 1
+	}
+	return mine*concurrency/reported + 1
+}
+
 // choose takes the nearest group that has room, else the best candidate of all.
 func (c *Chooser) choose(now time.Time, s Set, r Request) int {
 	best, bestScore := -1, 0.0
@@ -215,10 +238,15 @@
 	if !ok {
 		return p.Running + p.Waiting
 	}
+	l.see(p)
+	return max(p.Running+p.Waiting+l.inFlight-l.atReport, l.inFlight)
+}
+
+// see remembers what this node had in flight when a new report came.
+func (l *load) see(p *Replica) {
 	if !l.reportedAt.Equal(p.ReportedAt) {
 		l.reportedAt, l.atReport = p.ReportedAt, l.inFlight
 	}
-	return max(p.Running+p.Waiting+l.inFlight-l.atReport, l.inFlight)
 }
 
 func (c *Chooser) load(p *Replica) *load {
