Keep retries within a tenth and hedge late first tokens

Cause: with unbounded retries an outage multiplies the load; one slow or dead server holds up requests that another could answer. Change: budgets by node and model, waits with jittered backoff where they are spent, circuit breakers that are ignored where they would eject all, a hedge after a learned percentile into spare room only. Conclusion: retries stay within 10% and what was saved before, at most 10.

--- a/caller/api.go
+++ b/caller/api.go
@@ -43,7 +43,7 @@
 	chooser  routing.Chooser
 	attempts atomic.Uint64
 	inFlight atomic.Int64
-	budgets  budgets
+	health   health
 	gates    gates
 }
 
--- a/caller/attempt.go
+++ b/caller/attempt.go
@@ -84,30 +84,33 @@
 	return t
 }
 
-// start opens the stream.
-func (t *attempt) start(s *session) error {
-	now := time.Now()
+// request is what the attempt asks of its engine.
+func (s *session) request(t *attempt) engine.ChatRequest {
 	travel := travelInRegion
-	if t.target.Region != t.api.Region {
+	if t.target.Region != s.api.Region {
 		travel = travelCrossRegion
 	}
-	left := s.call.deadline.Remaining(now) - travel
-	t.progress = time.AfterFunc(firstTokenTimeout(left), func() { t.cancel(errSilent) })
-	stream, err := t.api.Chatter.Chat(t.ctx, t.target.Address, engine.ChatRequest{
+	return engine.ChatRequest{
 		Request:  s.call.id,
 		Attempt:  t.id,
 		Model:    s.call.model.Name,
 		Adapter:  s.call.adapter,
 		Priority: s.call.team.Priority,
-		Within:   left,
+		Within:   max(0, s.call.deadline.Remaining(time.Now())-travel),
 		Body:     s.call.body,
 		Resume:   s.relay.next,
-	})
+	}
+}
+
+// first opens the stream and returns its first part.
+func (t *attempt) first(r engine.ChatRequest) (engine.Token, error) {
+	t.progress = time.AfterFunc(firstTokenTimeout(r.Within), func() { t.cancel(errSilent) })
+	stream, err := t.api.Chatter.Chat(t.ctx, t.target.Address, r)
 	if err != nil {
-		return err
+		return engine.Token{}, err
 	}
 	t.stream = stream
-	return nil
+	return t.next()
 }
 
 func firstTokenTimeout(left time.Duration) time.Duration {
--- a/caller/gates.go
+++ b/caller/gates.go
@@ -105,6 +105,16 @@
 	m.tell(m.queue.Finish(time.Now(), s.id))
 }
 
+// waitingFor returns how many requests wait for a model.
+func (g *gates) waitingFor(n domain.ModelName) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m := g.models[n]; m != nil {
+		return m.queue.Waiting()
+	}
+	return 0
+}
+
 // hold counts a body that this node keeps; false means that there is no room.
 func (g *gates) hold(size domain.Bytes) bool {
 	g.mu.Lock()
--- a/caller/services.go
+++ b/caller/services.go
@@ -126,7 +126,7 @@
 	var exclude []domain.ServerID
 	mayHaveRun := false
 	budget := domain.ModelName("service/" + c.service.Name)
-	a.budgets.request(time.Now(), budget)
+	a.health.request(time.Now(), budget)
 	for try := 1; ; try++ {
 		outcome, server, err := a.sendOnce(ctx, c, exclude)
 		if err == nil {
@@ -135,7 +135,7 @@
 		mayHaveRun = mayHaveRun || verdict.Of(err).Verdict != verdict.NotRun
 		exclude = append(exclude, server)
 		again := ctx.Err() == nil && try < maximumAttempts && server != "" &&
-			verdict.MayRetry(err, c.idempotent) && a.budgets.spend(time.Now(), budget)
+			verdict.MayRetry(err, c.idempotent) && a.health.spend(time.Now(), budget)
 		if !again {
 			return Outcome{}, serviceFailure(ctx, err, mayHaveRun)
 		}
--- a/caller/session.go
+++ b/caller/session.go
@@ -23,6 +23,8 @@
 	errDeadline = errors.New("the caller's deadline passed")
 	errSilent   = errors.New("the connection made no progress")
 	errGap      = errors.New("a part of the answer is missing")
+	// errAbandoned attempts lost a race.
+	errAbandoned = errors.New("another attempt was faster")
 )
 
 // session answers one chat request by as many attempts as it takes. It is used
@@ -34,6 +36,9 @@
 	cancel  context.CancelFunc
 	relay   relay
 	current *attempt
+	// pending is the first part of current, where hasPending is set.
+	pending    engine.Token
+	hasPending bool
 	// slot is the session's place among those that run; nil until it has one.
 	slot  *slot
 	tries int
@@ -48,7 +53,7 @@
 
 func (a *API) newSession(ctx context.Context, c *chatCall) *session {
 	ctx, cancel := context.WithDeadlineCause(ctx, c.deadline.At, errDeadline)
-	a.budgets.request(time.Now(), c.model.Name)
+	a.health.request(time.Now(), c.model.Name)
 	return &session{api: a, call: c, ctx: ctx, cancel: cancel}
 }
 
@@ -62,7 +67,7 @@
 			}
 			continue
 		}
-		t, err := s.current.next()
+		t, err := s.read()
 		if err == nil {
 			switch s.relay.accept(t) {
 			case deliver:
@@ -73,12 +78,23 @@
 				err = errGap
 			}
 		}
-		if err := s.failed(err); err != nil {
+		broken := s.current
+		s.current = nil
+		if err := s.failed(broken, err); err != nil {
 			return engine.Token{}, err
 		}
 	}
 }
 
+// read returns the next part of the current attempt.
+func (s *session) read() (engine.Token, error) {
+	if s.hasPending {
+		s.hasPending = false
+		return s.pending, nil
+	}
+	return s.current.next()
+}
+
 // open starts an attempt. It leaves s.current nil where the attempt failed and
 // another may follow.
 func (s *session) open() error {
@@ -90,17 +106,16 @@
 	if err != nil {
 		return s.notPlaced(err)
 	}
-	i, ok := s.api.chooser.Choose(time.Now(), set, routing.Request{Adapter: s.call.adapter, Exclude: s.exclude})
+	i, ok := s.api.chooser.Choose(time.Now(), set, s.choice(s.exclude))
 	if !ok {
 		s.exclude = nil
 		return s.pause()
 	}
-	s.current = s.api.newAttempt(s, &set.Replicas[i])
-	s.relay.begin(s.current.id)
-	if err := s.current.start(s); err != nil {
-		return s.failed(err)
-	}
-	return nil
+	return s.run(set, &set.Replicas[i])
+}
+
+func (s *session) choice(exclude []domain.ServerID) routing.Request {
+	return routing.Request{Adapter: s.call.adapter, Exclude: exclude, Ejected: s.api.health.ejected}
 }
 
 // staleAfter is how long a request may wait in the queue before its replicas are
@@ -149,51 +164,70 @@
 	return s.give(e.Reason, e.Message, err)
 }
 
-// failed closes the current attempt and decides whether another follows: nil
-// means that it does.
-func (s *session) failed(err error) error {
-	attempt := s.current
-	s.current = nil
-	silent := attempt.wentSilent()
-	attempt.close()
-	s.last = err
+// failed closes an attempt and decides whether another follows: nil means that
+// it does.
+func (s *session) failed(t *attempt, err error) error {
 	if s.ctx.Err() != nil {
-		s.mayHaveRun = true
+		t.close()
+		s.last, s.mayHaveRun = err, true
 		return s.ended()
 	}
-	failure := failureOf(err, silent)
-	s.note(failure, attempt)
-	if failure == notLoaded || failure == adapterMissing {
+	f := s.note(t, err)
+	if f == notLoaded || f == adapterMissing {
 		return nil
 	}
-	if !s.api.budgets.spend(time.Now(), s.call.model.Name) {
-		return s.outOfBudget(failure, err)
+	return s.spend(f, err)
+}
+
+// budgetWaits is how often a request asks for a retry before it is given up.
+const budgetWaits = 5
+
+// spend takes a retry from the budget, and waits a little where it is spent.
+func (s *session) spend(f failure, err error) error {
+	if f == overloaded {
+		if err := s.pause(); err != nil {
+			return err
+		}
 	}
-	if failure == overloaded {
-		return s.pause()
+	for wait := 0; !s.api.health.spend(time.Now(), s.call.model.Name); wait++ {
+		if wait == budgetWaits {
+			return s.outOfBudget(f, err)
+		}
+		if err := s.pauseFor(retries.Backoff(wait+1, rand.Float64())); err != nil {
+			return err
+		}
 	}
 	return nil
 }
 
-// note remembers what an attempt's failure says about its server.
-func (s *session) note(f failure, a *attempt) {
+// note closes an attempt and remembers what its failure says about its server.
+func (s *session) note(t *attempt, err error) failure {
+	f := failureOf(err, t.wentSilent())
+	t.close()
+	s.last = err
 	switch f {
 	case notLoaded:
-		s.api.Placer.Unloaded(a.server, s.call.model.Name)
+		s.api.Placer.Unloaded(t.server, s.call.model.Name)
 	case adapterMissing:
-	case overloaded, unreached:
-		s.exclude = append(s.exclude, a.server)
+	case overloaded:
+		s.exclude = append(s.exclude, t.server)
+	case unreached:
+		s.exclude = append(s.exclude, t.server)
+		s.api.health.failed(time.Now(), t.server, f)
 	case silent:
 		s.mayHaveRun = true
-		if slices.Contains(s.silent, a.server) {
-			s.exclude = append(s.exclude, a.server)
+		if slices.Contains(s.silent, t.server) {
+			s.exclude = append(s.exclude, t.server)
 		}
-		s.silent = append(s.silent, a.server)
+		s.silent = append(s.silent, t.server)
+		s.api.health.failed(time.Now(), t.server, f)
 	case broken:
 		s.mayHaveRun = true
-		s.exclude = append(s.exclude, a.server)
+		s.exclude = append(s.exclude, t.server)
+		s.api.health.failed(time.Now(), t.server, f)
 	}
 	s.api.Scope.Tagged(map[string]string{"failure": f.String()}).Counter("attempts_failed").Inc(1)
+	return f
 }
 
 func (s *session) outOfBudget(f failure, err error) error {
@@ -204,8 +238,10 @@
 }
 
 // pause waits before the next attempt.
-func (s *session) pause() error {
-	wait := time.NewTimer(retries.Backoff(s.tries, rand.Float64()))
+func (s *session) pause() error { return s.pauseFor(retries.Backoff(s.tries, rand.Float64())) }
+
+func (s *session) pauseFor(d time.Duration) error {
+	wait := time.NewTimer(d)
 	defer wait.Stop()
 	select {
 	case <-wait.C:
--- a/retries/budget.go
+++ b/retries/budget.go
@@ -10,7 +10,7 @@
 // Budget bounds. A quiet model may still retry: a reserve fills up slowly.
 const (
 	reserve        = 5.0
-	maximumBudget  = 100.0
+	maximumBudget  = 10.0
 	reserveSeconds = 10.0
 )
 
--- /dev/null
+++ b/retries/retries_test.go
@@ -0,0 +1,82 @@
+package retries
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func TestRetriesAddAtMostATenth(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var b Budget
+		now, requests, retries := start, 0, 0
+		for range rapid.IntRange(1, 400).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(rt, "ms")) * time.Millisecond)
+			requests++
+			b.Request(now)
+			for range rapid.IntRange(0, 5).Draw(rt, "failures") {
+				if b.Spend(now) {
+					retries++
+				}
+			}
+		}
+		refilled := now.Sub(start).Seconds() / reserveSeconds
+		if most := Ratio*float64(requests) + reserve + refilled + 1e-6; float64(retries) > most {
+			rt.Fatalf("got %d retries for %d requests, want at most %.1f", retries, requests, most)
+		}
+	})
+}
+
+func TestBackoffGrowsWithinItsBounds(t *testing.T) {
+	for attempts := range 40 {
+		low, high := Backoff(attempts, 0), Backoff(attempts, 0.999)
+		if low < firstBackoff/2 || high > longestBackoff || low > high {
+			t.Errorf("got %v to %v after %d attempts", low, high, attempts)
+		}
+	}
+}
+
+func TestBreakerTriesAgainAndDoubles(t *testing.T) {
+	var b Breakers
+	now := start
+	b.Failed(now, "e1", false)
+	b.Failed(now, "e1", false)
+	if b.Ejected(now, "e1") {
+		t.Error("got e1 ejected after two failures, want three")
+	}
+	b.Failed(now, "e1", false)
+	if !b.Ejected(now.Add(firstEjection-1), "e1") || b.Ejected(now.Add(firstEjection), "e1") {
+		t.Errorf("got another ejection than %v", firstEjection)
+	}
+	now = now.Add(firstEjection)
+	b.Failed(now, "e1", false)
+	if !b.Ejected(now.Add(2*firstEjection-1), "e1") {
+		t.Error("got a second ejection shorter than twice the first")
+	}
+	now = now.Add(2 * firstEjection)
+	b.Succeeded(now, "e1")
+	b.Failed(now, "e1", false)
+	if b.Ejected(now, "e1") {
+		t.Error("got e1 ejected by one failure after a success")
+	}
+	b.Failed(now, "e2", true)
+	if !b.Ejected(now, "e2") {
+		t.Error("got an unreached server still in use")
+	}
+}
+
+func TestHedgeDelayIsALatePercentile(t *testing.T) {
+	var l Latency
+	if _, ok := l.HedgeAfter(); ok {
+		t.Error("got a hedge delay with nothing learned")
+	}
+	for i := range 100 {
+		l.Record(time.Duration(i+1) * 10 * time.Millisecond)
+	}
+	if got, _ := l.HedgeAfter(); got < 900*time.Millisecond || got > time.Second {
+		t.Errorf("got a hedge after %v, want the 95th percentile of 10 ms to 1 s", got)
+	}
+}
--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -30,6 +30,8 @@
 	// Ejected tells which servers a circuit breaker leaves out; nil means none.
 	// Where all are ejected, the breaker is ignored.
 	Ejected func(domain.ServerID) bool
+	// Spare asks for a replica with room; without one there is no choice.
+	Spare bool
 	// Seed makes the choice repeatable; zero means random.
 	Seed uint64
 }
@@ -87,7 +89,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	i := c.choose(now, s, r)
-	if i < 0 && r.Ejected != nil {
+	if i < 0 && r.Ejected != nil && !r.Spare {
 		r.Ejected = nil
 		i = c.choose(now, s, r)
 	}
@@ -161,6 +163,9 @@
 			best, bestScore = i, score
 		}
 	}
+	if r.Spare {
+		return -1
+	}
 	return best
 }
 
