Add stand-ins for the platform, engines and booking services

Cause: the newcomer's start, the tests and the load need what is outside the system, with faults, and an account of what was seen from there. Change: package standin serves the log, weight store, VM list, engines, booking services and control of docs/protocols.md over HTTP.

--- /dev/null
+++ b/standin/crossing.go
@@ -0,0 +1,47 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+
+	"github.com/parsleylug/parsleylug/domain"
+)
+
+// countCrossing counts the bytes of bodies that cross regions: those of requests
+// whose X-Region is not the server's.
+func countCrossing(region domain.Region, ob *observer, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		from := r.Header.Get("X-Region")
+		if from == "" || from == string(region) {
+			next.ServeHTTP(w, r)
+			return
+		}
+		r.Body = countingBody{r.Body, ob}
+		next.ServeHTTP(countingWriter{w, ob}, r)
+	})
+}
+
+type countingBody struct {
+	io.ReadCloser
+	observer *observer
+}
+
+func (b countingBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.observer.crossedRegions(int64(n))
+	return n, err
+}
+
+type countingWriter struct {
+	http.ResponseWriter
+	observer *observer
+}
+
+func (w countingWriter) Write(p []byte) (int, error) {
+	n, err := w.ResponseWriter.Write(p)
+	w.observer.crossedRegions(int64(n))
+	return n, err
+}
+
+// Unwrap lets a response controller flush the writer beneath.
+func (w countingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- /dev/null
+++ b/standin/faults.go
@@ -0,0 +1,130 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// Faults is the body of POST /Faults. Absent fields stay as they are.
+type Faults struct {
+	Log         *LogFaults
+	WeightStore *WeightStoreFaults
+	VMList      *VMListFaults
+	Engines     []EngineFaults
+	Services    []ServiceFaults
+	VMs         []VMFaults
+}
+
+// LogFaults are the faults of the platform's log.
+type LogFaults struct {
+	Down              *bool
+	DelayMilliseconds *int
+	// LoseAnswers is the share of appends that take effect without an answer.
+	LoseAnswers      *float64
+	AppendsPerSecond *float64
+	// RetainRecords is how many records a stream keeps.
+	RetainRecords *int
+}
+
+// WeightStoreFaults are the faults of the weight store.
+type WeightStoreFaults struct {
+	// Slowdown divides the speed of transfers.
+	Slowdown *float64
+}
+
+// VMListFaults are the faults of the VM list.
+type VMListFaults struct{ LagMilliseconds *int }
+
+// EngineFaults are the faults of one engine, named by its URL or VM id.
+type EngineFaults struct {
+	Engine                string
+	Paused                *bool
+	Crash                 bool
+	PoisonPrompt          *string
+	SilentConnections     bool
+	ReportLagMilliseconds *int
+	// Pace multiplies the speed of tokens; 0.5 is half as fast.
+	Pace *float64
+	// IgnoreOrdersMilliseconds is how long an order lies before the engine looks
+	// at it and checks its fence.
+	IgnoreOrdersMilliseconds *int
+}
+
+// ServiceFaults are the faults of one service, named by its URL or VM id.
+type ServiceFaults struct {
+	Service string
+	Paused  *bool
+	Crash   bool
+	// DelayMilliseconds is how long after its run a call is answered.
+	DelayMilliseconds *int
+	// LoseAnswers is the share of commands that run without an answer.
+	LoseAnswers       *float64
+	SilentConnections bool
+}
+
+// VMFaults are the faults of one VM on the list.
+type VMFaults struct {
+	ID      string
+	Leaving *bool
+	// Reclaimed ends the backend server and takes the VM off the list for good.
+	Reclaimed bool
+}
+
+const maximumMilliseconds = 24 * 60 * 60 * 1000
+
+func decodeFaults(data []byte) (Faults, error) {
+	var f Faults
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&f); err != nil {
+		return Faults{}, errors.WithStack(err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return Faults{}, errors.New("more than one object")
+	}
+	return f, f.check()
+}
+
+func (f Faults) check() error {
+	if l := f.Log; l != nil {
+		if err := check(share(l.LoseAnswers), milliseconds(l.DelayMilliseconds),
+			positive(l.AppendsPerSecond), count(l.RetainRecords)); err != nil {
+			return errors.WithMessage(err, "Log")
+		}
+	}
+	if s := f.WeightStore; s != nil && !positive(s.Slowdown) {
+		return errors.New("WeightStore: Slowdown must be above 0")
+	}
+	if v := f.VMList; v != nil && !milliseconds(v.LagMilliseconds) {
+		return errors.New("VMList: LagMilliseconds is out of range")
+	}
+	for _, e := range f.Engines {
+		if err := check(positive(e.Pace), milliseconds(e.ReportLagMilliseconds),
+			milliseconds(e.IgnoreOrdersMilliseconds)); err != nil {
+			return errors.WithMessagef(err, "engine %.80q", e.Engine)
+		}
+	}
+	for _, s := range f.Services {
+		if err := check(share(s.LoseAnswers), milliseconds(s.DelayMilliseconds)); err != nil {
+			return errors.WithMessagef(err, "service %.80q", s.Service)
+		}
+	}
+	return nil
+}
+
+func check(valid ...bool) error {
+	for _, v := range valid {
+		if !v {
+			return errors.New("a number is out of range")
+		}
+	}
+	return nil
+}
+
+func share(v *float64) bool    { return v == nil || (*v >= 0 && *v <= 1) }
+func positive(v *float64) bool { return v == nil || *v > 0 }
+func count(v *int) bool        { return v == nil || *v > 0 }
+func milliseconds(v *int) bool { return v == nil || (*v >= 0 && *v <= maximumMilliseconds) }
--- /dev/null
+++ b/standin/group.go
@@ -0,0 +1,192 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+)
+
+// Group is a running set of stand-ins.
+type Group struct {
+	LogURL         string
+	WeightStoreURL string
+	VMListURL      string
+	EngineURLs     []string
+	ServiceURLs    []string
+	ControlURL     string
+
+	options  Options
+	observer *observer
+	log      *platformLog
+	weights  *weightStore
+	vms      *vmList
+	engines  []*modelEngine
+	services []*bookingService
+	servers  []*server
+	once     sync.Once
+}
+
+// bookingServiceName is the name that the booking services have on the VM list.
+const bookingServiceName = "booking"
+
+// Start starts the stand-ins; they run until ctx ends or Close is called.
+func Start(ctx context.Context, o Options) (*Group, error) {
+	o = o.withDefaults()
+	ob := newObserver()
+	g := &Group{
+		options:  o,
+		observer: ob,
+		log:      newLog(o, ob),
+		weights:  newWeightStore(o),
+		vms:      newVMList(o),
+	}
+	if err := g.start(); err != nil {
+		g.Close()
+		return nil, err
+	}
+	context.AfterFunc(ctx, g.Close)
+	return g, nil
+}
+
+func (g *Group) start() error {
+	for _, s := range []struct {
+		url     *string
+		handler http.Handler
+	}{
+		{&g.LogURL, g.log.handler()},
+		{&g.WeightStoreURL, g.weights.handler()},
+		{&g.VMListURL, g.vms.handler()},
+		{&g.ControlURL, g.control()},
+	} {
+		started, err := g.serve(s.handler)
+		if err != nil {
+			return err
+		}
+		*s.url = started.url()
+	}
+	if err := g.startEngines(); err != nil {
+		return err
+	}
+	if err := g.startServices(); err != nil {
+		return err
+	}
+	g.vms.seed(g.listing())
+	return nil
+}
+
+func (g *Group) serve(h http.Handler) (*server, error) {
+	s, err := newServer(g.options.ListenIP, h)
+	if err != nil {
+		return nil, err
+	}
+	g.servers = append(g.servers, s)
+	return s, nil
+}
+
+func (g *Group) startEngines() error {
+	o := g.options
+	adapters := &adapterStore{chance: newChance(o.Seed, "adapters")}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for i := range o.Engines {
+		region, _ := o.place(i)
+		e := &modelEngine{
+			options:      o,
+			id:           "engine-" + strconv.Itoa(i+1),
+			region:       region,
+			checksFences: o.ChecksFences[i%len(o.ChecksFences)],
+			observer:     g.observer,
+			adapters:     adapters,
+			storeURL:     g.WeightStoreURL,
+			client:       client,
+			diskCache:    checkpointCache{size: diskCacheModels},
+		}
+		e.begin()
+		if err := g.startEngine(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startEngine listens; the engine takes requests once its fields are complete.
+func (g *Group) startEngine(e *modelEngine) error {
+	ready := make(chan struct{})
+	handler := e.handler()
+	s, err := g.serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		<-ready
+		handler.ServeHTTP(w, r)
+	}))
+	if err != nil {
+		return err
+	}
+	e.server = s
+	e.observed = g.observer.addEngine(s.url(), int64(g.options.EngineMemory))
+	g.engines = append(g.engines, e)
+	g.EngineURLs = append(g.EngineURLs, s.url())
+	close(ready)
+	return nil
+}
+
+func (g *Group) startServices() error {
+	o := g.options
+	shared := &ledger{}
+	for i := range o.Services {
+		region, _ := o.place(i)
+		id := "service-" + strconv.Itoa(i+1)
+		b := &bookingService{
+			id:       id,
+			region:   region,
+			restart:  o.RestartTime,
+			ledger:   shared,
+			observer: g.observer,
+			chance:   newChance(o.Seed, id),
+		}
+		b.begin()
+		s, err := g.serve(b.handler())
+		if err != nil {
+			return err
+		}
+		b.server = s
+		g.services = append(g.services, b)
+		g.ServiceURLs = append(g.ServiceURLs, s.url())
+	}
+	return nil
+}
+
+// listing is what the VM list says of the backend servers at the start.
+func (g *Group) listing() []wireVM {
+	var vms []wireVM
+	for i, e := range g.engines {
+		v := g.vm(e.id, "Engine", e.server, i)
+		v.MemoryBytes = int64(g.options.EngineMemory)
+		v.ChecksFences = e.checksFences
+		vms = append(vms, v)
+	}
+	for i, s := range g.services {
+		v := g.vm(s.id, "Service", s.server, i)
+		v.ServiceName = bookingServiceName
+		vms = append(vms, v)
+	}
+	return vms
+}
+
+func (g *Group) vm(id, kind string, s *server, i int) wireVM {
+	region, zone := g.options.place(i)
+	return wireVM{ID: id, Kind: kind, Address: s.address, Region: string(region), Zone: string(zone)}
+}
+
+// Close stops everything.
+func (g *Group) Close() {
+	g.once.Do(func() {
+		for _, e := range g.engines {
+			e.reclaim()
+		}
+		for _, s := range g.services {
+			s.reclaim()
+		}
+		for _, s := range g.servers {
+			s.close()
+		}
+	})
+}
--- /dev/null
+++ b/standin/server.go
@@ -0,0 +1,140 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	headerTimeout = 10 * time.Second
+	relistenPause = 10 * time.Millisecond
+)
+
+// server is one HTTP server that can crash, come back at the same address, and
+// lose track of its open connections.
+type server struct {
+	handler http.Handler
+
+	mu       sync.Mutex
+	address  string
+	closed   bool
+	http     *http.Server
+	listener net.Listener
+	conns    map[*conn]struct{}
+}
+
+func newServer(ip string, handler http.Handler) (*server, error) {
+	s := &server{handler: handler, address: net.JoinHostPort(ip, "0")}
+	if err := s.start(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// url is the base URL of the server.
+func (s *server) url() string { return "http://" + s.address }
+
+func (s *server) start() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return net.ErrClosed
+	}
+	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", s.address)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	s.address = l.Addr().String()
+	s.listener = l
+	s.conns = make(map[*conn]struct{})
+	s.http = &http.Server{
+		Handler:           s.handler,
+		ReadHeaderTimeout: headerTimeout,
+		ErrorLog:          log.New(io.Discard, "", 0),
+	}
+	go func(h *http.Server) { _ = h.Serve(&trackingListener{Listener: l, server: s}) }(s.http)
+	return nil
+}
+
+// restart listens again at the same address; it tries until the port can be had
+// or the server is closed.
+func (s *server) restart() {
+	for {
+		err := s.start()
+		if err == nil || errors.Is(err, net.ErrClosed) {
+			return
+		}
+		time.Sleep(relistenPause)
+	}
+}
+
+// crash resets every connection and refuses new ones.
+func (s *server) crash() {
+	s.mu.Lock()
+	conns := s.conns
+	s.conns = nil
+	h := s.http
+	_ = s.listener.Close()
+	s.mu.Unlock()
+	for c := range conns {
+		c.reset()
+	}
+	_ = h.Close()
+}
+
+// close ends the server for good.
+func (s *server) close() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	s.crash()
+}
+
+// silence makes the connections that are open now swallow everything.
+func (s *server) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.silent.Store(true)
+	}
+}
+
+func (s *server) track(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conns == nil {
+		return false
+	}
+	s.conns[c] = struct{}{}
+	return true
+}
+
+func (s *server) forget(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+type trackingListener struct {
+	net.Listener
+	server *server
+}
+
+func (l *trackingListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := newConn(accepted, l.server)
+	if !l.server.track(c) {
+		c.reset()
+	}
+	return c, nil
+}
--- /dev/null
+++ b/standin/vmlist.go
@@ -0,0 +1,244 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// announcementLife is how long an entry VM stays listed without a repeat.
+	announcementLife = 6 * time.Second
+	maximumVMListLag = 10 * time.Minute
+)
+
+type wireVM struct {
+	ID           string
+	Kind         string
+	Address      string
+	AdminAddress string
+	Region       string
+	Zone         string
+	MemoryBytes  int64
+	ChecksFences bool
+	ServiceName  string
+	Leaving      bool
+}
+
+type wireVMs struct{ VMs []wireVM }
+
+// vmList is the platform's list of VMs. It answers how things stood a lag ago.
+type vmList struct {
+	mu        sync.Mutex
+	lag       time.Duration
+	vms       map[string]wireVM
+	expires   map[string]time.Time
+	reclaimed map[string]bool
+	// history is how the list stood after each change, oldest first.
+	history []vmSnapshot
+}
+
+type vmSnapshot struct {
+	at  time.Time
+	vms []wireVM
+}
+
+func newVMList(o Options) *vmList {
+	return &vmList{
+		lag:       o.VMListLag,
+		vms:       make(map[string]wireVM),
+		expires:   make(map[string]time.Time),
+		reclaimed: make(map[string]bool),
+	}
+}
+
+// seed sets the VMs that are listed from the start, without a lag.
+func (l *vmList) seed(vms []wireVM) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, v := range vms {
+		l.vms[v.ID] = v
+	}
+	l.record(time.Time{})
+}
+
+func (l *vmList) record(at time.Time) {
+	s := vmSnapshot{at: at, vms: []wireVM{}}
+	for _, v := range l.vms {
+		s.vms = append(s.vms, v)
+	}
+	slices.SortFunc(s.vms, func(a, b wireVM) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	l.history = append(l.history, s)
+}
+
+// listed returns the list as of a lag ago.
+func (l *vmList) listed(now time.Time) []wireVM {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	shown := l.history[0]
+	for _, s := range l.history {
+		if s.at.After(now.Add(-l.lag)) {
+			break
+		}
+		shown = s
+	}
+	l.prune(now)
+	return shown.vms
+}
+
+func (l *vmList) prune(now time.Time) {
+	for len(l.history) > 1 && l.history[1].at.Before(now.Add(-maximumVMListLag)) {
+		l.history = l.history[1:]
+	}
+}
+
+// expire takes off entry VMs whose announcement was not repeated.
+func (l *vmList) expire(now time.Time) {
+	for {
+		id, at := l.firstExpired(now)
+		if id == "" {
+			return
+		}
+		delete(l.expires, id)
+		delete(l.vms, id)
+		l.record(at)
+	}
+}
+
+func (l *vmList) firstExpired(now time.Time) (string, time.Time) {
+	var first string
+	var at time.Time
+	for id, t := range l.expires {
+		if t.After(now) || (first != "" && !t.Before(at)) {
+			continue
+		}
+		first, at = id, t
+	}
+	return first, at
+}
+
+// announce lists an entry VM; false means that its VM was reclaimed or that the
+// id is another VM's.
+func (l *vmList) announce(v wireVM, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	listed, ok := l.vms[v.ID]
+	if l.reclaimed[v.ID] || (ok && listed.Kind != v.Kind) {
+		return false
+	}
+	v.Leaving = v.Leaving || listed.Leaving
+	changed := listed != v
+	l.vms[v.ID] = v
+	l.expires[v.ID] = now.Add(announcementLife)
+	if changed {
+		l.record(now)
+	}
+	return true
+}
+
+// withdraw takes an announced VM off.
+func (l *vmList) withdraw(id string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	if _, announced := l.expires[id]; announced {
+		l.remove(id, now)
+	}
+}
+
+func (l *vmList) remove(id string, now time.Time) {
+	if _, ok := l.vms[id]; !ok {
+		return
+	}
+	delete(l.vms, id)
+	delete(l.expires, id)
+	l.record(now)
+}
+
+func (l *vmList) known(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, ok := l.vms[id]
+	return ok
+}
+
+func (l *vmList) setLeaving(id string, leaving bool, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	v, ok := l.vms[id]
+	if !ok || v.Leaving == leaving {
+		return
+	}
+	v.Leaving = leaving
+	l.vms[id] = v
+	l.record(now)
+}
+
+// reclaim takes a VM off for good; its id is not listed again.
+func (l *vmList) reclaim(id string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	l.remove(id, now)
+	l.reclaimed[id] = true
+}
+
+func (l *vmList) setLag(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lag = d
+}
+
+func (l *vmList) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /vms", func(w http.ResponseWriter, _ *http.Request) {
+		answer(w, http.StatusOK, wireVMs{VMs: l.listed(time.Now())})
+	})
+	mux.HandleFunc("PUT /vms/{id}", l.serveAnnounce)
+	mux.HandleFunc("DELETE /vms/{id}", func(w http.ResponseWriter, r *http.Request) {
+		l.withdraw(r.PathValue("id"), time.Now())
+		w.WriteHeader(http.StatusNoContent)
+	})
+	return mux
+}
+
+func (l *vmList) serveAnnounce(w http.ResponseWriter, r *http.Request) {
+	data, err := readBody(r)
+	if err != nil {
+		fail(w, http.StatusBadRequest, "BadRequest")
+		return
+	}
+	v, err := decodeAnnouncement(data, r.PathValue("id"))
+	if err != nil {
+		fail(w, http.StatusBadRequest, "BadRequest")
+		return
+	}
+	if !l.announce(v, time.Now()) {
+		fail(w, http.StatusGone, "Reclaimed")
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func decodeAnnouncement(data []byte, id string) (wireVM, error) {
+	var v wireVM
+	if err := json.Unmarshal(data, &v); err != nil {
+		return wireVM{}, errors.WithStack(err)
+	}
+	if v.ID != id || v.Kind != "Entry" || v.Address == "" {
+		return wireVM{}, errors.New("an announcement needs the id of its path, the kind Entry and an address")
+	}
+	return v, nil
+}
