Add the peer message that moves an unused permit

Cause: a permit may rest on a server that has no memory left for its model. Change: ReleasePermit and Released. Conclusion: the home can move a permit without touching a loaded replica.

--- a/peer/message.go
+++ b/peer/message.go
@@ -69,6 +69,17 @@
 	Waited time.Duration
 }
 
+// ReleasePermit asks the owner of a server to give back a permit whose replica is
+// not loaded, so that another server can load the model. The answer is Released
+// or Failed.
+type ReleasePermit struct {
+	Server domain.ServerID
+	Model  domain.ModelName
+}
+
+// Released answers ReleasePermit once the log has the release.
+type Released struct{}
+
 // AcquirePace asks the pacer for a slot at the weight store. The answer is Paced
 // or Failed.
 type AcquirePace struct {
@@ -197,6 +208,8 @@
 func (Replicas) message()        {}
 func (Load) message()            {}
 func (Loaded) message()          {}
+func (ReleasePermit) message()   {}
+func (Released) message()        {}
 func (AcquirePace) message()     {}
 func (Paced) message()           {}
 func (ReleasePace) message()     {}
