--- /dev/null
+++ b/configuration/bytes.go
@@ -0,0 +1,63 @@
+package configuration
+
+import (
+	"math"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleylug/parsleylug/domain"
+)
+
+// MaximumBytes is the largest size that configuration may name. Sizes up to it
+// have an exact float64.
+const MaximumBytes domain.Bytes = 1 << 50
+
+// unit is a suffix of a readable size.
+type unit struct {
+	suffix string
+	bytes  float64
+}
+
+// byteUnits returns the suffixes, longest first.
+func byteUnits() []unit {
+	return []unit{
+		{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"GiB", 1 << 30}, {"TiB", 1 << 40},
+		{"KB", 1e3}, {"MB", 1e6}, {"GB", 1e9}, {"TB", 1e12}, {"B", 1},
+	}
+}
+
+// ParseBytes reads a size such as "16GiB", "0.5 GiB" or "1073741824".
+func ParseBytes(s string) (domain.Bytes, error) {
+	invalid := errors.Errorf("must be a size in bytes of at most %s", FormatBytes(MaximumBytes))
+	text, factor := strings.TrimSpace(s), 1.0
+	for _, u := range byteUnits() {
+		if cut, ok := strings.CutSuffix(text, u.suffix); ok {
+			text, factor = strings.TrimSpace(cut), u.bytes
+			break
+		}
+	}
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(v >= 0) {
+		return 0, invalid
+	}
+	v *= factor
+	if v > float64(MaximumBytes) || v != math.Trunc(v) {
+		return 0, invalid
+	}
+	return domain.Bytes(v), nil
+}
+
+// FormatBytes returns the shortest exact form of b, for example "16GiB".
+func FormatBytes(b domain.Bytes) string {
+	for _, u := range []struct {
+		suffix string
+		bytes  domain.Bytes
+	}{{"TiB", 1 << 40}, {"GiB", domain.Gibibyte}, {"MiB", domain.Mebibyte}, {"KiB", domain.Kibibyte}} {
+		if b != 0 && b%u.bytes == 0 {
+			return strconv.FormatInt(int64(b/u.bytes), 10) + u.suffix
+		}
+	}
+	return strconv.FormatInt(int64(b), 10) + "B"
+}
