Add rendezvous, membership and the mesh of peer links

Cause: nodes need to call each other, to know who is alive and to choose roles without a coordination service.

Change: rendezvous ranks nodes for a key; membership is the pure view (list as seed, suspicion, incarnations, ring neighbours, digests); peer carries CBOR frames over WebSocket links with calls, one-way messages, pings, redials of silent links and gossip.

--- /dev/null
+++ b/membership/table.go
@@ -0,0 +1,317 @@
+package membership
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/parsleylug/parsleylug/domain"
+)
+
+const (
+	// SuspicionTime is how long a suspect may refute before it is gone.
+	SuspicionTime = time.Second
+	// ProbeInterval is how often a suspect is tried over a new connection.
+	ProbeInterval = 500 * time.Millisecond
+	// RetryInterval is how often one of the nodes that are gone but still on the
+	// platform's list is tried.
+	RetryInterval = 3 * time.Second
+	// DistrustTime is how long this node's own silence towards a node that
+	// refuted a suspicion raises no further one: others reach that node.
+	DistrustTime = 30 * time.Second
+	// TombstoneTime is how long a node that left the list is remembered, so that
+	// late news does not bring it back.
+	TombstoneTime = 10 * time.Minute
+	// PauseTime is the gap between two Ticks that shows that this process itself
+	// was paused and that silence of others proves nothing.
+	PauseTime = time.Second
+)
+
+// Table is one node's view of all nodes. It is not safe for concurrent use.
+type Table struct {
+	self        Update
+	entries     map[domain.NodeID]*entry
+	suspects    map[domain.NodeID]*entry
+	gossip      map[domain.NodeID]bool
+	random      *rand.Rand
+	version     uint64
+	neighbours  []domain.NodeID
+	ringVersion uint64
+	lastTick    time.Time
+	nextRetry   time.Time
+}
+
+type entry struct {
+	Update
+	// listed is false after the platform's list dropped the node.
+	listed bool
+	// suspectedAt, goneAt and probedAt are zero where it did not happen.
+	suspectedAt, goneAt, probedAt time.Time
+	// distrustUntil is when this node's own silence counts again.
+	distrustUntil time.Time
+	// ring are the node's positions on the rings, worked out once.
+	ring uint64
+}
+
+// NewTable returns the view of a node that knows only itself.
+func NewTable(self Member) *Table {
+	ring := hash(self.Node)
+	return &Table{
+		self:     Update{Member: self, Status: Alive, Incarnation: 1},
+		entries:  map[domain.NodeID]*entry{},
+		suspects: map[domain.NodeID]*entry{},
+		gossip:   map[domain.NodeID]bool{self.Node: true},
+		random:   rand.New(rand.NewPCG(ring, 1)),
+		version:  1,
+	}
+}
+
+// Version changes whenever Members or Neighbours may.
+func (t *Table) Version() uint64 { return t.version }
+
+// Self returns the node's own record.
+func (t *Table) Self() Update { return t.self }
+
+// Members returns the nodes that count as alive, with this one, sorted by id.
+func (t *Table) Members() []Member {
+	result := make([]Member, 0, len(t.entries)+1)
+	result = append(result, t.self.Member)
+	for _, e := range t.entries {
+		if e.present() {
+			result = append(result, e.Member)
+		}
+	}
+	slices.SortFunc(result, func(a, b Member) int { return cmp.Compare(a.Node, b.Node) })
+	return result
+}
+
+// Lookup returns what is known of a node.
+func (t *Table) Lookup(n domain.NodeID) (Update, bool) {
+	if n == t.self.Member.Node {
+		return t.self, true
+	}
+	e, ok := t.entries[n]
+	if !ok {
+		return Update{}, false
+	}
+	return e.Update, true
+}
+
+// Listed takes in the platform's list. The list lags, so a new node on it is only
+// tried, and a node that vanished from it stays while it is heard.
+func (t *Table) Listed(now time.Time, members []Member) {
+	for _, e := range t.entries {
+		e.listed = false
+	}
+	for _, m := range members {
+		if m.Node == t.self.Member.Node {
+			continue
+		}
+		e, ok := t.entries[m.Node]
+		if !ok {
+			e = t.add(Update{Member: m, Status: Listed})
+			t.version++
+		}
+		e.listed = true
+		if m.Leaving && !e.Member.Leaving {
+			e.Member.Leaving = true
+			t.version++
+		}
+	}
+	t.forget(now)
+}
+
+// forget drops nodes that are known from nowhere any more.
+func (t *Table) forget(now time.Time) {
+	for n, e := range t.entries {
+		if e.listed || e.present() {
+			continue
+		}
+		if e.Status == Listed || now.Sub(e.goneAt) >= TombstoneTime {
+			delete(t.entries, n)
+			delete(t.gossip, n)
+		}
+	}
+}
+
+// Heard takes in that the node itself answered just now, with its own record of
+// itself.
+func (t *Table) Heard(now time.Time, u Update) {
+	if u.Member.Node == t.self.Member.Node {
+		return
+	}
+	t.apply(now, u)
+	e := t.entries[u.Member.Node]
+	if e.Status == Suspect && u.Incarnation >= e.Incarnation {
+		t.set(now, e, Alive)
+	}
+	e.distrustUntil = time.Time{}
+	e.probedAt = time.Time{}
+}
+
+// Silent takes in that a new connection to the node got no answer in time.
+func (t *Table) Silent(now time.Time, n domain.NodeID) {
+	e, ok := t.entries[n]
+	if !ok {
+		return
+	}
+	if e.Status == Listed {
+		t.set(now, e, Gone)
+		return
+	}
+	if e.Status == Alive && now.After(e.distrustUntil) {
+		t.set(now, e, Suspect)
+	}
+}
+
+// Refused takes in proof that the node's process is dead: its address refused
+// two connections or belongs to another node now.
+func (t *Table) Refused(now time.Time, n domain.NodeID) {
+	if e, ok := t.entries[n]; ok && e.Status != Gone {
+		t.set(now, e, Gone)
+	}
+}
+
+// Merge takes in news from another node and queues what was new for others.
+func (t *Table) Merge(now time.Time, updates []Update) {
+	for _, u := range updates {
+		t.apply(now, u)
+	}
+}
+
+// Leave marks this node as leaving.
+func (t *Table) Leave() {
+	if t.self.Member.Leaving {
+		return
+	}
+	t.self.Member.Leaving = true
+	t.self.Incarnation++
+	t.gossip[t.self.Member.Node] = true
+	t.version++
+}
+
+// Depart is the last news about this node: it is gone by its own word.
+func (t *Table) Depart() Update {
+	u := t.self
+	u.Member.Leaving = true
+	u.Status = Gone
+	return u
+}
+
+// Tick lets time pass: suspects that did not refute are gone.
+func (t *Table) Tick(now time.Time) {
+	paused := !t.lastTick.IsZero() && now.Sub(t.lastTick) > PauseTime
+	t.lastTick = now
+	for _, e := range t.suspects {
+		if paused {
+			e.suspectedAt = now
+		}
+		if now.Sub(e.suspectedAt) >= SuspicionTime {
+			t.set(now, e, Gone)
+		}
+	}
+}
+
+// Probes returns the nodes to try over a new connection now: suspects, and now
+// and then one that is gone but still listed, which heals a cut.
+func (t *Table) Probes(now time.Time) []domain.NodeID {
+	var result []domain.NodeID
+	for n, e := range t.suspects {
+		if now.Sub(e.probedAt) >= ProbeInterval && slices.Contains(t.Neighbours(), n) {
+			e.probedAt = now
+			result = append(result, n)
+		}
+	}
+	if now.Before(t.nextRetry) {
+		return result
+	}
+	t.nextRetry = now.Add(RetryInterval)
+	var gone []domain.NodeID
+	for n, e := range t.entries {
+		if e.Status == Gone && e.listed {
+			gone = append(gone, n)
+		}
+	}
+	if len(gone) > 0 {
+		slices.Sort(gone)
+		result = append(result, gone[t.random.IntN(len(gone))])
+	}
+	return result
+}
+
+// TakeGossip returns the news that was not passed on yet.
+func (t *Table) TakeGossip() []Update {
+	if len(t.gossip) == 0 {
+		return nil
+	}
+	result := make([]Update, 0, len(t.gossip))
+	for n := range t.gossip {
+		if u, ok := t.Lookup(n); ok {
+			result = append(result, u)
+		}
+	}
+	clear(t.gossip)
+	slices.SortFunc(result, func(a, b Update) int { return cmp.Compare(a.Member.Node, b.Member.Node) })
+	return result
+}
+
+func (e *entry) present() bool { return e.Status == Alive || e.Status == Suspect }
+
+func (t *Table) add(u Update) *entry {
+	e := &entry{Update: u, ring: hash(u.Member.Node)}
+	t.entries[u.Member.Node] = e
+	return e
+}
+
+func (t *Table) apply(now time.Time, u Update) {
+	n := u.Member.Node
+	if n == t.self.Member.Node {
+		t.refute(u)
+		return
+	}
+	if u.Status == Listed || n == "" {
+		return
+	}
+	e, ok := t.entries[n]
+	if !ok && u.Status == Gone {
+		return
+	}
+	if !ok {
+		e = t.add(Update{Member: u.Member, Status: Listed})
+	}
+	if !u.supersedes(e) {
+		return
+	}
+	if e.Status == Suspect && u.Status == Alive {
+		e.distrustUntil = now.Add(DistrustTime)
+	}
+	e.Member, e.Incarnation = u.Member, u.Incarnation
+	t.set(now, e, u.Status)
+}
+
+// refute answers news that this node is suspect or gone with a newer record.
+func (t *Table) refute(u Update) {
+	if u.Status < Suspect || u.Incarnation < t.self.Incarnation {
+		return
+	}
+	t.self.Incarnation = u.Incarnation + 1
+	t.gossip[t.self.Member.Node] = true
+}
+
+func (t *Table) set(now time.Time, e *entry, s Status) {
+	n := e.Member.Node
+	e.Status = s
+	delete(t.suspects, n)
+	switch s {
+	case Suspect:
+		e.suspectedAt = now
+		t.suspects[n] = e
+	case Gone:
+		e.goneAt = now
+	}
+	if e.Incarnation > 0 {
+		t.gossip[n] = true
+	}
+	t.version++
+}
--- /dev/null
+++ b/peer/encode.go
@@ -0,0 +1,149 @@
+package peer
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/parsleylug/parsleylug/membership"
+)
+
+// encodeFrame encodes a frame with its message; m is nil for frameCancel.
+func encodeFrame(f wireFrame, m Message) ([]byte, error) {
+	if m == nil {
+		f.Body = cbor.RawMessage{cborNull}
+		return cbor.Marshal(f)
+	}
+	number, body := toWire(m)
+	if number == numberNone {
+		return nil, errors.Errorf("peer: %T has no number", m)
+	}
+	encoded, err := cbor.Marshal(body)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode message")
+	}
+	f.Number, f.Body = number, encoded
+	return cbor.Marshal(f)
+}
+
+const cborNull = 0xf6
+
+// toWire maps a message to its number and wire type.
+func toWire(m Message) (messageNumber, any) {
+	switch m := m.(type) {
+	case Ping:
+		return numberPing, wireNonce(m)
+	case Pong:
+		return numberPong, wireNonce(m)
+	case Failed:
+		return numberFailed, failedToWire(m)
+	case Wake:
+		return numberWake, wireWake(m)
+	case Replicas:
+		return numberReplicas, wireReplicas(m)
+	case Load:
+		return numberLoad, wireLoad(m)
+	case Loaded:
+		return numberLoaded, wireLoaded(m)
+	case AcquirePace:
+		return numberAcquirePace, wireAcquirePace(m)
+	case Paced:
+		return numberPaced, wirePaced(m)
+	case ReleasePace:
+		return numberReleasePace, wireReleasePace(m)
+	case Reports:
+		return numberReports, reportsToWire(m)
+	case CommandQuery:
+		return numberCommandQuery, wireCommandQuery{Key: m.Key[:], Within: m.Within}
+	case CommandAnswer:
+		return numberCommandAnswer, wireCommandAnswer(m)
+	case Suspects:
+		return numberSuspects, suspectsToWire(m)
+	case SnapshotRequest:
+		return numberSnapshotRequest, wireSnapshotRequest(m)
+	case Snapshot:
+		return numberSnapshot, wireSnapshot(m)
+	case LogRecords:
+		return numberLogRecords, wireLogRecords(m)
+	default:
+		return controlToWire(m)
+	}
+}
+
+func controlToWire(m Message) (messageNumber, any) {
+	switch m := m.(type) {
+	case Applied:
+		return numberApplied, wireApplied(m)
+	case Usage:
+		return numberUsage, usageToWire(m)
+	case StatusRequest:
+		return numberStatusRequest, wireEmpty{}
+	case Status:
+		return numberStatus, wireStatus(m)
+	case Leave:
+		return numberLeave, wireEmpty{}
+	case Hello:
+		return numberHello, wireHello{Version: m.Version, Cluster: m.Cluster, To: m.To, Self: updateToWire(m.Self)}
+	case Welcome:
+		return numberWelcome, wireWelcome{Self: updateToWire(m.Self), News: updatesToWire(m.News)}
+	case Gossip:
+		return numberGossip, wireGossip{Updates: updatesToWire(m.Updates)}
+	case Compare:
+		return numberCompare, wireCompare{Digests: m.Digests[:]}
+	case Differs:
+		return numberDiffers, wireDiffers{Updates: updatesToWire(m.Updates), Digests: m.Digests[:]}
+	default:
+		return numberNone, nil
+	}
+}
+
+func failedToWire(m Failed) wireFailed {
+	return wireFailed{
+		Verdict:    m.Verdict.String(),
+		Reason:     m.Reason.String(),
+		Message:    m.Message,
+		RetryAfter: m.RetryAfter,
+	}
+}
+
+func reportsToWire(m Reports) wireReports {
+	w := wireReports{Servers: make([]wireServerReport, len(m.Servers))}
+	for i, s := range m.Servers {
+		w.Servers[i] = wireServerReport{
+			Server: s.Server, Fence: s.Fence, Sequence: s.Sequence,
+			Alive: s.Alive, Leaving: s.Leaving, FreeMemory: s.FreeMemory,
+			Models: make([]wireModelReport, len(s.Models)),
+		}
+		for j, r := range s.Models {
+			w.Servers[i].Models[j] = wireModelReport(r)
+		}
+	}
+	return w
+}
+
+func suspectsToWire(m Suspects) wireSuspects {
+	w := wireSuspects{Suspects: make([]wireSuspect, len(m.Suspects))}
+	for i, s := range m.Suspects {
+		w.Suspects[i] = wireSuspect{Content: s.Content[:], Crashes: s.Crashes, Server: s.Server}
+	}
+	return w
+}
+
+func usageToWire(m Usage) wireUsage {
+	w := wireUsage{Counters: make([]wireUsageCounter, len(m.Counters))}
+	for i, c := range m.Counters {
+		w.Counters[i] = wireUsageCounter(c)
+	}
+	return w
+}
+
+func updateToWire(u membership.Update) wireUpdate {
+	return wireUpdate{Member: wireMember(u.Member), Status: int(u.Status), Incarnation: u.Incarnation}
+}
+
+func updatesToWire(updates []membership.Update) []wireUpdate {
+	w := make([]wireUpdate, len(updates))
+	for i, u := range updates {
+		w[i] = updateToWire(u)
+	}
+	return w
+}
