Fold the decision stream and keep a replica of it

Nodes need one agreed state and a way to propose to it when the log loses answers, refuses or is down.

Package fold folds batches into configuration, leases, permits and command claims.

Additions to the record types: Batch.Started, so that a fold can forget nodes in bounded memory and never take an old batch for new; ServerGone.Fence, so that a lagging list does not end a newer lease; rejections for drains, regions, paused models, weak proofs and forgotten nodes. ServerRestarted is no proof by itself, since the doubted owner may send another order afterwards.

--- /dev/null
+++ b/fold/configuration.go
@@ -0,0 +1,283 @@
+package fold
+
+import (
+	"math"
+
+	"github.com/parsleylug/parsleylug/configuration"
+	"github.com/parsleylug/parsleylug/domain"
+)
+
+const (
+	// MaximumResults is how many of the latest operator records keep their result.
+	MaximumResults = 1024
+	// MaximumMemory is the largest memory of a model, adapter or server.
+	MaximumMemory = domain.Bytes(1 << 44)
+)
+
+// ConfigurationResult is what became of one operator record.
+type ConfigurationResult struct {
+	// Offset is where the record stands in the configuration stream.
+	Offset domain.Offset
+	// Rejection is Accepted where the record took effect.
+	Rejection Rejection
+}
+
+// ConfigurationResult tells what became of the operator record at an offset. It
+// is false where the record is not in force yet, or older than the last
+// MaximumResults.
+func (s *State) ConfigurationResult(o domain.Offset) (Rejection, bool) {
+	for _, r := range s.latestResults() {
+		if r.Offset == o {
+			return r.Rejection, true
+		}
+	}
+	return Accepted, false
+}
+
+func (s *State) latestResults() []ConfigurationResult {
+	return s.results[max(0, len(s.results)-MaximumResults):]
+}
+
+// importConfiguration puts operator records in force. Each takes effect or is
+// skipped by itself.
+func (s *State) importConfiguration(r ConfigurationImported) Rejection {
+	if !ordered(r) {
+		return Malformed
+	}
+	if r.After != s.configuration {
+		return LostRace
+	}
+	next := r.After + 1
+	for _, c := range r.Changes {
+		s.skipped(next, c.Offset)
+		s.result(c.Offset, s.change(c.Offset, c.Record))
+		next = c.Offset + 1
+	}
+	s.skipped(next, r.Through+1)
+	s.configuration = r.Through
+	return Accepted
+}
+
+// ordered tells whether the changes are in (After, Through] in ascending order.
+func ordered(r ConfigurationImported) bool {
+	last := r.After
+	for _, c := range r.Changes {
+		if c.Offset <= last {
+			return false
+		}
+		last = c.Offset
+	}
+	return r.Through > r.After && last <= r.Through && r.Through < math.MaxInt64
+}
+
+// skipped records the offsets in [from, before) as undecodable.
+func (s *State) skipped(from, before domain.Offset) {
+	s.rejected[Malformed] += uint64(before - from)
+	if before-from > MaximumResults {
+		from = before - MaximumResults
+	}
+	for o := from; o < before; o++ {
+		s.keepResult(ConfigurationResult{Offset: o, Rejection: Malformed})
+	}
+}
+
+func (s *State) result(o domain.Offset, r Rejection) {
+	if r != Accepted {
+		s.rejected[r]++
+	}
+	s.keepResult(ConfigurationResult{Offset: o, Rejection: r})
+}
+
+func (s *State) keepResult(r ConfigurationResult) {
+	s.results = append(s.results, r)
+	if len(s.results) > 2*MaximumResults {
+		s.results = append(s.results[:0], s.latestResults()...)
+	}
+}
+
+// change applies one operator record.
+func (s *State) change(o domain.Offset, r configuration.Record) Rejection {
+	if rejection := check(r); rejection != Accepted {
+		return rejection
+	}
+	if r.Expect != nil && *r.Expect != s.versionOf(r) {
+		return LostRace
+	}
+	switch {
+	case r.Model != nil:
+		s.setModel(o, *r.Model)
+	case r.Adapter != nil:
+		s.setAdapter(o, *r.Adapter)
+	case r.Service != nil:
+		put(&s.objects.services, r.Service.Name, object[configuration.Service]{o, *r.Service})
+	case r.Team != nil:
+		put(&s.objects.teams, r.Team.Name, object[configuration.Team]{o, *r.Team})
+	case r.Deployment != nil:
+		s.objects.deployment = object[configuration.Deployment]{o, *r.Deployment}
+	case r.Drain != nil:
+		s.setDrain(o, *r.Drain)
+	case r.Quarantine != nil:
+		s.setQuarantine(o, *r.Quarantine)
+	case r.Remove != nil:
+		return s.remove(*r.Remove)
+	}
+	return Accepted
+}
+
+// put sets a key of a map that may be nil.
+func put[K comparable, V any](m *map[K]V, k K, v V) {
+	if *m == nil {
+		*m = make(map[K]V)
+	}
+	(*m)[k] = v
+}
+
+// check rejects records that cannot be valid in any state.
+func check(r configuration.Record) Rejection {
+	set := 0
+	for _, present := range []bool{r.Model != nil, r.Adapter != nil, r.Service != nil, r.Team != nil,
+		r.Deployment != nil, r.Drain != nil, r.Quarantine != nil, r.Remove != nil} {
+		if present {
+			set++
+		}
+	}
+	if set != 1 {
+		return Malformed
+	}
+	valid := true
+	switch {
+	case r.Model != nil:
+		valid = r.Model.Name != "" && r.Model.Copies >= 0 && validMemory(r.Model.Memory)
+	case r.Adapter != nil:
+		valid = r.Adapter.Name != "" && r.Adapter.Model != "" && validMemory(r.Adapter.Memory)
+	case r.Service != nil:
+		valid = r.Service.Name != ""
+	case r.Team != nil:
+		valid = r.Team.Name != ""
+	case r.Drain != nil:
+		valid = validDrain(*r.Drain)
+	}
+	if !valid {
+		return Malformed
+	}
+	return Accepted
+}
+
+func validMemory(b domain.Bytes) bool { return b >= 0 && b <= MaximumMemory }
+
+func validDrain(d configuration.Drain) bool {
+	names := 0
+	for _, present := range []bool{d.Server != "", d.Node != "", d.Zone != ""} {
+		if present {
+			names++
+		}
+	}
+	return names == 1
+}
+
+func (s *State) setModel(o domain.Offset, m configuration.Model) {
+	put(&s.objects.models, m.Name, object[configuration.Model]{o, m})
+	for _, p := range s.permits[m.Name] {
+		p.grow(max(0, m.Memory-p.memory), 0)
+	}
+	s.review(m.Name)
+}
+
+func (s *State) setAdapter(o domain.Offset, a configuration.Adapter) {
+	old := s.objects.adapters[a.Name].value
+	var before domain.Bytes
+	if old.Model == a.Model {
+		before = old.Memory
+	}
+	s.dropAdapterMemory(a.Name)
+	put(&s.objects.adapters, a.Name, object[configuration.Adapter]{o, a})
+	put(&s.objects.adapterMemory, a.Model, s.objects.adapterMemory[a.Model]+a.Memory)
+	for _, p := range s.permits[a.Model] {
+		p.grow(0, max(0, a.Memory-before))
+	}
+	s.review(a.Model)
+}
+
+func (s *State) dropAdapterMemory(n domain.AdapterName) {
+	old, ok := s.objects.adapters[n]
+	if !ok {
+		return
+	}
+	s.objects.adapterMemory[old.value.Model] -= old.value.Memory
+	if s.objects.adapterMemory[old.value.Model] == 0 {
+		delete(s.objects.adapterMemory, old.value.Model)
+	}
+}
+
+func (s *State) setDrain(o domain.Offset, d configuration.Drain) {
+	key := configuration.Drain{Server: d.Server, Node: d.Node, Zone: d.Zone}
+	if d.Off {
+		delete(s.objects.drains, key)
+		return
+	}
+	put(&s.objects.drains, key, o)
+}
+
+func (s *State) setQuarantine(o domain.Offset, q configuration.Quarantine) {
+	if q.Release {
+		delete(s.objects.quarantine, q.Content)
+		return
+	}
+	put(&s.objects.quarantine, q.Content, o)
+}
+
+func (s *State) remove(r configuration.Remove) Rejection {
+	if s.Version(r.Kind, r.Name) == 0 {
+		return UnknownObject
+	}
+	switch r.Kind {
+	case configuration.KindModel:
+		delete(s.objects.models, domain.ModelName(r.Name))
+		s.review(domain.ModelName(r.Name))
+	case configuration.KindAdapter:
+		s.dropAdapterMemory(domain.AdapterName(r.Name))
+		delete(s.objects.adapters, domain.AdapterName(r.Name))
+	case configuration.KindService:
+		delete(s.objects.services, domain.ServiceName(r.Name))
+	case configuration.KindTeam:
+		delete(s.objects.teams, domain.TeamName(r.Name))
+	}
+	return Accepted
+}
+
+// versionOf returns the version of the object that a record sets or removes.
+func (s *State) versionOf(r configuration.Record) domain.Offset {
+	switch {
+	case r.Model != nil:
+		return s.Version(configuration.KindModel, string(r.Model.Name))
+	case r.Adapter != nil:
+		return s.Version(configuration.KindAdapter, string(r.Adapter.Name))
+	case r.Service != nil:
+		return s.Version(configuration.KindService, string(r.Service.Name))
+	case r.Team != nil:
+		return s.Version(configuration.KindTeam, string(r.Team.Name))
+	case r.Deployment != nil:
+		return s.objects.deployment.version
+	case r.Drain != nil:
+		return s.objects.drains[configuration.Drain{Server: r.Drain.Server, Node: r.Drain.Node, Zone: r.Drain.Zone}]
+	case r.Quarantine != nil:
+		return s.objects.quarantine[r.Quarantine.Content]
+	}
+	return s.Version(r.Remove.Kind, r.Remove.Name)
+}
+
+// Version returns the configuration offset that set a named object, or 0 where
+// there is none.
+func (s *State) Version(k configuration.Kind, name string) domain.Offset {
+	switch k {
+	case configuration.KindModel:
+		return s.objects.models[domain.ModelName(name)].version
+	case configuration.KindAdapter:
+		return s.objects.adapters[domain.AdapterName(name)].version
+	case configuration.KindService:
+		return s.objects.services[domain.ServiceName(name)].version
+	case configuration.KindTeam:
+		return s.objects.teams[domain.TeamName(name)].version
+	}
+	return 0
+}
--- a/fold/fold_string.go
+++ b/fold/fold_string.go
@@ -40,11 +40,17 @@
 	_ = x[AlreadyClaimed-8]
 	_ = x[UnknownObject-9]
 	_ = x[Malformed-10]
+	_ = x[AlreadyAttached-11]
+	_ = x[OutsideRegions-12]
+	_ = x[ServerDrained-13]
+	_ = x[ModelPaused-14]
+	_ = x[WeakProof-15]
+	_ = x[NodeForgotten-16]
 }
 
-const _Rejection_name = "AcceptedDuplicateStaleFenceLostRaceOverCopiesOverMemoryStillInDoubtNotHeldAlreadyClaimedUnknownObjectMalformed"
+const _Rejection_name = "AcceptedDuplicateStaleFenceLostRaceOverCopiesOverMemoryStillInDoubtNotHeldAlreadyClaimedUnknownObjectMalformedAlreadyAttachedOutsideRegionsServerDrainedModelPausedWeakProofNodeForgotten"
 
-var _Rejection_index = [...]uint8{0, 8, 17, 27, 35, 45, 55, 67, 74, 88, 101, 110}
+var _Rejection_index = [...]uint8{0, 8, 17, 27, 35, 45, 55, 67, 74, 88, 101, 110, 125, 139, 152, 163, 172, 185}
 
 func (i Rejection) String() string {
 	idx := int(i) - 0
--- a/fold/record.go
+++ b/fold/record.go
@@ -21,6 +21,10 @@
 	// First is the sequence of Records[0]; the others follow it without a gap.
 	// A fold ignores every sequence that it has already seen from Node.
 	First domain.Sequence
+	// Started is the decision offset that Node had folded before its first
+	// proposal. It never changes while Node runs, and lets a fold forget nodes
+	// without ever taking an old batch of theirs for new.
+	Started domain.Offset
 	// Records are the proposals, in order.
 	Records []Record
 }
@@ -96,7 +100,8 @@
 	// proposes it; Fence is not checked then.
 	OwnerAcknowledged
 	// ServerRestarted means that the server lost every connection and order from
-	// before, as a new incarnation of it shows.
+	// before, as a new incarnation of it shows. It is no proof by itself, because
+	// the doubted owner may still send another order: the fold rejects it.
 	ServerRestarted
 	// OwnerVMGone means that the doubted owner's VM left the platform's list and
 	// the stated time for its last packets has passed.
@@ -125,6 +130,9 @@
 // lease and permits end.
 type ServerGone struct {
 	Server domain.ServerID
+	// Fence is the one that the proposer saw in force; the record is valid only
+	// where it still is.
+	Fence domain.Fence
 }
 
 // CommandClaimed reserves an idempotency key for the proposing node, which alone
@@ -218,4 +226,17 @@
 	UnknownObject
 	// Malformed records cannot be valid in any state.
 	Malformed
+	// AlreadyAttached permits exist for the same model and server.
+	AlreadyAttached
+	// OutsideRegions permits name a server where the model may not be loaded.
+	OutsideRegions
+	// ServerDrained permits name a server that takes no new work.
+	ServerDrained
+	// ModelPaused permits name a model that an operator paused.
+	ModelPaused
+	// WeakProof records do not prove that old orders are without effect.
+	WeakProof
+	// NodeForgotten batches come from a node that the fold no longer remembers;
+	// its process must start again.
+	NodeForgotten
 )
--- /dev/null
+++ b/platformlog/codec.go
@@ -0,0 +1,248 @@
+package platformlog
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/parsleylug/parsleylug/configuration"
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/fold"
+)
+
+// formatVersion starts every encoded batch and snapshot.
+const formatVersion = 1
+
+// Limits of one encoded batch or snapshot.
+const (
+	maximumElements = 1 << 20
+	maximumNesting  = 16
+)
+
+// RecordCodec turns operator records into bytes and back. Decode of Encode of a
+// record must give an equal record.
+type RecordCodec struct {
+	Encode func(configuration.Record) ([]byte, error)
+	Decode func([]byte) (configuration.Record, error)
+}
+
+// Codec encodes batches and snapshots in deterministic CBOR: equal values have
+// equal bytes.
+type Codec struct {
+	records RecordCodec
+	encode  cbor.EncMode
+	decode  cbor.DecMode
+}
+
+// NewCodec returns a codec that hands operator records to records.
+func NewCodec(records RecordCodec) (*Codec, error) {
+	encode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	decode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+		MaxArrayElements: maximumElements,
+		MaxMapPairs:      maximumElements,
+		MaxNestedLevels:  maximumNesting,
+	}.DecMode()
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return &Codec{records: records, encode: encode, decode: decode}, nil
+}
+
+// The wire types. Fields are by position; a new field goes to the end and with a
+// new formatVersion.
+type wireBatch struct {
+	_       struct{} `cbor:",toarray"`
+	Version uint
+	Node    string
+	First   uint64
+	Started uint64
+	Records []wireRecord
+}
+
+type wireRecord struct {
+	_    struct{} `cbor:",toarray"`
+	Kind recordKind
+	Body cbor.RawMessage
+}
+
+// recordKind is the number of a record type on the wire; it never changes.
+type recordKind uint
+
+const (
+	kindConfigurationImported recordKind = iota + 1
+	kindLeaseTaken
+	kindDoubtCleared
+	kindPermitAttached
+	kindPermitReleased
+	kindServerGone
+	kindCommandClaimed
+	kindCommandFinished
+	kindCommandAbandoned
+	kindSnapshotChunk
+)
+
+type wireImported struct {
+	_       struct{} `cbor:",toarray"`
+	After   uint64
+	Through uint64
+	Changes []wireChange
+}
+
+type wireChange struct {
+	_      struct{} `cbor:",toarray"`
+	Offset uint64
+	Record []byte
+}
+
+type wireFacts struct {
+	_            struct{} `cbor:",toarray"`
+	Memory       int64
+	ChecksFences bool
+	Region       string
+	Zone         string
+}
+
+type wireLeaseTaken struct {
+	_      struct{} `cbor:",toarray"`
+	Server string
+	Owner  string
+	Expect uint64
+	Facts  wireFacts
+}
+
+type wireDoubtCleared struct {
+	_       struct{} `cbor:",toarray"`
+	Server  string
+	Fence   uint64
+	Proof   int
+	Earlier uint64
+}
+
+type wirePermit struct {
+	_      struct{} `cbor:",toarray"`
+	Model  string
+	Server string
+	Fence  uint64
+}
+
+type wireServerGone struct {
+	_      struct{} `cbor:",toarray"`
+	Server string
+	Fence  uint64
+}
+
+type wireClaimed struct {
+	_       struct{} `cbor:",toarray"`
+	Key     [32]byte
+	Request [32]byte
+}
+
+type wireFinished struct {
+	_           struct{} `cbor:",toarray"`
+	Key         [32]byte
+	Status      int
+	ContentType string
+	Body        []byte
+	Truncated   bool
+}
+
+type wireAbandoned struct {
+	_   struct{} `cbor:",toarray"`
+	Key [32]byte
+}
+
+type wireChunk struct {
+	_       struct{} `cbor:",toarray"`
+	Through uint64
+	Index   int
+	Count   int
+	Data    []byte
+}
+
+// EncodeBatch encodes a batch.
+func (c *Codec) EncodeBatch(b fold.Batch) ([]byte, error) {
+	w := wireBatch{Version: formatVersion, Node: string(b.Node), First: uint64(b.First), Started: uint64(b.Started),
+		Records: make([]wireRecord, 0, len(b.Records))}
+	for _, r := range b.Records {
+		kind, body, err := c.wire(r)
+		if err != nil {
+			return nil, err
+		}
+		raw, err := c.encode.Marshal(body)
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		w.Records = append(w.Records, wireRecord{Kind: kind, Body: raw})
+	}
+	data, err := c.encode.Marshal(w)
+	return data, errors.WithStack(err)
+}
+
+// wire maps a record to its wire type.
+func (c *Codec) wire(r fold.Record) (recordKind, any, error) {
+	switch r := r.(type) {
+	case fold.ConfigurationImported:
+		changes, err := c.wireChanges(r.Changes)
+		return kindConfigurationImported, wireImported{After: uint64(r.After), Through: uint64(r.Through), Changes: changes}, err
+	case fold.LeaseTaken:
+		return kindLeaseTaken, wireLeaseTaken{Server: string(r.Server), Owner: string(r.Owner), Expect: uint64(r.Expect),
+			Facts: factsToWire(r.Facts)}, nil
+	case fold.DoubtCleared:
+		return kindDoubtCleared, wireDoubtCleared{Server: string(r.Server), Fence: uint64(r.Fence), Proof: int(r.Proof),
+			Earlier: uint64(r.Earlier)}, nil
+	case fold.PermitAttached:
+		return kindPermitAttached, wirePermit{Model: string(r.Model), Server: string(r.Server), Fence: uint64(r.Fence)}, nil
+	case fold.PermitReleased:
+		return kindPermitReleased, wirePermit{Model: string(r.Model), Server: string(r.Server), Fence: uint64(r.Fence)}, nil
+	case fold.ServerGone:
+		return kindServerGone, wireServerGone{Server: string(r.Server), Fence: uint64(r.Fence)}, nil
+	case fold.CommandClaimed:
+		return kindCommandClaimed, wireClaimed{Key: r.Key, Request: r.Request}, nil
+	case fold.CommandFinished:
+		return kindCommandFinished, wireFinished{Key: r.Key, Status: r.Status, ContentType: r.ContentType, Body: r.Body,
+			Truncated: r.Truncated}, nil
+	case fold.CommandAbandoned:
+		return kindCommandAbandoned, wireAbandoned{Key: r.Key}, nil
+	case fold.SnapshotChunk:
+		return kindSnapshotChunk, wireChunk{Through: uint64(r.Through), Index: r.Index, Count: r.Count, Data: r.Data}, nil
+	}
+	return 0, nil, errors.Errorf("record type %T", r)
+}
+
+func factsToWire(f fold.ServerFacts) wireFacts {
+	return wireFacts{Memory: int64(f.Memory), ChecksFences: f.ChecksFences, Region: string(f.Region), Zone: string(f.Zone)}
+}
+
+func (w wireFacts) facts() fold.ServerFacts {
+	return fold.ServerFacts{Memory: domain.Bytes(w.Memory), ChecksFences: w.ChecksFences,
+		Region: domain.Region(w.Region), Zone: domain.Zone(w.Zone)}
+}
+
+func (c *Codec) wireChanges(changes []fold.Change) ([]wireChange, error) {
+	all := make([]wireChange, 0, len(changes))
+	for _, h := range changes {
+		raw, err := c.records.Encode(h.Record)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, wireChange{Offset: uint64(h.Offset), Record: raw})
+	}
+	return all, nil
+}
+
+func (c *Codec) changes(wire []wireChange) ([]fold.Change, error) {
+	all := make([]fold.Change, 0, len(wire))
+	for _, w := range wire {
+		r, err := c.records.Decode(w.Record)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, fold.Change{Offset: domain.Offset(w.Offset), Record: r})
+	}
+	return all, nil
+}
--- /dev/null
+++ b/platformlog/decode.go
@@ -0,0 +1,89 @@
+package platformlog
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/fold"
+)
+
+// DecodeBatch decodes a batch.
+func (c *Codec) DecodeBatch(data []byte) (fold.Batch, error) {
+	var w wireBatch
+	if err := c.decode.Unmarshal(data, &w); err != nil {
+		return fold.Batch{}, errors.WithStack(err)
+	}
+	if w.Version != formatVersion {
+		return fold.Batch{}, errors.Errorf("batch of format %d", w.Version)
+	}
+	b := fold.Batch{Node: domain.NodeID(w.Node), First: domain.Sequence(w.First), Started: domain.Offset(w.Started),
+		Records: make([]fold.Record, 0, len(w.Records))}
+	for _, r := range w.Records {
+		record, err := c.record(r)
+		if err != nil {
+			return fold.Batch{}, err
+		}
+		b.Records = append(b.Records, record)
+	}
+	return b, nil
+}
+
+// unmarshal decodes one wire type.
+func unmarshal[T any](c *Codec, raw cbor.RawMessage) (T, error) {
+	var w T
+	err := c.decode.Unmarshal(raw, &w)
+	return w, errors.WithStack(err)
+}
+
+func (c *Codec) record(r wireRecord) (fold.Record, error) {
+	switch r.Kind {
+	case kindConfigurationImported:
+		return c.imported(r.Body)
+	case kindLeaseTaken:
+		w, err := unmarshal[wireLeaseTaken](c, r.Body)
+		return fold.LeaseTaken{Server: domain.ServerID(w.Server), Owner: domain.NodeID(w.Owner),
+			Expect: domain.Fence(w.Expect), Facts: w.Facts.facts()}, err
+	case kindDoubtCleared:
+		w, err := unmarshal[wireDoubtCleared](c, r.Body)
+		return fold.DoubtCleared{Server: domain.ServerID(w.Server), Fence: domain.Fence(w.Fence),
+			Proof: fold.DoubtProof(w.Proof), Earlier: domain.Fence(w.Earlier)}, err
+	case kindPermitAttached:
+		w, err := unmarshal[wirePermit](c, r.Body)
+		return fold.PermitAttached{Model: domain.ModelName(w.Model), Server: domain.ServerID(w.Server), Fence: domain.Fence(w.Fence)}, err
+	case kindPermitReleased:
+		w, err := unmarshal[wirePermit](c, r.Body)
+		return fold.PermitReleased{Model: domain.ModelName(w.Model), Server: domain.ServerID(w.Server), Fence: domain.Fence(w.Fence)}, err
+	case kindServerGone:
+		w, err := unmarshal[wireServerGone](c, r.Body)
+		return fold.ServerGone{Server: domain.ServerID(w.Server), Fence: domain.Fence(w.Fence)}, err
+	}
+	return c.commandRecord(r)
+}
+
+func (c *Codec) commandRecord(r wireRecord) (fold.Record, error) {
+	switch r.Kind {
+	case kindCommandClaimed:
+		w, err := unmarshal[wireClaimed](c, r.Body)
+		return fold.CommandClaimed{Key: w.Key, Request: w.Request}, err
+	case kindCommandFinished:
+		w, err := unmarshal[wireFinished](c, r.Body)
+		return fold.CommandFinished{Key: w.Key, Status: w.Status, ContentType: w.ContentType, Body: w.Body, Truncated: w.Truncated}, err
+	case kindCommandAbandoned:
+		w, err := unmarshal[wireAbandoned](c, r.Body)
+		return fold.CommandAbandoned{Key: w.Key}, err
+	case kindSnapshotChunk:
+		w, err := unmarshal[wireChunk](c, r.Body)
+		return fold.SnapshotChunk{Through: domain.Offset(w.Through), Index: w.Index, Count: w.Count, Data: w.Data}, err
+	}
+	return nil, errors.Errorf("record kind %d", r.Kind)
+}
+
+func (c *Codec) imported(raw cbor.RawMessage) (fold.Record, error) {
+	w, err := unmarshal[wireImported](c, raw)
+	if err != nil {
+		return nil, err
+	}
+	changes, err := c.changes(w.Changes)
+	return fold.ConfigurationImported{After: domain.Offset(w.After), Through: domain.Offset(w.Through), Changes: changes}, err
+}
--- /dev/null
+++ b/platformlog/fakelog_test.go
@@ -0,0 +1,152 @@
+package platformlog
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleylug/parsleylug/configuration"
+	"github.com/parsleylug/parsleylug/domain"
+)
+
+// fakeLog is a log in memory with faults.
+type fakeLog struct {
+	mu      sync.Mutex
+	streams map[string]*fakeStream
+	grown   chan struct{}
+	random  *rand.Rand
+	// down refuses every call; delay slows them.
+	down  bool
+	delay time.Duration
+	// loseBefore and loseAfter are shares of appends that break off before or
+	// after they took effect; refuse is the share refused for rate.
+	loseBefore, loseAfter, refuse float64
+	appends                       int
+}
+
+type fakeStream struct {
+	oldest  domain.Offset
+	records [][]byte
+}
+
+func newFakeLog(seed uint64) *fakeLog {
+	return &fakeLog{streams: map[string]*fakeStream{}, grown: make(chan struct{}), random: rand.New(rand.NewPCG(seed, 1))}
+}
+
+func (l *fakeLog) stream(name string) *fakeStream {
+	if l.streams[name] == nil {
+		l.streams[name] = &fakeStream{oldest: 1}
+	}
+	return l.streams[name]
+}
+
+func (s *fakeStream) next() domain.Offset { return s.oldest + domain.Offset(len(s.records)) }
+
+func (l *fakeLog) set(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f()
+}
+
+func (l *fakeLog) wait(ctx context.Context) error {
+	l.mu.Lock()
+	delay := l.delay
+	l.mu.Unlock()
+	if delay > 0 && !sleep(ctx, delay, nil) {
+		return ctx.Err()
+	}
+	return nil
+}
+
+func (l *fakeLog) Append(ctx context.Context, stream string, records [][]byte) (domain.Offset, error) {
+	if err := l.wait(ctx); err != nil {
+		return 0, &Error{Failure: OutcomeUnknown, Cause: err}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.appends++
+	if l.down {
+		return 0, &Error{Failure: NotAppended, Status: 503}
+	}
+	if l.random.Float64() < l.refuse {
+		return 0, &Error{Failure: NotAppended, Status: 429}
+	}
+	if l.random.Float64() < l.loseBefore {
+		return 0, &Error{Failure: OutcomeUnknown, Cause: errors.New("connection reset")}
+	}
+	s := l.stream(stream)
+	first := s.next()
+	s.records = append(s.records, records...)
+	close(l.grown)
+	l.grown = make(chan struct{})
+	if l.random.Float64() < l.loseAfter {
+		return 0, &Error{Failure: OutcomeUnknown, Cause: errors.New("connection reset")}
+	}
+	return first, nil
+}
+
+func (l *fakeLog) Read(ctx context.Context, stream string, from domain.Offset, most int, wait time.Duration) (Page, error) {
+	if err := l.wait(ctx); err != nil {
+		return Page{}, &Error{Failure: Unavailable, Cause: err}
+	}
+	l.mu.Lock()
+	grown := l.grown
+	empty := from >= l.stream(stream).next()
+	l.mu.Unlock()
+	if empty && wait > 0 {
+		sleep(ctx, wait, grown)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(stream)
+	if l.down {
+		return Page{}, &Error{Failure: Unavailable, Status: 503}
+	}
+	if from < s.oldest {
+		return Page{}, &Error{Failure: OutOfRetention, Status: 410, Oldest: s.oldest, Next: s.next()}
+	}
+	page := Page{Oldest: s.oldest, Next: s.next()}
+	for o := from; o < s.next() && len(page.Records) < most; o++ {
+		page.Records = append(page.Records, Entry{Offset: o, Data: s.records[o-s.oldest]})
+	}
+	return page, nil
+}
+
+// truncate drops records before an offset.
+func (l *fakeLog) truncate(stream string, oldest domain.Offset) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(stream)
+	s.records = s.records[oldest-s.oldest:]
+	s.oldest = oldest
+}
+
+// jsonRecords is a codec of operator records for tests.
+var jsonRecords = RecordCodec{
+	Encode: func(r configuration.Record) ([]byte, error) { return json.Marshal(r) },
+	Decode: func(raw []byte) (configuration.Record, error) {
+		var r configuration.Record
+		err := json.Unmarshal(raw, &r)
+		return r, err
+	},
+}
+
+// start runs a replica until the test ends.
+func start(t *testing.T, ctx context.Context, l *fakeLog, node domain.NodeID, change func(*Options)) *Replica {
+	t.Helper()
+	o := Options{Client: l, Records: jsonRecords, Node: node}
+	if change != nil {
+		change(&o)
+	}
+	r, err := New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = r.Run(ctx) }()
+	return r
+}
--- /dev/null
+++ b/platformlog/importer.go
@@ -0,0 +1,118 @@
+package platformlog
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/fold"
+)
+
+const (
+	// MaximumConfigurationRecord is the longest operator record, in bytes.
+	MaximumConfigurationRecord = 64 << 10
+
+	importRecords = 200
+	importBytes   = MaximumBatchBytes / 2
+)
+
+func (r *Replica) importDelay() time.Duration {
+	if r.options.ImportDelay == nil {
+		return 0
+	}
+	return r.options.ImportDelay()
+}
+
+// importLoop copies operator records into the decision stream where no other node
+// does.
+func (r *Replica) importLoop(ctx context.Context) error {
+	var b backoff
+	for ctx.Err() == nil {
+		if !r.Ready() {
+			sleep(ctx, ReadWait, r.Changed())
+			continue
+		}
+		if err := r.importOnce(ctx); err != nil {
+			sleep(ctx, b.next(), nil)
+			continue
+		}
+		b.reset()
+		if !r.relay() && r.importDelay() > 0 {
+			sleep(ctx, IdleRead, nil)
+		}
+	}
+	return ctx.Err()
+}
+
+// importOnce reads one page of operator records and proposes it.
+func (r *Replica) importOnce(ctx context.Context) error {
+	after := r.configurationOffset()
+	page, err := r.read(ctx, fold.ConfigurationStream, after+1, importRecords, ReadWait)
+	var e *Error
+	if errors.As(err, &e) && e.Failure == OutOfRetention && e.Oldest > after+1 {
+		r.options.Logger.Error().Uint64("After", uint64(after)).Uint64("Oldest", uint64(e.Oldest)).
+			Msg("operator records left the log before they were imported")
+		return r.proposeImport(ctx, fold.ConfigurationImported{After: after, Through: e.Oldest - 1})
+	}
+	if err != nil || len(page.Records) == 0 {
+		return err
+	}
+	record := r.imported(after, page.Records)
+	return r.proposeImport(ctx, record)
+}
+
+// imported decodes operator records; those that cannot be decoded are left out.
+func (r *Replica) imported(after domain.Offset, entries []Entry) fold.ConfigurationImported {
+	record := fold.ConfigurationImported{After: after, Through: after}
+	size := 0
+	for _, e := range entries {
+		size += len(e.Data)
+		if size > importBytes && record.Through > after {
+			break
+		}
+		record.Through = e.Offset
+		if change, ok := r.decodeChange(e); ok {
+			record.Changes = append(record.Changes, change)
+		}
+	}
+	return record
+}
+
+// decodeChange decodes an operator record and sees that it can be written again.
+func (r *Replica) decodeChange(e Entry) (fold.Change, bool) {
+	if len(e.Data) > MaximumConfigurationRecord {
+		return fold.Change{}, false
+	}
+	c, err := r.options.Records.Decode(e.Data)
+	if err != nil {
+		return fold.Change{}, false
+	}
+	raw, err := r.options.Records.Encode(c)
+	if err != nil || len(raw) > importBytes {
+		return fold.Change{}, false
+	}
+	return fold.Change{Offset: e.Offset, Record: c}, true
+}
+
+// proposeImport waits for nodes of a better rank and proposes where none of them
+// imported.
+func (r *Replica) proposeImport(ctx context.Context, record fold.ConfigurationImported) error {
+	until := time.Now().Add(r.importDelay())
+	for r.configurationOffset() == record.After {
+		left := time.Until(until)
+		changed := r.Changed()
+		if left <= 0 {
+			break
+		}
+		if !sleep(ctx, left, changed) {
+			return ctx.Err()
+		}
+	}
+	if r.configurationOffset() != record.After {
+		return nil
+	}
+	_, err := r.Propose(ctx, record)
+	return err
+}
--- /dev/null
+++ b/platformlog/snapshotcodec.go
@@ -0,0 +1,159 @@
+package platformlog
+
+import (
+	"github.com/pkg/errors"
+
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/fold"
+)
+
+type wireSnapshot struct {
+	_             struct{} `cbor:",toarray"`
+	Version       uint
+	Offset        uint64
+	Configuration uint64
+	Objects       []wireChange
+	Results       []wireResult
+	Servers       []wireServer
+	Permits       []wireAttached
+	Commands      []wireCommand
+	Claims        uint64
+	Nodes         []wireNode
+	Forgotten     uint64
+}
+
+type wireResult struct {
+	_         struct{} `cbor:",toarray"`
+	Offset    uint64
+	Rejection int
+}
+
+type wireServer struct {
+	_      struct{} `cbor:",toarray"`
+	Server string
+	Owner  string
+	Fence  uint64
+	Facts  wireFacts
+	Doubts []wireDoubt
+	Gone   uint64
+}
+
+type wireDoubt struct {
+	_     struct{} `cbor:",toarray"`
+	Fence uint64
+	Owner string
+	Until uint64
+}
+
+type wireAttached struct {
+	_          struct{} `cbor:",toarray"`
+	Model      string
+	Server     string
+	AttachedAt uint64
+	Memory     int64
+	Adapters   int64
+	Outgrown   bool
+}
+
+type wireCommand struct {
+	_           struct{} `cbor:",toarray"`
+	Key         [32]byte
+	State       int
+	Holder      string
+	Request     [32]byte
+	ClaimedAt   uint64
+	Number      uint64
+	Status      int
+	ContentType string
+	Body        []byte
+	Truncated   bool
+}
+
+type wireNode struct {
+	_    struct{} `cbor:",toarray"`
+	Node string
+	Last uint64
+	Seen uint64
+}
+
+// EncodeSnapshot encodes a snapshot.
+func (c *Codec) EncodeSnapshot(n fold.Snapshot) ([]byte, error) {
+	objects, err := c.wireChanges(n.Objects)
+	if err != nil {
+		return nil, err
+	}
+	w := wireSnapshot{Version: formatVersion, Offset: uint64(n.Offset), Configuration: uint64(n.Configuration),
+		Objects: objects, Claims: n.Claims, Forgotten: uint64(n.Forgotten)}
+	for _, r := range n.Results {
+		w.Results = append(w.Results, wireResult{Offset: uint64(r.Offset), Rejection: int(r.Rejection)})
+	}
+	for _, v := range n.Servers {
+		w.Servers = append(w.Servers, serverToWire(v))
+	}
+	for _, p := range n.Permits {
+		w.Permits = append(w.Permits, wireAttached{Model: string(p.Model), Server: string(p.Server), AttachedAt: uint64(p.AttachedAt),
+			Memory: int64(p.Memory), Adapters: int64(p.Adapters), Outgrown: p.Outgrown})
+	}
+	for _, m := range n.Commands {
+		w.Commands = append(w.Commands, wireCommand{Key: m.Key, State: int(m.State), Holder: string(m.Holder), Request: m.Request,
+			ClaimedAt: uint64(m.ClaimedAt), Number: m.Number, Status: m.Status, ContentType: m.ContentType, Body: m.Body, Truncated: m.Truncated})
+	}
+	for _, k := range n.Nodes {
+		w.Nodes = append(w.Nodes, wireNode{Node: string(k.Node), Last: uint64(k.Last), Seen: uint64(k.Seen)})
+	}
+	data, err := c.encode.Marshal(w)
+	return data, errors.WithStack(err)
+}
+
+func serverToWire(v fold.ServerSnapshot) wireServer {
+	w := wireServer{Server: string(v.Lease.Server), Owner: string(v.Lease.Owner), Fence: uint64(v.Lease.Fence),
+		Facts: factsToWire(v.Lease.Facts), Gone: uint64(v.Gone)}
+	for _, d := range v.Lease.Doubts {
+		w.Doubts = append(w.Doubts, wireDoubt{Fence: uint64(d.Fence), Owner: string(d.Owner), Until: uint64(d.Until)})
+	}
+	return w
+}
+
+// DecodeSnapshot decodes a snapshot.
+func (c *Codec) DecodeSnapshot(data []byte) (fold.Snapshot, error) {
+	w, err := unmarshal[wireSnapshot](c, data)
+	if err != nil {
+		return fold.Snapshot{}, err
+	}
+	if w.Version != formatVersion {
+		return fold.Snapshot{}, errors.Errorf("snapshot of format %d", w.Version)
+	}
+	objects, err := c.changes(w.Objects)
+	if err != nil {
+		return fold.Snapshot{}, err
+	}
+	n := fold.Snapshot{Offset: domain.Offset(w.Offset), Configuration: domain.Offset(w.Configuration), Objects: objects,
+		Claims: w.Claims, Forgotten: domain.Offset(w.Forgotten)}
+	for _, r := range w.Results {
+		n.Results = append(n.Results, fold.ConfigurationResult{Offset: domain.Offset(r.Offset), Rejection: fold.Rejection(r.Rejection)})
+	}
+	for _, v := range w.Servers {
+		n.Servers = append(n.Servers, v.server())
+	}
+	for _, p := range w.Permits {
+		n.Permits = append(n.Permits, fold.PermitSnapshot{Model: domain.ModelName(p.Model), Server: domain.ServerID(p.Server),
+			AttachedAt: domain.Offset(p.AttachedAt), Memory: domain.Bytes(p.Memory), Adapters: domain.Bytes(p.Adapters), Outgrown: p.Outgrown})
+	}
+	for _, m := range w.Commands {
+		n.Commands = append(n.Commands, fold.Command{Key: m.Key, State: fold.CommandState(m.State), Holder: domain.NodeID(m.Holder),
+			Request: m.Request, ClaimedAt: domain.Offset(m.ClaimedAt), Number: m.Number, Status: m.Status,
+			ContentType: m.ContentType, Body: m.Body, Truncated: m.Truncated})
+	}
+	for _, k := range w.Nodes {
+		n.Nodes = append(n.Nodes, fold.NodeSnapshot{Node: domain.NodeID(k.Node), Last: domain.Sequence(k.Last), Seen: domain.Offset(k.Seen)})
+	}
+	return n, nil
+}
+
+func (w wireServer) server() fold.ServerSnapshot {
+	l := fold.Lease{Server: domain.ServerID(w.Server), Owner: domain.NodeID(w.Owner), Fence: domain.Fence(w.Fence), Facts: w.Facts.facts()}
+	for _, d := range w.Doubts {
+		l.Doubts = append(l.Doubts, fold.Doubt{Fence: domain.Fence(d.Fence), Owner: domain.NodeID(d.Owner), Until: domain.Offset(d.Until)})
+	}
+	return fold.ServerSnapshot{Lease: l, Gone: domain.Offset(w.Gone)}
+}
