Keep an owner's account of orders with unknown outcome

An owner must know what it may order while answers get lost, states lag and leases move. Package owner holds that as a pure account: memory is reserved before a load, an order without an answer keeps memory and permit until the engine restarted after it or a newer fence passed a barrier, and a takeover makes every replica unknown until an order settles it.

Two faults of the frame that this mends: a lagging state after a takeover no longer frees memory, and a doubt that is cleared makes the replicas unknown that the earlier owner could load until then.

The linter's findings on the first tests of platformlog are mended too.

--- /dev/null
+++ b/owner/account_test.go
@@ -0,0 +1,116 @@
+package owner
+
+import (
+	"errors"
+	"slices"
+	"testing"
+
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/engine"
+	"github.com/parsleylug/parsleylug/fold"
+)
+
+// owned returns a settled account with permits for a and b of 6 bytes each.
+func owned(memory domain.Bytes, checksFences bool) *Account {
+	a := &Account{}
+	a.SetFacts(memory, checksFences)
+	a.SetLease(5)
+	a.FinishBarrier(a.Mark(), 5, engine.Done)
+	a.Observe(a.Mark(), engine.State{Incarnation: "1"})
+	a.SetPermits([]fold.Permit{{Model: "a", AttachedAt: 6, Size: 6}, {Model: "b", AttachedAt: 7, Size: 6}})
+	return a
+}
+
+func observe(a *Account, incarnation string) {
+	a.Observe(a.Mark(), engine.State{Incarnation: incarnation})
+}
+
+func TestInvariantLoadReservesBeforeItIsOrdered(t *testing.T) {
+	a := owned(10, true)
+	if err := a.StartLoad("a"); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := a.StartLoad("b"), NoMemory; !errors.Is(got, want) {
+		t.Errorf("second load: got %v, want %v", got, want)
+	}
+	a.FinishLoad("a", engine.FailedLoad)
+	if got := a.StartLoad("b"); got != nil {
+		t.Errorf("load after failure: got %v, want nil", got)
+	}
+}
+
+func TestFaultUnclearLoadIsHeldUntilRestart(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		a := owned(12, checks)
+		_ = a.StartLoad("a")
+		a.FinishLoad("a", engine.Unclear)
+		_ = a.StartUnload("a")
+		a.FinishUnload("a", engine.Done)
+		if a.MayRelease("a") || a.Quiet() || !slices.Equal(a.Doubtful(), []domain.ModelName{"a"}) {
+			t.Errorf("checks %v: an order that may still arrive is forgotten", checks)
+		}
+		observe(a, "1")
+		observe(a, "2")
+		if got := a.Quiet(); !got {
+			t.Errorf("checks %v: quiet after a restart: got %v, want true", checks, got)
+		}
+	}
+}
+
+func TestFaultRestartBeforeTheOrderEndedProvesNothing(t *testing.T) {
+	a := owned(12, false)
+	_ = a.StartLoad("a")
+	observe(a, "2")
+	a.FinishLoad("a", engine.Unclear)
+	observe(a, "2")
+	if a.Quiet() {
+		t.Error("the order may be in a connection to incarnation 2")
+	}
+}
+
+func TestFaultNewFenceEndsUnclearOrdersWhereFencesAreChecked(t *testing.T) {
+	a := owned(12, true)
+	_ = a.StartLoad("a")
+	a.FinishLoad("a", engine.Unclear)
+	a.SetLease(9)
+	if got, want := a.StartUnload("a"), NeedsBarrier; !errors.Is(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	a.FinishBarrier(a.Mark(), 9, engine.Done)
+	observe(a, "1")
+	if !a.Quiet() {
+		t.Error("orders under the older fence cannot take effect any more")
+	}
+	if a.MayRelease("a") {
+		t.Error("the replica may be loaded")
+	}
+}
+
+func TestFaultTakeoverHoldsEveryPermitUntilItIsKnown(t *testing.T) {
+	a := &Account{}
+	a.SetFacts(10, true)
+	a.SetPermits([]fold.Permit{{Model: "a", AttachedAt: 2, Size: 6}, {Model: "b", AttachedAt: 3, Size: 6}})
+	a.SetLease(5)
+	a.FinishBarrier(a.Mark(), 5, engine.Done)
+	observe(a, "1")
+	if got, want := a.StartLoad("b"), NoMemory; !errors.Is(got, want) {
+		t.Errorf("a lagging state must not free memory: got %v, want %v", got, want)
+	}
+	_ = a.StartUnload("a")
+	a.FinishUnload("a", engine.Done)
+	if got := a.StartLoad("b"); got != nil {
+		t.Errorf("got %v, want nil", got)
+	}
+}
+
+func TestFaultClearedDoubtMakesReplicasUnknown(t *testing.T) {
+	a := owned(12, false)
+	a.SetDoubts([]fold.Doubt{{Fence: 3, Owner: "old", Until: 8}})
+	if !a.MayRelease("a") {
+		t.Error("the fold alone holds back a release in doubt")
+	}
+	a.SetDoubts(nil)
+	if a.MayRelease("a") {
+		t.Error("the old owner may have loaded the model before its doubt was cleared")
+	}
+}
--- a/platformlog/fakelog_test.go
+++ b/platformlog/fakelog_test.go
@@ -137,7 +137,7 @@
 }
 
 // start runs a replica until the test ends.
-func start(t *testing.T, ctx context.Context, l *fakeLog, node domain.NodeID, change func(*Options)) *Replica {
+func start(ctx context.Context, t *testing.T, l *fakeLog, node domain.NodeID, change func(*Options)) *Replica {
 	t.Helper()
 	o := Options{Client: l, Records: jsonRecords, Node: node}
 	if change != nil {
--- a/platformlog/replica_test.go
+++ b/platformlog/replica_test.go
@@ -11,10 +11,11 @@
 	"github.com/parsleylug/parsleylug/configuration"
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fold"
+	"github.com/parsleylug/parsleylug/verdict"
 )
 
-func taken(server domain.ServerID, owner domain.NodeID, expect domain.Fence) fold.LeaseTaken {
-	return fold.LeaseTaken{Server: server, Owner: owner, Expect: expect,
+func taken(server domain.ServerID) fold.LeaseTaken {
+	return fold.LeaseTaken{Server: server, Owner: "a",
 		Facts: fold.ServerFacts{Memory: 100 * domain.Gibibyte, Region: "r", Zone: "z"}}
 }
 
@@ -26,9 +27,9 @@
 		defer cancel()
 		l := newFakeLog(1)
 		l.loseBefore, l.loseAfter, l.refuse = 0.2, 0.3, 0.2
-		r := start(t, ctx, l, "a", nil)
+		r := start(ctx, t, l, "a", nil)
 		for i := range 30 {
-			got, err := r.Propose(ctx, taken(domain.ServerID(fmt.Sprint("s", i)), "a", 0))
+			got, err := r.Propose(ctx, taken(domain.ServerID(fmt.Sprint("s", i))))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -50,7 +51,7 @@
 		var nodes []*Replica
 		for i := range 3 {
 			delay := func() time.Duration { return time.Duration(i) * 500 * time.Millisecond }
-			nodes = append(nodes, start(t, ctx, l, domain.NodeID(fmt.Sprint("n", i)), func(o *Options) { o.ImportDelay = delay }))
+			nodes = append(nodes, start(ctx, t, l, domain.NodeID(fmt.Sprint("n", i)), func(o *Options) { o.ImportDelay = delay }))
 		}
 		time.Sleep(time.Second)
 		raw, _ := json.Marshal(configuration.Record{Model: &configuration.Model{Name: "m", Copies: 2, Memory: 1}})
@@ -71,3 +72,61 @@
 		}
 	})
 }
+
+// TestFaultStartAfterRetention holds that a node starts from a snapshot in the log
+// after the oldest records have left it.
+func TestFaultStartAfterRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		l := newFakeLog(3)
+		a := start(ctx, t, l, "a", func(o *Options) { o.SnapshotEvery = 10 })
+		for i := range 25 {
+			if _, err := a.Propose(ctx, taken(domain.ServerID(fmt.Sprint("s", i)))); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(5 * time.Second)
+		l.truncate(fold.DecisionStream, a.offset()-2)
+		b := start(ctx, t, l, "b", nil)
+		time.Sleep(5 * time.Second)
+		got, want := encoded(t, b), encoded(t, a)
+		if got != want {
+			t.Error("the state from the snapshot differs from the state from the log")
+		}
+	})
+}
+
+// TestFaultLogDownRefusesNotRun holds that a proposal that was never sent is
+// refused as not run, and that proposals go on afterwards.
+func TestFaultLogDownRefusesNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		l := newFakeLog(4)
+		r := start(ctx, t, l, "a", nil)
+		time.Sleep(time.Second)
+		l.set(func() { l.down = true })
+		short, stop := context.WithTimeout(ctx, 10*time.Second)
+		defer stop()
+		_, err := r.Propose(short, taken("s"))
+		if got, want := verdict.Of(err).Verdict, verdict.NotRun; got != want {
+			t.Errorf("got %v (%v), want %v", got, err, want)
+		}
+		l.set(func() { l.down = false })
+		got, err := r.Propose(ctx, taken("s"))
+		if err != nil || got[0].Rejection != fold.Accepted {
+			t.Errorf("after the outage: got %v, %v, want Accepted", got, err)
+		}
+	})
+}
+
+// encoded returns the encoded state of a replica.
+func encoded(t *testing.T, r *Replica) string {
+	t.Helper()
+	_, data, err := r.EncodedSnapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
