Serve operators: administration API, status, history and burn report

Cause: configuration could only be changed by writing the log by hand, and nobody could see what the system does. Change: an API over go-kit endpoints with roles, keys compared by hash in constant time, preconditions on versions, dry run, history, drains, quarantine, status with a diagnosis, decisions for one request and the burn report as text, JSON and a page. An append whose answer is lost is looked up in the stream by the change's own id and never repeated. fold gets VersionOf, so that the API compares the version that the fold compares.

--- a/configuration/bytes.go
+++ b/configuration/bytes.go
@@ -12,7 +12,7 @@
 
 // MaximumBytes is the largest size that configuration may name. Sizes up to it
 // have an exact float64.
-const MaximumBytes domain.Bytes = 1 << 50
+const MaximumBytes domain.Bytes = 1 << 44
 
 // unit is a suffix of a readable size.
 type unit struct {
--- a/configuration/catalogue.go
+++ b/configuration/catalogue.go
@@ -20,6 +20,9 @@
 	Expect *domain.Offset
 	// Author is who made the change, for the history.
 	Author string
+	// ID names the change, so that an operator whose append was left without an
+	// answer can find out whether it is in the log. It may be empty.
+	ID string
 
 	Model      *Model
 	Adapter    *Adapter
--- a/configuration/decode.go
+++ b/configuration/decode.go
@@ -61,7 +61,7 @@
 	if r == nil {
 		return Record{}
 	}
-	record := Record{SchemaVersion: c.version(r), Author: r.text("Author")}
+	record := Record{SchemaVersion: c.version(r), Author: r.text("Author"), ID: r.name("ID", false)}
 	if len(record.Author) > maximumName {
 		r.fault(r.peek("Author"), "Author", "must be at most 128 bytes", "")
 	}
--- a/configuration/decode_objects.go
+++ b/configuration/decode_objects.go
@@ -141,19 +141,6 @@
 	if !known {
 		r.fault(r.peek("Kind"), "Kind", "must be Model, Adapter, Service or Team", "")
 	}
-	remove.Name = readRemovedName(r, remove.Kind)
+	remove.Name = r.name("Name", true)
 	record.Remove = remove
 }
-
-// readRemovedName reads a name; an adapter is named MODEL:ADAPTER.
-func readRemovedName(r *reader, k Kind) string {
-	if k != KindAdapter {
-		return r.name("Name", true)
-	}
-	s := r.text("Name")
-	model, adapter, ok := strings.Cut(s, ":")
-	if !ok || model == "" || adapter == "" || !validName(model) || !validName(adapter) {
-		r.fault(r.peek("Name"), "Name", "must be MODEL:ADAPTER", "")
-	}
-	return s
-}
--- a/configuration/encode.go
+++ b/configuration/encode.go
@@ -45,6 +45,7 @@
 	SchemaVersion int
 	Expect        *uint64         `json:",omitempty"`
 	Author        string          `json:",omitempty"`
+	ID            string          `json:",omitempty"`
 	Model         *wireModel      `json:",omitempty"`
 	Adapter       *wireAdapter    `json:",omitempty"`
 	Service       *wireService    `json:",omitempty"`
@@ -132,7 +133,7 @@
 }
 
 func wireOf(r Record) wireRecord {
-	w := wireRecord{SchemaVersion: r.SchemaVersion, Author: r.Author}
+	w := wireRecord{SchemaVersion: r.SchemaVersion, Author: r.Author, ID: r.ID}
 	if r.Expect != nil {
 		expect := uint64(*r.Expect)
 		w.Expect = &expect
--- a/configuration/file.go
+++ b/configuration/file.go
@@ -76,7 +76,7 @@
 	case r.Model != nil:
 		return "Model " + string(r.Model.Name)
 	case r.Adapter != nil:
-		return "Adapter " + string(r.Adapter.Model) + ":" + string(r.Adapter.Name)
+		return "Adapter " + string(r.Adapter.Name)
 	case r.Service != nil:
 		return "Service " + string(r.Service.Name)
 	case r.Team != nil:
--- /dev/null
+++ b/objective/html.go
@@ -0,0 +1,132 @@
+package objective
+
+import (
+	_ "embed" // for the page
+	"fmt"
+	"html/template"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+//go:embed burn.html.tmpl
+var pageTemplate string
+
+// page is what the template shows.
+type page struct {
+	At       string
+	Headline string
+	Alert    string
+	Windows  []string
+	Lines    []pageLine
+	// Hidden counts the lines that the page leaves out.
+	Hidden    int
+	Latencies []Quantiles
+}
+
+type pageLine struct {
+	Alert   string
+	Name    string
+	Promise string
+	// Budget is the part left in percent; Bar is the same from 0 to 100.
+	Budget string
+	Bar    int
+	Spent  bool
+	Cells  []pageCell
+	Missed string
+}
+
+type pageCell struct {
+	Rate  string
+	Level string
+	// Points is an SVG polyline of the window's history.
+	Points string
+	// Line is the height of a burn rate of 1.
+	Line string
+}
+
+// maximumPageLines bounds the page; the most urgent lines come first.
+const maximumPageLines = 200
+
+// Size of a plot in SVG units.
+const (
+	plotWidth  = 90.0
+	plotHeight = 26.0
+	// plotMost is the rate at the top of a plot.
+	plotMost = FastRate
+)
+
+// WriteHTML writes the report as one page without scripts, fonts or links to
+// elsewhere.
+func (r Report) WriteHTML(w io.Writer) error {
+	t, err := template.New("burn").Parse(pageTemplate)
+	if err != nil {
+		return errors.Wrap(err, "parse page")
+	}
+	return errors.Wrap(t.Execute(w, r.page()), "write page")
+}
+
+func (r Report) page() page {
+	p := page{At: r.At.UTC().Format("2006-01-02 15:04:05 MST"), Headline: r.Headline(), Alert: Quiet.String(), Latencies: r.Latencies}
+	for _, w := range Windows() {
+		p.Windows = append(p.Windows, windowName(w.Length))
+	}
+	for i, l := range r.Lines {
+		if i == 0 {
+			p.Alert = l.Alert.String()
+		}
+		if i >= maximumPageLines {
+			p.Hidden = len(r.Lines) - i
+			break
+		}
+		p.Lines = append(p.Lines, l.page())
+	}
+	return p
+}
+
+func (l Line) page() pageLine {
+	longest := l.Windows[windows-1].Count
+	p := pageLine{
+		Alert:   l.Alert.String(),
+		Name:    l.Key.name(),
+		Promise: l.promise(),
+		Budget:  fmt.Sprintf("%.0f%%", 100*l.BudgetLeft),
+		Bar:     int(100 * min(max(l.BudgetLeft, 0), 1)),
+		Spent:   l.BudgetLeft <= 0,
+		Missed:  fmt.Sprintf("%d of %d", longest.Missed, longest.Total),
+	}
+	for _, w := range l.Windows {
+		p.Cells = append(p.Cells, w.cell())
+	}
+	return p
+}
+
+func (w WindowBurn) cell() pageCell {
+	c := pageCell{Rate: fmt.Sprintf("%.1f", w.Rate), Level: "ok", Points: w.points(), Line: fmt.Sprintf("%.1f", height(1))}
+	switch {
+	case w.Rate >= FastRate:
+		c.Level = "fast"
+	case w.Rate >= SlowRate:
+		c.Level = "slow"
+	}
+	return c
+}
+
+// height is the place of a rate in a plot; 0 is the top.
+func height(rate float64) float64 {
+	return plotHeight - 1 - min(rate, plotMost)/plotMost*(plotHeight-2)
+}
+
+func (w WindowBurn) points() string {
+	var b strings.Builder
+	for i, rate := range w.History {
+		x := plotWidth * float64(i) / float64(max(len(w.History)-1, 1))
+		fmt.Fprintf(&b, "%.1f,%.1f ", x, height(rate))
+	}
+	return strings.TrimSpace(b.String())
+}
+
+// Seconds returns a latency for the page.
+func (q Quantiles) Seconds(d time.Duration) string { return fmt.Sprintf("%.2f s", d.Seconds()) }
--- /dev/null
+++ b/objective/text.go
@@ -0,0 +1,110 @@
+package objective
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// name returns what a line is about, for people.
+func (k Key) name() string {
+	if k == (Key{}) {
+		return "all"
+	}
+	team := k.Team
+	if team == "" {
+		team = "-"
+	}
+	return string(team) + "/" + string(k.Model)
+}
+
+// promise returns a goal in words.
+func (l Line) promise() string {
+	share := strings.TrimSuffix(fmt.Sprintf("%.1f", 100*l.Goal.Share), ".0") + "%"
+	switch l.Measure {
+	case FirstToken:
+		return share + " first token in " + l.Goal.Within.String()
+	case BetweenTokens:
+		return share + " gaps under " + l.Goal.Within.String()
+	case ColdStart:
+		return share + " cold starts in " + l.Goal.Within.String()
+	case InTime:
+	}
+	return share + " ended in time"
+}
+
+// windowName returns a length as "5m", "1h" or "3d".
+func windowName(d time.Duration) string {
+	const day = 24 * time.Hour
+	switch {
+	case d >= day && d%day == 0:
+		return fmt.Sprintf("%dd", d/day)
+	case d >= time.Hour:
+		return fmt.Sprintf("%dh", d/time.Hour)
+	}
+	return fmt.Sprintf("%dm", d/time.Minute)
+}
+
+// Counts returns how many lines have each alert.
+func (r Report) Counts() map[Alert]int {
+	counts := map[Alert]int{}
+	for _, l := range r.Lines {
+		counts[l.Alert]++
+	}
+	return counts
+}
+
+// Headline says in one sentence how things stand.
+func (r Report) Headline() string {
+	counts := r.Counts()
+	if len(r.Lines) == 0 {
+		return "No request has ended in the last three days."
+	}
+	if counts[FastBurn] == 0 && counts[SlowBurn] == 0 {
+		return fmt.Sprintf("All %d objectives are kept.", len(r.Lines))
+	}
+	return fmt.Sprintf("%d of %d objectives burn fast and %d slowly.", counts[FastBurn], len(r.Lines), counts[SlowBurn])
+}
+
+// WriteText writes the report as text.
+func (r Report) WriteText(w io.Writer) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "Service-level burn at %s. %s\n\n", r.At.UTC().Format(time.RFC3339), r.Headline())
+	b.WriteString("ALERT\tTEAM/MODEL\tPROMISE\tBUDGET LEFT")
+	for _, window := range Windows() {
+		fmt.Fprintf(&b, "\tBURN %s", windowName(window.Length))
+	}
+	b.WriteString("\tMISSED 3d\n")
+	for _, l := range r.Lines {
+		l.writeText(&b)
+	}
+	r.writeLatencies(&b)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	if _, err := io.WriteString(t, b.String()); err != nil {
+		return errors.Wrap(err, "lay out report")
+	}
+	return errors.Wrap(t.Flush(), "write report")
+}
+
+func (l Line) writeText(b *strings.Builder) {
+	fmt.Fprintf(b, "%s\t%s\t%s\t%.0f%%", l.Alert, l.Key.name(), l.promise(), 100*l.BudgetLeft)
+	for _, window := range l.Windows {
+		fmt.Fprintf(b, "\t%.1f", window.Rate)
+	}
+	longest := l.Windows[windows-1].Count
+	fmt.Fprintf(b, "\t%d of %d\n", longest.Missed, longest.Total)
+}
+
+func (r Report) writeLatencies(b *strings.Builder) {
+	if len(r.Latencies) == 0 {
+		return
+	}
+	b.WriteString("\nMODEL\tMEASURE\tCOUNT\tP50\tP95\tP99\tMOST\n")
+	for _, q := range r.Latencies {
+		fmt.Fprintf(b, "%s\t%s\t%d\t%s\t%s\t%s\t%s\n", q.Model, q.Measure, q.Count, q.P50, q.P95, q.P99, q.Most)
+	}
+}
--- /dev/null
+++ b/operator/effect.go
@@ -0,0 +1,193 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/parsleylug/parsleylug/configuration"
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/fold"
+)
+
+// Action is what a change does to something that runs.
+type Action int
+
+// The actions.
+const (
+	// Allow means that callers may use something new; it is loaded when first
+	// asked for.
+	Allow Action = iota
+	// Load means that a replica is loaded again.
+	Load
+	// TakeDown means that a replica is unloaded when its requests have ended.
+	TakeDown
+	// Refuse means that callers are refused from now on.
+	Refuse
+)
+
+// Effect is one thing that a change would do.
+type Effect struct {
+	// Action is the name of an Action.
+	Action string
+	Model  string `json:",omitempty"`
+	Server string `json:",omitempty"`
+	Reason string
+}
+
+// dryRun tells what records would do, without writing them.
+func (a *API) dryRun(ctx context.Context, records []configuration.Record) (Change, error) {
+	status, err := a.deps.System.Status(ctx)
+	if err != nil {
+		return Change{}, refuse(Unavailable, "the state of the system cannot be read: "+err.Error())
+	}
+	change := Change{DryRun: true, Results: make([]ChangeResult, 0, len(records))}
+	a.deps.System.View(func(s *fold.State) {
+		for _, r := range records {
+			p := planner{state: s, status: status}
+			p.plan(r)
+			change.Results = append(change.Results, ChangeResult{
+				Subject:        r.Subject(),
+				Result:         Checked.String(),
+				CurrentVersion: uint64(s.VersionOf(r)),
+				Effects:        p.effects,
+			})
+		}
+	})
+	return change, nil
+}
+
+// planner works out the effects of one record.
+type planner struct {
+	state   *fold.State
+	status  Status
+	effects []Effect
+}
+
+func (p *planner) addf(a Action, m domain.ModelName, s domain.ServerID, format string, values ...any) {
+	p.effects = append(p.effects, Effect{Action: a.String(), Model: string(m), Server: string(s), Reason: fmt.Sprintf(format, values...)})
+}
+
+func (p *planner) plan(r configuration.Record) {
+	switch {
+	case r.Model != nil:
+		p.model(*r.Model)
+	case r.Adapter != nil:
+		p.addf(Allow, r.Adapter.Model, "", "callers may ask for %s", string(r.Adapter.Model)+":"+string(r.Adapter.Name))
+	case r.Service != nil:
+		p.addf(Allow, "", "", "callers may call /services/%s", r.Service.Name)
+	case r.Team != nil:
+		p.team(*r.Team)
+	case r.Drain != nil && !r.Drain.Off:
+		p.drain(*r.Drain)
+	case r.Quarantine != nil && !r.Quarantine.Release:
+		p.addf(Refuse, "", "", "requests with this content are refused")
+	case r.Remove != nil:
+		p.remove(*r.Remove)
+	}
+}
+
+func (p *planner) model(m configuration.Model) {
+	old, known := p.state.Model(m.Name)
+	switch {
+	case m.Paused:
+		p.addf(Refuse, m.Name, "", "the model is paused")
+		p.takeDownAll(m.Name, "the model is paused")
+		return
+	case !known:
+		p.addf(Allow, m.Name, "", "up to %d copies may be loaded, the first when a caller asks", m.Copies)
+		return
+	case old.Paused:
+		p.addf(Allow, m.Name, "", "the model is no longer paused")
+	}
+	p.keep(old, m)
+}
+
+// keep goes through the replicas of a model that stays and says which go.
+func (p *planner) keep(old, m configuration.Model) {
+	kept := domain.Copies(0)
+	for _, permit := range p.status.Permits {
+		if permit.Model != m.Name {
+			continue
+		}
+		loaded := permit.Loaded || permit.Loading
+		switch {
+		case len(m.Regions) > 0 && !slices.Contains(m.Regions, p.regionOf(permit.Server)):
+			p.takeDown(permit, "its region is no longer listed")
+			continue
+		case kept >= m.Copies:
+			p.takeDown(permit, fmt.Sprintf("only %d copies are allowed", m.Copies))
+			continue
+		case loaded && old.Version != m.Version:
+			p.takeDown(permit, "version "+string(old.Version)+" is replaced")
+			p.addf(Load, m.Name, permit.Server, "version %s", m.Version)
+		}
+		kept++
+	}
+	if m.Copies > old.Copies {
+		p.addf(Allow, m.Name, "", "up to %d copies may be loaded instead of %d", m.Copies, old.Copies)
+	}
+	if m.Copies == 0 {
+		p.addf(Refuse, m.Name, "", "no copy is allowed")
+	}
+}
+
+func (p *planner) takeDown(permit PermitStatus, reason string) {
+	if permit.Loaded || permit.Loading {
+		p.addf(TakeDown, permit.Model, permit.Server, "%s", reason)
+	}
+}
+
+func (p *planner) takeDownAll(m domain.ModelName, reason string) {
+	for _, permit := range p.status.Permits {
+		if permit.Model == m {
+			p.takeDown(permit, reason)
+		}
+	}
+}
+
+func (p *planner) regionOf(s domain.ServerID) domain.Region {
+	for _, v := range p.status.Servers {
+		if v.Server == s {
+			return v.Region
+		}
+	}
+	return ""
+}
+
+func (p *planner) team(t configuration.Team) {
+	if len(t.Models) > 0 {
+		p.addf(Refuse, "", "", "team %s may call %d models only", t.Name, len(t.Models))
+	}
+	if p.state.Deployment().RequireKeys && len(t.Keys) == 0 {
+		p.addf(Refuse, "", "", "team %s has no key", t.Name)
+	}
+}
+
+func (p *planner) drain(d configuration.Drain) {
+	servers := map[domain.ServerID]bool{}
+	for _, v := range p.status.Servers {
+		if v.Server == d.Server || d.Zone != "" && v.Zone == d.Zone {
+			servers[v.Server] = true
+		}
+	}
+	for _, s := range slices.Sorted(maps.Keys(servers)) {
+		p.addf(Refuse, "", s, "the server takes no new work")
+	}
+	for _, permit := range p.status.Permits {
+		if servers[permit.Server] {
+			p.takeDown(permit, "its server is drained")
+		}
+	}
+	if d.Node != "" {
+		p.addf(Refuse, "", "", "node %s is not ready for new callers and gives its leases back", d.Node)
+	}
+}
+
+func (p *planner) remove(r configuration.Remove) {
+	p.addf(Refuse, "", "", "%s %s is no longer configured", r.Kind.Word(), r.Name)
+	if r.Kind == configuration.KindModel {
+		p.takeDownAll(domain.ModelName(r.Name), "the model is removed")
+	}
+}
--- /dev/null
+++ b/operator/status.go
@@ -0,0 +1,234 @@
+package operator
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/parsleylug/parsleylug/domain"
+)
+
+// Status is the state of the whole system as one node sees it.
+type Status struct {
+	// Node is who answers.
+	Node    domain.NodeID
+	Version string
+	At      time.Time
+	// Ready is what the balancer is told; NotReady says why not.
+	Ready    bool
+	NotReady string
+	Log      LogStatus
+	Nodes    []NodeStatus
+	Servers  []ServerStatus
+	Permits  []PermitStatus
+	Doubts   []DoubtStatus
+	Queues   []QueueStatus
+	Wakes    []WakeStatus
+	Breakers []BreakerStatus
+	// Problems is filled by Diagnose.
+	Problems []Problem
+}
+
+// LogStatus is how the platform's log looks from the node.
+type LogStatus struct {
+	Up bool
+	// Decision and Configuration are the newest offsets folded.
+	Decision      domain.Offset
+	Configuration domain.Offset
+	// LagRecords is how many records of the decision stream are not yet folded,
+	// as far as the node knows.
+	LagRecords uint64
+	// SinceAnswer is how long ago the log last answered.
+	SinceAnswer time.Duration
+}
+
+// NodeStatus is one entry VM.
+type NodeStatus struct {
+	Node    domain.NodeID
+	Address string
+	Region  domain.Region
+	Zone    domain.Zone
+	Alive   bool
+	Leaving bool
+	// Roles are words such as "relay" or "pacer"; leases stand with the servers.
+	Roles []string
+	// Leases is how many backend servers the node owns.
+	Leases int
+	// Configuration is the newest operator record in force at the node.
+	Configuration domain.Offset
+}
+
+// ServerStatus is one backend server.
+type ServerStatus struct {
+	Server domain.ServerID
+	// Kind is "Engine" or "Service".
+	Kind    string
+	Region  domain.Region
+	Zone    domain.Zone
+	Alive   bool
+	Leaving bool
+	Drained bool
+	// Owner and Fence are of the lease in force; empty where there is none.
+	Owner        domain.NodeID
+	Fence        domain.Fence
+	ChecksFences bool
+	Memory       domain.Bytes
+	Used         domain.Bytes
+	Running      int
+	Waiting      int
+}
+
+// PermitStatus is one permit to load a model at a server, in the order of
+// attachment.
+type PermitStatus struct {
+	Model  domain.ModelName
+	Server domain.ServerID
+	// Loaded and Loading tell the replica's state, as last reported.
+	Loaded  bool
+	Loading bool
+	// Revoked permits are over the operators' limit and count until released.
+	Revoked bool
+}
+
+// DoubtStatus is an earlier owner whose orders may still take effect.
+type DoubtStatus struct {
+	Server domain.ServerID
+	// Owner held the lease with the fence Earlier.
+	Owner   domain.NodeID
+	Earlier domain.Fence
+	// Since is how long this node has known of the doubt.
+	Since time.Duration
+}
+
+// QueueStatus is one queue of waiting requests.
+type QueueStatus struct {
+	Model   domain.ModelName
+	Waiting int
+	// Oldest is how long the first one has waited.
+	Oldest time.Duration
+	// Estimate is the wait that a new request is told.
+	Estimate time.Duration
+}
+
+// WakeStatus is one cold start in progress.
+type WakeStatus struct {
+	Model  domain.ModelName
+	Server domain.ServerID
+	// Callers is how many requests wait for it.
+	Callers int
+	Since   time.Duration
+}
+
+// BreakerStatus is a backend server that takes no new work for now.
+type BreakerStatus struct {
+	Server   domain.ServerID
+	State    string
+	Failures int
+}
+
+// Severity is how urgent a problem is.
+type Severity int
+
+// The severities.
+const (
+	// Note needs no action now.
+	Note Severity = iota
+	// Warning needs action within the day.
+	Warning
+	// Urgent needs action now.
+	Urgent
+)
+
+// Problem is one thing that is wrong, in words for someone who was just woken.
+type Problem struct {
+	Severity Severity
+	Message  string
+	// Page is the file under docs/operating that says what to do.
+	Page string
+}
+
+// Bounds from which a state is a problem.
+const (
+	maximumLagRecords  = 1000
+	maximumWakeTime    = time.Minute
+	maximumDoubtTime   = time.Minute
+	maximumSilence     = 5 * time.Second
+	fullServerFraction = 0.95
+)
+
+// Diagnose returns what is wrong in a status, the most urgent first.
+func Diagnose(s Status) []Problem {
+	var d diagnosis
+	d.log(s)
+	d.nodes(s)
+	d.servers(s)
+	d.work(s)
+	return append(append(d[Urgent], d[Warning]...), d[Note]...)
+}
+
+// diagnosis holds the problems of each severity.
+type diagnosis [Urgent + 1][]Problem
+
+func (d *diagnosis) addf(s Severity, page, format string, values ...any) {
+	d[s] = append(d[s], Problem{Severity: s, Message: fmt.Sprintf(format, values...), Page: page})
+}
+
+func (d *diagnosis) log(s Status) {
+	if !s.Log.Up {
+		d.addf(Urgent, "log-outage.md", "the platform's log has not answered for %s: no permit moves and no command with a key is accepted", s.Log.SinceAnswer.Round(time.Second))
+	} else if s.Log.SinceAnswer > maximumSilence {
+		d.addf(Warning, "log-outage.md", "the platform's log answered last %s ago", s.Log.SinceAnswer.Round(time.Second))
+	}
+	if s.Log.LagRecords > maximumLagRecords {
+		d.addf(Warning, "log-outage.md", "node %s is %d records behind the log", s.Node, s.Log.LagRecords)
+	}
+	if !s.Ready {
+		d.addf(Warning, "first-day.md", "node %s is not ready: %s", s.Node, s.NotReady)
+	}
+}
+
+func (d *diagnosis) nodes(s Status) {
+	newest := s.Log.Configuration
+	for _, n := range s.Nodes {
+		newest = max(newest, n.Configuration)
+	}
+	for _, n := range s.Nodes {
+		switch {
+		case !n.Alive:
+			d.addf(Warning, "region-cut.md", "node %s in %s does not answer", n.Node, n.Zone)
+		case n.Configuration < newest:
+			d.addf(Note, "first-day.md", "node %s has configuration %d, the newest is %d", n.Node, n.Configuration, newest)
+		}
+	}
+}
+
+func (d *diagnosis) servers(s Status) {
+	for _, v := range s.Servers {
+		switch {
+		case !v.Alive && !v.Leaving:
+			d.addf(Warning, "stuck-lease.md", "backend server %s does not answer its owner %s", v.Server, v.Owner)
+		case v.Memory > 0 && v.Used > v.Memory:
+			d.addf(Urgent, "capacity.md", "backend server %s uses more memory than it has", v.Server)
+		case v.Memory > 0 && float64(v.Used) > fullServerFraction*float64(v.Memory):
+			d.addf(Note, "capacity.md", "backend server %s is nearly full", v.Server)
+		}
+		if v.Kind == "Engine" && v.Owner == "" && !v.Leaving {
+			d.addf(Warning, "stuck-lease.md", "backend server %s has no owner", v.Server)
+		}
+	}
+	for _, v := range s.Doubts {
+		if v.Since > maximumDoubtTime {
+			d.addf(Warning, "stuck-lease.md", "orders of %s to %s have been in doubt for %s: its memory and permits stay reserved", v.Owner, v.Server, v.Since.Round(time.Second))
+		}
+	}
+}
+
+func (d *diagnosis) work(s Status) {
+	for _, w := range s.Wakes {
+		if w.Since > maximumWakeTime {
+			d.addf(Warning, "slow-weight-store.md", "the cold start of %s at %s has run for %s and %d callers wait", w.Model, w.Server, w.Since.Round(time.Second), w.Callers)
+		}
+	}
+	for _, b := range s.Breakers {
+		d.addf(Note, "poison-request.md", "backend server %s takes no new work: breaker %s after %d failures", b.Server, b.State, b.Failures)
+	}
+}
