--- a/membership/table.go
+++ b/membership/table.go
@@ -10,8 +10,13 @@
 )
 
 const (
-	// SuspicionTime is how long a suspect may refute before it is gone.
+	// SuspicionTime is how long a suspect may refute before a node that could not
+	// reach it either calls it gone.
 	SuspicionTime = time.Second
+	// HearsayTime is the same for nodes that only heard of the suspicion. It is
+	// longer, so that a suspicion ends where those who raised it reach the
+	// suspect again.
+	HearsayTime = 3 * time.Second
 	// ProbeInterval is how often a suspect is tried over a new connection.
 	ProbeInterval = 500 * time.Millisecond
 	// RetryInterval is how often one of the nodes that are gone but still on the
@@ -30,10 +35,12 @@
 
 // Table is one node's view of all nodes. It is not safe for concurrent use.
 type Table struct {
-	self        Update
-	entries     map[domain.NodeID]*entry
-	suspects    map[domain.NodeID]*entry
-	gossip      map[domain.NodeID]bool
+	self     Update
+	entries  map[domain.NodeID]*entry
+	suspects map[domain.NodeID]*entry
+	gossip   map[domain.NodeID]bool
+	// urgent is set while gossip holds a suspicion or its refutation.
+	urgent      bool
 	random      *rand.Rand
 	version     uint64
 	neighbours  []domain.NodeID
@@ -48,6 +55,8 @@
 	listed bool
 	// suspectedAt, goneAt and probedAt are zero where it did not happen.
 	suspectedAt, goneAt, probedAt time.Time
+	// accused is set where this node itself could not reach the suspect.
+	accused bool
 	// distrustUntil is when this node's own silence counts again.
 	distrustUntil time.Time
 	// ring are the node's positions on the rings, worked out once.
@@ -160,9 +169,13 @@
 		t.set(now, e, Gone)
 		return
 	}
-	if e.Status == Alive && now.After(e.distrustUntil) {
+	if !now.After(e.distrustUntil) || e.Status == Gone {
+		return
+	}
+	if e.Status == Alive {
 		t.set(now, e, Suspect)
 	}
+	e.accused = true
 }
 
 // Refused takes in proof that the node's process is dead: its address refused
@@ -207,7 +220,7 @@
 		if paused {
 			e.suspectedAt = now
 		}
-		if now.Sub(e.suspectedAt) >= SuspicionTime {
+		if now.Sub(e.suspectedAt) >= e.patience() {
 			t.set(now, e, Gone)
 		}
 	}
@@ -223,6 +236,7 @@
 			result = append(result, n)
 		}
 	}
+	slices.Sort(result)
 	if now.Before(t.nextRetry) {
 		return result
 	}
@@ -240,6 +254,11 @@
 	return result
 }
 
+// Urgent tells whether the news that was not passed on yet is about a suspicion,
+// which has to reach the suspect and back within SuspicionTime. Other news may
+// wait to be batched.
+func (t *Table) Urgent() bool { return t.urgent }
+
 // TakeGossip returns the news that was not passed on yet.
 func (t *Table) TakeGossip() []Update {
 	if len(t.gossip) == 0 {
@@ -252,10 +271,18 @@
 		}
 	}
 	clear(t.gossip)
+	t.urgent = false
 	slices.SortFunc(result, func(a, b Update) int { return cmp.Compare(a.Member.Node, b.Member.Node) })
 	return result
 }
 
+func (e *entry) patience() time.Duration {
+	if e.accused {
+		return SuspicionTime
+	}
+	return HearsayTime
+}
+
 func (e *entry) present() bool { return e.Status == Alive || e.Status == Suspect }
 
 func (t *Table) add(u Update) *entry {
@@ -297,11 +324,14 @@
 	}
 	t.self.Incarnation = u.Incarnation + 1
 	t.gossip[t.self.Member.Node] = true
+	t.urgent = true
 }
 
 func (t *Table) set(now time.Time, e *entry, s Status) {
 	n := e.Member.Node
+	t.urgent = t.urgent || e.Status == Suspect || s == Suspect
 	e.Status = s
+	e.accused = false
 	delete(t.suspects, n)
 	switch s {
 	case Suspect:
--- a/peer/dial.go
+++ b/peer/dial.go
@@ -15,9 +15,13 @@
 )
 
 const (
-	// dialTime bounds a new connection with its handshake.
-	dialTime = 700 * time.Millisecond
-	// refusedRetry is how long after a refused connection the second try comes.
+	// dialTime bounds a new connection with its handshake. It is shorter than the
+	// retransmission of a lost SYN, so that the second try is a new connection.
+	dialTime = 400 * time.Millisecond
+	// dialTries is how many new connections fail before the node counts as silent
+	// or dead.
+	dialTries = 2
+	// refusedRetry is how long after a refused connection the next try comes.
 	refusedRetry = 150 * time.Millisecond
 	// handshakeTime bounds how long an accepted connection may take to say Hello.
 	handshakeTime = 2 * time.Second
@@ -40,11 +44,8 @@
 
 // dial opens a link and tells the table how it went.
 func (m *Mesh) dial(ctx context.Context, to Member, r *remote) {
-	err := m.connect(ctx, to)
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		time.Sleep(refusedRetry)
-		err = m.connect(ctx, to)
-	}
+	began := time.Now()
+	err := m.tryConnect(ctx, to)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	r.dialling = false
@@ -53,18 +54,48 @@
 		return
 	}
 	m.metrics.dialsFailed.Inc(1)
-	r.waiting = nil
 	now := time.Now()
 	switch {
+	case r.heardSince(began):
+		return
 	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, errOtherNode):
 		m.table.Refused(now, to.Node)
 	default:
 		m.table.Silent(now, to.Node)
 	}
+	r.waiting = nil
 	m.publish()
 	m.spread()
 }
 
+// tryConnect returns the last error of dialTries connections.
+func (m *Mesh) tryConnect(ctx context.Context, to Member) error {
+	var err error
+	for i := range dialTries {
+		if i > 0 && errors.Is(err, syscall.ECONNREFUSED) {
+			time.Sleep(refusedRetry)
+		}
+		err = m.connect(ctx, to)
+		if err == nil || errors.Is(err, errOtherNode) || ctx.Err() != nil {
+			return err
+		}
+	}
+	return err
+}
+
+// heardSince tells whether an open link brought bytes after an instant.
+func (r *remote) heardSince(t time.Time) bool {
+	for _, l := range r.links {
+		l.mu.Lock()
+		heard := l.readAt.After(t)
+		l.mu.Unlock()
+		if heard {
+			return true
+		}
+	}
+	return false
+}
+
 var errOtherNode = errors.New("peer: another node answers at the address")
 
 // connect makes one connection with its handshake.
--- a/peer/watch.go
+++ b/peer/watch.go
@@ -231,6 +231,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.table.Merge(time.Now(), updates)
+	if m.table.Urgent() {
+		m.publish()
+		m.spread()
+	}
 }
 
 // compare returns what this node knows where the other's view differs.
