Keep a poison request from taking down more than three servers

Cause: a request that crashes its engine is sent again by its caller and by our own retries, at every node. Change: package suspects counts crashes by content; a suspect runs alone, in turns and slots, on the replica picked by its hash, and is refused after two crashes; a whole answer clears it. peer.Suspect gains Alone and Begun. A connection that cannot be made costs no retry; the budget's reserve is 10.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -152,6 +152,12 @@
 	return q.fill(now)
 }
 
+// Release gives a slot back that was not held for as long as an answer takes.
+func (q *Queue) Release(now time.Time, id ID) Change {
+	q.running = slices.DeleteFunc(q.running, func(s slot) bool { return s.id == id })
+	return q.fill(now)
+}
+
 // Leave takes a waiting item off the queue.
 func (q *Queue) Leave(id ID) {
 	for _, t := range q.teams {
--- a/caller/api.go
+++ b/caller/api.go
@@ -13,6 +13,7 @@
 
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/engine"
+	"github.com/parsleylug/parsleylug/peer"
 	"github.com/parsleylug/parsleylug/routing"
 	"github.com/parsleylug/parsleylug/verdict"
 )
@@ -35,6 +36,8 @@
 	Draining func() bool
 	// Ready tells whether the node can show a current configuration.
 	Ready func() bool
+	// Spread tells the other nodes of suspected contents; nil keeps them here.
+	Spread func([]peer.Suspect)
 }
 
 // API serves callers.
@@ -45,6 +48,8 @@
 	inFlight atomic.Int64
 	health   health
 	gates    gates
+	// isolation keeps suspected contents apart.
+	isolation isolation
 }
 
 // New returns an API over d.
@@ -58,6 +63,9 @@
 	if d.Ready == nil {
 		d.Ready = func() bool { return true }
 	}
+	if d.Spread == nil {
+		d.Spread = func([]peer.Suspect) {}
+	}
 	return &API{Deps: d}
 }
 
--- a/caller/attempt.go
+++ b/caller/attempt.go
@@ -74,6 +74,10 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	stream engine.Stream
+	// alone is true for a suspected content; begun once a part came.
+	alone, begun bool
+	// resumed attempts did not make the whole answer.
+	resumed bool
 	// progress ends the attempt where it fires.
 	progress *time.Timer
 }
@@ -104,6 +108,7 @@
 
 // first opens the stream and returns its first part.
 func (t *attempt) first(r engine.ChatRequest) (engine.Token, error) {
+	t.resumed = r.Resume > 0
 	t.progress = time.AfterFunc(firstTokenTimeout(r.Within), func() { t.cancel(errSilent) })
 	stream, err := t.api.Chatter.Chat(t.ctx, t.target.Address, r)
 	if err != nil {
@@ -125,6 +130,7 @@
 		return token, io.ErrUnexpectedEOF
 	}
 	if err == nil {
+		t.begun = true
 		t.progress.Reset(betweenTokens)
 	}
 	return token, err
--- a/caller/chat.go
+++ b/caller/chat.go
@@ -70,6 +70,7 @@
 			return
 		}
 		if token.Finish != "" {
+			s.completed()
 			_ = c.write(w, control, events.end(token, s.relay.next))
 			return
 		}
@@ -138,6 +139,7 @@
 	for {
 		text.WriteString(token.Text)
 		if token.Finish != "" {
+			s.completed()
 			break
 		}
 		if text.Len() > int(maximumAnswer) {
--- a/caller/gates.go
+++ b/caller/gates.go
@@ -105,6 +105,14 @@
 	m.tell(m.queue.Finish(time.Now(), s.id))
 }
 
+// release gives a slot back that was not used for a whole answer.
+func (s *slot) release() {
+	s.gates.mu.Lock()
+	defer s.gates.mu.Unlock()
+	m := s.gates.gate(s.model)
+	m.tell(m.queue.Release(time.Now(), s.id))
+}
+
 // waitingFor returns how many requests wait for a model.
 func (g *gates) waitingFor(n domain.ModelName) int {
 	g.mu.Lock()
--- a/caller/race.go
+++ b/caller/race.go
@@ -61,7 +61,7 @@
 // does not fire.
 func (s *session) hedgeTimer() *time.Timer {
 	after, ok := s.api.health.hedgeAfter(s.call.model.Name)
-	if !ok || s.relay.next > 0 {
+	if !ok || s.relay.next > 0 || s.alone {
 		after = s.call.deadline.Remaining(time.Now()) + time.Hour
 	}
 	return time.NewTimer(after)
@@ -70,6 +70,7 @@
 func (r *race) launch(target *routing.Replica) {
 	s := r.session
 	t := s.api.newAttempt(s, target)
+	t.alone = s.alone
 	r.running = append(r.running, t)
 	request := s.request(t)
 	go func() {
--- a/caller/session.go
+++ b/caller/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/parsleylug/parsleylug/engine"
 	"github.com/parsleylug/parsleylug/retries"
 	"github.com/parsleylug/parsleylug/routing"
+	"github.com/parsleylug/parsleylug/suspects"
 	"github.com/parsleylug/parsleylug/verdict"
 )
 
@@ -42,6 +44,12 @@
 	// slot is the session's place among those that run; nil until it has one.
 	slot  *slot
 	tries int
+	// alone is true while the content is suspected and runs apart.
+	alone bool
+	// owesRetry is true for a suspect that pays for its retry when its turn comes.
+	owesRetry bool
+	// endTurn lets the next suspect run on the server; nil without a turn.
+	endTurn func()
 	// mayHaveRun is true once an attempt failed in a way that may have run.
 	mayHaveRun bool
 	exclude    []domain.ServerID
@@ -98,6 +106,9 @@
 // open starts an attempt. It leaves s.current nil where the attempt failed and
 // another may follow.
 func (s *session) open() error {
+	if err := s.refused(); err != nil {
+		return err
+	}
 	if s.tries >= maximumAttempts {
 		return s.give(verdict.BackendFailed, "every attempt failed", s.last)
 	}
@@ -106,6 +117,12 @@
 	if err != nil {
 		return s.notPlaced(err)
 	}
+	if err := s.refused(); err != nil {
+		return err
+	}
+	if s.api.isolation.standing(s.call.content) == suspects.Suspected {
+		return s.runAlone(set)
+	}
 	i, ok := s.api.chooser.Choose(time.Now(), set, s.choice(s.exclude))
 	if !ok {
 		s.exclude = nil
@@ -115,17 +132,21 @@
 }
 
 func (s *session) choice(exclude []domain.ServerID) routing.Request {
-	return routing.Request{Adapter: s.call.adapter, Exclude: exclude, Ejected: s.api.health.ejected}
+	return routing.Request{
+		Adapter: s.call.adapter, Exclude: exclude, Ejected: s.api.health.ejected,
+		Seed: binary.BigEndian.Uint64(s.call.content[:]),
+	}
 }
 
 // staleAfter is how long a request may wait in the queue before its replicas are
 // looked up again.
 const staleAfter = 100 * time.Millisecond
 
-// place finds the replicas and waits for a slot on them.
+// place finds the replicas and waits for a slot on them. A suspect needs none: it
+// waits for its turn.
 func (s *session) place() (routing.Set, error) {
 	set, err := s.lookUp()
-	if err != nil || s.slot != nil {
+	if err != nil || s.slot != nil || s.api.isolation.standing(s.call.content) != suspects.Clean {
 		return set, err
 	}
 	found := time.Now()
@@ -176,6 +197,13 @@
 	if f == notLoaded || f == adapterMissing {
 		return nil
 	}
+	if f == unreached {
+		return s.pause()
+	}
+	if f == broken && s.api.isolation.standing(s.call.content) != suspects.Clean {
+		s.owesRetry = true
+		return nil
+	}
 	return s.spend(f, err)
 }
 
@@ -225,7 +253,13 @@
 		s.mayHaveRun = true
 		s.exclude = append(s.exclude, t.server)
 		s.api.health.failed(time.Now(), t.server, f)
+		if errors.Is(err, errGap) {
+			break
+		}
+		s.api.crashed(s.call.content, t)
 	}
+	// The next suspect's turn comes once the crash is known.
+	s.leaveTurn()
 	s.api.Scope.Tagged(map[string]string{"failure": f.String()}).Counter("attempts_failed").Inc(1)
 	return f
 }
@@ -280,6 +314,7 @@
 		s.current.close()
 		s.current = nil
 	}
+	s.leaveTurn()
 	if s.slot != nil {
 		s.slot.leave()
 		s.slot = nil
--- a/peer/decode.go
+++ b/peer/decode.go
@@ -164,7 +164,7 @@
 func suspectsFromWire(w wireSuspects) Suspects {
 	m := Suspects{Suspects: make([]Suspect, len(w.Suspects))}
 	for i, s := range w.Suspects {
-		m.Suspects[i] = Suspect{Content: hashFromWire(s.Content), Crashes: s.Crashes, Server: s.Server}
+		m.Suspects[i] = Suspect{Content: hashFromWire(s.Content), Crashes: s.Crashes, Server: s.Server, Alone: s.Alone, Begun: s.Begun}
 	}
 	return m
 }
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -123,7 +123,7 @@
 func suspectsToWire(m Suspects) wireSuspects {
 	w := wireSuspects{Suspects: make([]wireSuspect, len(m.Suspects))}
 	for i, s := range m.Suspects {
-		w.Suspects[i] = wireSuspect{Content: s.Content[:], Crashes: s.Crashes, Server: s.Server}
+		w.Suspects[i] = wireSuspect{Content: s.Content[:], Crashes: s.Crashes, Server: s.Server, Alone: s.Alone, Begun: s.Begun}
 	}
 	return w
 }
--- a/peer/message.go
+++ b/peer/message.go
@@ -153,10 +153,13 @@
 // Suspect is one request content under suspicion.
 type Suspect struct {
 	Content [32]byte
-	// Crashes counts the servers that crashed while they ran it.
+	// Crashes counts the servers that crashed while they ran it; zero clears it.
 	Crashes int
 	// Server is the one that crashed last, so that one crash counts once.
 	Server domain.ServerID
+	// Alone tells that it ran apart from others in the last crash, Begun that it
+	// had given tokens before.
+	Alone, Begun bool
 }
 
 // SnapshotRequest asks a peer for its encoded fold state. The answer is Snapshot
--- a/retries/budget.go
+++ b/retries/budget.go
@@ -7,10 +7,10 @@
 // Ratio is how much load retries may add to the first attempts.
 const Ratio = 0.1
 
-// Budget bounds. A quiet model may still retry: a reserve fills up slowly.
+// Bounds of a budget: it saves up to its reserve, which also fills up slowly, so
+// that a quiet model may still retry.
 const (
-	reserve        = 5.0
-	maximumBudget  = 10.0
+	reserve        = 10.0
 	reserveSeconds = 10.0
 )
 
@@ -25,7 +25,7 @@
 // Request counts a first attempt, which earns a part of a retry.
 func (b *Budget) Request(now time.Time) {
 	b.refill(now)
-	b.tokens = min(maximumBudget, b.tokens+Ratio)
+	b.tokens = min(reserve, b.tokens+Ratio)
 }
 
 // Spend takes one retry and tells whether the budget allowed it.
@@ -45,9 +45,7 @@
 		return
 	}
 	if elapsed := now.Sub(b.at); elapsed > 0 {
-		if b.tokens < reserve {
-			b.tokens = min(reserve, b.tokens+elapsed.Seconds()/reserveSeconds)
-		}
+		b.tokens = min(reserve, b.tokens+elapsed.Seconds()/reserveSeconds)
 		b.at = now
 	}
 }
--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/parsleylug/parsleylug/domain"
 )
 
@@ -32,7 +34,8 @@
 	Ejected func(domain.ServerID) bool
 	// Spare asks for a replica with room; without one there is no choice.
 	Spare bool
-	// Seed makes the choice repeatable; zero means random.
+	// Seed keeps requests with the same one on the same two candidates of a group,
+	// unless these are full; zero means random ones.
 	Seed uint64
 }
 
@@ -88,10 +91,14 @@
 func (c *Chooser) Choose(now time.Time, s Set, r Request) (int, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	i := c.choose(now, s, r)
+	i, score := c.choose(now, s, r)
+	if r.Seed != 0 && (i < 0 || score >= 1) {
+		r.Seed = 0
+		i, _ = c.choose(now, s, r)
+	}
 	if i < 0 && r.Ejected != nil && !r.Spare {
 		r.Ejected = nil
-		i = c.choose(now, s, r)
+		i, _ = c.choose(now, s, r)
 	}
 	if i < 0 {
 		return 0, false
@@ -100,6 +107,29 @@
 	return i, true
 }
 
+// ChooseAlone returns the index of the replica on which a suspected content runs:
+// the same at every node, so that its resends meet on one server. It counts a
+// request in flight like Choose.
+func (c *Chooser) ChooseAlone(s Set, r Request) (int, bool) {
+	best, highest := -1, uint64(0)
+	for i := range s.Replicas {
+		server := s.Replicas[i].Server
+		if !allowed(server, r) {
+			continue
+		}
+		if weight := mix(r.Seed ^ xxhash.Sum64String(string(server))); best < 0 || weight > highest {
+			best, highest = i, weight
+		}
+	}
+	if best < 0 {
+		return 0, false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.load(&s.Replicas[best]).inFlight++
+	return best, true
+}
+
 // Done takes one request off a server's count.
 func (c *Chooser) Done(server domain.ServerID) {
 	c.mu.Lock()
@@ -148,7 +178,7 @@
 }
 
 // choose takes the nearest group that has room, else the best candidate of all.
-func (c *Chooser) choose(now time.Time, s Set, r Request) int {
+func (c *Chooser) choose(now time.Time, s Set, r Request) (index int, lowest float64) {
 	best, bestScore := -1, 0.0
 	borders := [...]int{0, s.ZoneEnd, s.RegionEnd, len(s.Replicas)}
 	for g := range len(borders) - 1 {
@@ -157,16 +187,16 @@
 			continue
 		}
 		if score < 1 {
-			return i
+			return i, score
 		}
 		if best < 0 || score < bestScore {
 			best, bestScore = i, score
 		}
 	}
 	if r.Spare {
-		return -1
+		return -1, 0
 	}
-	return best
+	return best, bestScore
 }
 
 // best returns the least loaded candidate of replicas[from:to], or -1.
@@ -177,9 +207,9 @@
 		return index, 0
 	}
 	tries, sampled := size, 0
-	start, whole := 0, size <= scanLimit
+	start, whole := 0, size <= scanLimit && (r.Seed == 0 || size <= samples)
 	if whole {
-		start = pick(r.Seed, 0, size)
+		start = pick(0, 0, size)
 	}
 	for t := 0; t < tries; t++ {
 		i := from + (start+t)%size
@@ -207,13 +237,16 @@
 	if seed == 0 {
 		return rand.IntN(n)
 	}
-	x := seed + uint64(try)*0x9e3779b97f4a7c15
+	return int(mix(seed+uint64(try)*0x9e3779b97f4a7c15) % uint64(n))
+}
+
+// mix spreads the bits of x (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
 	x ^= x >> 30
 	x *= 0xbf58476d1ce4e5b9
 	x ^= x >> 27
 	x *= 0x94d049bb133111eb
-	x ^= x >> 31
-	return int(x % uint64(n))
+	return x ^ x>>31
 }
 
 func allowed(server domain.ServerID, r Request) bool {
--- /dev/null
+++ b/suspects/list_test.go
@@ -0,0 +1,86 @@
+package suspects
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/parsleylug/parsleylug/domain"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func TestContentThatCrashesAloneIsRefusedForLong(t *testing.T) {
+	var l List
+	c := Content{1}
+	l.Crashed(start, c, "e1", false, false)
+	if got, _ := l.Standing(start, c); got != Suspected {
+		t.Errorf("got %v after one crash, want Suspected", got)
+	}
+	l.Crashed(start, c, "e2", true, false)
+	if got, left := l.Standing(start.Add(time.Hour), c); got != Refused || left != RefusedAlone-time.Hour {
+		t.Errorf("got %v for %v, want Refused for %v", got, left, RefusedAlone-time.Hour)
+	}
+}
+
+func TestInnocentContentIsNotRefusedForGood(t *testing.T) {
+	var l List
+	c := Content{1}
+	l.Crashed(start, c, "e1", false, false)
+	l.Crashed(start, c, "e2", false, false)
+	if got, _ := l.Standing(start, c); got != Refused {
+		t.Errorf("got %v after two shared crashes, want Refused", got)
+	}
+	later := start.Add(RefusedShared)
+	if got, _ := l.Standing(later, c); got != Suspected {
+		t.Errorf("got %v after the refusal, want Suspected, to run alone", got)
+	}
+	if _, ok := l.Completed(c); !ok {
+		t.Error("got no report of a cleared content")
+	}
+	if got, _ := l.Standing(later, c); got != Clean {
+		t.Errorf("got %v after a whole answer, want Clean", got)
+	}
+}
+
+func TestOneCrashOfBegunAnswersSuspectsNobody(t *testing.T) {
+	var l List
+	c := Content{1}
+	l.Crashed(start, c, "e1", false, true)
+	if got, _ := l.Standing(start, c); got != Clean {
+		t.Errorf("got %v, want Clean", got)
+	}
+	l.Crashed(start.Add(time.Second), c, "e2", false, true)
+	if got, _ := l.Standing(start.Add(time.Second), c); got != Suspected {
+		t.Errorf("got %v after two, want Suspected", got)
+	}
+}
+
+// TestOneCrashCountsOnce: however many nodes report the crash of one server, in
+// whatever order, the standing is that of one crash.
+func TestOneCrashCountsOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var l List
+		c := Content{1}
+		l.Crashed(start, c, "e1", false, false)
+		for range rapid.IntRange(0, 20).Draw(rt, "reports") {
+			at := start.Add(time.Duration(rapid.IntRange(0, 2999).Draw(rt, "ms")) * time.Millisecond)
+			l.Learn(at, []Report{{Content: c, Crashes: 1, Server: "e1", Begun: rapid.Bool().Draw(rt, "begun")}})
+		}
+		if got, _ := l.Standing(start.Add(3*time.Second), c); got != Suspected {
+			rt.Fatalf("got %v, want Suspected", got)
+		}
+	})
+}
+
+func TestListIsBounded(t *testing.T) {
+	var l List
+	for i := range maximumContents + 100 {
+		c := Content{byte(i), byte(i >> 8)}
+		l.Crashed(start.Add(time.Duration(i)), c, domain.ServerID("e"), false, false)
+	}
+	if got, want := l.Len(), maximumContents; got > want {
+		t.Errorf("got %d contents, want at most %d", got, want)
+	}
+}
