--- a/configuration/reader.go
+++ b/configuration/reader.go
@@ -315,3 +315,7 @@
 	q := strconv.Quote(s)
 	return q[1 : len(q)-1]
 }
+
+// ValidName tells whether s may name an object: 1 to 128 letters, digits, '.',
+// '_' or '-'.
+func ValidName(s string) bool { return s != "" && validName(s) }
--- a/operator/api.go
+++ b/operator/api.go
@@ -190,18 +190,18 @@
 		if !changes && !refused {
 			return
 		}
-		event, line := "admin_change", a.deps.Logger.Info()
+		event, line := "AdminChange", a.deps.Logger.Info()
 		if refused {
-			event, line = "admin_refusal", a.deps.Logger.Warn()
+			event, line = "AdminRefusal", a.deps.Logger.Warn()
 		}
-		line.Str("event", event).
-			Str("author", t.who.author()).
-			Str("operation", r.name).
-			Str("path", logged(req.URL.Path)).
-			Str("request", logged(req.Header.Get("X-Request-Id"))).
-			Int("status", code).
-			Dur("took", time.Since(t.started)).
-			Send()
+		line.Str("Event", event).
+			Str("Author", t.who.author()).
+			Str("Operation", r.name).
+			Str("Path", logged(req.URL.Path)).
+			Str("Request", logged(req.Header.Get("X-Request-Id"))).
+			Int("Status", code).
+			Int64("TookMilliseconds", time.Since(t.started).Milliseconds()).
+			Msg("operator request")
 	}
 }
 
--- a/operator/api_test.go
+++ b/operator/api_test.go
@@ -147,7 +147,7 @@
 			if got, want := f.counter("admin_refusals") == 1, refused; got != want {
 				t.Errorf("refusal counted: got %v, want %v", got, want)
 			}
-			if refused != strings.Contains(f.log.String(), `"event":"admin_refusal"`) && c.code != 404 {
+			if refused != strings.Contains(f.log.String(), `"Event":"AdminRefusal"`) && c.code != 404 {
 				t.Errorf("got log %q, want a refusal line only where refused", f.log.String())
 			}
 			if c.key == "guessed-secret" && strings.Contains(f.log.String(), c.key) {
