--- a/configuration/codec_test.go
+++ b/configuration/codec_test.go
@@ -93,3 +93,21 @@
 		}
 	})
 }
+
+func TestHugeInputsAreBounded(t *testing.T) {
+	faulty := `{"Records": [` + strings.Repeat(`{"SchemaVersion": 2, "Copys": 1},`, 20_000) + `{}]}`
+	_, faults := DecodeFile("f", strings.NewReader(faulty))
+	if got, want := len(faults), MaximumFaults+1; got != want {
+		t.Errorf("got %d faults, want %d", got, want)
+	}
+	for name, file := range map[string]string{
+		"many values": `{"Records": [` + strings.Repeat("1,", maximumNodes) + `1]}`,
+		"deep":        strings.Repeat("[", 1_000_000),
+		"large":       strings.Repeat(" ", MaximumFileSize+1),
+	} {
+		_, faults := DecodeFile("f", strings.NewReader(file))
+		if got, want := len(faults), 1; got != want {
+			t.Errorf("%s: got %d faults, want %d", name, got, want)
+		}
+	}
+}
--- a/configuration/reader.go
+++ b/configuration/reader.go
@@ -21,7 +21,19 @@
 	faults Faults
 }
 
+// MaximumFaults is how many faults of one input are reported.
+const MaximumFaults = 200
+
+// full tells whether no further fault is reported.
+func (c *collector) full() bool { return len(c.faults) > MaximumFaults }
+
 func (c *collector) add(offset int64, path, message, suggestion string) {
+	if c.full() {
+		return
+	}
+	if len(c.faults) == MaximumFaults {
+		path, message, suggestion = "", "has more faults than are shown", "mend these first"
+	}
 	offset = min(max(offset, 0), int64(len(c.raw)))
 	line := 1 + bytes.Count(c.raw[:offset], []byte{'\n'})
 	c.faults = append(c.faults, Fault{File: c.file, Line: line, Field: path, Message: message, Suggestion: suggestion})
@@ -76,6 +88,9 @@
 // finish reports every field that was not asked for.
 func (r *reader) finish() {
 	for _, f := range r.node.fields {
+		if r.c.full() {
+			return
+		}
 		if contains(r.known, f.name) {
 			continue
 		}
--- a/configuration/tree.go
+++ b/configuration/tree.go
@@ -14,6 +14,8 @@
 	MaximumRecordSize = 256 << 10
 	// MaximumFileSize is the largest configuration file, in bytes.
 	MaximumFileSize = 16 << 20
+	// maximumNodes is how many JSON values one input may hold.
+	maximumNodes = 400_000
 	// maximumDepth is how deep objects and lists may nest.
 	maximumDepth = 16
 )
@@ -43,48 +45,58 @@
 	listNode
 )
 
+// parser builds the tree of one input.
+type parser struct {
+	*json.Decoder
+	nodes int
+}
+
 // parse reads one JSON value that fills raw.
 func parse(raw []byte) (*node, error) {
-	d := json.NewDecoder(bytes.NewReader(raw))
-	d.UseNumber()
-	n, err := parseValue(d, 0)
+	p := &parser{Decoder: json.NewDecoder(bytes.NewReader(raw))}
+	p.UseNumber()
+	n, err := p.value(0)
 	if err != nil {
 		return nil, err
 	}
-	_, err = d.Token()
+	_, err = p.Token()
 	if !errors.Is(err, io.EOF) {
 		return nil, errors.New("there is more after the end of the JSON value")
 	}
 	return n, nil
 }
 
-func parseValue(d *json.Decoder, depth int) (*node, error) {
+func (p *parser) value(depth int) (*node, error) {
 	if depth > maximumDepth {
 		return nil, errors.Errorf("values nest deeper than %d", maximumDepth)
 	}
-	token, err := d.Token()
+	p.nodes++
+	if p.nodes > maximumNodes {
+		return nil, errors.Errorf("there are more than %d values", maximumNodes)
+	}
+	token, err := p.Token()
 	if errors.Is(err, io.EOF) {
 		return nil, io.ErrUnexpectedEOF
 	}
 	if err != nil {
 		return nil, err
 	}
-	n := &node{offset: d.InputOffset()}
+	n := &node{offset: p.InputOffset()}
 	switch token {
 	case json.Delim('{'):
 		n.kind = objectNode
-		return n, parseFields(d, n, depth)
+		return n, p.fields(n, depth)
 	case json.Delim('['):
 		n.kind = listNode
-		return n, parseItems(d, n, depth)
+		return n, p.items(n, depth)
 	}
 	n.scalar = token
 	return n, nil
 }
 
-func parseFields(d *json.Decoder, n *node, depth int) error {
-	for d.More() {
-		token, err := d.Token()
+func (p *parser) fields(n *node, depth int) error {
+	for p.More() {
+		token, err := p.Token()
 		if err != nil {
 			return err
 		}
@@ -92,29 +104,29 @@
 		if !ok {
 			return errors.New("a field name must be a string")
 		}
-		value, err := parseValue(d, depth+1)
+		value, err := p.value(depth + 1)
 		if err != nil {
 			return err
 		}
 		n.fields = append(n.fields, field{name: name, value: value})
 	}
-	return closeValue(d)
+	return p.end()
 }
 
-func parseItems(d *json.Decoder, n *node, depth int) error {
-	for d.More() {
-		value, err := parseValue(d, depth+1)
+func (p *parser) items(n *node, depth int) error {
+	for p.More() {
+		value, err := p.value(depth + 1)
 		if err != nil {
 			return err
 		}
 		n.items = append(n.items, value)
 	}
-	return closeValue(d)
+	return p.end()
 }
 
-// closeValue reads the closing bracket.
-func closeValue(d *json.Decoder) error {
-	_, err := d.Token()
+// end reads the closing bracket.
+func (p *parser) end() error {
+	_, err := p.Token()
 	if errors.Is(err, io.EOF) {
 		return io.ErrUnexpectedEOF
 	}
