--- a/commands/execute.go
+++ b/commands/execute.go
@@ -2,10 +2,85 @@
 // packages.
 package commands
 
-import "io"
+import (
+	stderrors "errors"
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kong"
+)
+
+// Exit codes.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	// exitUsage is for a command line, setting or file that cannot be understood.
+	exitUsage = 2
+)
+
+// UsageError is a fault in what the user gave: a flag, a setting or a file.
+type UsageError struct{ Err error }
+
+// Error implements error.
+func (e *UsageError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the fault.
+func (e *UsageError) Unwrap() error { return e.Err }
+
+// root is the whole command line.
+type root struct {
+	Serve   ServeCommand   `cmd:"" help:"Run one node. Without settings it brings its own stand-ins on loopback."`
+	Standin StandinCommand `cmd:"" help:"Run the stand-ins for the platform and the backend servers."`
+}
+
+// exited carries an exit code that kong asked for out of the parser.
+type exited int
 
 // Execute runs one command line and returns the exit code: 0 for success, 1 for
 // a failure, 2 for a command line or file that cannot be understood.
-func Execute(args []string, in io.Reader, out, errOut io.Writer) int {
-	return 2
+func Execute(args []string, in io.Reader, out, errOut io.Writer) (code int) {
+	defer func() {
+		r := recover()
+		if e, ok := r.(exited); ok {
+			code = int(e)
+			return
+		}
+		if r != nil {
+			panic(r)
+		}
+	}()
+	d := &Deps{In: in, Out: out, ErrOut: errOut}
+	k, err := parser(&root{}, d)
+	if err != nil {
+		return report(errOut, err)
+	}
+	c, err := k.Parse(args)
+	if err != nil {
+		return report(errOut, &UsageError{Err: err})
+	}
+	return report(errOut, c.Run(d))
+}
+
+func parser(r *root, d *Deps) (*kong.Kong, error) {
+	return kong.New(r,
+		kong.Name("parsleylug"),
+		kong.Description("Serves a large catalogue of rarely used models."),
+		kong.DefaultEnvars("PARSLEYLUG"),
+		kong.Writers(d.Out, d.ErrOut),
+		kong.Exit(func(code int) { panic(exited(code)) }),
+		kong.UsageOnError(),
+	)
+}
+
+// report writes an error for a person and returns the exit code it stands for.
+func report(w io.Writer, err error) int {
+	if err == nil {
+		return exitOK
+	}
+	_, _ = fmt.Fprintln(w, "parsleylug: "+err.Error())
+	var u *UsageError
+	if stderrors.As(err, &u) {
+		return exitUsage
+	}
+	return exitFailure
 }
--- /dev/null
+++ b/node/directory.go
@@ -0,0 +1,110 @@
+package node
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/peer"
+	"github.com/parsleylug/parsleylug/platform"
+)
+
+// directoryInterval is how often the platform's list is read.
+const directoryInterval = time.Second
+
+// Directory is the last answer of the platform's list. The zero Directory knows
+// no VM. It is safe for concurrent use.
+type Directory struct {
+	mu sync.RWMutex
+	// known is false until the first answer came.
+	known bool
+	vms   map[string]platform.VM
+}
+
+// Run reads the list until ctx ends. A failed read keeps the last answer: a list
+// that cannot be read proves nothing about any VM.
+func (d *Directory) Run(ctx context.Context, l VMLister) {
+	t := time.NewTicker(directoryInterval)
+	defer t.Stop()
+	for {
+		d.Refresh(ctx, l)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// Refresh reads the list once.
+func (d *Directory) Refresh(ctx context.Context, l VMLister) {
+	ctx, cancel := context.WithTimeout(ctx, 2*directoryInterval)
+	defer cancel()
+	vms, err := l.List(ctx)
+	if err != nil {
+		return
+	}
+	m := make(map[string]platform.VM, len(vms))
+	for _, v := range vms {
+		m[v.ID] = v
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.vms = m
+	d.known = true
+}
+
+// Known tells whether the list was read at least once.
+func (d *Directory) Known() bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.known
+}
+
+// Server returns the VM of a backend server.
+func (d *Directory) Server(s domain.ServerID) (platform.VM, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	v, ok := d.vms[string(s)]
+	return v, ok && v.Kind != platform.Entry
+}
+
+// ListsNode tells whether the list still has an entry VM.
+func (d *Directory) ListsNode(n domain.NodeID) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	_, ok := d.vms[string(n)]
+	return ok
+}
+
+// OfKind returns the VMs of a kind, sorted by ID.
+func (d *Directory) OfKind(k platform.VMKind) []platform.VM {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	var out []platform.VM
+	for _, id := range slices.Sorted(maps.Keys(d.vms)) {
+		if d.vms[id].Kind == k {
+			out = append(out, d.vms[id])
+		}
+	}
+	return out
+}
+
+// Seeds returns the entry VMs as members, which is what the mesh starts from.
+func (d *Directory) Seeds() []peer.Member {
+	var out []peer.Member
+	for _, v := range d.OfKind(platform.Entry) {
+		out = append(out, peer.Member{
+			Node:         domain.NodeID(v.ID),
+			Address:      v.Address,
+			AdminAddress: v.AdminAddress,
+			Region:       v.Region,
+			Zone:         v.Zone,
+			Leaving:      v.Leaving,
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/node/handle.go
@@ -0,0 +1,90 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/peer"
+	"github.com/parsleylug/parsleylug/verdict"
+)
+
+// Handler answers what other nodes send. A nil answer belongs to a message that
+// wants none.
+type Handler struct {
+	Reports   *Reports
+	Home      *Home
+	Ownership *Ownership
+	Pacer     *Pacer
+	Claims    *Claims
+	// Snapshot returns the encoded state of this node.
+	Snapshot func() (domain.Offset, []byte, error)
+	// Applied returns how far this node has folded.
+	Applied func() peer.Applied
+	// Learn takes suspects from other nodes.
+	Learn func([]peer.Suspect)
+	// Usage takes the use of limits at another node.
+	Usage func(from domain.NodeID, u peer.Usage)
+	// Heard takes what another node says of how far it has folded.
+	Heard func(from domain.NodeID, a peer.Applied)
+	// Status returns this node's status as JSON.
+	Status func() ([]byte, error)
+	// Deliver takes records that a relay passed on.
+	Deliver func(first domain.Offset, records [][]byte)
+}
+
+// Handle answers one message.
+func (h *Handler) Handle(ctx context.Context, from domain.NodeID, m peer.Message) (peer.Message, error) {
+	switch m := m.(type) {
+	case peer.Wake:
+		return h.Home.Wake(ctx, m)
+	case peer.Load:
+		return h.Ownership.Load(ctx, m)
+	case peer.ReleasePermit:
+		return peer.Released{}, h.Ownership.Release(ctx, m)
+	case peer.AcquirePace:
+		return h.Pacer.Acquire(ctx, m)
+	case peer.CommandQuery:
+		return h.Claims.Query(ctx, m), nil
+	case peer.SnapshotRequest:
+		return h.snapshot(m)
+	case peer.StatusRequest:
+		raw, err := h.Status()
+		return peer.Status{JSON: raw}, err
+	}
+	return nil, h.notice(from, m)
+}
+
+// notice takes messages that want no answer.
+func (h *Handler) notice(from domain.NodeID, m peer.Message) error {
+	switch m := m.(type) {
+	case peer.Reports:
+		for _, r := range m.Servers {
+			h.Reports.Add(r, time.Now())
+		}
+	case peer.ReleasePace:
+		h.Pacer.Release(m)
+	case peer.Suspects:
+		h.Learn(m.Suspects)
+	case peer.Usage:
+		h.Usage(from, m)
+	case peer.Applied:
+		h.Heard(from, m)
+	case peer.LogRecords:
+		h.Deliver(m.First, m.Records)
+	default:
+		return verdict.Refuse(verdict.BadRequest, "the message is not known here")
+	}
+	return nil
+}
+
+func (h *Handler) snapshot(r peer.SnapshotRequest) (peer.Message, error) {
+	through, data, err := h.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	if through < r.AtLeast {
+		return nil, verdict.Refuse(verdict.NotReady, "this node's state is older than asked for")
+	}
+	return peer.Snapshot{Through: through, Data: data}, nil
+}
--- /dev/null
+++ b/node/health.go
@@ -0,0 +1,45 @@
+package node
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/parsleylug/parsleylug/operator"
+)
+
+// readHeaderTimeout bounds how long a client may take to send its headers.
+const readHeaderTimeout = 10 * time.Second
+
+// withHealth adds /healthz and /readyz, which the balancer reads, to a handler.
+func (n *Node) withHealth(next http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "alive\n")
+	})
+	mux.HandleFunc("GET /readyz", n.readyz)
+	mux.Handle("/", next)
+	return mux
+}
+
+// readyz tells the balancer the truth: a node that is stopping, or that cannot
+// show a current configuration, takes no callers.
+func (n *Node) readyz(w http.ResponseWriter, _ *http.Request) {
+	if n.Ready() {
+		_, _ = io.WriteString(w, "ready\n")
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_, _ = io.WriteString(w, "not ready: "+n.notReady()+"\n")
+}
+
+// adminHandler serves operators.
+func (n *Node) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	if n.options.Metrics != nil {
+		mux.Handle("GET /metrics", n.options.Metrics)
+	}
+	api := operator.New(operator.Deps{System: &System{node: n}, Logger: n.options.Logger, Scope: n.options.Scope})
+	mux.Handle("/", api.Handler())
+	return n.withHealth(mux)
+}
--- /dev/null
+++ b/node/keeper.go
@@ -0,0 +1,342 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/engine"
+	"github.com/parsleylug/parsleylug/fold"
+	"github.com/parsleylug/parsleylug/owner"
+	"github.com/parsleylug/parsleylug/peer"
+	"github.com/parsleylug/parsleylug/verdict"
+)
+
+const (
+	// pollInterval is how often an owner reads the state of its server.
+	pollInterval = 250 * time.Millisecond
+	// pollTimeout bounds one read.
+	pollTimeout = 2 * time.Second
+	// deadAfter is how long a server may fail to answer before it is reported
+	// as not alive.
+	deadAfter = time.Second
+	// reportInterval is how often an unchanged report is sent again.
+	reportInterval = 2 * time.Second
+	// doubtfulAfter is how long an order stays in doubt before the owner renews
+	// its lease for a newer fence.
+	doubtfulAfter = 2 * time.Second
+	// orderTimeout bounds one order; a load must fit in it.
+	orderTimeout = 2 * time.Minute
+)
+
+// keeper runs one owned backend server under one lease.
+type keeper struct {
+	deps  *Deps
+	pace  *PaceClient
+	lease fold.Lease
+	log   zerolog.Logger
+
+	mu sync.Mutex
+	// account holds what is loaded, loading and in doubt; guarded by mu.
+	account owner.Account
+	// state is the last answer of the server, seen when it came.
+	state engine.State
+	seen  time.Time
+	// usedAt is when each replica last had a request.
+	usedAt map[domain.ModelName]time.Time
+	// loads are the running loads, for single flight.
+	loads map[domain.ModelName]*flight
+	// unloading replicas are left out of reports.
+	unloading map[domain.ModelName]bool
+	// orders counts orders without an answer.
+	orders  int
+	retired bool
+	// doubtSince is when orders without an answer were first seen in doubt.
+	doubtSince time.Time
+
+	// makeRoom admits one eviction at a time.
+	makeRoom chan struct{}
+	sent     peer.ServerReport
+	sentAt   time.Time
+}
+
+// flight is one piece of work that several callers wait for.
+type flight struct {
+	done  chan struct{}
+	began time.Time
+	// err is set before done is closed.
+	err error
+}
+
+func (f *flight) wait(ctx context.Context, refused error) error {
+	select {
+	case <-f.done:
+		return f.err
+	case <-ctx.Done():
+		return refused
+	}
+}
+
+func newKeeper(d *Deps, p *PaceClient, l fold.Lease) *keeper {
+	k := &keeper{
+		deps:      d,
+		pace:      p,
+		lease:     l,
+		log:       d.Logger.With().Str("Server", string(l.Server)).Uint64("Fence", uint64(l.Fence)).Logger(),
+		usedAt:    make(map[domain.ModelName]time.Time),
+		loads:     make(map[domain.ModelName]*flight),
+		unloading: make(map[domain.ModelName]bool),
+		makeRoom:  make(chan struct{}, 1),
+	}
+	k.account.SetFacts(l.Facts.Memory, l.Facts.ChecksFences)
+	k.account.SetLease(l.Fence)
+	return k
+}
+
+// run keeps the server until the lease is lost and every order has an answer.
+func (k *keeper) run(ctx context.Context) {
+	k.log.Info().Str("Event", "LeaseTaken").Msg("this node owns the backend server")
+	t := time.NewTicker(pollInterval)
+	defer t.Stop()
+	for {
+		if k.isRetired() {
+			k.acknowledge(ctx)
+			return
+		}
+		k.step(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (k *keeper) step(ctx context.Context) {
+	k.poll(ctx)
+	if k.raiseFence(ctx) {
+		k.takeDown(ctx)
+	}
+	k.report()
+}
+
+// retire stops new orders; the lease has gone to another node.
+func (k *keeper) retire() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.retired = true
+}
+
+func (k *keeper) isRetired() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.retired
+}
+
+// acknowledge tells the new owner, through the log, that no order of this one is
+// left. It waits for the answers of orders on the way.
+func (k *keeper) acknowledge(ctx context.Context) {
+	t := time.NewTicker(pollInterval)
+	defer t.Stop()
+	for k.pending() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+	k.mu.Lock()
+	quiet, doubtful := k.account.Quiet(), k.account.Doubtful()
+	k.mu.Unlock()
+	if !quiet {
+		k.log.Warn().Str("Event", "LeaseLostInDoubt").Int("Models", len(doubtful)).Msg("orders without an answer keep the old lease in doubt")
+		return
+	}
+	d := fold.DoubtCleared{Server: k.lease.Server, Proof: fold.OwnerAcknowledged, Earlier: k.lease.Fence}
+	if _, err := k.deps.Agreement.Propose(ctx, d); err != nil {
+		k.log.Warn().Err(err).Str("Event", "AcknowledgementFailed").Msg("the old lease stays in doubt")
+		return
+	}
+	k.log.Info().Str("Event", "LeaseLost").Msg("another node owns the backend server")
+}
+
+func (k *keeper) pending() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.orders > 0
+}
+
+// wantsNewFence tells whether orders have been in doubt for long enough on a server
+// where a newer fence ends the doubt.
+func (k *keeper) wantsNewFence(now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.lease.Facts.ChecksFences || k.retired || len(k.account.Doubtful()) == 0 {
+		k.doubtSince = time.Time{}
+		return false
+	}
+	if k.doubtSince.IsZero() {
+		k.doubtSince = now
+	}
+	return now.Sub(k.doubtSince) >= doubtfulAfter
+}
+
+// poll reads the server's state into the account.
+func (k *keeper) poll(ctx context.Context) {
+	address, ok := k.address()
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	k.mu.Lock()
+	mark := k.account.Mark()
+	k.mu.Unlock()
+	st, err := k.deps.Engines.State(ctx, address)
+	if err != nil {
+		return
+	}
+	now := time.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.state = st
+	k.seen = now
+	k.agree()
+	k.account.Observe(mark, st)
+	for _, r := range st.Replicas {
+		if r.Running+r.Waiting > 0 || k.usedAt[r.Model].IsZero() {
+			k.usedAt[r.Model] = now
+		}
+	}
+}
+
+func (k *keeper) address() (string, bool) {
+	v, ok := k.deps.Directory.Server(k.lease.Server)
+	return v.Address, ok
+}
+
+// permits reads the permits of the server.
+func (k *keeper) permits() (out []fold.Permit) {
+	k.deps.Agreement.View(func(s *fold.State) { out = s.ServerPermits(k.lease.Server) })
+	return out
+}
+
+// agree brings the account up to the agreed state; the caller holds mu.
+func (k *keeper) agree() {
+	var lease fold.Lease
+	var permits []fold.Permit
+	k.deps.Agreement.View(func(s *fold.State) {
+		lease, _ = s.Lease(k.lease.Server)
+		permits = s.ServerPermits(k.lease.Server)
+	})
+	if lease.Fence != k.lease.Fence {
+		return
+	}
+	k.account.SetDoubts(lease.Doubts)
+	k.account.SetPermits(permits)
+}
+
+// raiseFence confirms this lease at a server that checks fences, also after a
+// restart of the server, and clears the doubt about earlier owners. It returns
+// whether orders may be given.
+func (k *keeper) raiseFence(ctx context.Context) bool {
+	if !k.lease.Facts.ChecksFences {
+		return true
+	}
+	if k.wantsBarrier() && !k.barrier(ctx) {
+		return false
+	}
+	k.clearDoubts(ctx)
+	return true
+}
+
+func (k *keeper) wantsBarrier() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.account.WantsBarrier()
+}
+
+func (k *keeper) barrier(ctx context.Context) bool {
+	k.mu.Lock()
+	mark := k.account.Mark()
+	k.mu.Unlock()
+	st, err := k.order(ctx, engine.Order{Kind: engine.Barrier})
+	if err != nil {
+		st = engine.Unclear
+	}
+	k.mu.Lock()
+	k.account.FinishBarrier(mark, k.lease.Fence, st)
+	k.mu.Unlock()
+	if st != engine.Done {
+		return false
+	}
+	// The state must be read after the barrier: an earlier answer may miss an
+	// order that was let in just before it.
+	k.poll(ctx)
+	return true
+}
+
+func (k *keeper) clearDoubts(ctx context.Context) {
+	var records []fold.Record
+	k.deps.Agreement.View(func(s *fold.State) {
+		l, ok := s.Lease(k.lease.Server)
+		if !ok || l.Fence != k.lease.Fence {
+			return
+		}
+		for _, d := range l.Doubts {
+			records = append(records, fold.DoubtCleared{
+				Server: l.Server, Fence: l.Fence, Proof: fold.BarrierPassed, Earlier: d.Fence,
+			})
+		}
+	})
+	if len(records) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
+	defer cancel()
+	if _, err := k.deps.Agreement.Propose(ctx, records...); err != nil {
+		k.log.Warn().Err(err).Str("Event", "DoubtNotCleared").Msg("releases wait for the log")
+	}
+}
+
+// order gives one order under this lease. The order itself outlives ctx, so that
+// its answer is seen; a lost lease refuses it before it is sent.
+func (k *keeper) order(ctx context.Context, o engine.Order) (engine.OrderStatus, error) {
+	address, ok := k.address()
+	if !ok {
+		return engine.FailedLoad, verdict.Refuse(verdict.NoCapacity, "the backend server is not on the platform's list")
+	}
+	if !k.beginOrder() {
+		return engine.RefusedStale, verdict.Refuse(verdict.NoCapacity, "the lease of the backend server is lost")
+	}
+	defer k.endOrder()
+	o.Fence = k.lease.Fence
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderTimeout)
+	defer cancel()
+	return k.deps.Engines.Order(ctx, address, o)
+}
+
+// beginOrder counts an order unless the lease is lost in the newest state known.
+func (k *keeper) beginOrder() bool {
+	var holds bool
+	k.deps.Agreement.View(func(s *fold.State) {
+		l, ok := s.Lease(k.lease.Server)
+		holds = ok && l.Fence == k.lease.Fence
+	})
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.retired || !holds {
+		return false
+	}
+	k.orders++
+	return true
+}
+
+func (k *keeper) endOrder() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.orders--
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,287 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/parsleylug/parsleylug/caller"
+	"github.com/parsleylug/parsleylug/configuration"
+	"github.com/parsleylug/parsleylug/decisions"
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/engine"
+	"github.com/parsleylug/parsleylug/objective"
+	"github.com/parsleylug/parsleylug/peer"
+	"github.com/parsleylug/parsleylug/platform"
+	"github.com/parsleylug/parsleylug/platformlog"
+	"github.com/parsleylug/parsleylug/rendezvous"
+	"github.com/parsleylug/parsleylug/service"
+)
+
+const (
+	// announceInterval is how often the node tells the platform's list that it
+	// is there.
+	announceInterval = 2 * time.Second
+	// importStep is how much longer each further node waits before it imports
+	// configuration that the one before it should have imported.
+	importStep = 300 * time.Millisecond
+	// importKey is hashed to rank the nodes that import configuration.
+	importKey = "configuration/import"
+	// settleLimit is how long a node waits to be shown in the platform's list
+	// before it does without.
+	settleLimit = 10 * time.Second
+	// stopPoll is how often a stopping node looks whether its work has ended.
+	stopPoll = 20 * time.Millisecond
+)
+
+// Options are what a node is started with.
+type Options struct {
+	Node domain.NodeID
+	// Version is of the program.
+	Version string
+	Region  domain.Region
+	Zone    domain.Zone
+	// Caller, Peer and Admin are open listeners; the node closes them.
+	Caller, Peer, Admin net.Listener
+	LogURL              string
+	VMListURL           string
+	// KeepAlive is how long an idle replica stays loaded.
+	KeepAlive time.Duration
+	// DrainGrace is how long a stopping node takes new requests, until the
+	// balancer has seen that it is not ready.
+	DrainGrace time.Duration
+	// DrainLimit ends a stop that does not come to its end.
+	DrainLimit time.Duration
+	Logger     zerolog.Logger
+	Scope      tally.Scope
+	// Metrics serves the metrics of Scope; nil serves none.
+	Metrics http.Handler
+}
+
+// Node is one process of the system.
+type Node struct {
+	options   Options
+	deps      *Deps
+	replica   *platformlog.Replica
+	mesh      *peer.Mesh
+	list      *platform.VMList
+	ownership *Ownership
+	claims    *Claims
+	home      *Home
+	log       *platformlog.Client
+	recorder  *objective.Recorder
+	journal   *decisions.Journal
+	callers   *caller.API
+	heard     heard
+	started   time.Time
+	// stopping is set first in a stop; refusing after DrainGrace.
+	stopping atomic.Bool
+	refusing atomic.Bool
+}
+
+// New joins the parts of a node. Nothing runs until Run.
+func New(o Options) (*Node, error) {
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	n := &Node{options: o, list: &platform.VMList{URL: o.VMListURL}, started: time.Now(),
+		log: &platformlog.Client{URL: o.LogURL}, recorder: &objective.Recorder{}, journal: &decisions.Journal{},
+	}
+	self := peer.Member{
+		Node: o.Node, Address: o.Peer.Addr().String(), AdminAddress: o.Admin.Addr().String(),
+		Region: o.Region, Zone: o.Zone,
+	}
+	directory := &Directory{}
+	handler := &Handler{}
+	n.mesh = peer.NewMesh(peer.Options{
+		Self: self, Listener: o.Peer, Logger: o.Logger, Scope: o.Scope, Handle: handler.Handle,
+		Seeds: func(context.Context) ([]peer.Member, error) { return directory.Seeds(), nil },
+	})
+	replica, err := platformlog.New(platformlog.Options{
+		Client: n.log, Records: operatorRecords(), Node: o.Node, Logger: o.Logger, Scope: o.Scope,
+		ImportDelay: n.importDelay, PeerSnapshot: n.peerSnapshot,
+	})
+	if err != nil {
+		return nil, err
+	}
+	n.replica = replica
+	n.deps = &Deps{
+		Self: self, Agreement: n.replica, Mesh: n.mesh, Directory: directory, Reports: &Reports{},
+		Engines: &engine.Client{Region: o.Region}, KeepAlive: o.KeepAlive, Logger: o.Logger, Scope: o.Scope,
+		Leaving: n.stopping.Load, Settled: n.settled,
+	}
+	n.join(handler)
+	return n, nil
+}
+
+// operatorRecords is the codec of operator records in the log.
+func operatorRecords() platformlog.RecordCodec {
+	return platformlog.RecordCodec{Encode: configuration.Encode, Decode: configuration.Decode}
+}
+
+// join makes the roles and fills the handler of peer messages.
+func (n *Node) join(h *Handler) {
+	pacer := NewPacer()
+	n.ownership = NewOwnership(n.deps, NewPaceClient(n.deps, pacer))
+	n.home = NewHome(n.deps, n.ownership)
+	placer := NewPlacer(n.deps, n.home)
+	n.claims = NewClaims(n.deps)
+	n.callers = caller.New(caller.Deps{
+		Catalogue: NewCatalogue(n.replica), Placer: placer, Claims: n.claims, Backends: placer,
+		Chatter: &engine.Client{Region: n.options.Region}, Services: &service.Client{},
+		Region: n.options.Region, Zone: n.options.Zone, Node: n.options.Node,
+		Logger: n.options.Logger, Scope: n.options.Scope,
+		Draining: n.refusing.Load, Ready: n.replica.Ready,
+	})
+	*h = Handler{
+		Reports: n.deps.Reports, Home: n.home, Ownership: n.ownership, Pacer: pacer, Claims: n.claims,
+		Snapshot: n.replica.EncodedSnapshot, Applied: n.applied, Heard: n.heard.add,
+		Learn:   func([]peer.Suspect) {},
+		Usage:   func(domain.NodeID, peer.Usage) {},
+		Status:  n.statusJSON,
+		Deliver: n.replica.Deliver,
+	}
+}
+
+// Ready tells whether the balancer may send callers here.
+func (n *Node) Ready() bool {
+	return n.notReady() == ""
+}
+
+// notReady tells a person why the node is not ready, or nothing.
+func (n *Node) notReady() string {
+	switch {
+	case n.stopping.Load():
+		return "the node is stopping"
+	case !n.replica.Ready():
+		return "the agreed state has not caught up with the platform's log"
+	case !n.deps.Directory.Known():
+		return "the platform's list of VMs was not read yet"
+	case !n.settled():
+		return "the other nodes may not know this one yet"
+	}
+	return ""
+}
+
+// roles lists which exclusive work falls to each node by hashing.
+func (n *Node) roles() map[domain.NodeID][]string {
+	out := make(map[domain.NodeID][]string)
+	for role, key := range map[string]string{"pacer": pacerKey, "importer": importKey} {
+		if first, ok := rendezvous.First(key, n.deps.members()); ok {
+			out[first] = append(out[first], role)
+		}
+	}
+	return out
+}
+
+// settled tells whether the platform's list shows this node, which means that the
+// others see it too, or has had long enough to do so.
+func (n *Node) settled() bool {
+	return n.deps.Directory.ListsNode(n.options.Node) || time.Since(n.started) >= settleLimit
+}
+
+// Run serves until ctx ends, then stops gracefully: it is not ready first, ends
+// every running request whole, hands its roles over and returns. The second
+// context ends at once what is left.
+func (n *Node) Run(ctx, kill context.Context) error {
+	kill, cancel := context.WithCancel(kill)
+	defer cancel()
+	group, running := errgroup.WithContext(kill)
+	n.deps.Directory.Refresh(running, n.list)
+	loops := []func(context.Context) error{
+		n.replica.Run,
+		n.mesh.Run,
+		func(ctx context.Context) error { n.deps.Directory.Run(ctx, n.list); return nil },
+		func(ctx context.Context) error { n.announce(ctx); return nil },
+		func(ctx context.Context) error { n.ownership.Run(ctx); return nil },
+		func(ctx context.Context) error { n.tellApplied(ctx); return nil },
+	}
+	for _, l := range loops {
+		group.Go(func() error { return unlessEnded(running, l(running)) })
+	}
+	servers := n.serve(group)
+	group.Go(func() error {
+		defer cancel()
+		select {
+		case <-ctx.Done():
+		case <-running.Done():
+		}
+		return n.stop(running, servers)
+	})
+	return group.Wait()
+}
+
+// unlessEnded drops the error of a loop that ended because its context did.
+func unlessEnded(ctx context.Context, err error) error {
+	if ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
+
+// serve starts the listeners of callers and operators.
+func (n *Node) serve(group *errgroup.Group) []*http.Server {
+	callers := &http.Server{Handler: n.withHealth(n.callers.Handler()), ReadHeaderTimeout: readHeaderTimeout}
+	admin := &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: readHeaderTimeout}
+	for s, l := range map[*http.Server]net.Listener{callers: n.options.Caller, admin: n.options.Admin} {
+		group.Go(func() error {
+			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				return errors.Wrap(err, "serve "+l.Addr().String())
+			}
+			return nil
+		})
+	}
+	return []*http.Server{callers, admin}
+}
+
+// announce keeps the node on the platform's list.
+func (n *Node) announce(ctx context.Context) {
+	t := time.NewTicker(announceInterval)
+	defer t.Stop()
+	for {
+		v := platform.VM{
+			ID: string(n.options.Node), Kind: platform.Entry, Address: n.deps.Self.Address, AdminAddress: n.deps.Self.AdminAddress,
+			Region: n.options.Region, Zone: n.options.Zone, Leaving: n.stopping.Load(),
+		}
+		if err := n.list.Announce(ctx, v); err != nil && ctx.Err() == nil {
+			n.options.Logger.Warn().Err(err).Str("Event", "AnnounceFailed").Msg("the platform's list cannot be told of this node")
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// importDelay is how long this node leaves the import of configuration to the
+// nodes before it.
+func (n *Node) importDelay() time.Duration {
+	for i, m := range rendezvous.Rank(importKey, n.deps.members()) {
+		if m == n.options.Node {
+			return time.Duration(i) * importStep
+		}
+	}
+	return 0
+}
+
+// peerSnapshot asks the other nodes for a state that is new enough.
+func (n *Node) peerSnapshot(ctx context.Context, atLeast domain.Offset) (domain.Offset, []byte, error) {
+	for _, m := range n.mesh.Members() {
+		if m.Node == n.options.Node {
+			continue
+		}
+		a, err := n.mesh.Call(ctx, m.Node, peer.SnapshotRequest{AtLeast: atLeast})
+		if s, ok := a.(peer.Snapshot); err == nil && ok {
+			return s.Through, s.Data, nil
+		}
+	}
+	return 0, nil, errors.New("node: no peer has a state that is new enough")
+}
--- /dev/null
+++ b/node/ownership.go
@@ -0,0 +1,285 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/fold"
+	"github.com/parsleylug/parsleylug/peer"
+	"github.com/parsleylug/parsleylug/platform"
+	"github.com/parsleylug/parsleylug/rendezvous"
+	"github.com/parsleylug/parsleylug/verdict"
+)
+
+const (
+	// ownershipInterval is how often a node looks for servers to own.
+	ownershipInterval = 250 * time.Millisecond
+	// takeoverAfter is how long the owner of a server must be out of this node's
+	// view before the lease is taken. A view that has just begun lacks nodes that
+	// are alive.
+	takeoverAfter = time.Second
+	// absentPrefix keeps the view's missing nodes apart from the list's.
+	absentPrefix = "view/"
+	// proposalTimeout bounds one wait for the fold.
+	proposalTimeout = 10 * time.Second
+	// goneAfter is how long a server must be off the platform's list before
+	// its permits are given back.
+	goneAfter = 5 * time.Second
+	// ownerVMGoneAfter is how long the VM of a doubted owner must be off the
+	// platform's list before its last packets count as lost. It is longer than a
+	// TCP peer keeps unacknowledged data of a vanished host in flight.
+	ownerVMGoneAfter = 2 * time.Minute
+)
+
+// Ownership holds the leases of this node: it takes those that fall to it and
+// runs one keeper for each server it owns.
+type Ownership struct {
+	deps *Deps
+	pace *PaceClient
+
+	mu      sync.Mutex
+	keepers map[domain.ServerID]*keeper
+	// missing is since when the platform's list lacks a VM.
+	missing map[string]time.Time
+	wait    sync.WaitGroup
+}
+
+// NewOwnership returns an Ownership without leases.
+func NewOwnership(d *Deps, p *PaceClient) *Ownership {
+	return &Ownership{
+		deps:    d,
+		pace:    p,
+		keepers: make(map[domain.ServerID]*keeper),
+		missing: make(map[string]time.Time),
+	}
+}
+
+// Run takes and keeps leases until ctx ends; it returns when every keeper has
+// stopped.
+func (o *Ownership) Run(ctx context.Context) {
+	t := time.NewTicker(ownershipInterval)
+	defer t.Stop()
+	defer o.wait.Wait()
+	for {
+		o.step(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		case <-o.deps.Agreement.Changed():
+		}
+	}
+}
+
+func (o *Ownership) step(ctx context.Context) {
+	leases := o.leases()
+	o.follow(ctx, leases)
+	if o.deps.Leaving() || !o.deps.Settled() {
+		return
+	}
+	var records []fold.Record
+	for _, v := range o.deps.Directory.OfKind(platform.Engine) {
+		if r, ok := o.wanted(v, leases); ok {
+			records = append(records, r)
+		}
+	}
+	records = append(records, o.renewals()...)
+	records = append(records, o.gone(leases)...)
+	records = append(records, o.goneOwners(leases)...)
+	o.propose(ctx, records)
+}
+
+func (o *Ownership) leases() map[domain.ServerID]fold.Lease {
+	out := make(map[domain.ServerID]fold.Lease)
+	o.deps.Agreement.View(func(s *fold.State) {
+		for _, l := range s.Leases() {
+			out[l.Server] = l
+		}
+	})
+	return out
+}
+
+// wanted returns the lease record that this node should propose for a server.
+// A live holder keeps its lease until it leaves, so that a changed view of the
+// members moves nothing by itself.
+func (o *Ownership) wanted(v platform.VM, leases map[domain.ServerID]fold.Lease) (fold.Record, bool) {
+	s := domain.ServerID(v.ID)
+	l, held := leases[s]
+	if held && o.absentFor(l.Owner) < takeoverAfter {
+		return nil, false
+	}
+	first, ok := rendezvous.First("server/"+v.ID, o.deps.regionMembers(v.Region))
+	if !ok || first != o.deps.node() {
+		return nil, false
+	}
+	var expect domain.Fence
+	o.deps.Agreement.View(func(st *fold.State) { expect = st.LastFence(s) })
+	facts := fold.ServerFacts{Memory: v.Memory, ChecksFences: v.ChecksFences, Region: v.Region, Zone: v.Zone}
+	return fold.LeaseTaken{Server: s, Owner: o.deps.node(), Expect: expect, Facts: facts}, true
+}
+
+// renewals takes this node's own lease again where orders without an answer stay
+// in doubt: a barrier under the newer fence settles them.
+func (o *Ownership) renewals() []fold.Record {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var out []fold.Record
+	for s, k := range o.keepers {
+		if k.wantsNewFence(time.Now()) {
+			out = append(out, fold.LeaseTaken{Server: s, Owner: o.deps.node(), Expect: k.lease.Fence, Facts: k.lease.Facts})
+		}
+	}
+	return out
+}
+
+// absentFor returns how long a node has not been among the live nodes that stay.
+// A node that says itself that it leaves is absent for long enough at once.
+func (o *Ownership) absentFor(n domain.NodeID) time.Duration {
+	for _, m := range o.deps.Mesh.Members() {
+		if m.Node != n {
+			continue
+		}
+		o.missingFor(absentPrefix+string(n), true)
+		if m.Leaving {
+			return takeoverAfter
+		}
+		return 0
+	}
+	return o.missingFor(absentPrefix+string(n), false)
+}
+
+// gone returns records for leased servers that the platform's list has lacked
+// for long enough.
+func (o *Ownership) gone(leases map[domain.ServerID]fold.Lease) []fold.Record {
+	if !o.deps.Directory.Known() {
+		return nil
+	}
+	var out []fold.Record
+	for s := range leases {
+		_, listed := o.deps.Directory.Server(s)
+		if o.missingFor(string(s), listed) < goneAfter {
+			continue
+		}
+		if first, ok := rendezvous.First("gone/"+string(s), o.deps.members()); ok && first == o.deps.node() {
+			out = append(out, fold.ServerGone{Server: s})
+		}
+	}
+	return out
+}
+
+// goneOwners clears the doubt about owners whose VM left the platform's list.
+func (o *Ownership) goneOwners(leases map[domain.ServerID]fold.Lease) []fold.Record {
+	if !o.deps.Directory.Known() {
+		return nil
+	}
+	var out []fold.Record
+	for s, l := range leases {
+		if l.Owner != o.deps.node() {
+			continue
+		}
+		for _, d := range l.Doubts {
+			listed := o.deps.Directory.ListsNode(d.Owner) || o.deps.Mesh.Alive(d.Owner)
+			if o.missingFor(string(d.Owner), listed) < ownerVMGoneAfter {
+				continue
+			}
+			out = append(out, fold.DoubtCleared{Server: s, Fence: l.Fence, Proof: fold.OwnerVMGone, Earlier: d.Fence})
+		}
+	}
+	return out
+}
+
+// missingFor returns how long a VM or node has been missing without a break.
+func (o *Ownership) missingFor(id string, listed bool) time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if listed {
+		delete(o.missing, id)
+		return 0
+	}
+	since, ok := o.missing[id]
+	if !ok {
+		o.missing[id] = time.Now()
+		return 0
+	}
+	return time.Since(since)
+}
+
+func (o *Ownership) propose(ctx context.Context, records []fold.Record) {
+	if len(records) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
+	defer cancel()
+	if _, err := o.deps.Agreement.Propose(ctx, records...); err != nil {
+		o.deps.Logger.Warn().Err(err).Str("Event", "LeaseProposalFailed").Int("Records", len(records)).Msg("leases wait for the log")
+	}
+}
+
+// follow starts and stops keepers so that they match the leases.
+func (o *Ownership) follow(ctx context.Context, leases map[domain.ServerID]fold.Lease) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for s, k := range o.keepers {
+		if l, ok := leases[s]; ok && l.Owner == o.deps.node() && l.Fence == k.lease.Fence {
+			continue
+		}
+		k.retire()
+		delete(o.keepers, s)
+	}
+	for s, l := range leases {
+		if l.Owner != o.deps.node() || o.keepers[s] != nil {
+			continue
+		}
+		k := newKeeper(o.deps, o.pace, l)
+		o.keepers[s] = k
+		o.wait.Add(1)
+		go func() {
+			defer o.wait.Done()
+			k.run(ctx)
+		}()
+	}
+}
+
+func (o *Ownership) keeper(s domain.ServerID) (*keeper, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if k := o.keepers[s]; k != nil {
+		return k, nil
+	}
+	return nil, verdict.Refuse(verdict.NoCapacity, "this node does not own the backend server")
+}
+
+// Load answers a peer's or the home's request to load a model on an owned server.
+func (o *Ownership) Load(ctx context.Context, l peer.Load) (peer.Loaded, error) {
+	k, err := o.keeper(l.Server)
+	if err != nil {
+		return peer.Loaded{}, err
+	}
+	start := time.Now()
+	if err := k.load(ctx, l); err != nil {
+		return peer.Loaded{}, err
+	}
+	return peer.Loaded{Server: l.Server, Model: l.Model, Waited: time.Since(start)}, nil
+}
+
+// Release answers a request to give back an unused permit.
+func (o *Ownership) Release(ctx context.Context, r peer.ReleasePermit) error {
+	k, err := o.keeper(r.Server)
+	if err != nil {
+		return err
+	}
+	return k.release(ctx, r.Model)
+}
+
+// Owned returns the servers that this node owns now.
+func (o *Ownership) Owned() []domain.ServerID {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := make([]domain.ServerID, 0, len(o.keepers))
+	for s := range o.keepers {
+		out = append(out, s)
+	}
+	return out
+}
--- /dev/null
+++ b/node/system.go
@@ -0,0 +1,162 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleylug/parsleylug/decisions"
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/fold"
+	"github.com/parsleylug/parsleylug/objective"
+	"github.com/parsleylug/parsleylug/operator"
+	"github.com/parsleylug/parsleylug/platformlog"
+	"github.com/parsleylug/parsleylug/verdict"
+)
+
+// System is what the administration API sees of the node. It implements
+// operator.System.
+type System struct{ node *Node }
+
+var _ operator.System = (*System)(nil)
+
+// View implements operator.System.
+func (s *System) View(read func(*fold.State)) { s.node.replica.View(read) }
+
+// Append implements operator.System.
+func (s *System) Append(ctx context.Context, records [][]byte) (domain.Offset, error) {
+	if len(records) == 1 {
+		return s.node.replica.AppendConfiguration(ctx, records[0])
+	}
+	first, err := s.node.log.Append(ctx, fold.ConfigurationStream, records)
+	return first, appendVerdict(err)
+}
+
+// appendVerdict tells operators whether records may be in the log.
+func appendVerdict(err error) error {
+	if err == nil {
+		return nil
+	}
+	var e *platformlog.Error
+	if errors.As(err, &e) && e.Failure == platformlog.NotAppended {
+		return &verdict.Error{Verdict: verdict.NotRun, Reason: verdict.LogUnavailable, Message: "the platform's log did not take the change", Cause: err}
+	}
+	return verdict.Doubt(verdict.LogUnavailable, "the platform's log did not answer; the change may be in it", err)
+}
+
+// Read implements operator.System.
+func (s *System) Read(ctx context.Context, from domain.Offset, most int) ([]operator.Stored, error) {
+	p, err := s.node.log.Read(ctx, fold.ConfigurationStream, from, most, 0)
+	if err != nil {
+		return nil, err
+	}
+	if len(p.Records) == 0 && p.Oldest > from {
+		if p, err = s.node.log.Read(ctx, fold.ConfigurationStream, p.Oldest, most, 0); err != nil {
+			return nil, err
+		}
+	}
+	out := make([]operator.Stored, 0, len(p.Records))
+	for _, e := range p.Records {
+		out = append(out, operator.Stored{Offset: e.Offset, Data: e.Data})
+	}
+	return out, nil
+}
+
+// Applied implements operator.System.
+func (s *System) Applied(context.Context) (map[domain.NodeID]domain.Offset, error) {
+	heard := s.node.heard.all()
+	out := make(map[domain.NodeID]domain.Offset)
+	for _, m := range s.node.mesh.Members() {
+		out[m.Node] = heard[m.Node].Configuration
+	}
+	out[s.node.options.Node] = s.node.applied().Configuration
+	return out, nil
+}
+
+// Burn implements operator.System.
+func (s *System) Burn(context.Context) (objective.Snapshot, error) {
+	return s.node.recorder.Snapshot(time.Now()), nil
+}
+
+// Why implements operator.System.
+func (s *System) Why(_ context.Context, id domain.RequestID) (decisions.Entry, error) {
+	e, _ := s.node.journal.Find(id)
+	return e, nil
+}
+
+// Status implements operator.System.
+func (s *System) Status(context.Context) (operator.Status, error) {
+	n := s.node
+	out := operator.Status{
+		Node: n.options.Node, Version: n.options.Version, At: time.Now(),
+		Ready: n.Ready(), NotReady: n.notReady(),
+	}
+	lag := n.replica.Lag()
+	out.Log = operator.LogStatus{Up: n.replica.LogUp(), SinceAnswer: lag}
+	n.replica.View(func(f *fold.State) {
+		out.Log.Decision, out.Log.Configuration = f.Offset(), f.ConfigurationOffset()
+		s.agreed(&out, f)
+	})
+	out.Nodes = s.nodes(out.Servers)
+	out.Wakes = n.home.Wakes()
+	return out, nil
+}
+
+// agreed fills in what the agreed state and the load reports show.
+func (s *System) agreed(out *operator.Status, f *fold.State) {
+	now := time.Now()
+	reports := s.node.deps.Reports
+	for _, l := range f.Leases() {
+		vm, listed := s.node.deps.Directory.Server(l.Server)
+		v := operator.ServerStatus{
+			Server: l.Server, Kind: "Engine", Region: l.Facts.Region, Zone: l.Facts.Zone,
+			Leaving: !listed || vm.Leaving, Drained: f.ServerDrained(l.Server, l.Facts.Zone),
+			Owner: l.Owner, Fence: l.Fence, ChecksFences: l.Facts.ChecksFences, Memory: l.Facts.Memory,
+		}
+		r, seen := reports.Server(l.Server, now)
+		v.Alive = seen
+		if seen {
+			v.Used = l.Facts.Memory - r.FreeMemory
+		}
+		for _, m := range r.Models {
+			v.Running += m.Running
+			v.Waiting += m.Waiting
+		}
+		for _, p := range f.ServerPermits(l.Server) {
+			out.Permits = append(out.Permits, permitStatus(p, reports, now))
+		}
+		for _, d := range l.Doubts {
+			out.Doubts = append(out.Doubts, operator.DoubtStatus{Server: l.Server, Owner: d.Owner, Earlier: d.Fence})
+		}
+		out.Servers = append(out.Servers, v)
+	}
+}
+
+func permitStatus(p fold.Permit, reports *Reports, now time.Time) operator.PermitStatus {
+	out := operator.PermitStatus{Model: p.Model, Server: p.Server, Revoked: p.Revoked}
+	r, ok := reports.Server(p.Server, now)
+	if i := modelIndex(r, p.Model); ok && i >= 0 {
+		out.Loaded, out.Loading = !r.Models[i].Loading, r.Models[i].Loading
+	}
+	return out
+}
+
+// nodes lists the members with how far each has folded.
+func (s *System) nodes(servers []operator.ServerStatus) []operator.NodeStatus {
+	heard := s.node.heard.all()
+	heard[s.node.options.Node] = s.node.applied()
+	leases := make(map[domain.NodeID]int)
+	for _, v := range servers {
+		leases[v.Owner]++
+	}
+	roles := s.node.roles()
+	var out []operator.NodeStatus
+	for _, m := range s.node.mesh.Members() {
+		out = append(out, operator.NodeStatus{
+			Node: m.Node, Address: m.Address, Region: m.Region, Zone: m.Zone, Alive: true, Leaving: m.Leaving,
+			Roles: roles[m.Node], Leases: leases[m.Node], Configuration: heard[m.Node].Configuration,
+		})
+	}
+	return out
+}
--- a/peer/decode.go
+++ b/peer/decode.go
@@ -50,6 +50,11 @@
 	case numberPaced:
 		w, err := body[wirePaced](f)
 		return Paced(w), err
+	case numberReleasePermit:
+		w, err := body[wireReleasePermit](f)
+		return ReleasePermit(w), err
+	case numberReleased:
+		return Released{}, nil
 	case numberReleasePace:
 		w, err := body[wireReleasePace](f)
 		return ReleasePace(w), err
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -48,6 +48,10 @@
 		return numberAcquirePace, wireAcquirePace(m)
 	case Paced:
 		return numberPaced, wirePaced(m)
+	case ReleasePermit:
+		return numberReleasePermit, wireReleasePermit(m)
+	case Released:
+		return numberReleased, wireEmpty{}
 	case ReleasePace:
 		return numberReleasePace, wireReleasePace(m)
 	case Reports:
--- a/peer/number.go
+++ b/peer/number.go
@@ -32,6 +32,8 @@
 	numberGossip
 	numberCompare
 	numberDiffers
+	numberReleasePermit
+	numberReleased
 )
 
 // frameKind tells what a frame is.
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -67,6 +67,10 @@
 		Slot uint64        `cbor:"1,keyasint,omitempty"`
 		For  time.Duration `cbor:"2,keyasint,omitempty"`
 	}
+	wireReleasePermit struct {
+		Server domain.ServerID  `cbor:"1,keyasint,omitempty"`
+		Model  domain.ModelName `cbor:"2,keyasint,omitempty"`
+	}
 	wireReleasePace struct {
 		Slot uint64 `cbor:"1,keyasint,omitempty"`
 	}
