--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -90,10 +90,12 @@
 	return !a.down && !b.down && !a.paused && !b.paused && !n.cut(a, b)
 }
 
+func (n *network) lost() bool { return n.random.Float64() < n.loss }
+
 // delay is how long TCP takes to bring a message through the loss.
 func (n *network) delay() time.Duration {
 	d, resend := time.Millisecond, resendTime
-	for n.random.Float64() < n.loss {
+	for n.lost() {
 		d += resend
 		resend *= 2
 	}
@@ -179,8 +181,8 @@
 	}
 	for range 2 {
 		// SYN, SYN-ACK and three round trips with retransmission.
-		lost := n.random.Float64() < n.loss || n.random.Float64() < n.loss
-		if n.reach(h, to) && !lost && n.delay()+n.delay()+n.delay() <= dialWithin {
+		syn, synAck := n.lost(), n.lost()
+		if n.reach(h, to) && !syn && !synAck && n.delay()+n.delay()+n.delay() <= dialWithin {
 			n.connect(h, to)
 			return
 		}
@@ -230,14 +232,22 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(h.links)) {
 		to := n.nodes[id]
-		n.after(n.delay(), func() {
-			if n.reach(h, to) && !to.dead {
-				to.Merge(n.now, updates)
-				if to.Urgent() {
-					n.spread(to)
-				}
-			}
-		})
+		n.after(n.delay(), func() { n.deliver(h, to, updates) })
+	}
+}
+
+// deliver brings news; a paused process finds it in its socket when it resumes.
+func (n *network) deliver(h, to *host, updates []Update) {
+	if to.paused && !to.down && !n.cut(h, to) {
+		n.after(step, func() { n.deliver(h, to, updates) })
+		return
+	}
+	if !n.reach(h, to) || to.dead {
+		return
+	}
+	to.Merge(n.now, updates)
+	if to.Urgent() {
+		n.spread(to)
 	}
 }
 
