Pass log records on within each availability zone

Cause: 940 nodes that read the log themselves would be 940 long polls; the platform's service is meant for a few readers.

Change: relay ranks a zone's nodes by rendezvous; the first reads, passes records on and says each second that it can read. Replica.Deliver without records tells that the log reaches further, which makes the replica read at once.

Figures (go test ./relay, virtual time): 42 nodes have one reader; a record is everywhere within 200 ms; with the relay lost without a trace, within 3 s, with its successor alone reading then.

--- a/platformlog/replica.go
+++ b/platformlog/replica.go
@@ -173,9 +173,12 @@
 func (r *Replica) LogUp() bool { return r.readUp.Load() && r.appendUp.Load() }
 
 // Deliver applies records that a relay passed on. Records that are known already
-// are ignored; after a gap the node reads the log itself.
+// are ignored; after a gap the node reads the log itself. Without records, first
+// only tells that the log reaches up to first-1.
 func (r *Replica) Deliver(first domain.Offset, records [][]byte) {
-	if gap := r.apply(first, records); gap {
+	gap := r.apply(first, records)
+	behind := len(records) == 0 && first > r.offset()+1
+	if gap || behind {
 		r.readNow()
 	}
 }
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,232 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/peer"
+)
+
+// target is within how long a record reaches every node.
+const target = 3 * time.Second
+
+func zone(n int) []peer.Member {
+	var members []peer.Member
+	for i := range n {
+		members = append(members, peer.Member{Node: domain.NodeID(fmt.Sprintf("n%02d", i)), Region: "r", Zone: "z"})
+	}
+	return members
+}
+
+func TestPlanNamesOneRelayAZone(t *testing.T) {
+	members := append(zone(6), peer.Member{Node: "other", Region: "r", Zone: "y"})
+	members[2].Leaving = true
+	var relays []domain.NodeID
+	for _, m := range members[:6] {
+		p := NewPlan(m.Node, members)
+		if got, want := len(p.Targets()), 5; got != want {
+			t.Errorf("%s: got %d targets, want %d", m.Node, got, want)
+		}
+		if p.Rank == 0 {
+			relays = append(relays, m.Node)
+		}
+		if m.Leaving && p.Rank != 5 {
+			t.Errorf("got rank %d for the leaving node, want the last", p.Rank)
+		}
+	}
+	if len(relays) != 1 {
+		t.Errorf("got relays %v, want one", relays)
+	}
+	if p := NewPlan("other", members); p.Rank != 0 || len(p.Targets()) != 0 {
+		t.Errorf("got %+v, want a node alone in its zone to read for itself", p)
+	}
+}
+
+func TestWatchFallsBackInRank(t *testing.T) {
+	now := time.Unix(100, 0)
+	members := zone(12)
+	ranked := NewPlan(members[0].Node, members).Ranked
+	var last time.Duration
+	for rank, n := range ranked {
+		var w Watch
+		w.Follow(now, NewPlan(n, members))
+		patience := w.Plan().Patience()
+		if patience < last || patience >= target {
+			t.Errorf("rank %d: got patience %v after %v, want it to grow and stay under %v", rank, patience, last, target)
+		}
+		last = patience
+		if got, want := w.Reads(now), rank == 0; got != want {
+			t.Errorf("rank %d: got reads %v at once, want %v", rank, got, want)
+		}
+		if !w.Reads(now.Add(patience)) {
+			t.Errorf("rank %d: got no read after %v without a relay", rank, patience)
+		}
+		w.Heard(now.Add(patience), ranked[0])
+		if got, want := w.Reads(now.Add(patience)), rank == 0; got != want {
+			t.Errorf("rank %d: got reads %v after the relay is back, want %v", rank, got, want)
+		}
+		w.Heard(now.Add(9*patience), ranked[len(ranked)-1])
+		if !w.Reads(now.Add(9 * patience)) {
+			t.Errorf("rank %d: got a worse rank trusted, want it ignored", rank)
+		}
+	}
+}
+
+// network joins runners without links; the log is a slice.
+type network struct {
+	mu      sync.Mutex
+	log     [][]byte
+	members []peer.Member
+	runners map[domain.NodeID]*testNode
+	changed chan struct{}
+	down    map[domain.NodeID]bool
+	reads   int
+}
+
+type testNode struct {
+	*Runner
+	network *network
+	self    domain.NodeID
+	kick    chan struct{}
+	next    domain.Offset
+}
+
+func (n *testNode) Members() []peer.Member   { return n.network.members }
+func (n *testNode) Changed() <-chan struct{} { return n.network.changed }
+
+func (n *testNode) Send(to domain.NodeID, m peer.Message) {
+	go func() {
+		n.network.mu.Lock()
+		down := n.network.down[to] || n.network.down[n.self]
+		n.network.mu.Unlock()
+		if !down {
+			n.network.runners[to].Handle(n.self, m.(peer.LogRecords))
+		}
+	}()
+}
+
+func (n *testNode) Deliver(first domain.Offset, records [][]byte) {
+	n.network.mu.Lock()
+	defer n.network.mu.Unlock()
+	if first > n.next {
+		select {
+		case n.kick <- struct{}{}:
+		default:
+		}
+		return
+	}
+	n.next = max(n.next, first+domain.Offset(len(records)))
+}
+
+// read reads the log the way that a platformlog.Replica does.
+func (n *testNode) read(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !n.Reads() {
+			select {
+			case <-ctx.Done():
+				return
+			case <-n.kick:
+			}
+		}
+		n.network.mu.Lock()
+		n.network.reads++
+		first, records := n.next, slices.Clone(n.network.log[n.next-1:])
+		n.next += domain.Offset(len(records))
+		down := n.network.down[n.self]
+		n.network.mu.Unlock()
+		if len(records) > 0 && !down {
+			n.OnRecords(first, records)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (n *network) reached(o domain.Offset) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for id, node := range n.runners {
+		if !n.down[id] && node.next <= o {
+			return false
+		}
+	}
+	return true
+}
+
+func (n *network) append() domain.Offset {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.log = append(n.log, []byte("x"))
+	return domain.Offset(len(n.log))
+}
+
+func start(ctx context.Context, size int) (*network, []domain.NodeID) {
+	n := &network{members: zone(size), runners: map[domain.NodeID]*testNode{}, changed: make(chan struct{}), down: map[domain.NodeID]bool{}}
+	for _, m := range n.members {
+		t := &testNode{network: n, self: m.Node, kick: make(chan struct{}, 1), next: 1}
+		next := func() domain.Offset { n.mu.Lock(); defer n.mu.Unlock(); return t.next }
+		t.Runner = New(Options{Self: m.Node, Mesh: t, Replica: t, Next: next, Healthy: func() bool { return true }})
+		n.runners[m.Node] = t
+	}
+	for _, t := range n.runners {
+		go func() { _ = t.Run(ctx) }()
+		go t.read(ctx)
+	}
+	return n, NewPlan(n.members[0].Node, n.members).Ranked
+}
+
+func TestRecordsReachTheZoneThroughOneReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		n, ranked := start(ctx, 42)
+		time.Sleep(10 * time.Second)
+		readers := 0
+		for _, r := range n.runners {
+			if r.Reads() {
+				readers++
+			}
+		}
+		if readers != 1 {
+			t.Errorf("got %d readers of the log, want 1", readers)
+		}
+		o := n.append()
+		time.Sleep(200 * time.Millisecond)
+		if !n.reached(o) {
+			t.Error("got a record that is not everywhere after 200 ms")
+		}
+		n.mu.Lock()
+		n.down[ranked[0]] = true
+		n.mu.Unlock()
+		o = n.append()
+		time.Sleep(target)
+		if !n.reached(o) {
+			t.Errorf("got a record that is not everywhere %v after the relay was lost", target)
+		}
+		readers = 0
+		for id, r := range n.runners {
+			if r.Reads() && id != ranked[0] {
+				readers++
+			}
+		}
+		if readers != 1 {
+			t.Errorf("got %d readers after the relay was lost, want its successor alone", readers)
+		}
+	})
+}
+
+func TestChunksAreBounded(t *testing.T) {
+	records := [][]byte{make([]byte, 200_000), make([]byte, 200_000), make([]byte, 900_000)}
+	for _, want := range []int{1, 1, 1} {
+		got := chunk(records)
+		if got != want {
+			t.Fatalf("got %d records in a message, want %d", got, want)
+		}
+		records = records[got:]
+	}
+}
