Let the goroutines of the relay's test end before its bubble

Cause: the bubble of virtual time ended while readers still slept, so that the test panicked now and then.

Change: the test cancels and sleeps a second of virtual time.

Conclusion: no change of the code under test.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -183,6 +183,7 @@
 func TestRecordsReachTheZoneThroughOneReader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
+		defer time.Sleep(time.Second) // The goroutines end within the bubble.
 		defer cancel()
 		n, ranked := start(ctx, 42)
 		time.Sleep(10 * time.Second)
