--- /dev/null
+++ b/engine/stream_test.go
@@ -0,0 +1,124 @@
+package engine
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/parsleylug/parsleylug/verdict"
+)
+
+// answering serves every chat with a status and a body.
+func answering(t *testing.T, status int, contentType, body string) string {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Type", contentType)
+		w.WriteHeader(status)
+		io.WriteString(w, body)
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func TestRefusalsAreNotRunOnlyWhereTheEngineSaysSo(t *testing.T) {
+	for _, c := range []struct {
+		status int
+		body   string
+		want   verdict.Verdict
+		cause  error
+	}{
+		{404, `{"Error":"ModelNotLoaded"}`, verdict.NotRun, ErrModelNotLoaded},
+		{404, `{"Error":"AdapterNotLoaded"}`, verdict.NotRun, ErrAdapterNotLoaded},
+		{503, `{"Error":"Overloaded"}`, verdict.NotRun, ErrOverloaded},
+		{503, `{"Error":"Other"}`, verdict.MayHaveRun, nil},
+		{404, `not found`, verdict.MayHaveRun, nil},
+		{500, `{"Error":"Overloaded"}`, verdict.MayHaveRun, nil},
+		{200, `{}`, verdict.MayHaveRun, nil},
+	} {
+		var client Client
+		address := answering(t, c.status, "application/json", c.body)
+		_, err := client.Chat(t.Context(), address, ChatRequest{Attempt: "a1", Body: []byte("{}")})
+		if got := verdict.Of(err).Verdict; err == nil || got != c.want {
+			t.Errorf("%d %s: got %v, want %v", c.status, c.body, err, c.want)
+		}
+		if c.cause != nil && !errors.Is(err, c.cause) {
+			t.Errorf("%d %s: got %v, want %v in its chain", c.status, c.body, err, c.cause)
+		}
+	}
+}
+
+func TestStreamGivesEachTokenOnceAndInOrder(t *testing.T) {
+	const last = `data: {"Attempt":"a1","Index":2,"Finish":"stop"}` + "\n\n"
+	for _, c := range []struct {
+		name, body, want string
+		err              error
+		verdict          verdict.Verdict
+	}{
+		{"whole", tokens("a1", "x", 0, "y", 1) + last, "xy", io.EOF, 0},
+		{"comments and fields", ": waiting\n\nevent: x\nid: 4\n" + tokens("a1", "x", 0, "y", 1) + last, "xy", io.EOF, 0},
+		{"repeated", tokens("a1", "x", 0, "x", 0, "y", 1) + last, "xy", io.EOF, 0},
+		{"crossed", tokens("a1", "x", 0) + tokens("a0", "z", 1) + tokens("a1", "y", 1) + last, "xy", io.EOF, 0},
+		{"gap", tokens("a1", "x", 0, "z", 5), "x", nil, verdict.Ran},
+		{"cut", tokens("a1", "x", 0), "x", nil, verdict.Ran},
+		{"empty", "", "", nil, verdict.MayHaveRun},
+		{"done without finish", "data: [DONE]\n\n", "", nil, verdict.MayHaveRun},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var client Client
+			address := answering(t, 200, "text/event-stream", c.body)
+			s, err := client.Chat(t.Context(), address, ChatRequest{Attempt: "a1", Body: []byte("{}")})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer s.Close()
+			got, err := text(s)
+			if got != c.want {
+				t.Errorf("got %q, want %q", got, c.want)
+			}
+			if c.err != nil && !errors.Is(err, c.err) {
+				t.Errorf("got %v, want %v", err, c.err)
+			}
+			if c.err == nil && (verdict.Of(err).Reason != verdict.StreamBroken || verdict.Of(err).Verdict != c.verdict) {
+				t.Errorf("got %v, want StreamBroken with %v", err, c.verdict)
+			}
+		})
+	}
+}
+
+func TestSilentResponseIsGivenUp(t *testing.T) {
+	release := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+	t.Cleanup(s.Close)
+	t.Cleanup(func() { close(release) })
+	client := Client{Silence: 20 * time.Millisecond}
+	_, err := client.Chat(t.Context(), strings.TrimPrefix(s.URL, "http://"), ChatRequest{Attempt: "a1", Body: []byte("{}")})
+	if !errors.Is(err, ErrSilent) || verdict.Of(err).Verdict != verdict.MayHaveRun {
+		t.Errorf("got %v, want ErrSilent with MayHaveRun", err)
+	}
+}
+
+// tokens writes events of one attempt from pairs of text and index.
+func tokens(attempt string, pairs ...any) string {
+	var b strings.Builder
+	for i := 0; i < len(pairs); i += 2 {
+		index := string(rune('0' + pairs[i+1].(int)))
+		b.WriteString(`data: {"Attempt":"` + attempt + `","Index":` + index + `,"Text":"` + pairs[i].(string) + "\"}\n\n")
+	}
+	return b.String()
+}
+
+func text(s Stream) (string, error) {
+	var b strings.Builder
+	for {
+		token, err := s.Next()
+		if err != nil {
+			return b.String(), err
+		}
+		b.WriteString(token.Text)
+	}
+}
