Cache prompt prefixes in the stand-in engines and publish the events

Change: engines keep blocks of prompts, spend time on those that they do not have, and show the changes at GET /cache-events late and with gaps as told. Conclusion: tests of the order of eviction, shared prefixes, late events and gaps pass under the race detector.

--- a/standin/chat.go
+++ b/standin/chat.go
@@ -84,7 +84,7 @@
 	}
 	defer e.leave(l, place)
 	out := newEventStream(w, c.attempt)
-	if !out.await(ctx, place.ticket.admitted) || !e.run(ctx, c, out) {
+	if !out.await(ctx, place.ticket.admitted) || !e.run(ctx, l, c, out) {
 		breakOff()
 	}
 }
@@ -140,12 +140,15 @@
 }
 
 // run generates the answer; false means that it broke off.
-func (e *modelEngine) run(ctx context.Context, c chat, out *eventStream) bool {
+func (e *modelEngine) run(ctx context.Context, l *life, c chat, out *eventStream) bool {
 	e.observer.ran(c.request)
 	if poison := e.currentFaults().poison; poison != "" && strings.Contains(c.prompt.text, poison) {
 		e.crash()
 		return false
 	}
+	if !sleep(ctx, time.Duration(e.prefill(l, c))*e.tokenTime()/prefillShare) {
+		return false
+	}
 	tokens, finish := c.prompt.answer()
 	for i := c.resume; i < len(tokens); i++ {
 		if !sleep(ctx, e.tokenTime()) || !e.pause.wait(ctx) {
--- a/standin/control.go
+++ b/standin/control.go
@@ -155,12 +155,16 @@
 	e.setFaults(func(now *engineFaults) {
 		set(&now.poison, f.PoisonPrompt)
 		set(&now.pace, f.Pace)
+		set(&now.loseEvents, f.LoseCacheEvents)
 		if f.ReportLagMilliseconds != nil {
 			now.reportLag = duration(f.ReportLagMilliseconds)
 		}
 		if f.IgnoreOrdersMilliseconds != nil {
 			now.ignoreOrders = duration(f.IgnoreOrdersMilliseconds)
 		}
+		if f.CacheEventLagMilliseconds != nil {
+			now.eventLag = duration(f.CacheEventLagMilliseconds)
+		}
 	})
 	if f.Paused != nil {
 		e.pause.set(*f.Paused)
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -20,6 +20,7 @@
 	observer     *observer
 	observed     *observedEngine
 	adapters     *adapterStore
+	chance       *chance
 	storeURL     string
 	client       *http.Client
 	server       *server
@@ -34,6 +35,7 @@
 	reclaimed   bool
 	diskCache   checkpointCache
 	reports     loadHistory
+	events      cacheEvents
 }
 
 type engineFaults struct {
@@ -41,6 +43,8 @@
 	reportLag    time.Duration
 	pace         float64
 	ignoreOrders time.Duration
+	eventLag     time.Duration
+	loseEvents   float64
 }
 
 // life is one incarnation of an engine.
@@ -50,6 +54,7 @@
 	end         context.CancelFunc
 	replicas    map[string]*replica
 	memoryCache checkpointCache
+	prefixes    prefixCache
 }
 
 // replica is one loaded or loading model.
@@ -70,6 +75,7 @@
 	mux.HandleFunc("POST /v1/chat/completions", e.serveChat)
 	mux.HandleFunc("POST /orders", e.serveOrder)
 	mux.HandleFunc("GET /state", e.serveState)
+	mux.HandleFunc("GET /cache-events", e.serveCacheEvents)
 	return countCrossing(e.region, e.observer, mux)
 }
 
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -51,6 +51,10 @@
 	// IgnoreOrdersMilliseconds is how long an order lies before the engine looks
 	// at it and checks its fence.
 	IgnoreOrdersMilliseconds *int
+	// CacheEventLagMilliseconds is how late cache events are shown, and
+	// LoseCacheEvents the share of them that never are.
+	CacheEventLagMilliseconds *int
+	LoseCacheEvents           *float64
 }
 
 // ServiceFaults are the faults of one service, named by its URL or VM id.
@@ -103,7 +107,8 @@
 	}
 	for _, e := range f.Engines {
 		if err := check(positive(e.Pace), milliseconds(e.ReportLagMilliseconds),
-			milliseconds(e.IgnoreOrdersMilliseconds)); err != nil {
+			milliseconds(e.IgnoreOrdersMilliseconds), milliseconds(e.CacheEventLagMilliseconds),
+			share(e.LoseCacheEvents)); err != nil {
 			return errors.WithMessagef(err, "engine %.80q", e.Engine)
 		}
 	}
--- a/standin/group.go
+++ b/standin/group.go
@@ -90,13 +90,15 @@
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	for i := range o.Engines {
 		region, _ := o.place(i)
+		id := "engine-" + strconv.Itoa(i+1)
 		e := &modelEngine{
 			options:      o,
-			id:           "engine-" + strconv.Itoa(i+1),
+			id:           id,
 			region:       region,
 			checksFences: o.ChecksFences[i%len(o.ChecksFences)],
 			observer:     g.observer,
 			adapters:     adapters,
+			chance:       newChance(o.Seed, id),
 			storeURL:     g.WeightStoreURL,
 			client:       client,
 			diskCache:    checkpointCache{size: diskCacheModels},
--- a/standin/load.go
+++ b/standin/load.go
@@ -130,6 +130,8 @@
 		}
 		delete(l.replicas, o.Model)
 		l.memoryCache.add(checkpoint{r.model, r.version})
+		l.prefixes.clear(r.model)
+		e.noteCache(wireCacheEvent{Model: r.model, Cleared: true})
 		e.drop(r)
 		e.noteReport()
 	})
--- a/standin/prompt.go
+++ b/standin/prompt.go
@@ -12,6 +12,8 @@
 	model string
 	// text is the last user message.
 	text string
+	// all is the text of all messages, for the prefix cache.
+	all string
 	// tokens counts the words of all messages.
 	tokens int
 	// limit is the most tokens to generate; zero means no limit.
@@ -63,6 +65,7 @@
 	}
 	p := prompt{model: w.Model, limit: valueOr(w.MaxCompletionTokens, w.MaxTokens)}
 	for _, m := range w.Messages {
+		p.all += m.Role + "\x00" + string(m.Content) + "\x00"
 		p.tokens += len(strings.Fields(string(m.Content)))
 		if m.Role == "user" {
 			p.text = string(m.Content)
