Drive the administration API from the command line

Cause: operators had an API and no commands. Change: config, status, why, report, model, adapter, team, key, drain, quarantine, settings, completion and version. serve takes its flags from package settings, so that every fault is told at once and settings lists what serve would use; the weight store's URL stays optional. Scripts run every command, those that need a node against a started one.

--- /dev/null
+++ b/commands/adapter.go
@@ -0,0 +1,67 @@
+package commands
+
+import (
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleylug/parsleylug/configuration"
+	"github.com/parsleylug/parsleylug/domain"
+)
+
+// AdapterCommand shows and changes adapters.
+type AdapterCommand struct {
+	Connection `embed:""`
+	List       AdapterListCommand   `cmd:"" help:"List the adapters."`
+	Set        AdapterSetCommand    `cmd:"" help:"Add or replace an adapter."`
+	Remove     AdapterRemoveCommand `cmd:"" help:"Remove an adapter."`
+}
+
+// AdapterListCommand lists the adapters.
+type AdapterListCommand struct{}
+
+// Run prints one adapter a line.
+func (c *AdapterListCommand) Run(d *Deps, on *Connection) error {
+	return on.list(d, "adapters", []string{"ADAPTER", "MODEL", "VERSION", "MEMORY", "CHANGED"}, func(r configuration.Record, v uint64) []string {
+		a := r.Adapter
+		return []string{string(a.Name), string(a.Model), string(a.Version), configuration.FormatBytes(a.Memory), version(v)}
+	})
+}
+
+// AdapterSetCommand adds or replaces an adapter.
+type AdapterSetCommand struct {
+	ChangeFlags       `embed:""`
+	Name              string `arg:"" help:"Name of the adapter."`
+	Model             string `help:"Base model." required:"" env:"-"`
+	CheckpointVersion string `help:"Version of the checkpoint." default:"v1" env:"-"`
+	Memory            string `help:"Memory beside the base model, for example 128MiB." default:"0" env:"-"`
+}
+
+// Run writes the adapter.
+func (c *AdapterSetCommand) Run(d *Deps, on *Connection) error {
+	memory, err := configuration.ParseBytes(c.Memory)
+	if err != nil {
+		return &UsageError{Err: errors.WithMessage(err, "--memory")}
+	}
+	adapter := &configuration.Adapter{
+		Name:    domain.AdapterName(c.Name),
+		Model:   domain.ModelName(c.Model),
+		Version: domain.VersionName(c.CheckpointVersion),
+		Memory:  memory,
+	}
+	return on.edit(d, []string{"adapters", c.Name}, c.ChangeFlags, configuration.Record{}, true, func(r *configuration.Record) error {
+		*r = configuration.Record{Adapter: adapter}
+		return nil
+	})
+}
+
+// AdapterRemoveCommand removes an adapter.
+type AdapterRemoveCommand struct {
+	ChangeFlags `embed:""`
+	Name        string `arg:"" help:"Name of the adapter."`
+}
+
+// Run removes the adapter.
+func (c *AdapterRemoveCommand) Run(d *Deps, on *Connection) error {
+	return on.change(d, c.ChangeFlags, http.MethodDelete, nil, "adapters", c.Name)
+}
--- /dev/null
+++ b/commands/config.go
@@ -0,0 +1,164 @@
+package commands
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleylug/parsleylug/configuration"
+	"github.com/parsleylug/parsleylug/operator"
+)
+
+// ConfigCommand checks, writes and shows the operators' configuration.
+type ConfigCommand struct {
+	Check ConfigCheckCommand `cmd:"" help:"Check a configuration file and report every fault."`
+	Apply ConfigApplyCommand `cmd:"" help:"Write the records of a configuration file."`
+	Show  ConfigShowCommand  `cmd:"" help:"Print the configuration in force as a configuration file."`
+	Diff  ConfigDiffCommand  `cmd:"" help:"Compare a configuration file with the configuration in force."`
+}
+
+// ConfigCheckCommand checks a file without any node.
+type ConfigCheckCommand struct {
+	File   string `arg:"" help:"Configuration file; - for standard input."`
+	Output string `short:"o" help:"Form of the output: table or json." enum:"table,json" default:"table" env:"PARSLEYLUG_OUTPUT"`
+}
+
+// checkResult is the JSON form of a check.
+type checkResult struct {
+	Records int
+	Faults  []configuration.Fault
+}
+
+// Run prints every fault of the file.
+func (c *ConfigCheckCommand) Run(d *Deps) error {
+	raw, err := readFile(d, c.File)
+	if err != nil {
+		return err
+	}
+	records, faults := configuration.DecodeFile(c.File, bytes.NewReader(raw))
+	if c.Output == "json" {
+		if faults == nil {
+			faults = []configuration.Fault{}
+		}
+		if err := writeJSON(d.Out, checkResult{Records: len(records), Faults: faults}); err != nil {
+			return err
+		}
+	} else {
+		for _, f := range faults {
+			if _, err := fmt.Fprintln(d.Out, f); err != nil {
+				return errors.Wrap(err, "print")
+			}
+		}
+	}
+	if len(faults) > 0 {
+		return &UsageError{Err: errors.Errorf("%s has %d faults", c.File, len(faults))}
+	}
+	if c.Output == "json" {
+		return nil
+	}
+	_, err = fmt.Fprintf(d.Out, "%s: %d records, no faults\n", c.File, len(records))
+	return errors.Wrap(err, "print")
+}
+
+// readFile reads a file or, for "-", the standard input.
+func readFile(d *Deps, name string) ([]byte, error) {
+	if name == "-" {
+		raw, err := io.ReadAll(io.LimitReader(d.In, configuration.MaximumFileSize+1))
+		return raw, errors.Wrap(err, "read standard input")
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, &UsageError{Err: errors.WithStack(err)}
+	}
+	defer func() { _ = f.Close() }()
+	raw, err := io.ReadAll(io.LimitReader(f, configuration.MaximumFileSize+1))
+	if err != nil {
+		return nil, &UsageError{Err: errors.Wrap(err, "read "+name)}
+	}
+	return raw, nil
+}
+
+// decodeFile reads the records of a file; its faults are a usage error.
+func decodeFile(d *Deps, name string) ([]byte, []configuration.Record, error) {
+	raw, err := readFile(d, name)
+	if err != nil {
+		return nil, nil, err
+	}
+	records, faults := configuration.DecodeFile(name, bytes.NewReader(raw))
+	if len(faults) > 0 {
+		return nil, nil, &UsageError{Err: configuration.Faults(faults)}
+	}
+	return raw, records, nil
+}
+
+// ConfigApplyCommand writes a file's records.
+type ConfigApplyCommand struct {
+	Connection `embed:""`
+	File       string `arg:"" help:"Configuration file; - for standard input."`
+	DryRun     bool   `help:"Only show what would be loaded, taken down or refused." env:"-"`
+	Wait       bool   `help:"Wait until the change is in force at every node." env:"-"`
+}
+
+// Run checks the file before it is sent, so that faults name the file.
+func (c *ConfigApplyCommand) Run(d *Deps) error {
+	raw, _, err := decodeFile(d, c.File)
+	if err != nil {
+		return err
+	}
+	return c.change(d, ChangeFlags{DryRun: c.DryRun, Wait: c.Wait}, http.MethodPost, raw, "configuration")
+}
+
+// ConfigShowCommand prints the configuration in force.
+type ConfigShowCommand struct {
+	Connection    `embed:""`
+	SchemaVersion int `help:"Schema version to print." default:"2" env:"-"`
+}
+
+// Run prints a file that config apply takes.
+func (c *ConfigShowCommand) Run(d *Deps) error {
+	if c.SchemaVersion < configuration.SchemaVersion1 || c.SchemaVersion > configuration.CurrentSchemaVersion {
+		return &UsageError{Err: errors.Errorf("--schema-version must be from %d to %d", configuration.SchemaVersion1, configuration.CurrentSchemaVersion)}
+	}
+	records, err := c.inForce()
+	if err != nil {
+		return err
+	}
+	for i := range records {
+		records[i].SchemaVersion = c.SchemaVersion
+	}
+	return configuration.EncodeFile(d.Out, records)
+}
+
+// inForce returns the records that make the configuration in force.
+func (c *Connection) inForce() ([]configuration.Record, error) {
+	var answer operator.Objects
+	if err := c.get(&answer, "configuration"); err != nil {
+		return nil, err
+	}
+	return decodeObjects(answer)
+}
+
+func decodeObjects(answer operator.Objects) ([]configuration.Record, error) {
+	records := make([]configuration.Record, 0, len(answer.Objects))
+	for _, o := range answer.Objects {
+		r, err := configuration.Decode(o.Record)
+		if err != nil {
+			return nil, errors.Wrap(err, "understand the node's answer")
+		}
+		records = append(records, r)
+	}
+	return records, nil
+}
+
+// version prints a version; objects that were never set have none.
+func version(v uint64) string {
+	if v == 0 {
+		return "-"
+	}
+	return strconv.FormatUint(v, 10)
+}
--- /dev/null
+++ b/commands/diff.go
@@ -0,0 +1,108 @@
+package commands
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleylug/parsleylug/configuration"
+)
+
+// ConfigDiffCommand compares a file with the configuration in force.
+type ConfigDiffCommand struct {
+	Connection `embed:""`
+	File       string `arg:"" help:"Configuration file; - for standard input."`
+	All        bool   `help:"Also list objects in force that the file does not mention." env:"-"`
+	ExitCode   bool   `help:"Exit with 1 where there is a difference." env:"-"`
+}
+
+// difference is one object that would change.
+type difference struct {
+	Subject string
+	// Change is Set, Change, Remove or NotInFile.
+	Change string
+	// InForce and InFile are the records, where there are any.
+	InForce json.RawMessage `json:",omitempty"`
+	InFile  json.RawMessage `json:",omitempty"`
+}
+
+// Run prints each object that differs.
+func (c *ConfigDiffCommand) Run(d *Deps) error {
+	_, file, err := decodeFile(d, c.File)
+	if err != nil {
+		return err
+	}
+	inForce, err := c.inForce()
+	if err != nil {
+		return err
+	}
+	differences, err := diff(inForce, file, c.All)
+	if err != nil {
+		return err
+	}
+	var rows [][]string
+	for _, one := range differences {
+		rows = append(rows, []string{one.Change, one.Subject, string(one.InForce), string(one.InFile)})
+	}
+	if err := c.show(d, differences, []string{"CHANGE", "SUBJECT", "IN FORCE", "IN FILE"}, rows); err != nil {
+		return err
+	}
+	if c.ExitCode && len(differences) > 0 {
+		return errors.Errorf("%d differences", len(differences))
+	}
+	return nil
+}
+
+// diff compares records by subject, whatever schema version each is in.
+func diff(inForce, file []configuration.Record, all bool) ([]difference, error) {
+	differences := []difference{}
+	for _, wanted := range file {
+		i := slices.IndexFunc(inForce, func(r configuration.Record) bool { return r.Subject() == wanted.Subject() })
+		one := difference{Subject: wanted.Subject(), Change: "Set"}
+		var err error
+		if one.InFile, err = plain(wanted); err != nil {
+			return nil, err
+		}
+		if i >= 0 {
+			one.Change = "Change"
+			if one.InForce, err = plain(inForce[i]); err != nil {
+				return nil, err
+			}
+		}
+		ends := wanted.Remove != nil || wanted.Drain != nil && wanted.Drain.Off || wanted.Quarantine != nil && wanted.Quarantine.Release
+		switch {
+		case ends && i < 0, bytes.Equal(one.InForce, one.InFile):
+			continue
+		case ends:
+			one.Change, one.InFile = "Remove", nil
+		}
+		differences = append(differences, one)
+	}
+	if !all {
+		return differences, nil
+	}
+	return appendMissing(differences, inForce, file)
+}
+
+func appendMissing(differences []difference, inForce, file []configuration.Record) ([]difference, error) {
+	for _, r := range inForce {
+		if slices.ContainsFunc(file, func(f configuration.Record) bool { return f.Subject() == r.Subject() }) {
+			continue
+		}
+		raw, err := plain(r)
+		if err != nil {
+			return nil, err
+		}
+		differences = append(differences, difference{Subject: r.Subject(), Change: "NotInFile", InForce: raw})
+	}
+	return differences, nil
+}
+
+// plain encodes what a record sets, without who wrote it and on which condition.
+func plain(r configuration.Record) ([]byte, error) {
+	r = configuration.Upgrade(r)
+	r.Author, r.ID, r.Expect = "", "", nil
+	return configuration.Encode(r)
+}
--- a/commands/execute.go
+++ b/commands/execute.go
@@ -8,6 +8,7 @@
 	"io"
 
 	"github.com/alecthomas/kong"
+	"github.com/willabides/kongplete"
 )
 
 // Exit codes.
@@ -31,6 +32,8 @@
 type root struct {
 	Serve   ServeCommand   `cmd:"" help:"Run one node. Without settings it brings its own stand-ins on loopback."`
 	Standin StandinCommand `cmd:"" help:"Run the stand-ins for the platform and the backend servers."`
+
+	OperatorCommands `embed:""`
 }
 
 // exited carries an exit code that kong asked for out of the parser.
@@ -54,6 +57,7 @@
 	if err != nil {
 		return report(errOut, err)
 	}
+	kongplete.Complete(k)
 	c, err := k.Parse(args)
 	if err != nil {
 		return report(errOut, &UsageError{Err: err})
--- /dev/null
+++ b/commands/quarantine.go
@@ -0,0 +1,48 @@
+package commands
+
+import (
+	"encoding/hex"
+	"net/http"
+
+	"github.com/parsleylug/parsleylug/configuration"
+)
+
+// QuarantineCommand shows and changes which request contents are refused.
+type QuarantineCommand struct {
+	Connection `embed:""`
+	List       QuarantineListCommand    `cmd:"" help:"List the contents that operators block."`
+	Add        QuarantineAddCommand     `cmd:"" help:"Refuse requests with a content."`
+	Release    QuarantineReleaseCommand `cmd:"" help:"Serve requests with a content again."`
+}
+
+// QuarantineListCommand lists the blocked contents.
+type QuarantineListCommand struct{}
+
+// Run prints one content a line.
+func (c *QuarantineListCommand) Run(d *Deps, on *Connection) error {
+	return on.list(d, "quarantine", []string{"CONTENT", "CHANGED"}, func(r configuration.Record, v uint64) []string {
+		return []string{hex.EncodeToString(r.Quarantine.Content[:]), version(v)}
+	})
+}
+
+// QuarantineAddCommand blocks a content.
+type QuarantineAddCommand struct {
+	ChangeFlags `embed:""`
+	Content     string `arg:"" help:"SHA-256 of the content in hexadecimal, as logs give it."`
+}
+
+// Run blocks the content.
+func (c *QuarantineAddCommand) Run(d *Deps, on *Connection) error {
+	return on.change(d, c.ChangeFlags, http.MethodPut, nil, "quarantine", c.Content)
+}
+
+// QuarantineReleaseCommand releases a content.
+type QuarantineReleaseCommand struct {
+	ChangeFlags `embed:""`
+	Content     string `arg:"" help:"SHA-256 of the content in hexadecimal."`
+}
+
+// Run releases the content.
+func (c *QuarantineReleaseCommand) Run(d *Deps, on *Connection) error {
+	return on.change(d, c.ChangeFlags, http.MethodDelete, nil, "quarantine", c.Content)
+}
--- /dev/null
+++ b/commands/report_burn.go
@@ -0,0 +1,64 @@
+package commands
+
+import (
+	"os"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleylug/parsleylug/objective"
+)
+
+// ReportCommand prints reports.
+type ReportCommand struct {
+	Burn ReportBurnCommand `cmd:"" help:"Report how fast the service-level budgets burn."`
+}
+
+// ReportBurnCommand prints the service-level burn report.
+type ReportBurnCommand struct {
+	Connection `embed:""`
+	HTML       string `name:"html" help:"Write a page that needs nothing else to this file." placeholder:"FILE" env:"-"`
+	FailOn     string `help:"Exit with 1 from this alert on: none, slow or fast." enum:"none,slow,fast" default:"none" env:"-"`
+}
+
+// Run prints or writes the report.
+func (c *ReportBurnCommand) Run(d *Deps) error {
+	var answer objective.WireReport
+	if err := c.get(&answer, "burn"); err != nil {
+		return err
+	}
+	report := answer.Value()
+	if err := c.write(d, answer, report); err != nil {
+		return err
+	}
+	counts := report.Counts()
+	burning := counts[objective.FastBurn]
+	if c.FailOn == "slow" {
+		burning += counts[objective.SlowBurn]
+	}
+	if c.FailOn != "none" && burning > 0 {
+		return errors.Errorf("%d objectives burn", burning)
+	}
+	return nil
+}
+
+func (c *ReportBurnCommand) write(d *Deps, answer objective.WireReport, report objective.Report) error {
+	switch {
+	case c.HTML != "":
+		return writeFile(c.HTML, report)
+	case c.Output == "json":
+		return writeJSON(d.Out, answer)
+	}
+	return report.WriteText(d.Out)
+}
+
+func writeFile(name string, report objective.Report) error {
+	f, err := os.Create(name)
+	if err != nil {
+		return &UsageError{Err: errors.WithStack(err)}
+	}
+	err = report.WriteHTML(f)
+	if closed := f.Close(); err == nil {
+		err = errors.WithStack(closed)
+	}
+	return err
+}
--- /dev/null
+++ b/commands/settings.go
@@ -0,0 +1,82 @@
+package commands
+
+import (
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/parsleylug/parsleylug/settings"
+)
+
+// SettingsCommand prints the settings that serve would start with, where each
+// comes from, and every fault in them.
+type SettingsCommand struct {
+	settings.Settings `embed:""`
+	Output            string `short:"o" help:"Form of the output: table or json." enum:"table,json" default:"table"`
+}
+
+// setting is one setting as it is printed.
+type setting struct {
+	Flag        string
+	Environment string
+	Value       string
+	// Source is Flag, Environment or Default.
+	Source  string
+	Default string
+	Fault   string `json:",omitempty"`
+}
+
+// Run prints every setting; faults make it fail after that.
+func (c *SettingsCommand) Run(d *Deps, k *kong.Context) error {
+	_, err := c.Values()
+	faults, _ := settings.AsFaults(err)
+	all := listSettings(k, faults)
+	if err := c.print(d, all); err != nil {
+		return err
+	}
+	if err != nil {
+		return &UsageError{Err: err}
+	}
+	return nil
+}
+
+func (c *SettingsCommand) print(d *Deps, all []setting) error {
+	if c.Output == "json" {
+		return writeJSON(d.Out, all)
+	}
+	var rows [][]string
+	for _, s := range all {
+		rows = append(rows, []string{"--" + s.Flag, s.Environment, dash(s.Value), s.Source, dash(s.Default), s.Fault})
+	}
+	return writeTable(d.Out, []string{"FLAG", "ENVIRONMENT", "VALUE", "SOURCE", "DEFAULT", "FAULT"}, rows)
+}
+
+// listSettings lists the flags of the selected command but for help and output.
+func listSettings(k *kong.Context, faults settings.Faults) []setting {
+	given := map[string]bool{}
+	for _, p := range k.Path {
+		if p.Flag != nil && !p.Resolved {
+			given[p.Flag.Name] = true
+		}
+	}
+	var all []setting
+	for _, f := range k.Selected().Flags {
+		if f.Name == "help" || f.Name == "output" {
+			continue
+		}
+		s := setting{Flag: f.Name, Environment: settings.EnvironmentName(f.Name), Value: f.Target.String(), Source: "Default", Default: f.Default}
+		if text, ok := os.LookupEnv(s.Environment); ok && text == s.Value {
+			s.Source = "Environment"
+		}
+		if given[f.Name] {
+			s.Source = "Flag"
+		}
+		for _, fault := range faults {
+			if fault.Flag == f.Name {
+				s.Fault = fault.Message
+			}
+		}
+		all = append(all, s)
+	}
+	return all
+}
--- /dev/null
+++ b/commands/testscript_test.go
@@ -0,0 +1,152 @@
+package commands
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"parsleylug": func() { os.Exit(Execute(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) },
+		// exits-with CODE ARGS... succeeds where parsleylug's exit code is CODE.
+		"exits-with": exitsWith,
+		// eventually PATTERN ARGS... runs parsleylug until its output matches.
+		"eventually": eventually,
+		// request METHOD URL [BODY] [NAME:VALUE...] prints the status and the answer.
+		"request": request,
+	})
+}
+
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:  "../testscripts",
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"serve": startNode, "env-file": envFile},
+	})
+}
+
+// envFile is the script command "env-file NAME FILE": it sets a variable to what
+// the file holds.
+func envFile(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Setenv(args[0], strings.TrimSpace(ts.ReadFile(args[1])))
+}
+
+func exitsWith() {
+	got := Execute(os.Args[2:], os.Stdin, os.Stdout, os.Stderr)
+	if want := os.Args[1]; strconv.Itoa(got) != want {
+		fmt.Fprintf(os.Stderr, "got exit code %d, want %s\n", got, want)
+		os.Exit(1)
+	}
+}
+
+// eventuallyLimit is how long an output may take to match.
+const eventuallyLimit = 10 * time.Second
+
+func eventually() {
+	pattern := regexp.MustCompile("(?m)" + os.Args[1])
+	var out bytes.Buffer
+	for started := time.Now(); time.Since(started) < eventuallyLimit; time.Sleep(20 * time.Millisecond) {
+		out.Reset()
+		if Execute(os.Args[2:], os.Stdin, &out, io.Discard) == exitOK && pattern.Match(out.Bytes()) {
+			return
+		}
+	}
+	fmt.Fprintf(os.Stderr, "no match for %s in\n%s", pattern, out.Bytes())
+	os.Exit(1)
+}
+
+func request() {
+	body := ""
+	if len(os.Args) > 3 {
+		body = os.Args[3]
+	}
+	r, err := http.NewRequest(os.Args[1], os.Args[2], strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	for _, header := range os.Args[min(4, len(os.Args)):] {
+		name, value, _ := strings.Cut(header, ":")
+		r.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		panic(err)
+	}
+	defer resp.Body.Close()
+	fmt.Println(resp.StatusCode)
+	if _, err := io.Copy(os.Stdout, resp.Body); err != nil {
+		panic(err)
+	}
+}
+
+// readyLimit is how long a started node may take to be ready.
+const readyLimit = 20 * time.Second
+
+// startNode is the script command "serve FLAGS...": it starts a node on free
+// ports, waits until it is ready and sets PARSLEYLUG_ADMIN_URL and CALLER_URL. The
+// node is stopped at the end of the script, and must then exit with 0.
+func startNode(ts *testscript.TestScript, _ bool, args []string) {
+	program, err := exec.LookPath("parsleylug")
+	ts.Check(err)
+	args = append([]string{"serve", "--listen=127.0.0.1:0", "--admin-listen=127.0.0.1:0", "--drain-grace=0s"}, args...)
+	cmd := exec.Command(program, args...)
+	cmd.Dir = ts.Getenv("WORK")
+	logs, err := cmd.StderrPipe()
+	ts.Check(err)
+	ts.Check(cmd.Start())
+	serving := make(chan map[string]any, 1)
+	drained := make(chan struct{})
+	go readLogs(logs, serving, drained)
+	ts.Defer(func() {
+		ts.Check(cmd.Process.Signal(syscall.SIGTERM))
+		<-drained
+		ts.Check(cmd.Wait())
+	})
+	select {
+	case line := <-serving:
+		ts.Setenv("PARSLEYLUG_ADMIN_URL", line["AdminURL"].(string))
+		ts.Setenv("CALLER_URL", line["CallerURL"].(string))
+	case <-drained:
+		ts.Fatalf("the node ended before it served")
+	}
+	waitReady(ts, ts.Getenv("CALLER_URL")+"/readyz")
+}
+
+// readLogs hands on the line that gives the node's addresses and reads the rest.
+func readLogs(r io.Reader, serving chan<- map[string]any, drained chan<- struct{}) {
+	defer close(drained)
+	lines := bufio.NewScanner(r)
+	for lines.Scan() {
+		var line map[string]any
+		if json.Unmarshal(lines.Bytes(), &line) == nil && line["Event"] == "Serving" {
+			serving <- line
+		}
+	}
+}
+
+func waitReady(ts *testscript.TestScript, url string) {
+	for started := time.Now(); time.Since(started) < readyLimit; time.Sleep(20 * time.Millisecond) {
+		resp, err := http.Get(url)
+		if err != nil {
+			continue
+		}
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return
+		}
+	}
+	ts.Fatalf("the node is not ready after %s", readyLimit)
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -19,8 +19,8 @@
 // Values can report every fault at once. Each flag is also read from the
 // environment, as PARSLEYLUG_ and the flag's name in capitals.
 type Settings struct {
-	LogURL         string `name:"log-url" help:"URL of the platform's log. Without the three URLs the node starts stand-ins of its own." placeholder:"URL"`
-	WeightStoreURL string `name:"weight-store-url" help:"URL of the weight store." placeholder:"URL"`
+	LogURL         string `name:"log-url" help:"URL of the platform's log. Without the URLs the node starts stand-ins of its own." placeholder:"URL"`
+	WeightStoreURL string `name:"weight-store-url" help:"URL of the weight store; engines load from it, nodes only pace the loads." placeholder:"URL"`
 	VMListURL      string `name:"vm-list-url" help:"URL of the platform's list of VMs." placeholder:"URL"`
 	Listen         string `help:"IP:PORT for callers." default:"127.0.0.1:8080"`
 	PeerListen     string `help:"IP:PORT for other nodes, as they can reach it." default:"127.0.0.1:0"`
@@ -36,8 +36,8 @@
 
 // Values are checked settings.
 type Values struct {
-	// Embedded is true where the node starts stand-ins of its own; the three
-	// URLs are empty then.
+	// Embedded is true where the node starts stand-ins of its own; the URLs are
+	// empty then.
 	Embedded                          bool
 	LogURL, WeightStoreURL, VMListURL string
 	Listen, PeerListen, AdminListen   netip.AddrPort
@@ -109,7 +109,8 @@
 	return v, nil
 }
 
-// platform checks the URLs, which are given together or not at all.
+// platform checks the URLs, which are given together or not at all. Nodes do
+// without that of the weight store, since engines load from it.
 func (c *checker) platform(s Settings, v *Values) {
 	given := 0
 	for _, u := range []string{s.LogURL, s.WeightStoreURL, s.VMListURL} {
@@ -122,8 +123,10 @@
 		return
 	}
 	v.LogURL = c.url("log-url", s.LogURL)
-	v.WeightStoreURL = c.url("weight-store-url", s.WeightStoreURL)
 	v.VMListURL = c.url("vm-list-url", s.VMListURL)
+	if s.WeightStoreURL != "" {
+		v.WeightStoreURL = c.url("weight-store-url", s.WeightStoreURL)
+	}
 	if s.Config != "" {
 		c.add("config", "is for a node with stand-ins of its own; use parsleylug config apply")
 	}
