Let a replica that failed a request count again once a newer report shows it

Cause: 20 engines with one crash every 3 s: 1140 of 1367 refusals came from requests that were sent to the same dead engine until their retries ran out; the home handed an excluded server out again where it had no other. Change: the home hands an excluded server out only on a report that is newer than the question, prefers other candidates for the wake, and waits for the next report in between.

--- a/node/home.go
+++ b/node/home.go
@@ -58,7 +58,8 @@
 
 // Wake returns the servers that have a model loaded, waking one if there is none.
 func (h *Home) Wake(ctx context.Context, w peer.Wake) (peer.Replicas, error) {
-	if ready := h.ready(w); len(ready) > 0 {
+	asked := time.Now()
+	if ready := h.ready(w, asked); len(ready) > 0 {
 		return peer.Replicas{Model: w.Model, Servers: ready, ValidFor: routeFor}, nil
 	}
 	if err := h.admit(w); err != nil {
@@ -72,35 +73,41 @@
 		if err := h.join(ctx, w).wait(ctx, late); err != nil {
 			return peer.Replicas{}, err
 		}
-		if ready := h.ready(w); len(ready) > 0 {
+		if ready := h.ready(w, asked); len(ready) > 0 {
 			return peer.Replicas{Model: w.Model, Servers: ready, Woken: true, ValidFor: routeFor}, nil
 		}
 		// The replica was loaded and is not in the reports yet, or is gone again.
 		select {
 		case <-ctx.Done():
 			return peer.Replicas{}, late
-		case <-time.After(pollInterval / 5):
+		case <-time.After(h.reportPause(w)):
 		}
 	}
 }
 
+// reportPause is how long to wait for the next report. A server that just failed
+// the asker may look loaded for a while.
+func (h *Home) reportPause(w peer.Wake) time.Duration {
+	if len(w.Exclude) > 0 {
+		return pollInterval
+	}
+	return pollInterval / 5
+}
+
 // ready returns servers with the model loaded, with the adapter where one is
-// named. Excluded servers come back only where there is no other.
-func (h *Home) ready(w peer.Wake) []domain.ServerID {
-	var out, excluded []domain.ServerID
+// named. A server that just failed the asker counts again once a report that is
+// newer than the question shows it loaded.
+func (h *Home) ready(w peer.Wake, asked time.Time) []domain.ServerID {
+	var out []domain.ServerID
 	for _, l := range h.deps.Reports.Ready(w.Model, time.Now()) {
 		if w.Adapter != "" && !slices.Contains(l.Model.Adapters, w.Adapter) {
 			continue
 		}
-		if slices.Contains(w.Exclude, l.Server) {
-			excluded = append(excluded, l.Server)
+		if slices.Contains(w.Exclude, l.Server) && !l.At.After(asked) {
 			continue
 		}
 		out = append(out, l.Server)
 	}
-	if len(out) == 0 {
-		return excluded
-	}
 	return out
 }
 
@@ -289,6 +296,8 @@
 	owner  domain.NodeID
 	// holds is true where the server has a permit for the model.
 	holds bool
+	// failed is true where the asker's last attempt there failed.
+	failed bool
 	// free is the memory neither loaded nor reserved, fits whether the model
 	// goes into it without an eviction, near whether the asker's region has it.
 	free domain.Bytes
@@ -311,9 +320,10 @@
 			c := candidate{server: domain.ServerID(v.ID), near: v.Region == w.Region}
 			l, leased := s.Lease(c.server)
 			r, seen := h.deps.Reports.Server(c.server, now)
-			if !leased || !seen || v.Leaving || slices.Contains(w.Exclude, c.server) {
+			if !leased || !seen || v.Leaving {
 				continue
 			}
+			c.failed = slices.Contains(w.Exclude, c.server)
 			c.owner = l.Owner
 			c.holds = held[c.server]
 			c.free = r.FreeMemory
@@ -346,6 +356,8 @@
 
 func compareCandidates(a, b candidate) int {
 	switch {
+	case a.failed != b.failed:
+		return first(b.failed)
 	case a.holds != b.holds:
 		return first(a.holds)
 	case a.fits != b.fits:
