Hold limits over all nodes by shares that follow demand

Cause: nothing held a team's or a model's limits; a central process is ruled out and even shares starve uneven traffic. Change: package limits; nodes tell each other their demand once a second and each enforces its share; caller checks requests, tokens and requests at once.

--- a/caller/api.go
+++ b/caller/api.go
@@ -38,6 +38,8 @@
 	Ready func() bool
 	// Spread tells the other nodes of suspected contents; nil keeps them here.
 	Spread func([]peer.Suspect)
+	// Nodes returns how many nodes are alive, for limits; nil means one.
+	Nodes func() int
 }
 
 // API serves callers.
@@ -50,6 +52,7 @@
 	gates    gates
 	// isolation keeps suspected contents apart.
 	isolation isolation
+	shares    shares
 }
 
 // New returns an API over d.
@@ -66,6 +69,9 @@
 	if d.Spread == nil {
 		d.Spread = func([]peer.Suspect) {}
 	}
+	if d.Nodes == nil {
+		d.Nodes = func() int { return 1 }
+	}
 	return &API{Deps: d}
 }
 
--- a/caller/chat.go
+++ b/caller/chat.go
@@ -33,7 +33,12 @@
 func (a *API) chat(ctx context.Context, request any) (any, error) {
 	call, _ := request.(*chatCall)
 	started := time.Now()
+	leave, err := a.enter(call)
+	if err != nil {
+		return nil, err
+	}
 	s := a.newSession(ctx, call)
+	s.leave = leave
 	first, err := s.next()
 	if err != nil {
 		s.close()
--- a/caller/chat_test.go
+++ b/caller/chat_test.go
@@ -13,6 +13,7 @@
 	"github.com/parsleylug/parsleylug/configuration"
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/engine"
+	"github.com/parsleylug/parsleylug/peer"
 )
 
 func TestStreamedAnswerIsWhole(t *testing.T) {
@@ -230,3 +231,54 @@
 		t.Errorf("got %d %+v", w.Code, got)
 	}
 }
+
+func TestLimitsRefuseWithRetryAfter(t *testing.T) {
+	tests := []struct {
+		name string
+		team configuration.Team
+	}{
+		{"requests", configuration.Team{RequestsPerSecond: 1}},
+		{"tokens", configuration.Team{TokensPerMinute: 3}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(answer)
+				b.catalogue.team = test.team
+				b.catalogue.team.Keys = []configuration.Key{{Hash: keyHash("k"), Role: configuration.Caller}}
+				ask := func() *httptest.ResponseRecorder { return b.post(t.Context(), hello, "Authorization", "Bearer k") }
+				if w := ask(); w.Code != http.StatusOK {
+					t.Errorf("got %d %s for the first request, want 200", w.Code, w.Body)
+				}
+				w := ask()
+				if got := refusal(t, w); w.Code != 429 || got.Reason != "LimitReached" || got.Verdict != "NotRun" {
+					t.Errorf("got %d %+v for the second, want 429 LimitReached NotRun", w.Code, got)
+				}
+				wait, err := time.ParseDuration(w.Header().Get("Retry-After") + "s")
+				if err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(wait)
+				if w := ask(); w.Code != http.StatusOK {
+					t.Errorf("got %d %s after Retry-After, want 200", w.Code, w.Body)
+				}
+			})
+		})
+	}
+}
+
+func TestConcurrencyIsLimitedOverNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(silentAfter(1))
+		b.catalogue.team = configuration.Team{Name: "coral", Concurrency: 3, Keys: []configuration.Key{{Hash: keyHash("k"), Role: configuration.Caller}}}
+		b.api.LearnUsage("node-2", peer.Usage{Counters: []peer.UsageCounter{{Name: "team/coral/concurrency", Demand: 2}}})
+		ctx, cancel := context.WithCancel(t.Context())
+		go b.post(ctx, hello, "Authorization", "Bearer k")
+		synctest.Wait()
+		if w := b.post(t.Context(), hello, "Authorization", "Bearer k"); w.Code != 429 {
+			t.Errorf("got %d beside one here and two at another node, want 429", w.Code)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/caller/session.go
+++ b/caller/session.go
@@ -41,6 +41,8 @@
 	// pending is the first part of current, where hasPending is set.
 	pending    engine.Token
 	hasPending bool
+	// leave gives back what the session holds of the limits.
+	leave func(domain.Tokens)
 	// slot is the session's place among those that run; nil until it has one.
 	slot  *slot
 	tries int
@@ -319,5 +321,6 @@
 		s.slot.leave()
 		s.slot = nil
 	}
+	s.leave(s.relay.next)
 	s.cancel()
 }
