Choose replicas by own requests in flight before late reports

Change: a node's own requests in flight weigh 4, reported ones 0.2; the candidates come from the content's hash, with two others where both are full; loads are kept by value. The test of an unloaded replica sends 20 contents in place of one, since one content now stays on its replica and the test could miss the other; its claims are as before.

--- a/caller/chat_test.go
+++ b/caller/chat_test.go
@@ -149,9 +149,12 @@
 func TestReplicaThatWasUnloadedIsPlacedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(refuse(engine.ErrModelNotLoaded), answer)
-		for range 20 {
-			if text, _ := streamed(t, b.post(t.Context(), hello)); text != helloAnswer {
-				t.Errorf("got %q, want %q", text, helloAnswer)
+		for i := range 20 {
+			// Other contents have other candidates.
+			word := "word" + string(rune('a'+i))
+			want := strings.Replace(helloAnswer, "one", word, 1)
+			if text, _ := streamed(t, b.post(t.Context(), strings.Replace(hello, "one", word, 1))); text != want {
+				t.Errorf("got %q, want %q", text, want)
 			}
 		}
 		if got := len(b.placer.unloaded); got != 1 {
--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -37,6 +37,8 @@
 	// Seed keeps requests with the same one on the same two candidates of a group,
 	// unless these are full; zero means random ones.
 	Seed uint64
+	// second is true for other candidates than the first ones of a Seed.
+	second bool
 }
 
 // Set is the replicas of one model in the order of their distance: those of
@@ -74,7 +76,7 @@
 // zero Chooser is ready for use.
 type Chooser struct {
 	mu    sync.Mutex
-	loads map[domain.ServerID]*load
+	loads map[domain.ServerID]load
 }
 
 // load is what this node knows of its own use of one server.
@@ -91,19 +93,15 @@
 func (c *Chooser) Choose(now time.Time, s Set, r Request) (int, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	i, score := c.choose(now, s, r)
-	if r.Seed != 0 && (i < 0 || score >= 1) {
-		r.Seed = 0
-		i, _ = c.choose(now, s, r)
-	}
+	i := c.choose(now, s, r).index
 	if i < 0 && r.Ejected != nil && !r.Spare {
 		r.Ejected = nil
-		i, _ = c.choose(now, s, r)
+		i = c.choose(now, s, r).index
 	}
 	if i < 0 {
 		return 0, false
 	}
-	c.load(&s.Replicas[i]).inFlight++
+	c.sent(&s.Replicas[i])
 	return i, true
 }
 
@@ -126,7 +124,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.load(&s.Replicas[best]).inFlight++
+	c.sent(&s.Replicas[best])
 	return best, true
 }
 
@@ -134,24 +132,23 @@
 func (c *Chooser) Done(server domain.ServerID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	l := c.loads[server]
-	if l == nil || l.inFlight == 0 {
+	l, ok := c.loads[server]
+	if !ok {
 		return
 	}
 	l.inFlight--
-	if l.inFlight == 0 {
+	if l.inFlight <= 0 {
 		delete(c.loads, server)
+		return
 	}
+	c.loads[server] = l
 }
 
 // InFlight returns how many requests of this node run at a server.
 func (c *Chooser) InFlight(server domain.ServerID) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if l := c.loads[server]; l != nil {
-		return l.inFlight
-	}
-	return 0
+	return c.loads[server].inFlight
 }
 
 // Room returns how many requests this node may have in flight over the replicas
@@ -166,8 +163,7 @@
 		p := &s.Replicas[i]
 		concurrency += max(p.Concurrency, 1)
 		reported += p.Running + p.Waiting
-		if l := c.loads[p.Server]; l != nil {
-			l.see(p)
+		if l, ok := c.see(p); ok {
 			mine += min(l.atReport, p.Running+p.Waiting)
 		}
 	}
@@ -178,58 +174,79 @@
 }
 
 // choose takes the nearest group that has room, else the best candidate of all.
-func (c *Chooser) choose(now time.Time, s Set, r Request) (index int, lowest float64) {
-	best, bestScore := -1, 0.0
+func (c *Chooser) choose(now time.Time, s Set, r Request) candidate {
+	best := candidate{index: -1}
 	borders := [...]int{0, s.ZoneEnd, s.RegionEnd, len(s.Replicas)}
 	for g := range len(borders) - 1 {
-		i, score := c.best(now, s.Replicas, borders[g], borders[g+1], r)
-		if i < 0 {
-			continue
+		found := c.best(now, s.Replicas, borders[g], borders[g+1], r)
+		if r.Seed != 0 && !found.hasRoom() {
+			others := r
+			others.Seed, others.second = mix(r.Seed)|1, true
+			found = c.best(now, s.Replicas, borders[g], borders[g+1], others)
 		}
-		if score < 1 {
-			return i, score
+		if found.hasRoom() {
+			return found
 		}
-		if best < 0 || score < bestScore {
-			best, bestScore = i, score
+		if found.index >= 0 && (best.index < 0 || found.used < best.used) {
+			best = found
 		}
 	}
 	if r.Spare {
-		return -1, 0
+		return candidate{index: -1}
+	}
+	return best
+}
+
+// candidate is one replica that was looked at.
+type candidate struct {
+	index int
+	// used is the estimated load relative to what the replica batches: 1 is full.
+	used float64
+	// cost orders candidates.
+	cost float64
+}
+
+// before tells whether c is the better choice. Where a whole group is compared,
+// one with room goes first; of a sample that would trust late reports too much.
+func (c candidate) before(o candidate, whole bool) bool {
+	if whole && c.hasRoom() != o.hasRoom() {
+		return c.hasRoom()
 	}
-	return best, bestScore
+	return c.cost < o.cost
 }
 
-// best returns the least loaded candidate of replicas[from:to], or -1.
-func (c *Chooser) best(now time.Time, replicas []Replica, from, to int, r Request) (index int, lowest float64) {
-	index = -1
+func (c candidate) hasRoom() bool { return c.index >= 0 && c.used < 1 }
+
+// best returns the cheapest candidate of replicas[from:to].
+func (c *Chooser) best(now time.Time, replicas []Replica, from, to int, r Request) candidate {
+	best := candidate{index: -1}
 	size := to - from
 	if size <= 0 {
-		return index, 0
+		return best
 	}
-	tries, sampled := size, 0
-	start, whole := 0, size <= scanLimit && (r.Seed == 0 || size <= samples)
+	whole := size <= scanLimit && (r.Seed == 0 || r.second || size <= samples)
+	start, seen := 0, 0
 	if whole {
-		start = pick(0, 0, size)
+		start = pick(r.Seed, 0, size)
 	}
-	for t := 0; t < tries; t++ {
+	for t := 0; t < size; t++ {
 		i := from + (start+t)%size
 		if !whole {
 			i = from + pick(r.Seed, t, size)
 		}
-		candidate := &replicas[i]
-		if !allowed(candidate.Server, r) {
+		if !allowed(replicas[i].Server, r) {
 			continue
 		}
-		score := c.score(now, candidate, r)
-		if index < 0 || score < lowest {
-			index, lowest = i, score
+		found := c.look(now, &replicas[i], r)
+		found.index = i
+		if best.index < 0 || found.before(best, whole) {
+			best = found
 		}
-		sampled++
-		if !whole && sampled == samples {
-			return index, lowest
+		if seen++; !whole && seen == samples {
+			return best
 		}
 	}
-	return index, lowest
+	return best
 }
 
 // pick returns a number below n.
@@ -259,45 +276,56 @@
 // missingAdapter is the cost of loading an adapter, in units of full load.
 const missingAdapter = 0.5
 
-// score is the estimated load of a replica relative to what it can batch: 1 is
-// full.
-func (c *Chooser) score(now time.Time, p *Replica, r Request) float64 {
-	concurrency := max(p.Concurrency, 1)
-	score := float64(c.estimate(p)) / (float64(concurrency) * slowStartShare(now, p.LoadedAt))
+// Weights of a replica's cost: this node knows at once what it sent itself, while
+// reports of what others sent are late, and every node reads the same ones.
+const (
+	ownWeight   = 4.0
+	otherWeight = 0.2
+)
+
+// look estimates the load of a replica and its cost for a request.
+func (c *Chooser) look(now time.Time, p *Replica, r Request) candidate {
+	full := float64(max(p.Concurrency, 1)) * slowStartShare(now, p.LoadedAt)
+	others, own := c.estimate(p)
+	found := candidate{used: float64(others+own) / full}
+	found.cost = (otherWeight*float64(others) + ownWeight*float64(own)) / full
 	if r.Adapter != "" && !slices.Contains(p.Adapters, r.Adapter) {
-		score += missingAdapter
+		found.cost += missingAdapter
 	}
-	return score
+	return found
 }
 
-// estimate corrects the last report by what this node sent and finished since.
-func (c *Chooser) estimate(p *Replica) int {
-	l, ok := c.loads[p.Server]
+// estimate splits a replica's load: what others had there at the last report, and
+// what this node has there now.
+func (c *Chooser) estimate(p *Replica) (others, own int) {
+	l, ok := c.see(p)
 	if !ok {
-		return p.Running + p.Waiting
+		return p.Running + p.Waiting, 0
 	}
-	l.see(p)
-	return max(p.Running+p.Waiting+l.inFlight-l.atReport, l.inFlight)
+	return max(0, p.Running+p.Waiting-l.atReport), l.inFlight
 }
 
 // see remembers what this node had in flight when a new report came.
-func (l *load) see(p *Replica) {
-	if !l.reportedAt.Equal(p.ReportedAt) {
+func (c *Chooser) see(p *Replica) (load, bool) {
+	l, ok := c.loads[p.Server]
+	if ok && !l.reportedAt.Equal(p.ReportedAt) {
 		l.reportedAt, l.atReport = p.ReportedAt, l.inFlight
+		c.loads[p.Server] = l
 	}
+	return l, ok
 }
 
-func (c *Chooser) load(p *Replica) *load {
-	l := c.loads[p.Server]
-	if l != nil {
-		return l
+// sent counts a request in flight.
+func (c *Chooser) sent(p *Replica) {
+	l, ok := c.see(p)
+	if !ok {
+		l = load{reportedAt: p.ReportedAt}
 	}
+	l.inFlight++
 	if c.loads == nil {
-		c.loads = make(map[domain.ServerID]*load)
+		c.loads = make(map[domain.ServerID]load)
 	}
-	l = &load{reportedAt: p.ReportedAt}
 	c.loads[p.Server] = l
-	return l
 }
 
 func slowStartShare(now, loadedAt time.Time) float64 {
