--- a/acceptance/failure_test.go
+++ b/acceptance/failure_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -34,6 +35,23 @@
 	return out, json.NewDecoder(r.Body).Decode(&out) == nil
 }
 
+// ownersFirst sorts the nodes so that those with most leases come first.
+func (s *system) ownersFirst() {
+	s.t.Helper()
+	leases := make(map[string]int)
+	await(s.t, 10*time.Second, "every engine to have an owner", func() bool {
+		st, ok := s.status(s.nodes[0])
+		clear(leases)
+		for _, v := range st.Servers {
+			owner, _, _ := strings.Cut(v.Owner, "@")
+			leases[owner]++
+		}
+		return ok && len(st.Servers) == len(s.URLs.EngineURLs)
+	})
+	slices.SortStableFunc(s.nodes, func(a, b *process) int { return leases[b.peer] - leases[a.peer] })
+	s.t.Logf("leases by node: %v", leases)
+}
+
 // load keeps callers busy until stop is closed and counts what they got.
 type load struct {
 	whole, refused, broken atomic.Int64
@@ -88,6 +106,7 @@
 		t.Run(fmt.Sprintf("Kill=%d", kill), func(t *testing.T) {
 			s := start(t, 8, "--engines", "16")
 			models := s.models(12)
+			s.ownersFirst()
 			survivors := s.nodes[kill:]
 			l := s.load(survivors, models, 16, 20*time.Second)
 			time.Sleep(5 * time.Second)
--- a/node/handle.go
+++ b/node/handle.go
@@ -30,7 +30,7 @@
 	// Status returns this node's status as JSON.
 	Status func() ([]byte, error)
 	// Deliver takes records that a relay passed on.
-	Deliver func(first domain.Offset, records [][]byte)
+	Deliver func(from domain.NodeID, r peer.LogRecords)
 }
 
 // Handle answers one message.
@@ -71,7 +71,7 @@
 	case peer.Applied:
 		h.Heard(from, m)
 	case peer.LogRecords:
-		h.Deliver(m.First, m.Records)
+		h.Deliver(from, m)
 	default:
 		return verdict.Refuse(verdict.BadRequest, "the message is not known here")
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/parsleylug/parsleylug/peer"
 	"github.com/parsleylug/parsleylug/platform"
 	"github.com/parsleylug/parsleylug/platformlog"
+	"github.com/parsleylug/parsleylug/relay"
 	"github.com/parsleylug/parsleylug/rendezvous"
 	"github.com/parsleylug/parsleylug/service"
 )
@@ -75,6 +76,7 @@
 	ownership *Ownership
 	claims    *Claims
 	home      *Home
+	relay     *relay.Runner
 	log       *platformlog.Client
 	recorder  *objective.Recorder
 	journal   *decisions.Journal
@@ -104,9 +106,13 @@
 		Self: self, Listener: o.Peer, Logger: o.Logger, Scope: o.Scope, Handle: handler.Handle,
 		Seeds: func(context.Context) ([]peer.Member, error) { return directory.Seeds(), nil },
 	})
+	n.relay = relay.New(relay.Options{
+		Self: o.Node, Mesh: n.mesh, Replica: deliverer{n}, Next: func() domain.Offset { return n.applied().Decision + 1 },
+		Healthy: func() bool { return n.replica.LogUp() },
+	})
 	replica, err := platformlog.New(platformlog.Options{
 		Client: n.log, Records: operatorRecords(), Node: o.Node, Logger: o.Logger, Scope: o.Scope,
-		ImportDelay: n.importDelay, PeerSnapshot: n.peerSnapshot,
+		ImportDelay: n.importDelay, PeerSnapshot: n.peerSnapshot, Relay: n.relay.Reads, OnRecords: n.relay.OnRecords,
 	})
 	if err != nil {
 		return nil, err
@@ -126,6 +132,14 @@
 	return platformlog.RecordCodec{Encode: configuration.Encode, Decode: configuration.Decode}
 }
 
+// deliverer hands relayed records to the replica, which is made after the relay.
+type deliverer struct{ node *Node }
+
+// Deliver implements relay.Replica.
+func (d deliverer) Deliver(first domain.Offset, records [][]byte) {
+	d.node.replica.Deliver(first, records)
+}
+
 // join makes the roles and fills the handler of peer messages.
 func (n *Node) join(h *Handler) {
 	pacer := NewPacer()
@@ -146,7 +160,7 @@
 		Learn:   func([]peer.Suspect) {},
 		Usage:   func(domain.NodeID, peer.Usage) {},
 		Status:  n.statusJSON,
-		Deliver: n.replica.Deliver,
+		Deliver: n.relay.Handle,
 	}
 }
 
@@ -198,6 +212,7 @@
 	loops := []func(context.Context) error{
 		n.replica.Run,
 		n.mesh.Run,
+		n.relay.Run,
 		func(ctx context.Context) error { n.deps.Directory.Run(ctx, n.list); return nil },
 		func(ctx context.Context) error { n.announce(ctx); return nil },
 		func(ctx context.Context) error { n.ownership.Run(ctx); return nil },
