Measure the mesh with 8, 50 and 200 nodes and mend its start

Cause: 200 nodes that start at once took 12.6 s until every view was whole: each piece of news sorted the members anew under the mesh's lock, dials waited for the lock past their time and raised suspicions, which were more news.

Change: members are published by the tick; a suspicion changes neither members nor neighbours; views are compared after 1 s while something changes; news that a node is gone holds its id alone. bench starts real nodes with links and relays in one process and prints slopes.

--- /dev/null
+++ b/bench/mesh_test.go
@@ -0,0 +1,80 @@
+package bench
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+)
+
+// meshVariable turns on the measurements with 50 and 200 nodes.
+const meshVariable = "PARSLEYLUG_BENCH_MESH"
+
+const settleTime = 90 * time.Second
+
+func meshSizes() []int {
+	if os.Getenv(meshVariable) == "" {
+		return []int{8}
+	}
+	return []int{8, 50, 200}
+}
+
+// BenchmarkCapacityMesh measures what a node costs that has nothing to do, how
+// far a record spreads and what a restart of a third costs.
+func BenchmarkCapacityMesh(b *testing.B) {
+	for _, size := range meshSizes() {
+		b.Run(fmt.Sprintf("Nodes%d", size), func(b *testing.B) {
+			for b.Loop() {
+				measureMesh(b, size)
+			}
+		})
+	}
+}
+
+func measureMesh(b *testing.B, size int) {
+	base := memory()
+	c := newCluster(b, size)
+	defer c.close()
+	suffix := fmt.Sprintf("%d", size)
+	record(b, "MeshStartSeconds"+suffix, "s", c.whole(settleTime).Seconds())
+	time.Sleep(10 * time.Second)
+	record(b, "MeshMemory"+suffix, "B/node", (memory()-base)/float64(size))
+	steady := measureIdle(b, c, suffix)
+	o := c.append(300)
+	record(b, "MeshRecordSeconds"+suffix, "s", c.reached(o, settleTime).Seconds())
+	measureRestart(b, c, suffix, steady)
+}
+
+// measureIdle returns the bytes a second of all nodes.
+func measureIdle(b *testing.B, c *cluster, suffix string) float64 {
+	const window = 10 * time.Second
+	nodes := float64(len(c.nodes))
+	bytes, far, used := c.traffic.total(), c.traffic.far(), processorTime()
+	time.Sleep(window)
+	steady := (c.traffic.total() - bytes) / window.Seconds()
+	record(b, "MeshBytes"+suffix, "B/s/node", steady/nodes)
+	record(b, "MeshFarBytes"+suffix, "B/s/node", (c.traffic.far()-far)/window.Seconds()/nodes)
+	record(b, "MeshProcessor"+suffix, "core/node", (processorTime()-used).Seconds()/window.Seconds()/nodes)
+	return steady
+}
+
+// measureRestart stops a third of the nodes without a farewell and starts as many
+// new ones.
+func measureRestart(b *testing.B, c *cluster, suffix string, steady float64) {
+	third := len(c.nodes) / 3
+	bytes, used, start := c.traffic.total(), processorTime(), time.Now()
+	for range third {
+		c.stop(c.nodes[0])
+	}
+	for range third {
+		c.start()
+	}
+	took := c.whole(settleTime)
+	record(b, "MeshThirdRestartSeconds"+suffix, "s", took.Seconds())
+	time.Sleep(3 * time.Second)
+	elapsed := time.Since(start).Seconds()
+	nodes := float64(len(c.nodes))
+	extra := c.traffic.total() - bytes - steady*elapsed
+	record(b, "MeshRestartBytes"+suffix, "B/restart/node", extra/float64(third)/nodes)
+	record(b, "MeshRestartProcessor"+suffix, "core/node", (processorTime()-used).Seconds()/elapsed/nodes)
+}
--- a/membership/member.go
+++ b/membership/member.go
@@ -38,6 +38,7 @@
 // Update is one piece of news about a node. A larger Incarnation wins; at the
 // same one the later Status wins. Only the node itself raises its incarnation.
 type Update struct {
+	// Member may hold the id alone where Status is Gone.
 	Member      Member
 	Status      Status
 	Incarnation uint64
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -16,10 +16,10 @@
 // Digests returns the digests of this view. Equal views give equal digests.
 func (t *Table) Digests() Digests {
 	var d Digests
-	d.mix(t.self)
+	d.mix(hash(t.self.Member.Node), t.self)
 	for _, e := range t.entries {
 		if e.present() {
-			d.mix(e.Update)
+			d.mix(e.ring, e.Update)
 		}
 	}
 	return d
@@ -30,11 +30,11 @@
 func (t *Table) Differing(other Digests) []Update {
 	own := t.Digests()
 	var result []Update
-	if s := bucket(t.self.Member.Node); own[s] != other[s] {
+	if b := hash(t.self.Member.Node) % BucketCount; own[b] != other[b] {
 		result = append(result, t.self)
 	}
-	for n, e := range t.entries {
-		b := bucket(n)
+	for _, e := range t.entries {
+		b := e.ring % BucketCount
 		if own[b] != other[b] && e.Status != Listed {
 			result = append(result, e.Update)
 		}
@@ -42,13 +42,10 @@
 	return result
 }
 
-func bucket(n domain.NodeID) int { return int(hash(n) % BucketCount) }
-
 func hash(n domain.NodeID) uint64 { return xxhash.Sum64String(string(n)) }
 
-// mix adds an update in a way that does not depend on the order.
-func (d *Digests) mix(u Update) {
-	h := hash(u.Member.Node)
+// mix adds an update of the node with hash h in a way that does not depend on the order.
+func (d *Digests) mix(h uint64, u Update) {
 	x := h ^ (u.Incarnation<<2|uint64(u.Status))*0x9e3779b97f4a7c15
 	x = (x ^ (x >> 31)) * 0x94d049bb133111eb
 	d[h%BucketCount] += x ^ (x >> 29)
--- a/membership/table.go
+++ b/membership/table.go
@@ -59,7 +59,7 @@
 	accused bool
 	// distrustUntil is when this node's own silence counts again.
 	distrustUntil time.Time
-	// ring are the node's positions on the rings, worked out once.
+	// ring is the hash of the node, its position on the rings.
 	ring uint64
 }
 
@@ -76,7 +76,7 @@
 	}
 }
 
-// Version changes whenever Members or Neighbours may.
+// Version changes whenever Members or Neighbours may have.
 func (t *Table) Version() uint64 { return t.version }
 
 // Self returns the node's own record.
@@ -313,7 +313,11 @@
 	if e.Status == Suspect && u.Status == Alive {
 		e.distrustUntil = now.Add(DistrustTime)
 	}
-	e.Member, e.Incarnation = u.Member, u.Incarnation
+	e.Incarnation = u.Incarnation
+	if u.Status != Gone && e.Member != u.Member {
+		e.Member = u.Member
+		t.version++
+	}
 	t.set(now, e, u.Status)
 }
 
@@ -329,6 +333,9 @@
 
 func (t *Table) set(now time.Time, e *entry, s Status) {
 	n := e.Member.Node
+	if !e.present() || s == Gone || s == Listed {
+		t.version++
+	}
 	t.urgent = t.urgent || e.Status == Suspect || s == Suspect
 	e.Status = s
 	e.accused = false
@@ -343,5 +350,4 @@
 	if e.Incarnation > 0 {
 		t.gossip[n] = true
 	}
-	t.version++
 }
--- a/peer/accept.go
+++ b/peer/accept.go
@@ -106,7 +106,6 @@
 		return
 	}
 	l.sendUrgent(wireFrame{}, Compare{Digests: m.table.Digests()})
-	m.publish()
 	m.spread()
 }
 
--- a/peer/dial.go
+++ b/peer/dial.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"syscall"
 	"time"
@@ -64,7 +63,6 @@
 		m.table.Silent(now, to.Node)
 	}
 	r.waiting = nil
-	m.publish()
 	m.spread()
 }
 
@@ -133,7 +131,7 @@
 
 // client returns an HTTP client for one handshake; the connection is not shared.
 func (m *Mesh) client() *http.Client {
-	transport := &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{}).DialContext}
+	transport := &http.Transport{DisableKeepAlives: true, DialContext: m.options.Dial}
 	if m.options.TLS != nil {
 		transport.TLSClientConfig = m.options.TLS.Clone()
 	}
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -136,7 +136,11 @@
 	return w
 }
 
+// updateToWire leaves out what nobody needs of a node that is gone.
 func updateToWire(u membership.Update) wireUpdate {
+	if u.Status == membership.Gone {
+		u.Member = Member{Node: u.Member.Node}
+	}
 	return wireUpdate{Member: wireMember(u.Member), Status: int(u.Status), Incarnation: u.Incarnation}
 }
 
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -29,7 +29,9 @@
 	// called from many goroutines.
 	Handle func(ctx context.Context, from domain.NodeID, m Message) (Message, error)
 	// TLS secures the links in both directions; nil means plain TCP.
-	TLS    *tls.Config
+	TLS *tls.Config
+	// Dial opens connections; nil means a net.Dialer.
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
 	Logger zerolog.Logger
 	Scope  tally.Scope
 }
@@ -49,8 +51,12 @@
 	changed  chan struct{}
 	version  uint64
 	departed bool
-	nextSync time.Time
-	lastStep time.Time
+	// nextSync is when to compare views next; syncVersion is the version of the
+	// view at the last comparison.
+	nextSync    time.Time
+	syncVersion uint64
+	syncs       int
+	lastStep    time.Time
 }
 
 // remote is what the mesh keeps for another node.
@@ -79,6 +85,9 @@
 	if o.Self.Address == "" && o.Listener != nil {
 		o.Self.Address = o.Listener.Addr().String()
 	}
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{}).DialContext
+	}
 	m := &Mesh{
 		options:  o,
 		metrics:  newMetrics(o.Scope),
--- a/peer/watch.go
+++ b/peer/watch.go
@@ -12,7 +12,10 @@
 const (
 	tickInterval = 100 * time.Millisecond
 	seedInterval = 2 * time.Second
-	syncInterval = 10 * time.Second
+	// syncInterval is how often two neighbours compare their views while nothing
+	// changes, changedSyncInterval while something does.
+	syncInterval        = 10 * time.Second
+	changedSyncInterval = time.Second
 	// nearPing and farPing are how often a neighbour in the own and in another
 	// region is pinged.
 	nearPing = 500 * time.Millisecond
@@ -217,11 +220,16 @@
 // sync compares views with one neighbour now and then, which repairs news that
 // was lost. The caller holds mu.
 func (m *Mesh) sync(now time.Time, neighbours []domain.NodeID) {
+	if m.syncVersion != m.table.Version() && m.nextSync.After(now.Add(changedSyncInterval)) {
+		m.nextSync = now.Add(changedSyncInterval)
+	}
 	if now.Before(m.nextSync) || len(neighbours) == 0 {
 		return
 	}
 	m.nextSync = now.Add(syncInterval)
-	n := neighbours[int(now.UnixNano()/int64(syncInterval))%len(neighbours)]
+	m.syncVersion = m.table.Version()
+	m.syncs++
+	n := neighbours[m.syncs%len(neighbours)]
 	if l := m.remote(n).best(); l != nil {
 		l.sendUrgent(wireFrame{}, Compare{Digests: m.table.Digests()})
 	}
@@ -232,7 +240,6 @@
 	defer m.mu.Unlock()
 	m.table.Merge(time.Now(), updates)
 	if m.table.Urgent() {
-		m.publish()
 		m.spread()
 	}
 }
