--- a/caller/chat.go
+++ b/caller/chat.go
@@ -33,7 +33,12 @@
 func (a *API) chat(ctx context.Context, request any) (any, error) {
 	call, _ := request.(*chatCall)
 	started := time.Now()
+	leave, err := a.enter(call)
+	if err != nil {
+		return nil, err
+	}
 	s := a.newSession(ctx, call)
+	s.leave = leave
 	first, err := s.next()
 	if err != nil {
 		s.close()
@@ -70,6 +75,7 @@
 			return
 		}
 		if token.Finish != "" {
+			s.completed()
 			_ = c.write(w, control, events.end(token, s.relay.next))
 			return
 		}
@@ -138,6 +144,7 @@
 	for {
 		text.WriteString(token.Text)
 		if token.Finish != "" {
+			s.completed()
 			break
 		}
 		if text.Len() > int(maximumAnswer) {
