--- a/fold/configuration.go
+++ b/fold/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 
 	"github.com/parsleylug/parsleylug/configuration"
 	"github.com/parsleylug/parsleylug/domain"
@@ -11,7 +12,9 @@
 	// MaximumResults is how many of the latest operator records keep their result.
 	MaximumResults = 1024
 	// MaximumMemory is the largest memory of a model, adapter or server.
-	MaximumMemory = domain.Bytes(1 << 44)
+	MaximumMemory = configuration.MaximumBytes
+	// maximumSum bounds sums of memory, so that they cannot overflow.
+	maximumSum = 1 << 10 * MaximumMemory
 )
 
 // ConfigurationResult is what became of one operator record.
@@ -107,7 +110,7 @@
 	case r.Model != nil:
 		s.setModel(o, *r.Model)
 	case r.Adapter != nil:
-		s.setAdapter(o, *r.Adapter)
+		return s.setAdapter(o, *r.Adapter)
 	case r.Service != nil:
 		put(&s.objects.services, r.Service.Name, object[configuration.Service]{o, *r.Service})
 	case r.Team != nil:
@@ -183,30 +186,34 @@
 	s.review(m.Name)
 }
 
-func (s *State) setAdapter(o domain.Offset, a configuration.Adapter) {
-	old := s.objects.adapters[a.Name].value
-	var before domain.Bytes
-	if old.Model == a.Model {
-		before = old.Memory
+func (s *State) setAdapter(o domain.Offset, a configuration.Adapter) Rejection {
+	key := adapterKey{a.Model, a.Name}
+	before := s.objects.adapters[key].value.Memory
+	sum := s.objects.adapterMemory[a.Model] - before + a.Memory
+	if sum > maximumSum {
+		return OverMemory
 	}
-	s.dropAdapterMemory(a.Name)
-	put(&s.objects.adapters, a.Name, object[configuration.Adapter]{o, a})
-	put(&s.objects.adapterMemory, a.Model, s.objects.adapterMemory[a.Model]+a.Memory)
+	put(&s.objects.adapters, key, object[configuration.Adapter]{o, a})
+	put(&s.objects.adapterMemory, a.Model, sum)
 	for _, p := range s.permits[a.Model] {
 		p.grow(0, max(0, a.Memory-before))
 	}
 	s.review(a.Model)
+	return Accepted
 }
 
-func (s *State) dropAdapterMemory(n domain.AdapterName) {
-	old, ok := s.objects.adapters[n]
-	if !ok {
-		return
-	}
-	s.objects.adapterMemory[old.value.Model] -= old.value.Memory
-	if s.objects.adapterMemory[old.value.Model] == 0 {
-		delete(s.objects.adapterMemory, old.value.Model)
+func (s *State) removeAdapter(key adapterKey) {
+	s.objects.adapterMemory[key.model] -= s.objects.adapters[key].value.Memory
+	if s.objects.adapterMemory[key.model] == 0 {
+		delete(s.objects.adapterMemory, key.model)
 	}
+	delete(s.objects.adapters, key)
+}
+
+// adapterNamed splits MODEL:ADAPTER.
+func adapterNamed(name string) adapterKey {
+	model, adapter, _ := strings.Cut(name, ":")
+	return adapterKey{domain.ModelName(model), domain.AdapterName(adapter)}
 }
 
 func (s *State) setDrain(o domain.Offset, d configuration.Drain) {
@@ -235,8 +242,7 @@
 		delete(s.objects.models, domain.ModelName(r.Name))
 		s.review(domain.ModelName(r.Name))
 	case configuration.KindAdapter:
-		s.dropAdapterMemory(domain.AdapterName(r.Name))
-		delete(s.objects.adapters, domain.AdapterName(r.Name))
+		s.removeAdapter(adapterNamed(r.Name))
 	case configuration.KindService:
 		delete(s.objects.services, domain.ServiceName(r.Name))
 	case configuration.KindTeam:
@@ -251,7 +257,7 @@
 	case r.Model != nil:
 		return s.Version(configuration.KindModel, string(r.Model.Name))
 	case r.Adapter != nil:
-		return s.Version(configuration.KindAdapter, string(r.Adapter.Name))
+		return s.objects.adapters[adapterKey{r.Adapter.Model, r.Adapter.Name}].version
 	case r.Service != nil:
 		return s.Version(configuration.KindService, string(r.Service.Name))
 	case r.Team != nil:
@@ -267,13 +273,13 @@
 }
 
 // Version returns the configuration offset that set a named object, or 0 where
-// there is none.
+// there is none. An adapter is named MODEL:ADAPTER.
 func (s *State) Version(k configuration.Kind, name string) domain.Offset {
 	switch k {
 	case configuration.KindModel:
 		return s.objects.models[domain.ModelName(name)].version
 	case configuration.KindAdapter:
-		return s.objects.adapters[domain.AdapterName(name)].version
+		return s.objects.adapters[adapterNamed(name)].version
 	case configuration.KindService:
 		return s.objects.services[domain.ServiceName(name)].version
 	case configuration.KindTeam:
--- a/fold/permit.go
+++ b/fold/permit.go
@@ -60,7 +60,7 @@
 
 // fits tells whether a permit may have a size that adds more to what is reserved.
 func (v *server) fits(size, more domain.Bytes) bool {
-	if size > v.Facts.Memory {
+	if size > v.Facts.Memory || v.reserved+more > maximumSum {
 		return false
 	}
 	return v.Facts.ChecksFences || v.reserved+more <= v.Facts.Memory
--- a/fold/query.go
+++ b/fold/query.go
@@ -28,17 +28,26 @@
 // Models returns all models by name.
 func (s *State) Models() []configuration.Model { return values(s.objects.models) }
 
-// Adapter returns the adapter of a name, where it belongs to model m.
+// Adapter returns the adapter of a name of model m.
 func (s *State) Adapter(m domain.ModelName, n domain.AdapterName) (configuration.Adapter, bool) {
-	o, ok := s.objects.adapters[n]
-	if !ok || o.value.Model != m {
-		return configuration.Adapter{}, false
+	o, ok := s.objects.adapters[adapterKey{m, n}]
+	return o.value, ok
+}
+
+// Adapters returns all adapters by model and name.
+func (s *State) Adapters() []configuration.Adapter {
+	all := make([]configuration.Adapter, 0, len(s.objects.adapters))
+	for _, k := range s.objects.adapterKeys() {
+		all = append(all, s.objects.adapters[k].value)
 	}
-	return o.value, true
+	return all
 }
 
-// Adapters returns all adapters by name.
-func (s *State) Adapters() []configuration.Adapter { return values(s.objects.adapters) }
+func (j *objects) adapterKeys() []adapterKey {
+	return slices.SortedFunc(maps.Keys(j.adapters), func(a, b adapterKey) int {
+		return cmp.Or(cmp.Compare(a.model, b.model), cmp.Compare(a.name, b.name))
+	})
+}
 
 // Service returns the service of a name.
 func (s *State) Service(n domain.ServiceName) (configuration.Service, bool) {
--- a/fold/snapshot.go
+++ b/fold/snapshot.go
@@ -92,7 +92,8 @@
 	for _, o := range sorted(j.models) {
 		all = append(all, Change{o.version, configuration.Record{Model: &o.value}})
 	}
-	for _, o := range sorted(j.adapters) {
+	for _, k := range j.adapterKeys() {
+		o := j.adapters[k]
 		all = append(all, Change{o.version, configuration.Record{Adapter: &o.value}})
 	}
 	for _, o := range sorted(j.services) {
--- a/fold/state.go
+++ b/fold/state.go
@@ -182,10 +182,16 @@
 	value   T
 }
 
+// adapterKey names an adapter; names are unique within a model only.
+type adapterKey struct {
+	model domain.ModelName
+	name  domain.AdapterName
+}
+
 // objects is the configuration in force.
 type objects struct {
 	models     map[domain.ModelName]object[configuration.Model]
-	adapters   map[domain.AdapterName]object[configuration.Adapter]
+	adapters   map[adapterKey]object[configuration.Adapter]
 	services   map[domain.ServiceName]object[configuration.Service]
 	teams      map[domain.TeamName]object[configuration.Team]
 	deployment object[configuration.Deployment]
--- a/platformlog/fakelog_test.go
+++ b/platformlog/fakelog_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -10,7 +9,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/parsleylug/parsleylug/configuration"
 	"github.com/parsleylug/parsleylug/domain"
 )
 
@@ -126,20 +124,10 @@
 	s.oldest = oldest
 }
 
-// jsonRecords is a codec of operator records for tests.
-var jsonRecords = RecordCodec{
-	Encode: func(r configuration.Record) ([]byte, error) { return json.Marshal(r) },
-	Decode: func(raw []byte) (configuration.Record, error) {
-		var r configuration.Record
-		err := json.Unmarshal(raw, &r)
-		return r, err
-	},
-}
-
 // start runs a replica until the test ends.
 func start(ctx context.Context, t *testing.T, l *fakeLog, node domain.NodeID, change func(*Options)) *Replica {
 	t.Helper()
-	o := Options{Client: l, Records: jsonRecords, Node: node}
+	o := Options{Client: l, Records: operatorRecords, Node: node}
 	if change != nil {
 		change(&o)
 	}
--- a/platformlog/replica_test.go
+++ b/platformlog/replica_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -54,7 +53,7 @@
 			nodes = append(nodes, start(ctx, t, l, domain.NodeID(fmt.Sprint("n", i)), func(o *Options) { o.ImportDelay = delay }))
 		}
 		time.Sleep(time.Second)
-		raw, _ := json.Marshal(configuration.Record{Model: &configuration.Model{Name: "m", Copies: 2, Memory: 1}})
+		raw, _ := configuration.Encode(configuration.Record{Model: &configuration.Model{Name: "m", Copies: 2, Memory: 1}})
 		at, err := nodes[2].AppendConfiguration(ctx, raw)
 		if err != nil {
 			t.Fatal(err)
