--- a/commands/testscript_test.go
+++ b/commands/testscript_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"regexp"
 	"strconv"
 	"strings"
@@ -32,9 +33,13 @@
 }
 
 func TestScripts(t *testing.T) {
+	scripts, err := filepath.Glob("../testscripts/*.txtar")
+	if err != nil {
+		t.Fatal(err)
+	}
 	testscript.Run(t, testscript.Params{
-		Dir:  "../testscripts",
-		Cmds: map[string]func(*testscript.TestScript, bool, []string){"serve": startNode, "env-file": envFile},
+		Files: append(scripts, pagesScript(t)),
+		Cmds:  map[string]func(*testscript.TestScript, bool, []string){"serve": startNode, "env-file": envFile},
 	})
 }
 
