Replay traces of the decisions on requests

Cause: a decision that changes unnoticed shows itself only under load. Change: package trace replays events of admission, limits, routing, retries, streams and suspects and returns each difference from the stated outcome; seven traces written by hand; parsleylug replay FILE. The relay and the progress timeouts are a package of their own, streams. Conclusion: nodes do not record traces of their own yet.

--- a/caller/attempt.go
+++ b/caller/attempt.go
@@ -10,18 +10,10 @@
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/engine"
 	"github.com/parsleylug/parsleylug/routing"
+	"github.com/parsleylug/parsleylug/streams"
 	"github.com/parsleylug/parsleylug/verdict"
 )
 
-// Progress timeouts of a connection to an engine. The first token may wait in
-// the engine's queue, so its timeout is a share of what is left.
-const (
-	betweenTokens     = 2 * time.Second
-	firstTokenMinimum = time.Second
-	firstTokenMaximum = 10 * time.Second
-	firstTokenShare   = 4
-)
-
 // Travel is taken off what is left of a deadline at the hop to an engine.
 const (
 	travelInRegion    = 2 * time.Millisecond
@@ -102,14 +94,14 @@
 		Priority: s.call.team.Priority,
 		Within:   max(0, s.call.deadline.Remaining(time.Now())-travel),
 		Body:     s.call.body,
-		Resume:   s.relay.next,
+		Resume:   s.relay.Next(),
 	}
 }
 
 // first opens the stream and returns its first part.
 func (t *attempt) first(r engine.ChatRequest) (engine.Token, error) {
 	t.resumed = r.Resume > 0
-	t.progress = time.AfterFunc(firstTokenTimeout(r.Within), func() { t.cancel(errSilent) })
+	t.progress = time.AfterFunc(streams.ProgressTimeout(false, r.Within), func() { t.cancel(errSilent) })
 	stream, err := t.api.Chatter.Chat(t.ctx, t.target.Address, r)
 	if err != nil {
 		return engine.Token{}, err
@@ -118,10 +110,6 @@
 	return t.next()
 }
 
-func firstTokenTimeout(left time.Duration) time.Duration {
-	return min(max(left/firstTokenShare, firstTokenMinimum), firstTokenMaximum)
-}
-
 // next returns the next part. The end of the stream before a part with Finish is
 // an error like any other.
 func (t *attempt) next() (engine.Token, error) {
@@ -131,7 +119,7 @@
 	}
 	if err == nil {
 		t.begun = true
-		t.progress.Reset(betweenTokens)
+		t.progress.Reset(streams.BetweenTokens)
 	}
 	return token, err
 }
--- a/caller/chat.go
+++ b/caller/chat.go
@@ -76,7 +76,7 @@
 		}
 		if token.Finish != "" {
 			s.completed()
-			_ = c.write(w, control, events.end(token, s.relay.next))
+			_ = c.write(w, control, events.end(token, s.relay.Next()))
 			return
 		}
 		if token, err = s.next(); err != nil {
@@ -158,7 +158,7 @@
 	body, err := json.Marshal(completionWire{
 		ID: "chatcmpl-" + string(s.call.id), Object: "chat.completion", Created: c.created.Unix(), Model: s.call.name,
 		Choices: []choiceWire{{Message: messageWire{Role: "assistant", Content: text.String()}, FinishReason: token.Finish}},
-		Usage:   newUsage(token, s.relay.next),
+		Usage:   newUsage(token, s.relay.Next()),
 	})
 	if err != nil {
 		return err
--- a/caller/events_test.go
+++ b/caller/events_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/parsleylug/parsleylug/engine"
+	"github.com/parsleylug/parsleylug/streams"
 )
 
 // FuzzToken: whatever text an engine gives, the caller gets it as valid JSON on one
@@ -79,11 +80,11 @@
 
 func TestTokenCostsAtMostOneAllocation(t *testing.T) {
 	e := newEvents("r", "frames", time.Unix(1, 0))
-	var r relay
-	r.begin("a")
+	var r streams.Relay
+	r.Begin("a")
 	token := engine.Token{Attempt: "a", Text: "word "}
 	got := testing.AllocsPerRun(1000, func() {
-		if r.accept(token) == deliver {
+		if r.Accept(token.Attempt, token.Index) == streams.Deliver {
 			e.token(token)
 		}
 		token.Index++
@@ -95,12 +96,12 @@
 
 func BenchmarkToken(b *testing.B) {
 	e := newEvents("r", "frames", time.Unix(1, 0))
-	var r relay
-	r.begin("a")
+	var r streams.Relay
+	r.Begin("a")
 	token := engine.Token{Attempt: "a", Text: "word "}
 	b.ReportAllocs()
 	for b.Loop() {
-		r.accept(token)
+		r.Accept(token.Attempt, token.Index)
 		e.token(token)
 		token.Index++
 	}
--- a/caller/session.go
+++ b/caller/session.go
@@ -13,6 +13,7 @@
 	"github.com/parsleylug/parsleylug/engine"
 	"github.com/parsleylug/parsleylug/retries"
 	"github.com/parsleylug/parsleylug/routing"
+	"github.com/parsleylug/parsleylug/streams"
 	"github.com/parsleylug/parsleylug/suspects"
 	"github.com/parsleylug/parsleylug/verdict"
 )
@@ -36,7 +37,7 @@
 	call    *chatCall
 	ctx     context.Context
 	cancel  context.CancelFunc
-	relay   relay
+	relay   streams.Relay
 	current *attempt
 	// pending is the first part of current, where hasPending is set.
 	pending    engine.Token
@@ -79,12 +80,12 @@
 		}
 		t, err := s.read()
 		if err == nil {
-			switch s.relay.accept(t) {
-			case deliver:
+			switch s.relay.Accept(t.Attempt, t.Index) {
+			case streams.Deliver:
 				return t, nil
-			case discard:
+			case streams.Discard:
 				continue
-			case gap:
+			case streams.Gap:
 				err = errGap
 			}
 		}
@@ -180,7 +181,7 @@
 	if s.ctx.Err() != nil {
 		return s.ended()
 	}
-	if !s.mayHaveRun && s.relay.next == 0 {
+	if !s.mayHaveRun && s.relay.Next() == 0 {
 		return err
 	}
 	e := verdict.Of(err)
@@ -267,7 +268,7 @@
 }
 
 func (s *session) outOfBudget(f failure, err error) error {
-	if f == overloaded && !s.mayHaveRun && s.relay.next == 0 {
+	if f == overloaded && !s.mayHaveRun && s.relay.Next() == 0 {
 		return verdict.Refuse(verdict.QueueFull, "every replica of the model is overloaded").After(time.Second)
 	}
 	return s.give(verdict.BackendFailed, "the backend server failed and the retry budget is spent", err)
@@ -301,7 +302,7 @@
 	if s.mayHaveRun {
 		e.Verdict = verdict.MayHaveRun
 	}
-	if s.relay.next > 0 {
+	if s.relay.Next() > 0 {
 		e.Verdict = verdict.Ran
 		if r == verdict.BackendFailed {
 			e.Reason = verdict.StreamBroken
@@ -321,6 +322,6 @@
 		s.slot.leave()
 		s.slot = nil
 	}
-	s.leave(s.relay.next)
+	s.leave(s.relay.Next())
 	s.cancel()
 }
--- /dev/null
+++ b/commands/replay.go
@@ -0,0 +1,58 @@
+package commands
+
+import (
+	stderrors "errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleylug/parsleylug/trace"
+)
+
+// ReplayCommand runs recorded traces through the decisions on requests.
+type ReplayCommand struct {
+	Files []string `arg:"" name:"file" help:"Traces to replay; see docs/traces.md."`
+}
+
+// Run prints each difference between what a trace states and what the decisions
+// come to now. A difference is a failure.
+func (c *ReplayCommand) Run(d *Deps) error {
+	found := 0
+	for _, name := range c.Files {
+		n, err := replay(d.Out, name)
+		if err != nil {
+			return err
+		}
+		found += n
+	}
+	if found > 0 {
+		return errors.Errorf("%d differences", found)
+	}
+	_, err := fmt.Fprintf(d.Out, "%d traces, no difference\n", len(c.Files))
+	return errors.Wrap(err, "print")
+}
+
+// replay prints the differences of one trace and returns their number.
+func replay(out io.Writer, name string) (int, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return 0, &UsageError{Err: errors.WithStack(err)}
+	}
+	defer func() { _ = f.Close() }()
+	differences, err := trace.Replay(f)
+	var format *trace.FormatError
+	if stderrors.As(err, &format) {
+		return 0, &UsageError{Err: errors.WithMessage(err, name)}
+	}
+	if err != nil {
+		return 0, errors.WithMessage(err, name)
+	}
+	for _, difference := range differences {
+		if _, err := fmt.Fprintf(out, "%s: %s\n", name, difference); err != nil {
+			return 0, errors.Wrap(err, "print")
+		}
+	}
+	return len(differences), nil
+}
--- /dev/null
+++ b/trace/replay.go
@@ -0,0 +1,125 @@
+package trace
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"reflect"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleylug/parsleylug/domain"
+)
+
+// maximumLine bounds one event.
+const maximumLine = domain.Mebibyte
+
+// origin is the start of every trace: a whole second of the wall clock.
+var origin = time.Unix(1_000_000_000, 0).UTC()
+
+// Difference is an event whose outcome is not the stated one.
+type Difference struct {
+	// Line counts from 1.
+	Line  int
+	Event string
+	Got   Outcome
+	Want  Outcome
+}
+
+// String is one line for a person.
+func (d Difference) String() string {
+	return fmt.Sprintf("line %d: %s: got %s, want %s", d.Line, d.Event, outcomeJSON(d.Got), outcomeJSON(d.Want))
+}
+
+func outcomeJSON(o Outcome) string {
+	b, err := json.Marshal(o)
+	if err != nil {
+		return err.Error()
+	}
+	return string(b)
+}
+
+// FormatError is a trace that cannot be understood.
+type FormatError struct {
+	Line int
+	Err  error
+}
+
+// Error implements error.
+func (e *FormatError) Error() string { return fmt.Sprintf("line %d: %v", e.Line, e.Err) }
+
+// Unwrap returns the cause.
+func (e *FormatError) Unwrap() error { return e.Err }
+
+// Replay runs a trace and returns each difference. A trace that cannot be
+// understood is a *FormatError.
+func Replay(r io.Reader) ([]Difference, error) {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, int(maximumLine))
+	var differences []Difference
+	var p player
+	number, begun := 0, false
+	for lines.Scan() {
+		number++
+		line := bytes.TrimSpace(lines.Bytes())
+		if len(line) == 0 {
+			continue
+		}
+		if !begun {
+			begun = true
+			if err := checkHeader(line); err != nil {
+				return nil, &FormatError{Line: number, Err: err}
+			}
+			continue
+		}
+		d, err := p.line(line)
+		if err != nil {
+			return nil, &FormatError{Line: number, Err: err}
+		}
+		if d != nil {
+			d.Line = number
+			differences = append(differences, *d)
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return nil, &FormatError{Line: number + 1, Err: errors.WithStack(err)}
+	}
+	if !begun {
+		return nil, &FormatError{Line: 1, Err: errors.New("the trace is empty")}
+	}
+	return differences, nil
+}
+
+func checkHeader(line []byte) error {
+	var h header
+	if err := decode(line, &h); err != nil {
+		return err
+	}
+	if h.SchemaVersion != SchemaVersion {
+		return errors.Errorf("schema version %d is not known; this is version %d", h.SchemaVersion, SchemaVersion)
+	}
+	return nil
+}
+
+// line plays one event and returns its difference, if there is one.
+func (p *player) line(line []byte) (*Difference, error) {
+	var e event
+	if err := decode(line, &e); err != nil {
+		return nil, err
+	}
+	if e.AtMilliseconds < p.at {
+		return nil, errors.New("time goes back")
+	}
+	p.at = e.AtMilliseconds
+	got, err := p.play(origin.Add(time.Duration(e.AtMilliseconds)*time.Millisecond), &e)
+	if err != nil {
+		return nil, err
+	}
+	if reflect.DeepEqual(got, e.Want) {
+		return nil, nil
+	}
+	return &Difference{Event: e.Event, Got: got, Want: e.Want}, nil
+}
