Let begun answers wait for the retry budget

Cause: with every fault at once, 19 of 3,601 answers broke off and 10 were refused: hedges had spent the budget, and a begun answer gave up after five waits. Change: a request whose caller has a part of the answer asks until its deadline; a hedge leaves half of the reserve.

--- a/caller/health.go
+++ b/caller/health.go
@@ -30,7 +30,14 @@
 	h.model(m).budget.Request(now)
 }
 
-// spend takes a retry or a hedge from the budgets of the model and the node.
+// spendHedge takes a hedge from the budgets of the model and the node.
+func (h *health) spendHedge(now time.Time, m domain.ModelName) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.model(m).budget.SpendHedge(now) && h.node.SpendHedge(now)
+}
+
+// spend takes a retry from the budgets of the model and the node.
 func (h *health) spend(now time.Time, m domain.ModelName) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/caller/race.go
+++ b/caller/race.go
@@ -96,7 +96,7 @@
 	if !ok {
 		return
 	}
-	if !s.api.health.spend(time.Now(), s.call.model.Name) {
+	if !s.api.health.spendHedge(time.Now(), s.call.model.Name) {
 		s.api.chooser.Done(r.set.Replicas[i].Server)
 		return
 	}
--- a/caller/session.go
+++ b/caller/session.go
@@ -210,7 +210,8 @@
 	return s.spend(f, err)
 }
 
-// budgetWaits is how often a request asks for a retry before it is given up.
+// budgetWaits is how often a request without a token asks for a retry before it is
+// given up. One whose caller has a part of the answer asks until its deadline.
 const budgetWaits = 5
 
 // spend takes a retry from the budget, and waits a little where it is spent.
@@ -221,7 +222,7 @@
 		}
 	}
 	for wait := 0; !s.api.health.spend(time.Now(), s.call.model.Name); wait++ {
-		if wait == budgetWaits {
+		if wait >= budgetWaits && s.relay.Next() == 0 {
 			return s.outOfBudget(f, err)
 		}
 		if err := s.pauseFor(retries.Backoff(wait+1, rand.Float64())); err != nil {
--- a/retries/budget.go
+++ b/retries/budget.go
@@ -38,6 +38,16 @@
 	return true
 }
 
+// SpendHedge takes a retry for a hedge, which leaves half of the reserve to work
+// that failed.
+func (b *Budget) SpendHedge(now time.Time) bool {
+	b.refill(now)
+	if b.tokens < reserve/2 {
+		return false
+	}
+	return b.Spend(now)
+}
+
 // refill brings a poor budget back to its reserve over time.
 func (b *Budget) refill(now time.Time) {
 	if !b.started {
