Put drains of servers, nodes and zones in force

Cause: a drain was recorded and shown, but a drained server kept its replicas and permits, a model whose permit lay there could not be placed elsewhere, and a drained node went on as before. The checker refused ids of nodes, which hold ':' and '@'. Change: the owner of a drained server takes everything down and releases the permits; the home passes it over; a drained node is not ready and others take its leases, as long as a node that is not drained is left. Drain takes the ids of VMs. Conclusion: a model moves off a drained server and a drained node answers callers until the balancer leaves it.

--- a/configuration/codec_test.go
+++ b/configuration/codec_test.go
@@ -111,3 +111,18 @@
 		}
 	}
 }
+
+func TestDrainTakesTheIDsOfNodes(t *testing.T) {
+	want := Record{SchemaVersion: SchemaVersion2, Drain: &Drain{Node: "[::1]:39453@1796360584125843763"}}
+	raw, err := Encode(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := Decode(raw); err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v and %v, want %+v", got, err, want)
+	}
+	want.Drain.Node = "a b"
+	if raw, err := Encode(want); err == nil {
+		t.Errorf("got %s, want a fault", raw)
+	}
+}
--- a/configuration/decode_objects.go
+++ b/configuration/decode_objects.go
@@ -108,8 +108,8 @@
 
 func readDrain(r *reader, record *Record) {
 	d := &Drain{
-		Server: domain.ServerID(r.name("Server", false)),
-		Node:   domain.NodeID(r.name("Node", false)),
+		Server: domain.ServerID(r.identity("Server")),
+		Node:   domain.NodeID(r.identity("Node")),
 		Zone:   domain.Zone(r.name("Zone", false)),
 		Off:    r.flag("Off"),
 	}
--- a/configuration/reader.go
+++ b/configuration/reader.go
@@ -136,6 +136,21 @@
 	return s
 }
 
+// identity reads the id of a VM, which the platform chooses; absent is "".
+func (r *reader) identity(name string) string {
+	s := r.text(name)
+	plain := strings.Map(func(c rune) rune {
+		if strings.ContainsRune("@:[]", c) {
+			return '.'
+		}
+		return c
+	}, s)
+	if !validName(plain) {
+		r.fault(r.peek(name), name, "must be the id of a VM, at most 128 letters, digits and any of . _ - @ : [ ]", "")
+	}
+	return s
+}
+
 // peek returns a field without marking it as known.
 func (r *reader) peek(name string) *node {
 	for _, f := range r.node.fields {
--- a/node/deps.go
+++ b/node/deps.go
@@ -1,13 +1,16 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/parsleylug/parsleylug/configuration"
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/engine"
+	"github.com/parsleylug/parsleylug/fold"
 	"github.com/parsleylug/parsleylug/peer"
 )
 
@@ -34,30 +37,56 @@
 func (d *Deps) node() domain.NodeID { return d.Self.Node }
 
 // members are the live nodes that are not leaving; this node is among them
-// unless it is leaving itself.
+// unless it is leaving itself. Drained nodes are left out while there are others.
 func (d *Deps) members() []domain.NodeID {
-	all := d.Mesh.Members()
-	out := make([]domain.NodeID, 0, len(all))
-	for _, m := range all {
-		if m.Leaving || (m.Node == d.node() && d.Leaving()) {
-			continue
-		}
-		out = append(out, m.Node)
+	if out := d.choose(d.undrained()); len(out) > 0 {
+		return out
 	}
-	return out
+	return d.choose(func(peer.Member) bool { return true })
 }
 
 // regionMembers are the members in a region, or all of them where it has none.
 func (d *Deps) regionMembers(r domain.Region) []domain.NodeID {
+	undrained := d.undrained()
+	out := d.choose(func(m peer.Member) bool { return m.Region == r && undrained(m) })
+	if len(out) == 0 {
+		return d.members()
+	}
+	return out
+}
+
+// choose returns the live nodes that are not leaving and that keep accepts.
+func (d *Deps) choose(keep func(peer.Member) bool) []domain.NodeID {
 	var out []domain.NodeID
 	for _, m := range d.Mesh.Members() {
-		if m.Region != r || m.Leaving || (m.Node == d.node() && d.Leaving()) {
+		if m.Leaving || (m.Node == d.node() && d.Leaving()) || !keep(m) {
 			continue
 		}
 		out = append(out, m.Node)
 	}
-	if len(out) == 0 {
-		return d.members()
-	}
 	return out
 }
+
+// undrained tells which nodes the operators leave in use.
+func (d *Deps) undrained() func(peer.Member) bool {
+	var drains []configuration.Drain
+	d.Agreement.View(func(s *fold.State) { drains = s.Drains() })
+	return func(m peer.Member) bool {
+		return !slices.ContainsFunc(drains, func(r configuration.Drain) bool {
+			return r.Node != "" && r.Node == m.Node || r.Zone != "" && r.Zone == m.Zone
+		})
+	}
+}
+
+// gives tells whether a node is to give its leases back: it leaves, or it is
+// drained while another node is not.
+func (d *Deps) gives(m peer.Member) bool {
+	undrained := d.undrained()
+	return m.Leaving || !undrained(m) && len(d.choose(undrained)) > 0
+}
+
+// serverDrained tells whether the operators took a backend server out of use.
+func (d *Deps) serverDrained(n domain.ServerID, z domain.Zone) (drained bool) {
+	d.Agreement.View(func(s *fold.State) { drained = s.ServerDrained(n, z) })
+	return drained
+}
--- a/node/home.go
+++ b/node/home.go
@@ -320,7 +320,7 @@
 			c := candidate{server: domain.ServerID(v.ID), near: v.Region == w.Region}
 			l, leased := s.Lease(c.server)
 			r, seen := h.deps.Reports.Server(c.server, now)
-			if !leased || !seen || v.Leaving {
+			if !leased || !seen || v.Leaving || s.ServerDrained(c.server, v.Zone) {
 				continue
 			}
 			c.failed = slices.Contains(w.Exclude, c.server)
--- a/node/node.go
+++ b/node/node.go
@@ -166,6 +166,8 @@
 		return "the platform's list of VMs was not read yet"
 	case !n.settled():
 		return "the other nodes may not know this one yet"
+	case !n.deps.undrained()(n.deps.Self):
+		return "an operator drained the node or its availability zone"
 	}
 	return ""
 }
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -135,14 +135,15 @@
 }
 
 // absentFor returns how long a node has not been among the live nodes that stay.
-// A node that says itself that it leaves is absent for long enough at once.
+// A node that says itself that it leaves, or that is drained, is absent for long
+// enough at once.
 func (o *Ownership) absentFor(n domain.NodeID) time.Duration {
 	for _, m := range o.deps.Mesh.Members() {
 		if m.Node != n {
 			continue
 		}
 		o.missingFor(absentPrefix+string(n), true)
-		if m.Leaving {
+		if o.deps.gives(m) {
 			return takeoverAfter
 		}
 		return 0
--- a/node/unload.go
+++ b/node/unload.go
@@ -169,21 +169,22 @@
 }
 
 // takeDown unloads what may no longer be loaded and what has been idle for long
-// enough, and gives revoked permits back.
+// enough, and gives revoked permits back. On a drained server that is everything.
 func (k *keeper) takeDown(ctx context.Context) {
 	permits := k.permits()
+	drained := k.deps.serverDrained(k.lease.Server, k.lease.Facts.Zone)
 	for _, m := range k.loadedNow() {
 		p, ok := permitOf(permits, m)
-		if ok && !p.Revoked && !k.idleFor(m, k.deps.KeepAlive) {
+		if ok && !drained && !p.Revoked && !k.idleFor(m, k.deps.KeepAlive) {
 			continue
 		}
 		// A replica that is in use is refused as busy and tried again.
 		_ = k.unload(ctx, m)
 	}
 	for _, p := range permits {
-		if p.Revoked && k.mayRelease(p.Model) {
+		if (drained || p.Revoked) && k.mayRelease(p.Model) {
 			if err := k.releasePermit(ctx, p.Model); err != nil {
-				k.log.Warn().Err(err).Str("Event", "PermitNotReleased").Str("Model", string(p.Model)).Msg("a revoked permit waits")
+				k.log.Warn().Err(err).Str("Event", "PermitNotReleased").Str("Model", string(p.Model)).Msg("a permit that is to go waits")
 			}
 		}
 	}
