--- a/caller/api.go
+++ b/caller/api.go
@@ -13,6 +13,7 @@
 
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/engine"
+	"github.com/parsleylug/parsleylug/peer"
 	"github.com/parsleylug/parsleylug/routing"
 	"github.com/parsleylug/parsleylug/verdict"
 )
@@ -35,6 +36,10 @@
 	Draining func() bool
 	// Ready tells whether the node can show a current configuration.
 	Ready func() bool
+	// Spread tells the other nodes of suspected contents; nil keeps them here.
+	Spread func([]peer.Suspect)
+	// Nodes returns how many nodes are alive, for limits; nil means one.
+	Nodes func() int
 }
 
 // API serves callers.
@@ -45,6 +50,9 @@
 	inFlight atomic.Int64
 	health   health
 	gates    gates
+	// isolation keeps suspected contents apart.
+	isolation isolation
+	shares    shares
 }
 
 // New returns an API over d.
@@ -58,6 +66,12 @@
 	if d.Ready == nil {
 		d.Ready = func() bool { return true }
 	}
+	if d.Spread == nil {
+		d.Spread = func([]peer.Suspect) {}
+	}
+	if d.Nodes == nil {
+		d.Nodes = func() int { return 1 }
+	}
 	return &API{Deps: d}
 }
 
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -127,7 +127,7 @@
 func suspectsToWire(m Suspects) wireSuspects {
 	w := wireSuspects{Suspects: make([]wireSuspect, len(m.Suspects))}
 	for i, s := range m.Suspects {
-		w.Suspects[i] = wireSuspect{Content: s.Content[:], Crashes: s.Crashes, Server: s.Server}
+		w.Suspects[i] = wireSuspect{Content: s.Content[:], Crashes: s.Crashes, Server: s.Server, Alone: s.Alone, Begun: s.Begun}
 	}
 	return w
 }
@@ -140,7 +140,11 @@
 	return w
 }
 
+// updateToWire leaves out what nobody needs of a node that is gone.
 func updateToWire(u membership.Update) wireUpdate {
+	if u.Status == membership.Gone {
+		u.Member = Member{Node: u.Member.Node}
+	}
 	return wireUpdate{Member: wireMember(u.Member), Status: int(u.Status), Incarnation: u.Incarnation}
 }
 
