Tell why and report burn over all nodes

The fold keys adapters by model and name; the format named them by name alone. Change: the callers' API tells an Observer each step and end of a request; the home tells what it did for a request from elsewhere. StatusRequest names the part asked for, and a node adds up the burn counts and decisions of all live nodes, saying how many did not answer. A replica that was woken for the request makes it a cold start. An adapter is named MODEL:ADAPTER everywhere but in its own record. Conclusion: a request that came in at one node is explained at another, without its prompt.

--- a/caller/api.go
+++ b/caller/api.go
@@ -40,6 +40,8 @@
 	Spread func([]peer.Suspect)
 	// Nodes returns how many nodes are alive, for limits; nil means one.
 	Nodes func() int
+	// Observer may be nil.
+	Observer Observer
 }
 
 // API serves callers.
@@ -99,7 +101,8 @@
 		defer a.inFlight.Add(-1)
 		id := requestID(r.Header.Get(requestIDHeader))
 		w.Header().Set(requestIDHeader, string(id))
-		ctx := context.WithValue(r.Context(), requestKey{}, id)
+		ctx, trace := a.observe(context.WithValue(r.Context(), requestKey{}, id), id)
+		defer func() { trace.end(r.Context()) }()
 		if err := a.unavailable(); err != nil {
 			a.encodeError(ctx, err, w)
 			return
--- a/caller/chat.go
+++ b/caller/chat.go
@@ -80,6 +80,7 @@
 			return
 		}
 		if token, err = s.next(); err != nil {
+			s.trace.failed(verdict.Of(err))
 			_ = c.write(w, control, events.failure(verdict.Of(err)))
 			return
 		}
--- a/caller/decode.go
+++ b/caller/decode.go
@@ -63,6 +63,7 @@
 	if err := a.resolveModel(call); err != nil {
 		return nil, err
 	}
+	traceOf(ctx).admitted(team.Name, call.model.Name, due)
 	return call, nil
 }
 
--- a/caller/race.go
+++ b/caller/race.go
@@ -72,6 +72,7 @@
 	t := s.api.newAttempt(s, target)
 	t.alone = s.alone
 	r.running = append(r.running, t)
+	s.trace.attempt(target)
 	request := s.request(t)
 	go func() {
 		token, err := t.first(request)
--- a/caller/refusal.go
+++ b/caller/refusal.go
@@ -68,6 +68,7 @@
 func (a *API) encodeError(ctx context.Context, err error, w http.ResponseWriter) {
 	e := verdict.Of(err)
 	id := requestOf(ctx)
+	traceOf(ctx).failed(e)
 	a.Scope.Tagged(map[string]string{"reason": e.Reason.String(), "verdict": e.Verdict.String()}).Counter("refusals").Inc(1)
 	if e.Reason == verdict.Unknown {
 		a.Logger.Error().Err(err).Str("request", string(id)).Msg("unexpected failure")
--- a/caller/services.go
+++ b/caller/services.go
@@ -57,6 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
+	traceOf(ctx).admitted(team.Name, domain.ModelName(servicePrefix+configured.Name), due)
 	return &serviceCall{
 		service: configured, team: team, deadline: due, idempotent: idempotent(configured, r.Method),
 		request: service.Request{
@@ -166,6 +167,7 @@
 	}
 	r := set.Replicas[i]
 	defer a.chooser.Done(r.Server)
+	traceOf(ctx).attempt(&r)
 	answer, err := a.Services.Do(ctx, r.Address, c.request)
 	if err != nil {
 		return Outcome{}, r.Server, err
--- a/caller/session.go
+++ b/caller/session.go
@@ -58,13 +58,14 @@
 	// silent are servers on which one attempt of this request went silent.
 	silent []domain.ServerID
 	// last is the failure of the latest attempt.
-	last error
+	last  error
+	trace *trace
 }
 
 func (a *API) newSession(ctx context.Context, c *chatCall) *session {
 	ctx, cancel := context.WithDeadlineCause(ctx, c.deadline.At, errDeadline)
 	a.health.request(time.Now(), c.model.Name)
-	return &session{api: a, call: c, ctx: ctx, cancel: cancel}
+	return &session{api: a, call: c, ctx: ctx, cancel: cancel, trace: traceOf(ctx)}
 }
 
 // next returns the next token of the answer. After the part with Finish it must
@@ -81,6 +82,7 @@
 		if err == nil {
 			switch s.relay.accept(t) {
 			case deliver:
+				s.trace.token(t)
 				return t, nil
 			case discard:
 				continue
@@ -161,6 +163,7 @@
 
 func (s *session) lookUp() (routing.Set, error) {
 	replicas, err := s.api.Placer.Place(s.ctx, s.need())
+	s.trace.placed(len(replicas), err)
 	if err != nil {
 		return routing.Set{}, err
 	}
@@ -234,6 +237,7 @@
 func (s *session) note(t *attempt, err error) failure {
 	f := failureOf(err, t.wentSilent())
 	t.close()
+	s.trace.attemptFailed(t.server, f)
 	s.last = err
 	switch f {
 	case notLoaded:
--- a/commands/adapter.go
+++ b/commands/adapter.go
@@ -22,17 +22,16 @@
 
 // Run prints one adapter a line.
 func (c *AdapterListCommand) Run(d *Deps, on *Connection) error {
-	return on.list(d, "adapters", []string{"ADAPTER", "MODEL", "VERSION", "MEMORY", "CHANGED"}, func(r configuration.Record, v uint64) []string {
+	return on.list(d, "adapters", []string{"ADAPTER", "VERSION", "MEMORY", "CHANGED"}, func(r configuration.Record, v uint64) []string {
 		a := r.Adapter
-		return []string{string(a.Name), string(a.Model), string(a.Version), configuration.FormatBytes(a.Memory), version(v)}
+		return []string{a.FullName(), string(a.Version), configuration.FormatBytes(a.Memory), version(v)}
 	})
 }
 
 // AdapterSetCommand adds or replaces an adapter.
 type AdapterSetCommand struct {
 	ChangeFlags       `embed:""`
-	Name              string `arg:"" help:"Name of the adapter."`
-	Model             string `help:"Base model." required:"" env:"-"`
+	Name              string `arg:"" help:"Base model and name, as MODEL:ADAPTER."`
 	CheckpointVersion string `help:"Version of the checkpoint." default:"v1" env:"-"`
 	Memory            string `help:"Memory beside the base model, for example 128MiB." default:"0" env:"-"`
 }
@@ -43,9 +42,13 @@
 	if err != nil {
 		return &UsageError{Err: errors.WithMessage(err, "--memory")}
 	}
+	model, name, ok := configuration.ParseAdapter(c.Name)
+	if !ok {
+		return &UsageError{Err: errors.Errorf("%q is not MODEL:ADAPTER", c.Name)}
+	}
 	adapter := &configuration.Adapter{
-		Name:    domain.AdapterName(c.Name),
-		Model:   domain.ModelName(c.Model),
+		Name:    name,
+		Model:   model,
 		Version: domain.VersionName(c.CheckpointVersion),
 		Memory:  memory,
 	}
@@ -58,7 +61,7 @@
 // AdapterRemoveCommand removes an adapter.
 type AdapterRemoveCommand struct {
 	ChangeFlags `embed:""`
-	Name        string `arg:"" help:"Name of the adapter."`
+	Name        string `arg:"" help:"Base model and name, as MODEL:ADAPTER."`
 }
 
 // Run removes the adapter.
--- a/configuration/decode_objects.go
+++ b/configuration/decode_objects.go
@@ -141,6 +141,27 @@
 	if !known {
 		r.fault(r.peek("Kind"), "Kind", "must be Model, Adapter, Service or Team", "")
 	}
-	remove.Name = r.name("Name", true)
+	remove.Name = readRemovedName(r, remove.Kind)
 	record.Remove = remove
 }
+
+// FullName returns MODEL:ADAPTER, which names the adapter among all.
+func (a Adapter) FullName() string { return string(a.Model) + ":" + string(a.Name) }
+
+// ParseAdapter splits MODEL:ADAPTER.
+func ParseAdapter(s string) (domain.ModelName, domain.AdapterName, bool) {
+	model, adapter, _ := strings.Cut(s, ":")
+	return domain.ModelName(model), domain.AdapterName(adapter), ValidName(model) && ValidName(adapter)
+}
+
+// readRemovedName reads a name; an adapter is named MODEL:ADAPTER.
+func readRemovedName(r *reader, k Kind) string {
+	if k != KindAdapter {
+		return r.name("Name", true)
+	}
+	s := r.text("Name")
+	if _, _, ok := ParseAdapter(s); !ok {
+		r.fault(r.peek("Name"), "Name", "must be MODEL:ADAPTER", "for example \"hymn-order-8b:moldova\"")
+	}
+	return s
+}
--- a/configuration/file.go
+++ b/configuration/file.go
@@ -76,7 +76,7 @@
 	case r.Model != nil:
 		return "Model " + string(r.Model.Name)
 	case r.Adapter != nil:
-		return "Adapter " + string(r.Adapter.Name)
+		return "Adapter " + r.Adapter.FullName()
 	case r.Service != nil:
 		return "Service " + string(r.Service.Name)
 	case r.Team != nil:
--- a/node/deps.go
+++ b/node/deps.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/parsleylug/parsleylug/configuration"
+	"github.com/parsleylug/parsleylug/decisions"
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/engine"
 	"github.com/parsleylug/parsleylug/fold"
@@ -28,6 +29,8 @@
 	Scope     tally.Scope
 	// Leaving tells whether this node is stopping.
 	Leaving func() bool
+	// Journal keeps what was decided for requests; it may be nil.
+	Journal *decisions.Journal
 	// Settled tells whether this node's view of the others has had time to form.
 	// Until then it takes no lease and is not ready.
 	Settled func() bool
--- a/node/handle.go
+++ b/node/handle.go
@@ -27,8 +27,8 @@
 	Usage func(from domain.NodeID, u peer.Usage)
 	// Heard takes what another node says of how far it has folded.
 	Heard func(from domain.NodeID, a peer.Applied)
-	// Status returns this node's status as JSON.
-	Status func() ([]byte, error)
+	// Status returns a part of this node's status as JSON.
+	Status func(peer.StatusRequest) ([]byte, error)
 	// Deliver takes records that a relay passed on.
 	Deliver func(from domain.NodeID, r peer.LogRecords)
 }
@@ -49,7 +49,7 @@
 	case peer.SnapshotRequest:
 		return h.snapshot(m)
 	case peer.StatusRequest:
-		raw, err := h.Status()
+		raw, err := h.Status(m)
 		return peer.Status{JSON: raw}, err
 	}
 	return nil, h.notice(from, m)
--- a/node/home.go
+++ b/node/home.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/parsleylug/parsleylug/configuration"
+	"github.com/parsleylug/parsleylug/decisions"
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fold"
 	"github.com/parsleylug/parsleylug/operator"
@@ -63,8 +64,10 @@
 		return peer.Replicas{Model: w.Model, Servers: ready, ValidFor: routeFor}, nil
 	}
 	if err := h.admit(w); err != nil {
+		h.deps.decided(w, decisions.Refused, "", "the home refused to wake the model: "+verdict.Of(err).Reason.String())
 		return peer.Replicas{}, err
 	}
+	h.deps.decided(w, decisions.Queued, "", "waits for a cold start at the home, expected to take "+h.estimate(w.Model).Round(time.Millisecond).String())
 	ctx, cancel := context.WithTimeout(ctx, w.Within)
 	defer cancel()
 	defer h.enter(w.Model)()
@@ -248,6 +251,7 @@
 }
 
 func (h *Home) loadOn(ctx context.Context, c candidate, w peer.Wake) error {
+	h.deps.decided(w, decisions.LoadAsked, c.server, "asked its owner "+string(c.owner))
 	l := peer.Load{Server: c.server, Model: w.Model, Adapter: w.Adapter, Within: wakeTimeout}
 	if c.owner == h.deps.node() {
 		_, err := h.local.Load(ctx, l)
--- a/node/node.go
+++ b/node/node.go
@@ -121,7 +121,7 @@
 	n.deps = &Deps{
 		Self: self, Agreement: n.replica, Mesh: n.mesh, Directory: directory, Reports: &Reports{},
 		Engines: &engine.Client{Region: o.Region}, KeepAlive: o.KeepAlive, Logger: o.Logger, Scope: o.Scope,
-		Leaving: n.stopping.Load, Settled: n.settled,
+		Leaving: n.stopping.Load, Settled: n.settled, Journal: n.journal,
 	}
 	n.join(handler)
 	return n, nil
@@ -148,6 +148,7 @@
 	placer := NewPlacer(n.deps, n.home)
 	n.claims = NewClaims(n.deps)
 	n.callers = caller.New(caller.Deps{
+		Observer:  observer{n},
 		Catalogue: NewCatalogue(n.replica), Placer: placer, Claims: n.claims, Backends: placer,
 		Chatter: &engine.Client{Region: n.options.Region}, Services: &service.Client{},
 		Region: n.options.Region, Zone: n.options.Zone, Node: n.options.Node,
@@ -159,7 +160,7 @@
 		Snapshot: n.replica.EncodedSnapshot, Applied: n.applied, Heard: n.heard.add,
 		Learn:   func([]peer.Suspect) {},
 		Usage:   func(domain.NodeID, peer.Usage) {},
-		Status:  n.statusJSON,
+		Status:  n.part,
 		Deliver: n.relay.Handle,
 	}
 }
--- /dev/null
+++ b/node/observer.go
@@ -0,0 +1,95 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/parsleylug/parsleylug/decisions"
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/objective"
+	"github.com/parsleylug/parsleylug/peer"
+)
+
+// observer keeps what the callers' API decided and how requests ended. It
+// implements caller.Observer.
+type observer struct{ node *Node }
+
+// Decided implements caller.Observer.
+func (o observer) Decided(id domain.RequestID, team domain.TeamName, s decisions.Step) {
+	o.node.journal.Record(id, team, s)
+}
+
+// Ended implements caller.Observer.
+func (o observer) Ended(e objective.Event) { o.node.recorder.Record(e) }
+
+// decided records a step that this node took for a caller's request elsewhere.
+func (d *Deps) decided(w peer.Wake, k decisions.Kind, s domain.ServerID, detail string) {
+	if d.Journal == nil {
+		return
+	}
+	d.Journal.Record(w.Request, w.Team, decisions.Step{At: time.Now(), Kind: k, Node: d.node(), Server: s, Model: w.Model, Detail: detail})
+}
+
+const (
+	// askTimeout bounds the wait for one node's part of a report.
+	askTimeout = 2 * time.Second
+	// askAtOnce is how many nodes are asked at the same time.
+	askAtOnce = 32
+)
+
+// gather asks every other live node for a part of a report and calls add, one at
+// a time, with each answer. It returns how many did not answer.
+func (n *Node) gather(ctx context.Context, r peer.StatusRequest, add func(raw []byte) error) int {
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	silent := 0
+	slots := make(chan struct{}, askAtOnce)
+	for _, m := range n.mesh.Members() {
+		if m.Node == n.options.Node {
+			continue
+		}
+		slots <- struct{}{}
+		wait.Go(func() {
+			defer func() { <-slots }()
+			raw, err := n.ask(ctx, m.Node, r)
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil {
+				err = add(raw)
+			}
+			if err != nil {
+				silent++
+			}
+		})
+	}
+	wait.Wait()
+	return silent
+}
+
+func (n *Node) ask(ctx context.Context, to domain.NodeID, r peer.StatusRequest) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	answer, err := n.mesh.Call(ctx, to, r)
+	if err != nil {
+		return nil, err
+	}
+	s, ok := answer.(peer.Status)
+	if !ok {
+		return nil, noRoom("the node answered something else")
+	}
+	return s.JSON, nil
+}
+
+// part answers another node's question for a part of a report.
+func (n *Node) part(r peer.StatusRequest) ([]byte, error) {
+	switch r.Part {
+	case peer.BurnPart:
+		return n.recorder.Snapshot(time.Now()).Encode()
+	case peer.DecisionsPart:
+		e, _ := n.journal.Find(r.Request)
+		return e.Encode()
+	case peer.AppliedPart:
+	}
+	return n.statusJSON()
+}
--- a/node/placer.go
+++ b/node/placer.go
@@ -53,6 +53,9 @@
 			return nil, err
 		}
 		if out := p.replicas(answer.Servers, n); len(out) > 0 {
+			if answer.Woken {
+				loadedNow(out)
+			}
 			return out, nil
 		}
 		if err := pause(ctx, homeRetry); err != nil {
@@ -61,6 +64,15 @@
 	}
 }
 
+// loadedNow dates replicas that were woken and that no report shows yet.
+func loadedNow(replicas []routing.Replica) {
+	for i := range replicas {
+		if replicas[i].LoadedAt.IsZero() {
+			replicas[i].LoadedAt = time.Now()
+		}
+	}
+}
+
 func pause(ctx context.Context, d time.Duration) error {
 	select {
 	case <-ctx.Done():
--- a/node/system.go
+++ b/node/system.go
@@ -11,6 +11,7 @@
 	"github.com/parsleylug/parsleylug/fold"
 	"github.com/parsleylug/parsleylug/objective"
 	"github.com/parsleylug/parsleylug/operator"
+	"github.com/parsleylug/parsleylug/peer"
 	"github.com/parsleylug/parsleylug/platformlog"
 	"github.com/parsleylug/parsleylug/verdict"
 )
@@ -75,14 +76,33 @@
 }
 
 // Burn implements operator.System.
-func (s *System) Burn(context.Context) (objective.Snapshot, error) {
-	return s.node.recorder.Snapshot(time.Now()), nil
+func (s *System) Burn(ctx context.Context) (objective.Snapshot, error) {
+	sum := s.node.recorder.Snapshot(time.Now())
+	silent := s.node.gather(ctx, peer.StatusRequest{Part: peer.BurnPart}, func(raw []byte) error {
+		one, err := objective.DecodeSnapshot(raw)
+		if err == nil {
+			sum = objective.Merge(sum, one)
+		}
+		return err
+	})
+	sum.Silent += silent
+	return sum, nil
 }
 
 // Why implements operator.System.
-func (s *System) Why(_ context.Context, id domain.RequestID) (decisions.Entry, error) {
-	e, _ := s.node.journal.Find(id)
-	return e, nil
+func (s *System) Why(ctx context.Context, id domain.RequestID) (decisions.Entry, error) {
+	own, _ := s.node.journal.Find(id)
+	entries := []decisions.Entry{own}
+	s.node.gather(ctx, peer.StatusRequest{Part: peer.DecisionsPart, Request: id}, func(raw []byte) error {
+		one, err := decisions.Decode(raw)
+		if err == nil && len(one.Steps) > 0 {
+			entries = append(entries, one)
+		}
+		return err
+	})
+	sum := decisions.Merge(entries...)
+	sum.Request = id
+	return sum, nil
 }
 
 // Status implements operator.System.
--- a/objective/html.go
+++ b/objective/html.go
@@ -18,6 +18,7 @@
 type page struct {
 	At       string
 	Headline string
+	Coverage string
 	Alert    string
 	Windows  []string
 	Lines    []pageLine
@@ -69,7 +70,7 @@
 }
 
 func (r Report) page() page {
-	p := page{At: r.At.UTC().Format("2006-01-02 15:04:05 MST"), Headline: r.Headline(), Alert: Quiet.String(), Latencies: r.Latencies}
+	p := page{At: r.At.UTC().Format("2006-01-02 15:04:05 MST"), Headline: r.Headline(), Coverage: r.coverage(), Alert: Quiet.String(), Latencies: r.Latencies}
 	for _, w := range Windows() {
 		p.Windows = append(p.Windows, windowName(w.Length))
 	}
--- a/objective/objective.go
+++ b/objective/objective.go
@@ -101,7 +101,7 @@
 	At      time.Time
 	Outcome Outcome
 	// FirstToken is the wait for the first token; it counts only for answered
-	// requests.
+	// requests, and is zero for those without tokens.
 	FirstToken time.Duration
 	// BetweenTokens are the gaps between the tokens after the first.
 	BetweenTokens []time.Duration
--- a/objective/recorder.go
+++ b/objective/recorder.go
@@ -55,7 +55,7 @@
 	k := r.place(Key{Team: e.Team, Model: e.Model})
 	s := r.series[k]
 	s.count(e.At, InTime, Count{Total: 1, Missed: one(e.Outcome != Answered && e.Outcome != RefusedInTime)})
-	if e.Outcome != Answered {
+	if e.Outcome != Answered || e.FirstToken == 0 {
 		return
 	}
 	h := r.histogramsOf(e.Model, e.At)
--- a/objective/recorder_test.go
+++ b/objective/recorder_test.go
@@ -111,6 +111,10 @@
 			one.Record(e)
 		}
 		got := Merge(nodes[2].Snapshot(now), nodes[0].Snapshot(now), nodes[1].Snapshot(now))
+		if got.Nodes != len(nodes) {
+			t.Fatalf("got %d nodes, want %d", got.Nodes, len(nodes))
+		}
+		got.Nodes = 1
 		if want := one.Snapshot(now); !reflect.DeepEqual(got, want) {
 			t.Fatalf("got %+v, want %+v", got, want)
 		}
--- a/objective/snapshot.go
+++ b/objective/snapshot.go
@@ -12,6 +12,9 @@
 
 // Snapshot is what recorders hold, in a form that nodes can add up exactly.
 type Snapshot struct {
+	// Nodes is how many recorders were added up, Silent how many nodes were asked
+	// in vain.
+	Nodes, Silent int
 	// Series is sorted by team and model.
 	Series []Series
 	// Latencies is sorted by model and measure.
@@ -48,7 +51,7 @@
 	defer r.mu.Unlock()
 	r.swept = time.Time{}
 	r.sweep(now)
-	var out Snapshot
+	out := Snapshot{Nodes: 1}
 	for k, s := range r.series {
 		copied := Series{Key: k}
 		for i := range s.rings {
@@ -116,7 +119,10 @@
 		measure Measure
 	}
 	latencies := map[place]map[int64]int64{}
+	var out Snapshot
 	for _, s := range snapshots {
+		out.Nodes += s.Nodes
+		out.Silent += s.Silent
 		for _, one := range s.Series {
 			merged, ok := series[one.Key]
 			if !ok {
@@ -137,7 +143,6 @@
 			}
 		}
 	}
-	var out Snapshot
 	for _, s := range series {
 		out.Series = append(out.Series, *s)
 	}
--- a/objective/text.go
+++ b/objective/text.go
@@ -70,10 +70,18 @@
 	return fmt.Sprintf("%d of %d objectives burn fast and %d slowly.", counts[FastBurn], len(r.Lines), counts[SlowBurn])
 }
 
+// coverage says whose counts the report holds.
+func (r Report) coverage() string {
+	if r.Silent > 0 {
+		return fmt.Sprintf("PARTIAL: %d nodes counted, %d did not answer.", r.Nodes, r.Silent)
+	}
+	return fmt.Sprintf("Nodes counted: %d.", r.Nodes)
+}
+
 // WriteText writes the report as text.
 func (r Report) WriteText(w io.Writer) error {
 	var b strings.Builder
-	fmt.Fprintf(&b, "Service-level burn at %s. %s\n\n", r.At.UTC().Format(time.RFC3339), r.Headline())
+	fmt.Fprintf(&b, "Service-level burn at %s. %s\n\n", r.At.UTC().Format(time.RFC3339), r.Headline()+" "+r.coverage())
 	b.WriteString("ALERT\tTEAM/MODEL\tPROMISE\tBUDGET LEFT")
 	for _, window := range Windows() {
 		fmt.Fprintf(&b, "\tBURN %s", windowName(window.Length))
--- a/objective/wire.go
+++ b/objective/wire.go
@@ -12,6 +12,8 @@
 // WireReport is the JSON form of Report.
 type WireReport struct {
 	At        string
+	Nodes     int
+	Silent    int
 	Lines     []WireLine
 	Latencies []WireQuantiles
 }
@@ -50,7 +52,7 @@
 
 // WireOf returns the JSON form of a report.
 func WireOf(r Report) WireReport {
-	w := WireReport{At: r.At.UTC().Format(time.RFC3339), Lines: []WireLine{}, Latencies: []WireQuantiles{}}
+	w := WireReport{At: r.At.UTC().Format(time.RFC3339), Nodes: r.Nodes, Silent: r.Silent, Lines: []WireLine{}, Latencies: []WireQuantiles{}}
 	for _, l := range r.Lines {
 		w.Lines = append(w.Lines, wireOfLine(l))
 	}
@@ -96,7 +98,7 @@
 	if err != nil {
 		at = time.Time{}
 	}
-	r := Report{At: at}
+	r := Report{At: at, Nodes: w.Nodes, Silent: w.Silent}
 	for _, l := range w.Lines {
 		r.Lines = append(r.Lines, l.value())
 	}
@@ -224,7 +226,7 @@
 	if err := json.Unmarshal(raw, &w); err != nil {
 		return Snapshot{}, errors.Wrap(err, "decode burn snapshot")
 	}
-	var s Snapshot
+	s := Snapshot{Nodes: 1}
 	for _, one := range w.Series {
 		series, err := one.value()
 		if err != nil {
@@ -296,7 +298,7 @@
 
 // ForTeam returns the part of the snapshot that a team may see.
 func (s Snapshot) ForTeam(t domain.TeamName) Snapshot {
-	var out Snapshot
+	out := Snapshot{Nodes: s.Nodes, Silent: s.Silent}
 	for _, one := range s.Series {
 		if one.Key.Team == t {
 			out.Series = append(out.Series, one)
--- a/operator/effect.go
+++ b/operator/effect.go
@@ -74,7 +74,7 @@
 	case r.Model != nil:
 		p.model(*r.Model)
 	case r.Adapter != nil:
-		p.addf(Allow, r.Adapter.Model, "", "callers may ask for %s", string(r.Adapter.Model)+":"+string(r.Adapter.Name))
+		p.addf(Allow, r.Adapter.Model, "", "callers may ask for %s", r.Adapter.FullName())
 	case r.Service != nil:
 		p.addf(Allow, "", "", "callers may call /services/%s", r.Service.Name)
 	case r.Team != nil:
--- a/peer/decode.go
+++ b/peer/decode.go
@@ -93,7 +93,8 @@
 		w, err := body[wireUsage](f)
 		return usageFromWire(w), err
 	case numberStatusRequest:
-		return StatusRequest{}, nil
+		w, err := body[wireStatusRequest](f)
+		return StatusRequest{Part: StatusPart(w.Part), Request: w.Request}, err
 	case numberStatus:
 		w, err := body[wireStatus](f)
 		return Status(w), err
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -80,7 +80,7 @@
 	case Usage:
 		return numberUsage, usageToWire(m)
 	case StatusRequest:
-		return numberStatusRequest, wireEmpty{}
+		return numberStatusRequest, wireStatusRequest{Part: int(m.Part), Request: m.Request}
 	case Status:
 		return numberStatus, wireStatus(m)
 	case Leave:
--- a/peer/message.go
+++ b/peer/message.go
@@ -195,10 +195,29 @@
 	Demand, Used float64
 }
 
-// StatusRequest asks a node for its status. The answer is Status.
-type StatusRequest struct{}
+// StatusRequest asks a node for a part of its status. The answer is Status.
+type StatusRequest struct {
+	Part StatusPart
+	// Request is set for DecisionsPart.
+	Request domain.RequestID
+}
+
+// StatusPart is a part of a node's status.
+type StatusPart int
+
+//go:generate go run golang.org/x/tools/cmd/stringer@v0.52.0 -type=StatusPart -output=statuspart_string.go
+
+// The parts.
+const (
+	// AppliedPart is how far the node has folded.
+	AppliedPart StatusPart = iota
+	// BurnPart is what the node counted for the service-level burn report.
+	BurnPart
+	// DecisionsPart is what the node decided for one request.
+	DecisionsPart
+)
 
-// Status is a node's own view as JSON, passed through to operators.
+// Status is a part of a node's own view as JSON.
 type Status struct{ JSON []byte }
 
 // Leave says that the sender stops and takes no new work; it has no answer.
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -135,6 +135,10 @@
 		Demand float64 `cbor:"2,keyasint,omitempty"`
 		Used   float64 `cbor:"3,keyasint,omitempty"`
 	}
+	wireStatusRequest struct {
+		Part    int              `cbor:"1,keyasint,omitempty"`
+		Request domain.RequestID `cbor:"2,keyasint,omitempty"`
+	}
 	wireStatus struct {
 		JSON []byte `cbor:"1,keyasint,omitempty"`
 	}
