Settle a starting node's view, free a dead node's slots, spread suspects

Cause: a node was ready before it had linked to the others, so that several nodes were home or pacer at once (92 wakes for 10 models, up to 7 loads at once at the weight store). A killed owner kept 4 slots of the pacer for a minute: 16 of 116 requests refused after it. Suspects stayed at their node: one poison request killed 19 engines. The first node to start owned every engine. Change: a node is settled once it has linked to every node of the list, or after 6 s; the pacer frees the slots of dead nodes after 2 s; suspects go to all nodes; a lease moves from a live owner to the node that hashing wants once the view was stable for 5 s, one at a time.

--- a/node/handle.go
+++ b/node/handle.go
@@ -43,7 +43,7 @@
 	case peer.ReleasePermit:
 		return peer.Released{}, h.Ownership.Release(ctx, m)
 	case peer.AcquirePace:
-		return h.Pacer.Acquire(ctx, m)
+		return h.Pacer.Acquire(ctx, from, m)
 	case peer.CommandQuery:
 		return h.Claims.Query(ctx, m), nil
 	case peer.SnapshotRequest:
--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -35,9 +36,9 @@
 	importStep = 300 * time.Millisecond
 	// importKey is hashed to rank the nodes that import configuration.
 	importKey = "configuration/import"
-	// settleLimit is how long a node waits to be shown in the platform's list
-	// before it does without.
-	settleLimit = 10 * time.Second
+	// settleLimit is how long a node waits to be shown in the platform's list, and
+	// to link to every node of it, before it does without.
+	settleLimit = 6 * time.Second
 	// stopPoll is how often a stopping node looks whether its work has ended.
 	stopPoll = 20 * time.Millisecond
 )
@@ -83,6 +84,7 @@
 	callers   *caller.API
 	heard     heard
 	started   time.Time
+	isSettled atomic.Bool
 	// stopping is set first in a stop; refusing after DrainGrace.
 	stopping atomic.Bool
 	refusing atomic.Bool
@@ -142,7 +144,7 @@
 
 // join makes the roles and fills the handler of peer messages.
 func (n *Node) join(h *Handler) {
-	pacer := NewPacer()
+	pacer := NewPacer(n.mesh.Alive)
 	n.ownership = NewOwnership(n.deps, NewPaceClient(n.deps, pacer))
 	n.home = NewHome(n.deps, n.ownership)
 	placer := NewPlacer(n.deps, n.home)
@@ -153,11 +155,12 @@
 		Region: n.options.Region, Zone: n.options.Zone, Node: n.options.Node,
 		Logger: n.options.Logger, Scope: n.options.Scope,
 		Draining: n.refusing.Load, Ready: n.replica.Ready,
+		Spread: func(s []peer.Suspect) { n.mesh.Broadcast(peer.Suspects{Suspects: s}) },
 	})
 	*h = Handler{
 		Reports: n.deps.Reports, Home: n.home, Ownership: n.ownership, Pacer: pacer, Claims: n.claims,
 		Snapshot: n.replica.EncodedSnapshot, Applied: n.applied, Heard: n.heard.add,
-		Learn:   func([]peer.Suspect) {},
+		Learn:   n.callers.Learn,
 		Usage:   func(domain.NodeID, peer.Usage) {},
 		Status:  n.statusJSON,
 		Deliver: n.relay.Handle,
@@ -195,10 +198,27 @@
 	return out
 }
 
-// settled tells whether the platform's list shows this node, which means that the
-// others see it too, or has had long enough to do so.
+// settled tells whether this node knows the others and they know it: the
+// platform's list shows it, and it has linked to every node of the list. Neither is
+// waited for without end, since the list lags and shows dead nodes too. Once
+// settled, a node stays so.
 func (n *Node) settled() bool {
-	return n.deps.Directory.ListsNode(n.options.Node) || time.Since(n.started) >= settleLimit
+	if n.isSettled.Load() {
+		return true
+	}
+	ok := n.deps.Directory.ListsNode(n.options.Node) && n.linked() || time.Since(n.started) >= settleLimit
+	if ok {
+		n.isSettled.Store(true)
+	}
+	return ok
+}
+
+// linked tells whether every node of the platform's list is a live member.
+func (n *Node) linked() bool {
+	members := n.mesh.Members()
+	return !slices.ContainsFunc(n.deps.Directory.Seeds(), func(s peer.Member) bool {
+		return !s.Leaving && !slices.ContainsFunc(members, func(m peer.Member) bool { return m.Node == s.Node })
+	})
 }
 
 // Run serves until ctx ends, then stops gracefully: it is not ready first, ends
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +21,11 @@
 	// view before the lease is taken. A view that has just begun lacks nodes that
 	// are alive.
 	takeoverAfter = time.Second
+	// stableView is how long the members must be the same before a lease moves
+	// from a live node to the one that hashing wants.
+	stableView = 5 * time.Second
+	// moveInterval spaces such moves at each node.
+	moveInterval = 500 * time.Millisecond
 	// absentPrefix keeps the view's missing nodes apart from the list's.
 	absentPrefix = "view/"
 	// proposalTimeout bounds one wait for the fold.
@@ -43,7 +49,12 @@
 	keepers map[domain.ServerID]*keeper
 	// missing is since when the platform's list lacks a VM.
 	missing map[string]time.Time
-	wait    sync.WaitGroup
+	// view are the members last seen, viewSince since when they are the same, and
+	// movedAt when a lease was last taken from a live node.
+	view      []domain.NodeID
+	viewSince time.Time
+	movedAt   time.Time
+	wait      sync.WaitGroup
 }
 
 // NewOwnership returns an Ownership without leases.
@@ -102,18 +113,21 @@
 }
 
 // wanted returns the lease record that this node should propose for a server.
-// A live holder keeps its lease until it leaves, so that a changed view of the
-// members moves nothing by itself.
+// A live holder keeps its lease while the view of the members is young, so that
+// a changed view moves nothing by itself.
 func (o *Ownership) wanted(v platform.VM, leases map[domain.ServerID]fold.Lease) (fold.Record, bool) {
 	s := domain.ServerID(v.ID)
 	l, held := leases[s]
-	if held && o.absentFor(l.Owner) < takeoverAfter {
-		return nil, false
-	}
 	first, ok := rendezvous.First("server/"+v.ID, o.deps.regionMembers(v.Region))
 	if !ok || first != o.deps.node() {
 		return nil, false
 	}
+	if held && l.Owner == o.deps.node() {
+		return nil, false
+	}
+	if held && o.absentFor(l.Owner) < takeoverAfter && !o.mayTakeFromAlive(l) {
+		return nil, false
+	}
 	var expect domain.Fence
 	o.deps.Agreement.View(func(st *fold.State) { expect = st.LastFence(s) })
 	facts := fold.ServerFacts{Memory: v.Memory, ChecksFences: v.ChecksFences, Region: v.Region, Zone: v.Zone}
@@ -134,6 +148,28 @@
 	return out
 }
 
+// mayTakeFromAlive tells whether a lease may move from a live holder to this node,
+// where hashing wants it. It does so one at a time and only in a view that has
+// been the same for a while, and not while the server loads something.
+func (o *Ownership) mayTakeFromAlive(l fold.Lease) bool {
+	now := time.Now()
+	members := o.deps.members()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !slices.Equal(members, o.view) {
+		o.view, o.viewSince = members, now
+	}
+	if now.Sub(o.viewSince) < stableView || now.Sub(o.movedAt) < moveInterval || len(l.Doubts) > 0 {
+		return false
+	}
+	r, seen := o.deps.Reports.Server(l.Server, now)
+	if !seen || slices.ContainsFunc(r.Models, func(m peer.ModelReport) bool { return m.Loading }) {
+		return false
+	}
+	o.movedAt = now
+	return true
+}
+
 // absentFor returns how long a node has not been among the live nodes that stay.
 // A node that says itself that it leaves is absent for long enough at once.
 func (o *Ownership) absentFor(n domain.NodeID) time.Duration {
--- a/node/pacer.go
+++ b/node/pacer.go
@@ -18,6 +18,9 @@
 	paceInterval = 200 * time.Millisecond
 	// paceLifetime frees the slot of a holder that died.
 	paceLifetime = time.Minute
+	// paceDead is how long the slot of a dead holder is kept: an engine goes on
+	// with a load whose owner died.
+	paceDead = 2 * time.Second
 	// paceWait bounds the wait for a slot.
 	paceWait = time.Minute
 	// pacerKey is hashed to find the node that paces loads.
@@ -29,8 +32,10 @@
 type Pacer struct {
 	mu sync.Mutex
 	// held are the granted slots and when each ends by itself.
-	held map[uint64]time.Time
-	next uint64
+	held map[uint64]heldPace
+	// alive tells whether a node is alive; nil counts every node as alive.
+	alive func(domain.NodeID) bool
+	next  uint64
 	// started is when the last slot was granted.
 	started time.Time
 	waiting []*paceWaiter
@@ -38,22 +43,32 @@
 	wake chan struct{}
 }
 
+// heldPace is a granted slot.
+type heldPace struct {
+	holder domain.NodeID
+	// until is when the slot ends by itself. A holder that is found dead brings it
+	// forward: its loads go on for a while without it.
+	until time.Time
+	dead  bool
+}
+
 type paceWaiter struct {
 	waiting int
 	order   uint64
 }
 
-// NewPacer returns a Pacer with every slot free.
-func NewPacer() *Pacer {
-	return &Pacer{held: make(map[uint64]time.Time), wake: make(chan struct{})}
+// NewPacer returns a Pacer with every slot free. The slots of nodes that are not
+// alive are freed soon.
+func NewPacer(alive func(domain.NodeID) bool) *Pacer {
+	return &Pacer{held: make(map[uint64]heldPace), alive: alive, wake: make(chan struct{})}
 }
 
 // Acquire waits for a slot.
-func (p *Pacer) Acquire(ctx context.Context, a peer.AcquirePace) (peer.Paced, error) {
+func (p *Pacer) Acquire(ctx context.Context, holder domain.NodeID, a peer.AcquirePace) (peer.Paced, error) {
 	w := p.enter(a.Waiting)
 	defer p.leave(w)
 	for {
-		slot, retry, wake := p.try(w, time.Now())
+		slot, retry, wake := p.try(w, holder, time.Now())
 		if slot != 0 {
 			return peer.Paced{Slot: slot, For: paceLifetime}, nil
 		}
@@ -94,14 +109,10 @@
 }
 
 // try grants a slot to w if it is first and a slot is free at now.
-func (p *Pacer) try(w *paceWaiter, now time.Time) (slot uint64, retry time.Duration, wake <-chan struct{}) {
+func (p *Pacer) try(w *paceWaiter, holder domain.NodeID, now time.Time) (slot uint64, retry time.Duration, wake <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for s, end := range p.held {
-		if now.After(end) {
-			delete(p.held, s)
-		}
-	}
+	p.expire(now)
 	if len(p.held) >= paceSlots || p.first() != w {
 		return 0, time.Second, p.wake
 	}
@@ -110,10 +121,24 @@
 	}
 	p.started = now
 	p.next++
-	p.held[p.next] = now.Add(paceLifetime)
+	p.held[p.next] = heldPace{holder: holder, until: now.Add(paceLifetime)}
 	return p.next, 0, p.wake
 }
 
+// expire frees the slots whose time is over; the caller holds mu.
+func (p *Pacer) expire(now time.Time) {
+	for s, h := range p.held {
+		if !h.dead && p.alive != nil && !p.alive(h.holder) {
+			h.dead = true
+			h.until = now.Add(paceDead)
+			p.held[s] = h
+		}
+		if now.After(h.until) {
+			delete(p.held, s)
+		}
+	}
+}
+
 // first is the waiter with most callers, the earliest among equals; the caller
 // holds mu.
 func (p *Pacer) first() *paceWaiter {
@@ -157,7 +182,7 @@
 	}
 	a := peer.AcquirePace{Model: m, Within: paceWait, Waiting: 1}
 	if pacer == c.deps.node() {
-		p, err := c.local.Acquire(ctx, a)
+		p, err := c.local.Acquire(ctx, c.deps.node(), a)
 		if err != nil {
 			return nil, err
 		}
@@ -170,6 +195,7 @@
 	if verdict.Of(err) != nil && verdict.Of(err).Reason == verdict.DeadlineTooShort {
 		return nil, err
 	}
+	c.deps.Logger.Warn().Err(err).Str("Event", "PacerUnreachable").Str("Pacer", string(pacer)).Msg("this node loads within its own share")
 	return c.own(ctx)
 }
 
