Measure calls, reports, log records, views and the fold

Cause: the budgets at the planned size need slopes of every message and state.

Change: bench measures bytes and processor time of calls and one-way messages over real links, a view of 940 nodes and the fold of the planned size. Calls that get no answer from the peer itself carry ErrUnreachable and the reason Unknown, so that the caller asks the next home.

--- /dev/null
+++ b/bench/cost_test.go
@@ -0,0 +1,279 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/parsleylug/parsleylug/configuration"
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/fold"
+	"github.com/parsleylug/parsleylug/membership"
+	"github.com/parsleylug/parsleylug/peer"
+	"github.com/parsleylug/parsleylug/platformlog"
+	"github.com/parsleylug/parsleylug/rendezvous"
+)
+
+// The planned size.
+const (
+	plannedNodes    = 940
+	plannedModels   = 1500
+	plannedAdapters = 4900
+	plannedReplicas = 10000
+	plannedServers  = 1000
+	// plannedRound is after how many replicas models and servers would pair up
+	// again.
+	plannedRound = 3000
+)
+
+// pair is two linked nodes in two regions.
+func pair(b *testing.B) (*cluster, *clusterNode, domain.NodeID) {
+	c := newCluster(b, 2)
+	b.Cleanup(c.close)
+	c.whole(settleTime)
+	time.Sleep(time.Second)
+	return c, c.nodes[0], c.nodes[1].member.Node
+}
+
+// BenchmarkCapacityCall measures what a Wake with its answer costs both ends
+// together.
+func BenchmarkCapacityCall(b *testing.B) {
+	c, from, to := pair(b)
+	wake := peer.Wake{
+		Request: "01HZZZZZZZZZZZZZZZZZZZZZZZ", Model: "coral-frame-notes-large", Adapter: "franchise-042",
+		Team: "coral-research", Region: "region-0", Within: 30 * time.Second,
+	}
+	measureMessages(b, c, "Call", func(wait *sync.WaitGroup, n int) {
+		for range 8 {
+			wait.Go(func() {
+				for range n / 8 {
+					if _, err := from.Call(context.Background(), to, wake); err != nil {
+						b.Error(err)
+						return
+					}
+				}
+			})
+		}
+	})
+}
+
+// BenchmarkCapacityReport measures a report of one server with ten replicas.
+func BenchmarkCapacityReport(b *testing.B) {
+	measureSend(b, "Report", peer.Reports{Servers: []peer.ServerReport{serverReport(10)}})
+}
+
+// BenchmarkCapacityApplied measures an Applied message.
+func BenchmarkCapacityApplied(b *testing.B) {
+	measureSend(b, "Applied", peer.Applied{Decision: 1 << 30, Configuration: 1 << 24})
+}
+
+// BenchmarkCapacityLogRecord measures one record of 300 bytes passed to one node.
+func BenchmarkCapacityLogRecord(b *testing.B) {
+	measureSend(b, "LogRecord", peer.LogRecords{First: 1, Records: [][]byte{make([]byte, 300)}})
+}
+
+// BenchmarkCapacityHeartbeat measures a relay's heartbeat to one node.
+func BenchmarkCapacityHeartbeat(b *testing.B) {
+	measureSend(b, "Heartbeat", peer.LogRecords{First: 1 << 30})
+}
+
+func serverReport(models int) peer.ServerReport {
+	s := peer.ServerReport{Server: "engine-0123", Fence: 1 << 30, Sequence: 1 << 20, Alive: true, FreeMemory: 20 * domain.Gibibyte}
+	for i := range models {
+		s.Models = append(s.Models, peer.ModelReport{
+			Model: domain.ModelName(fmt.Sprintf("coral-frame-notes-%04d", i)), Running: 3, Waiting: 1,
+			Adapters: []domain.AdapterName{"franchise-042", "franchise-077", "franchise-101"},
+		})
+	}
+	return s
+}
+
+// measureSend sends one message at a time, so that each pays for its packet.
+func measureSend(b *testing.B, name string, m peer.Message) {
+	c, from, to := pair(b)
+	measureMessages(b, c, name, func(_ *sync.WaitGroup, n int) {
+		for range n {
+			from.Send(to, m)
+			time.Sleep(50 * time.Microsecond)
+		}
+	})
+}
+
+func measureMessages(b *testing.B, c *cluster, name string, send func(wait *sync.WaitGroup, n int)) {
+	const messages = 16000
+	for b.Loop() {
+		var wait sync.WaitGroup
+		bytes, used := c.traffic.total(), processorTime()
+		send(&wait, messages)
+		wait.Wait()
+		time.Sleep(100 * time.Millisecond)
+		record(b, name+"Processor", "core-s", (processorTime()-used).Seconds()/messages)
+		record(b, name+"Bytes", "B", (c.traffic.total()-bytes)/2/messages)
+	}
+}
+
+// BenchmarkCapacityMembership measures a view of the planned size.
+func BenchmarkCapacityMembership(b *testing.B) {
+	now := time.Unix(1000, 0)
+	before := memory()
+	table := membership.NewTable(member(0))
+	for i := range plannedNodes - 1 {
+		table.Heard(now, membership.Update{Member: member(i + 1), Status: membership.Alive, Incarnation: 1})
+	}
+	table.TakeGossip()
+	record(b, "ViewMemory", "B", memory()-before)
+	incarnation := uint64(1)
+	timed(b, "ViewChangeProcessor", func() {
+		incarnation++
+		table.Merge(now, []membership.Update{{Member: member(7), Status: membership.Gone, Incarnation: incarnation}})
+		incarnation++
+		table.Merge(now, []membership.Update{{Member: member(7), Status: membership.Alive, Incarnation: incarnation}})
+		table.Neighbours()
+		table.Members()
+		table.Digests()
+		table.TakeGossip()
+	})
+	timed(b, "ViewTickProcessor", func() {
+		table.Tick(now)
+		table.Probes(now)
+		table.Neighbours()
+	})
+	nodes := make([]domain.NodeID, 0, plannedNodes)
+	for _, m := range table.Members() {
+		nodes = append(nodes, m.Node)
+	}
+	timed(b, "FirstProcessor", func() { rendezvous.First("model/coral-frame-notes", nodes) })
+	for b.Loop() {
+		table.Tick(now)
+	}
+}
+
+func member(i int) membership.Member {
+	return membership.Member{
+		Node: domain.NodeID(fmt.Sprintf("entry-%04d-%08x", i, i*7919)), Address: fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250),
+		AdminAddress: fmt.Sprintf("10.0.%d.%d:7001", i/250, i%250),
+		Region:       domain.Region(fmt.Sprintf("region-%d", i%6)), Zone: domain.Zone(fmt.Sprintf("region-%d-%d", i%6, i/6%4)),
+	}
+}
+
+// timed measures one run of f.
+func timed(b *testing.B, name string, f func()) {
+	const runs = 300
+	used := processorTime()
+	for range runs {
+		f()
+	}
+	record(b, name, "core-s", (processorTime()-used).Seconds()/runs)
+}
+
+// BenchmarkCapacityFold measures the agreed state of the planned size.
+func BenchmarkCapacityFold(b *testing.B) {
+	codec, err := platformlog.NewCodec(platformlog.RecordCodec{Encode: configuration.Encode, Decode: configuration.Decode})
+	if err != nil {
+		b.Fatal(err)
+	}
+	before := memory()
+	f := folder{b: b, codec: codec, state: &fold.State{}}
+	f.fill()
+	record(b, "FoldMemory", "B", memory()-before)
+	snapshot, err := codec.EncodeSnapshot(f.state.Snapshot())
+	if err != nil {
+		b.Fatal(err)
+	}
+	record(b, "SnapshotBytes", "B", float64(len(snapshot)))
+	const changes = 2000
+	f.bytes = 0
+	used := processorTime()
+	for i := range changes {
+		f.change(i)
+	}
+	record(b, "ChangeProcessor", "core-s", (processorTime()-used).Seconds()/changes)
+	record(b, "ChangeBytes", "B", float64(f.bytes)/changes)
+	f.bytes = 0
+	used = processorTime()
+	for i := range changes {
+		f.permit(i)
+	}
+	record(b, "PermitProcessor", "core-s", (processorTime()-used).Seconds()/changes)
+	record(b, "PermitBytes", "B", float64(f.bytes)/changes)
+	for b.Loop() {
+		f.state.Offset()
+	}
+}
+
+// folder proposes batches and folds what comes out of the codec.
+type folder struct {
+	b        *testing.B
+	codec    *platformlog.Codec
+	state    *fold.State
+	sequence domain.Sequence
+	bytes    int
+}
+
+func (f *folder) apply(records ...fold.Record) {
+	batch := fold.Batch{Node: "entry-0001", First: f.sequence + 1, Records: records}
+	f.sequence += domain.Sequence(len(records))
+	data, err := f.codec.EncodeBatch(batch)
+	if err != nil {
+		f.b.Fatal(err)
+	}
+	f.bytes += len(data)
+	decoded, err := f.codec.DecodeBatch(data)
+	if err != nil {
+		f.b.Fatal(err)
+	}
+	for _, o := range f.state.Apply(f.state.Offset()+1, decoded) {
+		if o.Rejection != fold.Accepted {
+			f.b.Fatalf("got %v, want Accepted", o.Rejection)
+		}
+	}
+}
+
+func (f *folder) configure(r configuration.Record) {
+	r.SchemaVersion = configuration.CurrentSchemaVersion
+	after := f.state.ConfigurationOffset()
+	f.apply(fold.ConfigurationImported{After: after, Through: after + 1, Changes: []fold.Change{{Offset: after + 1, Record: r}}})
+}
+
+func modelName(i int) domain.ModelName     { return domain.ModelName(fmt.Sprintf("model-%04d", i)) }
+func serverName(i int) domain.ServerID     { return domain.ServerID(fmt.Sprintf("engine-%04d", i)) }
+func adapterName(i int) domain.AdapterName { return domain.AdapterName(fmt.Sprintf("adapter-%04d", i)) }
+
+func (f *folder) fill() {
+	for i := range plannedModels {
+		f.configure(configuration.Record{Author: "bench", Model: &configuration.Model{
+			Name: modelName(i), Version: "v1", Memory: 4 * domain.Gibibyte, Copies: 8}})
+	}
+	for i := range plannedAdapters {
+		f.configure(configuration.Record{Author: "bench", Adapter: &configuration.Adapter{
+			Model: modelName(i % plannedModels), Name: adapterName(i), Version: "v1", Memory: 64 * domain.Mebibyte}})
+	}
+	for i := range plannedServers {
+		f.apply(fold.LeaseTaken{Server: serverName(i), Owner: "entry-0001",
+			Facts: fold.ServerFacts{Memory: 640 * domain.Gibibyte, ChecksFences: true, Region: "region-0", Zone: "region-0-0"}})
+	}
+	for i := range plannedReplicas {
+		server := (i + i/plannedRound) % plannedServers
+		f.apply(fold.PermitAttached{Model: modelName(i % plannedModels), Server: serverName(server), Fence: f.fence(server)})
+	}
+}
+
+// fence is where fill appended the lease of a server.
+func (f *folder) fence(server int) domain.Fence {
+	return domain.Fence(plannedModels + plannedAdapters + server + 1)
+}
+
+func (f *folder) change(i int) {
+	f.configure(configuration.Record{Author: "bench", Adapter: &configuration.Adapter{
+		Model: modelName(i % plannedModels), Name: adapterName(i % plannedAdapters), Version: domain.VersionName(fmt.Sprintf("v%d", i)), Memory: 64 * domain.Mebibyte}})
+}
+
+// permit releases a permit and attaches it again.
+func (f *folder) permit(i int) {
+	server := i % plannedServers
+	model, fence := modelName(i%plannedModels), f.fence(server)
+	f.apply(fold.PermitReleased{Model: model, Server: serverName(server), Fence: fence})
+	f.apply(fold.PermitAttached{Model: model, Server: serverName(server), Fence: fence})
+}
--- a/peer/call.go
+++ b/peer/call.go
@@ -4,15 +4,26 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/membership"
 	"github.com/parsleylug/parsleylug/verdict"
 )
 
+// ErrUnreachable is the cause of errors where the peer itself gave no answer.
+var ErrUnreachable = errors.New("peer: unreachable")
+
+// unreachable is an error of a call of which nothing was sent.
+func unreachable(message string) *verdict.Error {
+	return &verdict.Error{Verdict: verdict.NotRun, Reason: verdict.Unknown, Message: message, Cause: ErrUnreachable}
+}
+
 // Call sends a request to a node and waits for its answer. A call to this node
 // itself goes straight to Handle. Errors are *verdict.Error: NotRun where
-// nothing was sent, else what the node said or MayHaveRun. ctx's deadline goes
-// along as the time that is left.
+// nothing was sent, else what the node said or MayHaveRun. Where the node gave no
+// answer, the reason is Unknown and the cause ErrUnreachable. ctx's deadline goes along
+// as the time that is left.
 func (m *Mesh) Call(ctx context.Context, to domain.NodeID, request Message) (Message, error) {
 	if to == m.options.Self.Node {
 		answer, err := m.handle(ctx, to, request)
@@ -97,7 +108,7 @@
 	u, ok := m.table.Lookup(to)
 	if !ok || u.Status == membership.Gone {
 		m.mu.Unlock()
-		return nil, verdict.Refuse(verdict.BackendFailed, "the peer is gone")
+		return nil, unreachable("the peer is gone")
 	}
 	m.startDial(to, r)
 	settled := r.settled
@@ -112,7 +123,7 @@
 	if l := r.best(); l != nil {
 		return l, nil
 	}
-	return nil, verdict.Refuse(verdict.BackendFailed, "the peer cannot be reached")
+	return nil, unreachable("the peer cannot be reached")
 }
 
 func (l *link) use() {
@@ -133,7 +144,7 @@
 	l.mu.Lock()
 	if l.closed {
 		l.mu.Unlock()
-		return nil, verdict.Refuse(verdict.BackendFailed, "the link to the peer is broken")
+		return nil, unreachable("the link to the peer is broken")
 	}
 	l.next++
 	call := l.next
@@ -143,7 +154,7 @@
 	f := wireFrame{Kind: frameRequest, Call: call, WithinMicroseconds: max(within.Microseconds(), 0)}
 	if !l.sendUrgent(f, request) {
 		l.forget(call)
-		return nil, verdict.Refuse(verdict.QueueFull, "the link to the peer is congested or broken")
+		return nil, unreachable("the link to the peer is congested or broken")
 	}
 	return l.await(ctx, call, answer)
 }
@@ -152,7 +163,7 @@
 	select {
 	case m, ok := <-answer:
 		if !ok {
-			return nil, verdict.Doubt(verdict.BackendFailed, "the link to the peer broke before the answer", nil)
+			return nil, verdict.Doubt(verdict.Unknown, "the link to the peer broke before the answer", ErrUnreachable)
 		}
 		if f, failed := m.(Failed); failed {
 			return nil, fromFailed(f)
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -14,6 +14,7 @@
 	Ping{}, Pong{}, Failed{}, Wake{}, Replicas{}, Load{}, Loaded{}, AcquirePace{}, Paced{}, ReleasePace{},
 	Reports{}, CommandQuery{}, CommandAnswer{}, Suspects{}, SnapshotRequest{}, Snapshot{}, LogRecords{},
 	Applied{}, Usage{}, StatusRequest{}, Status{}, Leave{}, Hello{}, Welcome{}, Gossip{}, Compare{}, Differs{},
+	ReleasePermit{}, Released{},
 }
 
 // fill sets every field below v to a value that differs from zero and, where
@@ -72,7 +73,7 @@
 		}
 		seen[f.Number] = true
 	}
-	for n := numberPing; n <= numberDiffers; n++ {
+	for n := numberPing; n <= numberReleased; n++ {
 		if !seen[n] {
 			t.Errorf("got no message with number %d, want every number tested", n)
 		}
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/verdict"
 )
@@ -122,8 +124,9 @@
 			t.Errorf("got %+v, want what the handler said", e)
 		}
 	}
-	if _, err := b.Call(ctx, "nobody", Load{}); verdict.Of(err).Verdict != verdict.NotRun {
-		t.Errorf("got %v, want NotRun", err)
+	_, err := b.Call(ctx, "nobody", Load{})
+	if e := verdict.Of(err); e.Verdict != verdict.NotRun || e.Reason != verdict.Unknown || !errors.Is(err, ErrUnreachable) {
+		t.Errorf("got %v, want NotRun from no peer", err)
 	}
 }
 
