Pass log records on along a tree of ranks

Change: the ranks form a tree of fan-out 4; each node passes on what it gets from a better rank.

Conclusion: no node pays for more than four others.

--- a/relay/plan.go
+++ b/relay/plan.go
@@ -1,7 +1,7 @@
 // Package relay passes the records of the decision stream on within an
 // availability zone, so that the platform's log has one reader a zone and not
-// one a node. Who reads is pure: Plan ranks the zone's nodes, Watch says when a
-// node must read itself. Runner puts both to work over a mesh.
+// one a node. Who reads is pure: Plan ranks the zone's nodes into a tree, Watch
+// says when a node must read itself. Runner puts both to work over a mesh.
 package relay
 
 import (
@@ -25,6 +25,9 @@
 	rankPatience = 250 * time.Millisecond
 	// maximumPatience leaves time to read a record within 3 s of its append.
 	maximumPatience = 2500 * time.Millisecond
+	// FanOut is how many nodes each one passes records to. The ranks form a tree,
+	// so that no node pays for its whole zone.
+	FanOut = 4
 )
 
 // Plan is who reads the log for the members of one zone.
@@ -58,9 +61,11 @@
 	return Plan{Ranked: ranked, Rank: slices.Index(ranked, self)}
 }
 
-// Targets are the nodes that this one passes records to when it reads the log.
+// Targets are the nodes that this one passes records to, its children in the
+// tree of ranks.
 func (p Plan) Targets() []domain.NodeID {
-	return slices.Concat(p.Ranked[:p.Rank], p.Ranked[p.Rank+1:])
+	first := min(p.Rank*FanOut+1, len(p.Ranked))
+	return p.Ranked[first:min(first+FanOut, len(p.Ranked))]
 }
 
 // Patience is how long this node waits for a better one before it reads itself.
@@ -87,12 +92,16 @@
 	w.plan = p
 }
 
-// Heard takes in that a node passed records or a heartbeat on. Only nodes of a
-// better rank count: of two that read, the worse one stops.
-func (w *Watch) Heard(now time.Time, from domain.NodeID) {
-	if i := slices.Index(w.plan.Ranked, from); i >= 0 && i < w.plan.Rank {
-		w.heardAt = now
+// Heard takes in that a node passed records or a heartbeat on and tells whether
+// to pass them on too. Only nodes of a better rank count: of two that read, the
+// worse one stops, and nothing goes round in a circle.
+func (w *Watch) Heard(now time.Time, from domain.NodeID) bool {
+	i := slices.Index(w.plan.Ranked, from)
+	if i < 0 || i >= w.plan.Rank {
+		return false
 	}
+	w.heardAt = now
+	return true
 }
 
 // Reads tells whether this node must read the log itself at now.
--- a/relay/runner.go
+++ b/relay/runner.go
@@ -100,7 +100,9 @@
 // Handle takes in what a relay passed on.
 func (r *Runner) Handle(from domain.NodeID, m peer.LogRecords) {
 	r.mu.Lock()
-	r.watch.Heard(time.Now(), from)
+	if r.watch.Heard(time.Now(), from) {
+		r.send(m)
+	}
 	r.mu.Unlock()
 	r.options.Replica.Deliver(m.First, m.Records)
 }
@@ -130,7 +132,7 @@
 	}
 }
 
-// send passes a message to the zone. The caller holds mu.
+// send passes a message to the children. The caller holds mu.
 func (r *Runner) send(m peer.LogRecords) {
 	r.sent = time.Now()
 	for _, n := range r.watch.Plan().Targets() {
