--- a/acceptance/configuration_test.go
+++ b/acceptance/configuration_test.go
@@ -47,7 +47,9 @@
 		return 0
 	}
 	defer func() { _ = r.Body.Close() }()
-	var st struct{ Log struct{ Configuration uint64 } }
+	var st struct {
+		Log struct{ Configuration uint64 }
+	}
 	if json.NewDecoder(r.Body).Decode(&st) != nil {
 		return 0
 	}
