Add replicas under load, share limits' use, refuse at once in a log outage

Cause: a model allowed two copies stayed at one however many callers waited; limits knew only their own node; in a log outage callers of models without a permit waited their whole deadline.

--- a/node/applied.go
+++ b/node/applied.go
@@ -16,6 +16,13 @@
 // on change.
 const appliedInterval = 200 * time.Millisecond
 
+const (
+	// usageInterval is how often nodes tell each other the use of limits.
+	usageInterval = time.Second
+	// logDownAfter is how long the log must be away before that counts.
+	logDownAfter = 2 * time.Second
+)
+
 // heard is how far other nodes say that they have folded. The zero heard is empty.
 type heard struct {
 	mu    sync.Mutex
@@ -47,6 +54,26 @@
 	return a
 }
 
+// tellUsage tells the other nodes what this one's callers use of shared limits.
+func (n *Node) tellUsage(ctx context.Context) {
+	for {
+		if u := n.callers.Usage(); len(u.Counters) > 0 {
+			n.mesh.Broadcast(u)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(usageInterval):
+		}
+	}
+}
+
+// logDown tells whether the platform's log has been away for long enough that
+// what needs it is refused at once.
+func (n *Node) logDown() bool {
+	return !n.replica.LogUp() && n.replica.Lag() >= logDownAfter
+}
+
 // tellApplied tells the other nodes how far this one has folded.
 func (n *Node) tellApplied(ctx context.Context) {
 	var last peer.Applied
--- a/node/deps.go
+++ b/node/deps.go
@@ -31,6 +31,8 @@
 	Leaving func() bool
 	// Journal keeps what was decided for requests; it may be nil.
 	Journal *decisions.Journal
+	// LogDown tells whether what needs the platform's log is refused at once.
+	LogDown func() bool
 	// Settled tells whether this node's view of the others has had time to form.
 	// Until then it takes no lease and is not ready.
 	Settled func() bool
--- a/node/home.go
+++ b/node/home.go
@@ -126,12 +126,22 @@
 	if model.Copies < 1 {
 		return verdict.Refuse(verdict.NoCapacity, "no replica of the model is allowed")
 	}
+	if h.deps.LogDown() && !h.holdsPermit(w.Model) {
+		return verdict.Refuse(verdict.LogUnavailable, "the model has no permit yet and none can be had while the platform's log is down").After(retryLoadAfter)
+	}
 	if e := h.estimate(w.Model); e > w.Within {
 		return verdict.Refuse(verdict.DeadlineTooShort, "the model is not loaded and cannot be loaded in time").After(e)
 	}
 	return nil
 }
 
+// holdsPermit tells whether a server may load the model without the log.
+func (h *Home) holdsPermit(m domain.ModelName) bool {
+	var held bool
+	h.deps.Agreement.View(func(s *fold.State) { held = len(heldBy(s, m)) > 0 })
+	return held
+}
+
 func (h *Home) model(m domain.ModelName) (model configuration.Model, ok bool) {
 	h.deps.Agreement.View(func(s *fold.State) { model, ok = s.Model(m) })
 	return model, ok
--- a/node/node.go
+++ b/node/node.go
@@ -123,7 +123,7 @@
 	n.deps = &Deps{
 		Self: self, Agreement: n.replica, Mesh: n.mesh, Directory: directory, Reports: &Reports{},
 		Engines: &engine.Client{Region: o.Region}, KeepAlive: o.KeepAlive, Logger: o.Logger, Scope: o.Scope,
-		Leaving: n.stopping.Load, Settled: n.settled, Journal: n.journal,
+		Leaving: n.stopping.Load, Settled: n.settled, LogDown: n.logDown, Journal: n.journal,
 	}
 	n.join(handler)
 	return n, nil
@@ -162,7 +162,7 @@
 		Reports: n.deps.Reports, Home: n.home, Ownership: n.ownership, Pacer: pacer, Claims: n.claims,
 		Snapshot: n.replica.EncodedSnapshot, Applied: n.applied, Heard: n.heard.add,
 		Learn:   n.callers.Learn,
-		Usage:   func(domain.NodeID, peer.Usage) {},
+		Usage:   n.callers.LearnUsage,
 		Status:  n.part,
 		Deliver: n.relay.Handle,
 	}
@@ -239,7 +239,9 @@
 		func(ctx context.Context) error { n.deps.Directory.Run(ctx, n.list); return nil },
 		func(ctx context.Context) error { n.announce(ctx); return nil },
 		func(ctx context.Context) error { n.ownership.Run(ctx); return nil },
+		func(ctx context.Context) error { n.home.Run(ctx); return nil },
 		func(ctx context.Context) error { n.tellApplied(ctx); return nil },
+		func(ctx context.Context) error { n.tellUsage(ctx); return nil },
 	}
 	for _, l := range loops {
 		group.Go(func() error { return unlessEnded(running, l(running)) })
--- a/node/placer.go
+++ b/node/placer.go
@@ -88,7 +88,7 @@
 		Request: n.Request, Model: n.Model, Adapter: n.Adapter, Team: n.Team, Priority: n.Priority,
 		Region: p.deps.Self.Region, Within: within, Exclude: n.Exclude,
 	}
-	for _, home := range rendezvous.Rank("model/"+string(n.Model), p.deps.members()) {
+	for _, home := range rendezvous.Rank(homeKey(n.Model), p.deps.members()) {
 		if home == p.deps.node() {
 			break
 		}
--- a/node/reports.go
+++ b/node/reports.go
@@ -104,6 +104,17 @@
 	delete(r.servers, s)
 }
 
+// Models returns the models that any report has, in no order.
+func (r *Reports) Models() []domain.ModelName {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	out := make([]domain.ModelName, 0, len(r.loaded))
+	for m := range r.loaded {
+		out = append(out, m)
+	}
+	return out
+}
+
 // Loaded is a replica that a report shows as ready.
 type Loaded struct {
 	Server domain.ServerID
