--- a/engine/codec.go
+++ b/engine/codec.go
@@ -41,6 +41,7 @@
 	Loading     bool
 	Running     int
 	Waiting     int
+	Served      uint64
 	Adapters    []string
 }
 
@@ -116,6 +117,7 @@
 		Loading:  w.Loading,
 		Running:  w.Running,
 		Waiting:  w.Waiting,
+		Served:   w.Served,
 		Adapters: named[domain.AdapterName](w.Adapters),
 	}, nil
 }
--- a/node/unload.go
+++ b/node/unload.go
@@ -108,6 +108,7 @@
 	if st == engine.Done {
 		k.state.Replicas = slices.DeleteFunc(k.state.Replicas, func(r engine.Replica) bool { return r.Model == m })
 		delete(k.usedAt, m)
+		delete(k.served, m)
 	}
 	k.mu.Unlock()
 	if st == engine.Done {
