Take a part of the free slots and learn how wrong waits were

Cause: over 7 real nodes every node took all free slots that it saw and the engines' queues swung; refusals of three times the capacity came after 2.7 s (p95). Change: a node grows by its part of what is free; a queue learns how much longer than estimated its requests waited and plans for it; a slot is not given to a request that has less left than the average hold time and two deviations; a begun answer never waits at the gate again.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -17,7 +17,10 @@
 
 // spreads is how many average distances from the average hold time are planned
 // for.
-const spreads = 4
+const (
+	spreads     = 4
+	waitSpreads = 2
+)
 
 // minimumRetryAfter is the shortest wait that a refusal names.
 const minimumRetryAfter = time.Second
@@ -85,6 +88,9 @@
 	hold time.Duration
 	// spread is the moving average of how far hold times are from hold.
 	spread time.Duration
+	// longer is the moving average of how much longer than estimated items waited,
+	// and longerSpread how far they are from it: other nodes take slots too.
+	longer, longerSpread time.Duration
 }
 
 // slot is one running item.
@@ -101,7 +107,14 @@
 	// pass grows by 1/share with each admission; the least goes next.
 	pass float64
 	// items are in the order of their deadlines.
-	items []Item
+	items []queued
+}
+
+// queued is a waiting item with what was estimated of its wait.
+type queued struct {
+	Item
+	offered  time.Time
+	estimate time.Duration
 }
 
 // Waiting returns how many items wait.
@@ -133,7 +146,7 @@
 		d.Answer = RefusedFull
 		d.RetryAfter = max(minimumRetryAfter, wait/2)
 	default:
-		t.items = slices.Insert(t.items, at, i)
+		t.items = slices.Insert(t.items, at, queued{Item: i, offered: now, estimate: wait})
 		q.waiting++
 		d.Late = q.dropLate(now, t)
 	}
@@ -161,7 +174,7 @@
 // Leave takes a waiting item off the queue.
 func (q *Queue) Leave(id ID) {
 	for _, t := range q.teams {
-		at := slices.IndexFunc(t.items, func(i Item) bool { return i.ID == id })
+		at := slices.IndexFunc(t.items, func(i queued) bool { return i.ID == id })
 		if at < 0 {
 			continue
 		}
@@ -190,9 +203,17 @@
 	q.spread += time.Duration(holdWeight * float64(off.Abs()-q.spread))
 }
 
-// need is how long an item needs its slot, with a margin for those that need
-// it longer than the average.
-func (q *Queue) need() time.Duration { return q.hold + spreads*q.spread }
+// learnWait takes in how much longer than estimated an item waited.
+func (q *Queue) learnWait(off time.Duration) {
+	q.longer += time.Duration(holdWeight * float64(off-q.longer))
+	q.longerSpread += time.Duration(holdWeight * float64((off-q.longer).Abs()-q.longerSpread))
+}
+
+// need is how long an item needs from when it is expected to get its slot, with
+// margins for those that wait or run longer than the average.
+func (q *Queue) need() time.Duration {
+	return q.hold + spreads*q.spread + max(0, q.longer+waitSpreads*q.longerSpread)
+}
 
 // fill gives free slots to waiting items.
 func (q *Queue) fill(now time.Time) Change {
@@ -202,7 +223,8 @@
 		i := t.items[0]
 		t.items = slices.Delete(t.items, 0, 1)
 		q.waiting--
-		if i.Deadline.Passed(now.Add(q.hold)) {
+		q.learnWait(now.Sub(i.offered) - i.estimate)
+		if i.Deadline.Passed(now.Add(q.hold + 2*q.spread)) {
 			c.Late = append(c.Late, i.ID)
 		} else {
 			q.admit(now, t, i.ID)
@@ -244,7 +266,7 @@
 
 // position is where an item goes by its deadline.
 func (t *team) position(i Item) int {
-	at, _ := slices.BinarySearchFunc(t.items, i, func(a, b Item) int {
+	at, _ := slices.BinarySearchFunc(t.items, i, func(a queued, b Item) int {
 		if a.Deadline.At.After(b.Deadline.At) {
 			return 1
 		}
--- a/caller/session.go
+++ b/caller/session.go
@@ -147,11 +147,11 @@
 // looked up again.
 const staleAfter = 100 * time.Millisecond
 
-// place finds the replicas and waits for a slot on them. A suspect needs none: it
-// waits for its turn.
+// place finds the replicas and waits for a slot on them. A suspect needs none, since it
+// waits for its turn, and a begun answer goes on.
 func (s *session) place() (routing.Set, error) {
 	set, err := s.lookUp()
-	if err != nil || s.slot != nil || s.api.isolation.standing(s.call.content) != suspects.Clean {
+	if err != nil || s.slot != nil || s.relay.Next() > 0 || s.api.isolation.standing(s.call.content) != suspects.Clean {
 		return set, err
 	}
 	found := time.Now()
--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -152,9 +152,9 @@
 }
 
 // Room returns how many requests this node may have in flight over the replicas
-// of s. While they have room, that is what this node has and what is free; once
-// they are full, each node falls back in proportion and all approach equal
-// shares. It is at least one.
+// of s. While they have room, that is what this node has and its part of what is
+// free, since other nodes see the same; once they are full, each node falls back in
+// proportion and all approach equal shares. It is at least one.
 func (c *Chooser) Room(s Set) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -167,12 +167,20 @@
 			mine += min(l.atReport, p.Running+p.Waiting)
 		}
 	}
-	if reported <= concurrency {
-		return mine + concurrency - reported + 1
+	free := concurrency - reported
+	switch {
+	case reported == 0:
+		return concurrency + 1
+	case free <= 0:
+		return mine*concurrency/reported + 1
+	default:
+		return mine + max(1, free*mine/reported, free/newcomerShare)
 	}
-	return mine*concurrency/reported + 1
 }
 
+// newcomerShare is the part of free slots that a node takes which has few or none.
+const newcomerShare = 8
+
 // choose takes the nearest group that has room, else the best candidate of all.
 func (c *Chooser) choose(now time.Time, s Set, r Request) candidate {
 	best := candidate{index: -1}
