--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -167,20 +167,25 @@
 			mine += min(l.atReport, p.Running+p.Waiting)
 		}
 	}
-	free := concurrency - reported
+	target := concurrency + concurrency/queuedShare
+	free := target - reported
 	switch {
 	case reported == 0:
 		return concurrency + 1
 	case free <= 0:
-		return mine*concurrency/reported + 1
+		return mine*target/reported + 1
 	default:
-		return mine + max(1, free*mine/reported, free/newcomerShare)
+		return mine + max(2, free*mine/reported, free/newcomerShare)
 	}
 }
 
 // newcomerShare is the part of free slots that a node takes which has few or none.
 const newcomerShare = 8
 
+// queuedShare is the part of a replica's size that may wait in its engine, so that
+// late reports leave no slot empty.
+const queuedShare = 8
+
 // choose takes the nearest group that has room, else the best candidate of all.
 func (c *Chooser) choose(now time.Time, s Set, r Request) candidate {
 	best := candidate{index: -1}
