Keep a stand-in's address and life apart over crashes that meet

Cause: a test that lets orders, requests, crashes and silent connections meet at random showed a data race on a restarting server's address; a crash between the new life and the new listener would have left a restart that tries for ever. Change: the address is set once; the listener comes before the new life. Order says that its context's deadline alone ends the wait on a silent connection: the test hung there before it set one.

--- a/engine/http.go
+++ b/engine/http.go
@@ -53,7 +53,8 @@
 
 func (h httpClient) Do(r *http.Request) (*http.Response, error) { return h.client.do(r) }
 
-// Order gives one order and waits until it is done. An error comes with the
+// Order gives one order and waits until it is done. The deadline of ctx alone ends
+// the wait where the connection goes silent. An error comes with the
 // status Unclear and a verdict: only NotRun means that the engine never got the
 // order.
 func (c *Client) Order(ctx context.Context, address string, o Order) (OrderStatus, error) {
--- a/standin/booking.go
+++ b/standin/booking.go
@@ -117,14 +117,12 @@
 }
 
 // begin starts a life, unless the service is gone for good.
-func (s *bookingService) begin() bool {
+func (s *bookingService) begin() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.gone {
-		return false
+	if !s.gone {
+		s.alive, s.end = context.WithCancel(context.Background())
 	}
-	s.alive, s.end = context.WithCancel(context.Background())
-	return true
 }
 
 func (s *bookingService) life() context.Context {
@@ -153,9 +151,8 @@
 	s.server.crash()
 	go func() {
 		time.Sleep(s.restart)
-		if s.begin() {
-			s.server.restart()
-		}
+		s.server.restart()
+		s.begin()
 	}()
 }
 
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -124,16 +124,16 @@
 	r.observed.unloaded()
 }
 
+// restart listens before the new life begins, so that a crash meanwhile finds no
+// life and leaves the listener alone.
 func (e *modelEngine) restart() {
 	time.Sleep(e.options.RestartTime)
+	e.server.restart()
 	e.mu.Lock()
-	if e.reclaimed || e.life != nil {
-		e.mu.Unlock()
-		return
+	defer e.mu.Unlock()
+	if !e.reclaimed {
+		e.begin()
 	}
-	e.begin()
-	e.mu.Unlock()
-	e.server.restart()
 }
 
 // reclaim ends the engine for good.
--- a/standin/server.go
+++ b/standin/server.go
@@ -21,9 +21,10 @@
 // lose track of its open connections.
 type server struct {
 	handler http.Handler
+	// address is HOST:PORT; it does not change after newServer.
+	address string
 
 	mu       sync.Mutex
-	address  string
 	closed   bool
 	http     *http.Server
 	listener net.Listener
@@ -35,6 +36,7 @@
 	if err := s.start(); err != nil {
 		return nil, err
 	}
+	s.address = s.listener.Addr().String()
 	return s, nil
 }
 
@@ -51,7 +53,6 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	s.address = l.Addr().String()
 	s.listener = l
 	s.conns = make(map[*conn]struct{})
 	s.http = &http.Server{
