--- a/caller/session.go
+++ b/caller/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -12,6 +13,8 @@
 	"github.com/parsleylug/parsleylug/engine"
 	"github.com/parsleylug/parsleylug/retries"
 	"github.com/parsleylug/parsleylug/routing"
+	"github.com/parsleylug/parsleylug/streams"
+	"github.com/parsleylug/parsleylug/suspects"
 	"github.com/parsleylug/parsleylug/verdict"
 )
 
@@ -34,27 +37,36 @@
 	call    *chatCall
 	ctx     context.Context
 	cancel  context.CancelFunc
-	relay   relay
+	relay   streams.Relay
 	current *attempt
 	// pending is the first part of current, where hasPending is set.
 	pending    engine.Token
 	hasPending bool
+	// leave gives back what the session holds of the limits.
+	leave func(domain.Tokens)
 	// slot is the session's place among those that run; nil until it has one.
 	slot  *slot
 	tries int
+	// alone is true while the content is suspected and runs apart.
+	alone bool
+	// owesRetry is true for a suspect that pays for its retry when its turn comes.
+	owesRetry bool
+	// endTurn lets the next suspect run on the server; nil without a turn.
+	endTurn func()
 	// mayHaveRun is true once an attempt failed in a way that may have run.
 	mayHaveRun bool
 	exclude    []domain.ServerID
 	// silent are servers on which one attempt of this request went silent.
 	silent []domain.ServerID
 	// last is the failure of the latest attempt.
-	last error
+	last  error
+	trace *trace
 }
 
 func (a *API) newSession(ctx context.Context, c *chatCall) *session {
 	ctx, cancel := context.WithDeadlineCause(ctx, c.deadline.At, errDeadline)
 	a.health.request(time.Now(), c.model.Name)
-	return &session{api: a, call: c, ctx: ctx, cancel: cancel}
+	return &session{api: a, call: c, ctx: ctx, cancel: cancel, trace: traceOf(ctx)}
 }
 
 // next returns the next token of the answer. After the part with Finish it must
@@ -69,12 +81,13 @@
 		}
 		t, err := s.read()
 		if err == nil {
-			switch s.relay.accept(t) {
-			case deliver:
+			switch s.relay.Accept(t.Attempt, t.Index) {
+			case streams.Deliver:
+				s.trace.token(t)
 				return t, nil
-			case discard:
+			case streams.Discard:
 				continue
-			case gap:
+			case streams.Gap:
 				err = errGap
 			}
 		}
@@ -98,6 +111,9 @@
 // open starts an attempt. It leaves s.current nil where the attempt failed and
 // another may follow.
 func (s *session) open() error {
+	if err := s.refused(); err != nil {
+		return err
+	}
 	if s.tries >= maximumAttempts {
 		return s.give(verdict.BackendFailed, "every attempt failed", s.last)
 	}
@@ -106,6 +122,12 @@
 	if err != nil {
 		return s.notPlaced(err)
 	}
+	if err := s.refused(); err != nil {
+		return err
+	}
+	if s.api.isolation.standing(s.call.content) == suspects.Suspected {
+		return s.runAlone(set)
+	}
 	i, ok := s.api.chooser.Choose(time.Now(), set, s.choice(s.exclude))
 	if !ok {
 		s.exclude = nil
@@ -115,17 +137,21 @@
 }
 
 func (s *session) choice(exclude []domain.ServerID) routing.Request {
-	return routing.Request{Adapter: s.call.adapter, Exclude: exclude, Ejected: s.api.health.ejected}
+	return routing.Request{
+		Adapter: s.call.adapter, Exclude: exclude, Ejected: s.api.health.ejected,
+		Seed: binary.BigEndian.Uint64(s.call.content[:]),
+	}
 }
 
 // staleAfter is how long a request may wait in the queue before its replicas are
 // looked up again.
 const staleAfter = 100 * time.Millisecond
 
-// place finds the replicas and waits for a slot on them.
+// place finds the replicas and waits for a slot on them. A suspect needs none: it
+// waits for its turn.
 func (s *session) place() (routing.Set, error) {
 	set, err := s.lookUp()
-	if err != nil || s.slot != nil {
+	if err != nil || s.slot != nil || s.api.isolation.standing(s.call.content) != suspects.Clean {
 		return set, err
 	}
 	found := time.Now()
@@ -138,6 +164,7 @@
 
 func (s *session) lookUp() (routing.Set, error) {
 	replicas, err := s.api.Placer.Place(s.ctx, s.need())
+	s.trace.placed(len(replicas), err)
 	if err != nil {
 		return routing.Set{}, err
 	}
@@ -157,7 +184,7 @@
 	if s.ctx.Err() != nil {
 		return s.ended()
 	}
-	if !s.mayHaveRun && s.relay.next == 0 {
+	if !s.mayHaveRun && s.relay.Next() == 0 {
 		return err
 	}
 	e := verdict.Of(err)
@@ -176,6 +203,13 @@
 	if f == notLoaded || f == adapterMissing {
 		return nil
 	}
+	if f == unreached {
+		return s.pause()
+	}
+	if f == broken && s.api.isolation.standing(s.call.content) != suspects.Clean {
+		s.owesRetry = true
+		return nil
+	}
 	return s.spend(f, err)
 }
 
@@ -204,6 +238,7 @@
 func (s *session) note(t *attempt, err error) failure {
 	f := failureOf(err, t.wentSilent())
 	t.close()
+	s.trace.attemptFailed(t.server, f)
 	s.last = err
 	switch f {
 	case notLoaded:
@@ -225,13 +260,19 @@
 		s.mayHaveRun = true
 		s.exclude = append(s.exclude, t.server)
 		s.api.health.failed(time.Now(), t.server, f)
+		if errors.Is(err, errGap) {
+			break
+		}
+		s.api.crashed(s.call.content, t)
 	}
+	// The next suspect's turn comes once the crash is known.
+	s.leaveTurn()
 	s.api.Scope.Tagged(map[string]string{"failure": f.String()}).Counter("attempts_failed").Inc(1)
 	return f
 }
 
 func (s *session) outOfBudget(f failure, err error) error {
-	if f == overloaded && !s.mayHaveRun && s.relay.next == 0 {
+	if f == overloaded && !s.mayHaveRun && s.relay.Next() == 0 {
 		return verdict.Refuse(verdict.QueueFull, "every replica of the model is overloaded").After(time.Second)
 	}
 	return s.give(verdict.BackendFailed, "the backend server failed and the retry budget is spent", err)
@@ -265,7 +306,7 @@
 	if s.mayHaveRun {
 		e.Verdict = verdict.MayHaveRun
 	}
-	if s.relay.next > 0 {
+	if s.relay.Next() > 0 {
 		e.Verdict = verdict.Ran
 		if r == verdict.BackendFailed {
 			e.Reason = verdict.StreamBroken
@@ -280,9 +321,11 @@
 		s.current.close()
 		s.current = nil
 	}
+	s.leaveTurn()
 	if s.slot != nil {
 		s.slot.leave()
 		s.slot = nil
 	}
+	s.leave(s.relay.Next())
 	s.cancel()
 }
--- a/configuration/reader.go
+++ b/configuration/reader.go
@@ -21,7 +21,19 @@
 	faults Faults
 }
 
+// MaximumFaults is how many faults of one input are reported.
+const MaximumFaults = 200
+
+// full tells whether no further fault is reported.
+func (c *collector) full() bool { return len(c.faults) > MaximumFaults }
+
 func (c *collector) add(offset int64, path, message, suggestion string) {
+	if c.full() {
+		return
+	}
+	if len(c.faults) == MaximumFaults {
+		path, message, suggestion = "", "has more faults than are shown", "mend these first"
+	}
 	offset = min(max(offset, 0), int64(len(c.raw)))
 	line := 1 + bytes.Count(c.raw[:offset], []byte{'\n'})
 	c.faults = append(c.faults, Fault{File: c.file, Line: line, Field: path, Message: message, Suggestion: suggestion})
@@ -76,6 +88,9 @@
 // finish reports every field that was not asked for.
 func (r *reader) finish() {
 	for _, f := range r.node.fields {
+		if r.c.full() {
+			return
+		}
 		if contains(r.known, f.name) {
 			continue
 		}
@@ -121,6 +136,21 @@
 	return s
 }
 
+// identity reads the id of a VM, which the platform chooses; absent is "".
+func (r *reader) identity(name string) string {
+	s := r.text(name)
+	plain := strings.Map(func(c rune) rune {
+		if strings.ContainsRune("@:[]", c) {
+			return '.'
+		}
+		return c
+	}, s)
+	if !validName(plain) {
+		r.fault(r.peek(name), name, "must be the id of a VM, at most 128 letters, digits and any of . _ - @ : [ ]", "")
+	}
+	return s
+}
+
 // peek returns a field without marking it as known.
 func (r *reader) peek(name string) *node {
 	for _, f := range r.node.fields {
--- a/node/home.go
+++ b/node/home.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/parsleylug/parsleylug/configuration"
+	"github.com/parsleylug/parsleylug/decisions"
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fold"
 	"github.com/parsleylug/parsleylug/operator"
@@ -58,12 +59,15 @@
 
 // Wake returns the servers that have a model loaded, waking one if there is none.
 func (h *Home) Wake(ctx context.Context, w peer.Wake) (peer.Replicas, error) {
-	if ready := h.ready(w); len(ready) > 0 {
+	asked := time.Now()
+	if ready := h.ready(w, asked); len(ready) > 0 {
 		return peer.Replicas{Model: w.Model, Servers: ready, ValidFor: routeFor}, nil
 	}
 	if err := h.admit(w); err != nil {
+		h.deps.decided(w, decisions.Refused, "", "the home refused to wake the model: "+verdict.Of(err).Reason.String())
 		return peer.Replicas{}, err
 	}
+	h.deps.decided(w, decisions.Queued, "", "waits for a cold start at the home, expected to take "+h.estimate(w.Model).Round(time.Millisecond).String())
 	ctx, cancel := context.WithTimeout(ctx, w.Within)
 	defer cancel()
 	defer h.enter(w.Model)()
@@ -72,35 +76,41 @@
 		if err := h.join(ctx, w).wait(ctx, late); err != nil {
 			return peer.Replicas{}, err
 		}
-		if ready := h.ready(w); len(ready) > 0 {
+		if ready := h.ready(w, asked); len(ready) > 0 {
 			return peer.Replicas{Model: w.Model, Servers: ready, Woken: true, ValidFor: routeFor}, nil
 		}
 		// The replica was loaded and is not in the reports yet, or is gone again.
 		select {
 		case <-ctx.Done():
 			return peer.Replicas{}, late
-		case <-time.After(pollInterval / 5):
+		case <-time.After(h.reportPause(w)):
 		}
 	}
 }
 
+// reportPause is how long to wait for the next report. A server that just failed
+// the asker may look loaded for a while.
+func (h *Home) reportPause(w peer.Wake) time.Duration {
+	if len(w.Exclude) > 0 {
+		return pollInterval
+	}
+	return pollInterval / 5
+}
+
 // ready returns servers with the model loaded, with the adapter where one is
-// named. Excluded servers come back only where there is no other.
-func (h *Home) ready(w peer.Wake) []domain.ServerID {
-	var out, excluded []domain.ServerID
+// named. A server that just failed the asker counts again once a report that is
+// newer than the question shows it loaded.
+func (h *Home) ready(w peer.Wake, asked time.Time) []domain.ServerID {
+	var out []domain.ServerID
 	for _, l := range h.deps.Reports.Ready(w.Model, time.Now()) {
 		if w.Adapter != "" && !slices.Contains(l.Model.Adapters, w.Adapter) {
 			continue
 		}
-		if slices.Contains(w.Exclude, l.Server) {
-			excluded = append(excluded, l.Server)
+		if slices.Contains(w.Exclude, l.Server) && !l.At.After(asked) {
 			continue
 		}
 		out = append(out, l.Server)
 	}
-	if len(out) == 0 {
-		return excluded
-	}
 	return out
 }
 
@@ -116,12 +126,22 @@
 	if model.Copies < 1 {
 		return verdict.Refuse(verdict.NoCapacity, "no replica of the model is allowed")
 	}
+	if h.deps.LogDown() && !h.holdsPermit(w.Model) {
+		return verdict.Refuse(verdict.LogUnavailable, "the model has no permit yet and none can be had while the platform's log is down").After(retryLoadAfter)
+	}
 	if e := h.estimate(w.Model); e > w.Within {
 		return verdict.Refuse(verdict.DeadlineTooShort, "the model is not loaded and cannot be loaded in time").After(e)
 	}
 	return nil
 }
 
+// holdsPermit tells whether a server may load the model without the log.
+func (h *Home) holdsPermit(m domain.ModelName) bool {
+	var held bool
+	h.deps.Agreement.View(func(s *fold.State) { held = len(heldBy(s, m)) > 0 })
+	return held
+}
+
 func (h *Home) model(m domain.ModelName) (model configuration.Model, ok bool) {
 	h.deps.Agreement.View(func(s *fold.State) { model, ok = s.Model(m) })
 	return model, ok
@@ -241,6 +261,7 @@
 }
 
 func (h *Home) loadOn(ctx context.Context, c candidate, w peer.Wake) error {
+	h.deps.decided(w, decisions.LoadAsked, c.server, "asked its owner "+string(c.owner))
 	l := peer.Load{Server: c.server, Model: w.Model, Adapter: w.Adapter, Within: wakeTimeout}
 	if c.owner == h.deps.node() {
 		_, err := h.local.Load(ctx, l)
@@ -289,6 +310,8 @@
 	owner  domain.NodeID
 	// holds is true where the server has a permit for the model.
 	holds bool
+	// failed is true where the asker's last attempt there failed.
+	failed bool
 	// free is the memory neither loaded nor reserved, fits whether the model
 	// goes into it without an eviction, near whether the asker's region has it.
 	free domain.Bytes
@@ -311,9 +334,10 @@
 			c := candidate{server: domain.ServerID(v.ID), near: v.Region == w.Region}
 			l, leased := s.Lease(c.server)
 			r, seen := h.deps.Reports.Server(c.server, now)
-			if !leased || !seen || v.Leaving || slices.Contains(w.Exclude, c.server) {
+			if !leased || !seen || v.Leaving || s.ServerDrained(c.server, v.Zone) {
 				continue
 			}
+			c.failed = slices.Contains(w.Exclude, c.server)
 			c.owner = l.Owner
 			c.holds = held[c.server]
 			c.free = r.FreeMemory
@@ -346,6 +370,8 @@
 
 func compareCandidates(a, b candidate) int {
 	switch {
+	case a.failed != b.failed:
+		return first(b.failed)
 	case a.holds != b.holds:
 		return first(a.holds)
 	case a.fits != b.fits:
--- a/node/keeper.go
+++ b/node/keeper.go
@@ -47,6 +47,8 @@
 	seen  time.Time
 	// usedAt is when each replica last had a request.
 	usedAt map[domain.ModelName]time.Time
+	// served is how many requests each replica had taken at the last poll.
+	served map[domain.ModelName]uint64
 	// loads are the running loads, for single flight.
 	loads map[domain.ModelName]*flight
 	// unloading replicas are left out of reports.
@@ -87,6 +89,7 @@
 		lease:     l,
 		log:       d.Logger.With().Str("Server", string(l.Server)).Uint64("Fence", uint64(l.Fence)).Logger(),
 		usedAt:    make(map[domain.ModelName]time.Time),
+		served:    make(map[domain.ModelName]uint64),
 		loads:     make(map[domain.ModelName]*flight),
 		unloading: make(map[domain.ModelName]bool),
 		makeRoom:  make(chan struct{}, 1),
@@ -207,9 +210,10 @@
 	k.agree()
 	k.account.Observe(mark, st)
 	for _, r := range st.Replicas {
-		if r.Running+r.Waiting > 0 || k.usedAt[r.Model].IsZero() {
+		if r.Running+r.Waiting > 0 || k.usedAt[r.Model].IsZero() || k.served[r.Model] != r.Served {
 			k.usedAt[r.Model] = now
 		}
+		k.served[r.Model] = r.Served
 	}
 }
 
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -109,6 +109,8 @@
 		Content []byte          `cbor:"1,keyasint,omitempty"`
 		Crashes int             `cbor:"2,keyasint,omitempty"`
 		Server  domain.ServerID `cbor:"3,keyasint,omitempty"`
+		Alone   bool            `cbor:"4,keyasint,omitempty"`
+		Begun   bool            `cbor:"5,keyasint,omitempty"`
 	}
 	wireSnapshotRequest struct {
 		AtLeast domain.Offset `cbor:"1,keyasint,omitempty"`
@@ -133,6 +135,10 @@
 		Demand float64 `cbor:"2,keyasint,omitempty"`
 		Used   float64 `cbor:"3,keyasint,omitempty"`
 	}
+	wireStatusRequest struct {
+		Part    int              `cbor:"1,keyasint,omitempty"`
+		Request domain.RequestID `cbor:"2,keyasint,omitempty"`
+	}
 	wireStatus struct {
 		JSON []byte `cbor:"1,keyasint,omitempty"`
 	}
