--- a/engine/chat.go
+++ b/engine/chat.go
@@ -19,6 +19,7 @@
 	ErrModelNotLoaded   = errors.New("model not loaded")
 	ErrAdapterNotLoaded = errors.New("adapter not loaded")
 	ErrOverloaded       = errors.New("engine overloaded")
+	ErrNotUnderstood    = errors.New("engine does not understand the request")
 )
 
 // ErrSilent is in the chain of a failure where the connection brought no byte for
@@ -78,6 +79,8 @@
 		return refused(verdict.NoCapacity, "the engine does not have the adapter loaded", ErrAdapterNotLoaded)
 	case "Overloaded":
 		return refused(verdict.QueueFull, "the engine's queue is full", ErrOverloaded)
+	case "BadRequest":
+		return refused(verdict.BadRequest, "the engine does not understand the request", ErrNotUnderstood)
 	}
 	return verdict.Doubt(verdict.BackendFailed, "the engine failed", errors.New(response.Status))
 }
@@ -90,7 +93,9 @@
 
 // refusalCode returns the code of an answer that says that nothing ran, or "".
 func refusalCode(status int, data []byte) string {
-	if status != http.StatusNotFound && status != http.StatusServiceUnavailable {
+	switch status {
+	case http.StatusBadRequest, http.StatusNotFound, http.StatusServiceUnavailable:
+	default:
 		return ""
 	}
 	var w wireRefusal
--- a/engine/stream_test.go
+++ b/engine/stream_test.go
@@ -35,6 +35,8 @@
 		{404, `{"Error":"ModelNotLoaded"}`, verdict.NotRun, ErrModelNotLoaded},
 		{404, `{"Error":"AdapterNotLoaded"}`, verdict.NotRun, ErrAdapterNotLoaded},
 		{503, `{"Error":"Overloaded"}`, verdict.NotRun, ErrOverloaded},
+		{400, `{"Error":"BadRequest"}`, verdict.NotRun, ErrNotUnderstood},
+		{400, `bad`, verdict.MayHaveRun, nil},
 		{503, `{"Error":"Other"}`, verdict.MayHaveRun, nil},
 		{404, `not found`, verdict.MayHaveRun, nil},
 		{500, `{"Error":"Overloaded"}`, verdict.MayHaveRun, nil},
--- a/standin/chance.go
+++ b/standin/chance.go
@@ -25,9 +25,8 @@
 	return c.source.Float64() < probability
 }
 
-// between returns a number from low up to high.
-func (c *chance) between(low, high float64) float64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return low + (high-low)*c.source.Float64()
+// shareOf returns a number from 0 up to 1 that depends on the seed and a name
+// alone.
+func shareOf(seed uint64, name string) float64 {
+	return newChance(seed, name).source.Float64()
 }
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -26,7 +26,8 @@
 	LoseAnswers      *float64
 	AppendsPerSecond *float64
 	// RetainRecords is how many records a stream keeps.
-	RetainRecords *int
+	RetainRecords     *int
+	SilentConnections bool
 }
 
 // WeightStoreFaults are the faults of the weight store.
@@ -36,7 +37,10 @@
 }
 
 // VMListFaults are the faults of the VM list.
-type VMListFaults struct{ LagMilliseconds *int }
+type VMListFaults struct {
+	LagMilliseconds   *int
+	SilentConnections bool
+}
 
 // EngineFaults are the faults of one engine, named by its URL or VM id.
 type EngineFaults struct {
--- a/standin/time_test.go
+++ b/standin/time_test.go
@@ -157,3 +157,24 @@
 		return false
 	}
 }
+
+func TestAdapterLoadsSlowDownBeyondThirtyInFlight(t *testing.T) {
+	for _, c := range []struct {
+		inFlight int
+		crowding float64
+	}{{1, 1}, {30, 1}, {90, 3}} {
+		synctest.Test(t, func(t *testing.T) {
+			s := adapterStore{seed: 3}
+			s.inFlight.Store(int64(c.inFlight - 1))
+			began := time.Now()
+			s.load(t.Context(), "m:a")
+			alone := s.timeOf("m:a")
+			if alone < 3*time.Millisecond || alone > 15*time.Millisecond {
+				t.Errorf("got %v alone, want 3 to 15 ms", alone)
+			}
+			if got, want := time.Since(began), time.Duration(float64(alone)*c.crowding); got != want {
+				t.Errorf("%d in flight: got %v, want %v", c.inFlight, got, want)
+			}
+		})
+	}
+}
