--- a/owner/account.go
+++ b/owner/account.go
@@ -75,8 +75,8 @@
 	// doubted is when the presence last became unknown for a reason outside the
 	// orders; orders that started before prove nothing.
 	doubted Mark
-	// since is the engine's incarnation at a moment after changed; empty where
-	// none was read since.
+	// since is the engine's incarnation at a moment after changed and doubted;
+	// empty where none was read since.
 	since string
 }
 
@@ -152,6 +152,7 @@
 	e := a.entry(n)
 	e.presence = unknown
 	e.doubted = a.tick()
+	e.since = ""
 	e.reserved = max(e.reserved, a.permits[n].Size)
 }
 
@@ -252,7 +253,7 @@
 	}
 	a.noteUnpermitted(s)
 	for n, e := range a.entries {
-		if e.changed > m || e.inFlight() {
+		if max(e.changed, e.doubted) > m || e.inFlight() {
 			continue
 		}
 		a.observeEntry(n, e, s)
--- a/owner/account_test.go
+++ b/owner/account_test.go
@@ -106,11 +106,22 @@
 func TestFaultClearedDoubtMakesReplicasUnknown(t *testing.T) {
 	a := owned(12, false)
 	a.SetDoubts([]fold.Doubt{{Fence: 3, Owner: "old", Until: 8}})
-	if !a.MayRelease("a") {
-		t.Error("the fold alone holds back a release in doubt")
+	if a.MayRelease("a") {
+		t.Error("the old owner may still load the model")
 	}
 	a.SetDoubts(nil)
 	if a.MayRelease("a") {
 		t.Error("the old owner may have loaded the model before its doubt was cleared")
 	}
 }
+
+func TestFaultRestartBeforeADoubtIsClearedProvesNothing(t *testing.T) {
+	a := owned(12, false)
+	a.SetDoubts([]fold.Doubt{{Fence: 3, Owner: "old", Until: 8}})
+	observe(a, "1")
+	a.SetDoubts(nil)
+	observe(a, "2")
+	if a.MayRelease("a") {
+		t.Error("the old owner may have loaded the model in incarnation 2")
+	}
+}
--- a/owner/orders.go
+++ b/owner/orders.go
@@ -1,8 +1,11 @@
 package owner
 
 import (
+	"slices"
+
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/engine"
+	"github.com/parsleylug/parsleylug/fold"
 )
 
 // ready returns why no order at all may be given, or nil.
@@ -189,12 +192,16 @@
 }
 
 // MayRelease tells whether a model's permit may be given back: its replica is
-// certainly unloaded and no order of this account can load it any more. The fold
-// knows whether an earlier owner still can.
+// certainly unloaded, and no order of this account or of an earlier owner can load it any
+// more. It is false while this node knows of a doubt, even where the fold has cleared
+// it since: the earlier owner may have loaded the model just before.
 func (a *Account) MayRelease(n domain.ModelName) bool {
-	_, permitted := a.permits[n]
+	p, permitted := a.permits[n]
 	e := a.entries[n]
-	return a.ready() == nil && permitted && e != nil && !e.held() && !e.releasing
+	if a.ready() != nil || !permitted || e == nil || e.held() || e.releasing {
+		return false
+	}
+	return !slices.ContainsFunc(a.doubts, func(d fold.Doubt) bool { return p.AttachedAt < d.Until })
 }
 
 // StartRelease forbids loads while a PermitReleased is proposed.
