--- a/platformlog/appender.go
+++ b/platformlog/appender.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"sync"
 
+	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 
 	"github.com/parsleylug/parsleylug/domain"
@@ -222,6 +224,18 @@
 	a.last -= domain.Sequence(len(batch.Records))
 }
 
+// fail ends proposals that cannot be encoded together.
+func (a *appender) fail(batch fold.Batch, taken []*proposal, cause error) {
+	a.putBack(batch, taken)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.queue = a.queue[len(taken):]
+	a.queued -= len(batch.Records)
+	for _, p := range taken {
+		p.finish(&verdict.Error{Verdict: verdict.NotRun, Reason: verdict.BadRequest, Message: "records cannot be encoded", Cause: cause})
+	}
+}
+
 // appendNext appends one batch. It returns when the batch is in the log, or
 // certainly not.
 func (a *appender) appendNext(ctx context.Context, b *backoff) {
@@ -231,7 +245,7 @@
 	}
 	data, err := a.replica.codec.EncodeBatch(batch)
 	if err != nil {
-		a.putBack(batch, taken)
+		a.fail(batch, taken, err)
 		return
 	}
 	maybe := false
@@ -264,7 +278,9 @@
 	if err != nil {
 		a.replica.scope.Counter("AppendFailures").Inc(1)
 	}
-	a.replica.appendUp.Store(err == nil)
+	var e *Error
+	refused := errors.As(err, &e) && e.Status == http.StatusTooManyRequests
+	a.replica.appendUp.Store(err == nil || refused)
 	return err
 }
 
--- a/platformlog/snapshotcodec.go
+++ b/platformlog/snapshotcodec.go
@@ -1,6 +1,10 @@
 package platformlog
 
 import (
+	"bytes"
+	"compress/gzip"
+	"io"
+
 	"github.com/pkg/errors"
 
 	"github.com/parsleylug/parsleylug/domain"
@@ -76,7 +80,7 @@
 	Seen uint64
 }
 
-// EncodeSnapshot encodes a snapshot.
+// EncodeSnapshot encodes and compresses a snapshot.
 func (c *Codec) EncodeSnapshot(n fold.Snapshot) ([]byte, error) {
 	objects, err := c.wireChanges(n.Objects)
 	if err != nil {
@@ -102,7 +106,43 @@
 		w.Nodes = append(w.Nodes, wireNode{Node: string(k.Node), Last: uint64(k.Last), Seen: uint64(k.Seen)})
 	}
 	data, err := c.encode.Marshal(w)
-	return data, errors.WithStack(err)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return compress(data)
+}
+
+// maximumSnapshot bounds a decompressed snapshot, in bytes.
+const maximumSnapshot = 256 << 20
+
+func compress(data []byte) ([]byte, error) {
+	var b bytes.Buffer
+	w, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if _, err := w.Write(data); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return b.Bytes(), nil
+}
+
+func decompress(data []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	plain, err := io.ReadAll(io.LimitReader(r, maximumSnapshot+1))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if len(plain) > maximumSnapshot {
+		return nil, errors.New("snapshot is too large")
+	}
+	return plain, nil
 }
 
 func serverToWire(v fold.ServerSnapshot) wireServer {
@@ -116,7 +156,11 @@
 
 // DecodeSnapshot decodes a snapshot.
 func (c *Codec) DecodeSnapshot(data []byte) (fold.Snapshot, error) {
-	w, err := unmarshal[wireSnapshot](c, data)
+	plain, err := decompress(data)
+	if err != nil {
+		return fold.Snapshot{}, err
+	}
+	w, err := unmarshal[wireSnapshot](c, plain)
 	if err != nil {
 		return fold.Snapshot{}, err
 	}
