--- a/caller/api.go
+++ b/caller/api.go
@@ -13,6 +13,7 @@
 
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/engine"
+	"github.com/parsleylug/parsleylug/peer"
 	"github.com/parsleylug/parsleylug/routing"
 	"github.com/parsleylug/parsleylug/verdict"
 )
@@ -35,6 +36,12 @@
 	Draining func() bool
 	// Ready tells whether the node can show a current configuration.
 	Ready func() bool
+	// Spread tells the other nodes of suspected contents; nil keeps them here.
+	Spread func([]peer.Suspect)
+	// Nodes returns how many nodes are alive, for limits; nil means one.
+	Nodes func() int
+	// Observer may be nil.
+	Observer Observer
 }
 
 // API serves callers.
@@ -45,6 +52,9 @@
 	inFlight atomic.Int64
 	health   health
 	gates    gates
+	// isolation keeps suspected contents apart.
+	isolation isolation
+	shares    shares
 }
 
 // New returns an API over d.
@@ -58,6 +68,12 @@
 	if d.Ready == nil {
 		d.Ready = func() bool { return true }
 	}
+	if d.Spread == nil {
+		d.Spread = func([]peer.Suspect) {}
+	}
+	if d.Nodes == nil {
+		d.Nodes = func() int { return 1 }
+	}
 	return &API{Deps: d}
 }
 
@@ -85,7 +101,8 @@
 		defer a.inFlight.Add(-1)
 		id := requestID(r.Header.Get(requestIDHeader))
 		w.Header().Set(requestIDHeader, string(id))
-		ctx := context.WithValue(r.Context(), requestKey{}, id)
+		ctx, trace := a.observe(context.WithValue(r.Context(), requestKey{}, id), id)
+		defer func() { trace.end(r.Context()) }()
 		if err := a.unavailable(); err != nil {
 			a.encodeError(ctx, err, w)
 			return
--- a/node/home.go
+++ b/node/home.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/parsleylug/parsleylug/configuration"
+	"github.com/parsleylug/parsleylug/decisions"
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fold"
 	"github.com/parsleylug/parsleylug/operator"
@@ -63,8 +64,10 @@
 		return peer.Replicas{Model: w.Model, Servers: ready, ValidFor: routeFor}, nil
 	}
 	if err := h.admit(w); err != nil {
+		h.deps.decided(w, decisions.Refused, "", "the home refused to wake the model: "+verdict.Of(err).Reason.String())
 		return peer.Replicas{}, err
 	}
+	h.deps.decided(w, decisions.Queued, "", "waits for a cold start at the home, expected to take "+h.estimate(w.Model).Round(time.Millisecond).String())
 	ctx, cancel := context.WithTimeout(ctx, w.Within)
 	defer cancel()
 	defer h.enter(w.Model)()
@@ -123,12 +126,22 @@
 	if model.Copies < 1 {
 		return verdict.Refuse(verdict.NoCapacity, "no replica of the model is allowed")
 	}
+	if h.deps.LogDown() && !h.holdsPermit(w.Model) {
+		return verdict.Refuse(verdict.LogUnavailable, "the model has no permit yet and none can be had while the platform's log is down").After(retryLoadAfter)
+	}
 	if e := h.estimate(w.Model); e > w.Within {
 		return verdict.Refuse(verdict.DeadlineTooShort, "the model is not loaded and cannot be loaded in time").After(e)
 	}
 	return nil
 }
 
+// holdsPermit tells whether a server may load the model without the log.
+func (h *Home) holdsPermit(m domain.ModelName) bool {
+	var held bool
+	h.deps.Agreement.View(func(s *fold.State) { held = len(heldBy(s, m)) > 0 })
+	return held
+}
+
 func (h *Home) model(m domain.ModelName) (model configuration.Model, ok bool) {
 	h.deps.Agreement.View(func(s *fold.State) { model, ok = s.Model(m) })
 	return model, ok
@@ -248,6 +261,7 @@
 }
 
 func (h *Home) loadOn(ctx context.Context, c candidate, w peer.Wake) error {
+	h.deps.decided(w, decisions.LoadAsked, c.server, "asked its owner "+string(c.owner))
 	l := peer.Load{Server: c.server, Model: w.Model, Adapter: w.Adapter, Within: wakeTimeout}
 	if c.owner == h.deps.node() {
 		_, err := h.local.Load(ctx, l)
@@ -320,7 +334,7 @@
 			c := candidate{server: domain.ServerID(v.ID), near: v.Region == w.Region}
 			l, leased := s.Lease(c.server)
 			r, seen := h.deps.Reports.Server(c.server, now)
-			if !leased || !seen || v.Leaving {
+			if !leased || !seen || v.Leaving || s.ServerDrained(c.server, v.Zone) {
 				continue
 			}
 			c.failed = slices.Contains(w.Exclude, c.server)
--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +22,7 @@
 	"github.com/parsleylug/parsleylug/peer"
 	"github.com/parsleylug/parsleylug/platform"
 	"github.com/parsleylug/parsleylug/platformlog"
+	"github.com/parsleylug/parsleylug/relay"
 	"github.com/parsleylug/parsleylug/rendezvous"
 	"github.com/parsleylug/parsleylug/service"
 )
@@ -34,9 +36,9 @@
 	importStep = 300 * time.Millisecond
 	// importKey is hashed to rank the nodes that import configuration.
 	importKey = "configuration/import"
-	// settleLimit is how long a node waits to be shown in the platform's list
-	// before it does without.
-	settleLimit = 10 * time.Second
+	// settleLimit is how long a node waits to be shown in the platform's list, and
+	// to link to every node of it, before it does without.
+	settleLimit = 6 * time.Second
 	// stopPoll is how often a stopping node looks whether its work has ended.
 	stopPoll = 20 * time.Millisecond
 )
@@ -75,12 +77,14 @@
 	ownership *Ownership
 	claims    *Claims
 	home      *Home
+	relay     *relay.Runner
 	log       *platformlog.Client
 	recorder  *objective.Recorder
 	journal   *decisions.Journal
 	callers   *caller.API
 	heard     heard
 	started   time.Time
+	isSettled atomic.Bool
 	// stopping is set first in a stop; refusing after DrainGrace.
 	stopping atomic.Bool
 	refusing atomic.Bool
@@ -104,9 +108,13 @@
 		Self: self, Listener: o.Peer, Logger: o.Logger, Scope: o.Scope, Handle: handler.Handle,
 		Seeds: func(context.Context) ([]peer.Member, error) { return directory.Seeds(), nil },
 	})
+	n.relay = relay.New(relay.Options{
+		Self: o.Node, Mesh: n.mesh, Replica: deliverer{n}, Next: func() domain.Offset { return n.applied().Decision + 1 },
+		Healthy: func() bool { return n.replica.LogUp() },
+	})
 	replica, err := platformlog.New(platformlog.Options{
 		Client: n.log, Records: operatorRecords(), Node: o.Node, Logger: o.Logger, Scope: o.Scope,
-		ImportDelay: n.importDelay, PeerSnapshot: n.peerSnapshot,
+		ImportDelay: n.importDelay, PeerSnapshot: n.peerSnapshot, Relay: n.relay.Reads, OnRecords: n.relay.OnRecords,
 	})
 	if err != nil {
 		return nil, err
@@ -115,7 +123,7 @@
 	n.deps = &Deps{
 		Self: self, Agreement: n.replica, Mesh: n.mesh, Directory: directory, Reports: &Reports{},
 		Engines: &engine.Client{Region: o.Region}, KeepAlive: o.KeepAlive, Logger: o.Logger, Scope: o.Scope,
-		Leaving: n.stopping.Load, Settled: n.settled,
+		Leaving: n.stopping.Load, Settled: n.settled, LogDown: n.logDown, Journal: n.journal,
 	}
 	n.join(handler)
 	return n, nil
@@ -126,27 +134,37 @@
 	return platformlog.RecordCodec{Encode: configuration.Encode, Decode: configuration.Decode}
 }
 
+// deliverer hands relayed records to the replica, which is made after the relay.
+type deliverer struct{ node *Node }
+
+// Deliver implements relay.Replica.
+func (d deliverer) Deliver(first domain.Offset, records [][]byte) {
+	d.node.replica.Deliver(first, records)
+}
+
 // join makes the roles and fills the handler of peer messages.
 func (n *Node) join(h *Handler) {
-	pacer := NewPacer()
+	pacer := NewPacer(n.mesh.Alive)
 	n.ownership = NewOwnership(n.deps, NewPaceClient(n.deps, pacer))
 	n.home = NewHome(n.deps, n.ownership)
 	placer := NewPlacer(n.deps, n.home)
 	n.claims = NewClaims(n.deps)
 	n.callers = caller.New(caller.Deps{
+		Observer:  observer{n},
 		Catalogue: NewCatalogue(n.replica), Placer: placer, Claims: n.claims, Backends: placer,
 		Chatter: &engine.Client{Region: n.options.Region}, Services: &service.Client{},
 		Region: n.options.Region, Zone: n.options.Zone, Node: n.options.Node,
 		Logger: n.options.Logger, Scope: n.options.Scope,
 		Draining: n.refusing.Load, Ready: n.replica.Ready,
+		Spread: func(s []peer.Suspect) { n.mesh.Broadcast(peer.Suspects{Suspects: s}) },
 	})
 	*h = Handler{
 		Reports: n.deps.Reports, Home: n.home, Ownership: n.ownership, Pacer: pacer, Claims: n.claims,
 		Snapshot: n.replica.EncodedSnapshot, Applied: n.applied, Heard: n.heard.add,
-		Learn:   func([]peer.Suspect) {},
-		Usage:   func(domain.NodeID, peer.Usage) {},
-		Status:  n.statusJSON,
-		Deliver: n.replica.Deliver,
+		Learn:   n.callers.Learn,
+		Usage:   n.callers.LearnUsage,
+		Status:  n.part,
+		Deliver: n.relay.Handle,
 	}
 }
 
@@ -166,6 +184,8 @@
 		return "the platform's list of VMs was not read yet"
 	case !n.settled():
 		return "the other nodes may not know this one yet"
+	case !n.deps.undrained()(n.deps.Self):
+		return "an operator drained the node or its availability zone"
 	}
 	return ""
 }
@@ -181,10 +201,27 @@
 	return out
 }
 
-// settled tells whether the platform's list shows this node, which means that the
-// others see it too, or has had long enough to do so.
+// settled tells whether this node knows the others and they know it: the
+// platform's list shows it, and it has linked to every node of the list. Neither is
+// waited for without end, since the list lags and shows dead nodes too. Once
+// settled, a node stays so.
 func (n *Node) settled() bool {
-	return n.deps.Directory.ListsNode(n.options.Node) || time.Since(n.started) >= settleLimit
+	if n.isSettled.Load() {
+		return true
+	}
+	ok := n.deps.Directory.ListsNode(n.options.Node) && n.linked() || time.Since(n.started) >= settleLimit
+	if ok {
+		n.isSettled.Store(true)
+	}
+	return ok
+}
+
+// linked tells whether every node of the platform's list is a live member.
+func (n *Node) linked() bool {
+	members := n.mesh.Members()
+	return !slices.ContainsFunc(n.deps.Directory.Seeds(), func(s peer.Member) bool {
+		return !s.Leaving && !slices.ContainsFunc(members, func(m peer.Member) bool { return m.Node == s.Node })
+	})
 }
 
 // Run serves until ctx ends, then stops gracefully: it is not ready first, ends
@@ -198,10 +235,13 @@
 	loops := []func(context.Context) error{
 		n.replica.Run,
 		n.mesh.Run,
+		n.relay.Run,
 		func(ctx context.Context) error { n.deps.Directory.Run(ctx, n.list); return nil },
 		func(ctx context.Context) error { n.announce(ctx); return nil },
 		func(ctx context.Context) error { n.ownership.Run(ctx); return nil },
+		func(ctx context.Context) error { n.home.Run(ctx); return nil },
 		func(ctx context.Context) error { n.tellApplied(ctx); return nil },
+		func(ctx context.Context) error { n.tellUsage(ctx); return nil },
 	}
 	for _, l := range loops {
 		group.Go(func() error { return unlessEnded(running, l(running)) })
--- a/standin/state.go
+++ b/standin/state.go
@@ -23,11 +23,15 @@
 	Loading     bool
 	Running     int
 	Waiting     int
+	Served      uint64
 	Adapters    []string
 }
 
 // load is how many requests run and wait on one replica.
-type load struct{ running, waiting int }
+type load struct {
+	running, waiting int
+	served           uint64
+}
 
 // loadHistory is how the loads stood after each change, for reports that lag.
 type loadHistory struct{ past []loadReport }
@@ -70,7 +74,7 @@
 }
 
 func (r *replica) load() load {
-	return load{running: r.batch.running, waiting: len(r.batch.waiting)}
+	return load{running: r.batch.running, waiting: len(r.batch.waiting), served: r.batch.sequence}
 }
 
 func (e *modelEngine) serveState(w http.ResponseWriter, r *http.Request) {
@@ -121,6 +125,7 @@
 		Loading:     r.loading,
 		Running:     counts.running,
 		Waiting:     counts.waiting,
+		Served:      counts.served,
 		Adapters:    adapters,
 	}
 }
