Keep every lost lease in doubt until it is cleared itself

A doubt was merged with an earlier one of the same node. A node that had a lease twice and acknowledged the second time thereby cleared the first, under which an order may still be on its way.

The fold now keeps one doubt a fence. OwnerVMGone clears all of the owner's. New tests hold this, the rejection of weak proofs, that a server which comes back keeps its doubts, that a forgotten node cannot propose, and the window of commands.

--- a/fold/lease.go
+++ b/fold/lease.go
@@ -26,7 +26,7 @@
 	Owner  domain.NodeID
 	Fence  domain.Fence
 	Facts  ServerFacts
-	// Doubts are earlier owners, at most one entry a node, oldest first.
+	// Doubts are earlier owners, one entry for each fence, oldest first.
 	Doubts []Doubt
 }
 
@@ -101,7 +101,6 @@
 
 // doubt puts the owner that loses its lease at offset o in doubt.
 func (v *server) doubt(o domain.Offset) {
-	v.Doubts = slices.DeleteFunc(v.Doubts, func(d Doubt) bool { return d.Owner == v.Owner })
 	v.Doubts = append(v.Doubts, Doubt{Fence: v.Fence, Owner: v.Owner, Until: o})
 }
 
@@ -141,15 +140,16 @@
 	return Malformed
 }
 
-// clearAsOwner clears the doubt at index i, or through it where a barrier stops
-// every earlier owner.
+// clearAsOwner clears every doubt about the owner at index i, or those through it
+// where a barrier stops every earlier owner.
 func (s *State) clearAsOwner(n domain.NodeID, r DoubtCleared, i int) Rejection {
 	v, rejection := s.owned(r.Server, n, r.Fence)
 	if rejection != Accepted {
 		return rejection
 	}
 	if r.Proof == OwnerVMGone {
-		v.Doubts = slices.Delete(v.Doubts, i, i+1)
+		gone := v.Doubts[i].Owner
+		v.Doubts = slices.DeleteFunc(v.Doubts, func(d Doubt) bool { return d.Owner == gone })
 		return Accepted
 	}
 	if !v.Facts.ChecksFences {
