Name every event and list metrics and events

Cause: a third of the log lines had no event name, two named the request otherwise than the rest, and metrics were named in two ways. Change: Event on the lines of peer, platformlog and caller; metrics in snake case, as Prometheus has it; docs/metrics-and-events.md, held against the code by a test that also finds a file with more log lines than events.

--- a/caller/chat.go
+++ b/caller/chat.go
@@ -167,7 +167,7 @@
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	_, err = w.Write(append(body, '\n'))
 	if err != nil {
-		s.api.Logger.Debug().Err(err).Str("request", string(s.call.id)).Msg("caller left before its answer")
+		s.api.Logger.Debug().Str("Event", "AnswerNotRead").Err(err).Str("Request", string(s.call.id)).Msg("caller left before its answer")
 	}
 	return nil
 }
--- a/caller/refusal.go
+++ b/caller/refusal.go
@@ -71,7 +71,7 @@
 	traceOf(ctx).failed(e)
 	a.Scope.Tagged(map[string]string{"reason": e.Reason.String(), "verdict": e.Verdict.String()}).Counter("refusals").Inc(1)
 	if e.Reason == verdict.Unknown {
-		a.Logger.Error().Err(err).Str("request", string(id)).Msg("unexpected failure")
+		a.Logger.Error().Str("Event", "UnexpectedFailure").Err(err).Str("Request", string(id)).Msg("unexpected failure")
 	}
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	if e.RetryAfter > 0 {
--- /dev/null
+++ b/docs_test.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"maps"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// found is what the code counts and logs.
+type found struct {
+	metrics, events map[string]bool
+	// nameless are log lines of files that have fewer events than lines.
+	nameless []string
+}
+
+// TestMetricsAndEventsAreDocumented compares the names in the code with the
+// tables of the page.
+func TestMetricsAndEventsAreDocumented(t *testing.T) {
+	raw, err := os.ReadFile("docs/metrics-and-events.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	metrics, events, ok := strings.Cut(string(raw), "## Events")
+	if !ok {
+		t.Fatal("the page has no events")
+	}
+	code := readCode(t)
+	compareNames(t, "metrics", code.metrics, tableNames(metrics))
+	compareNames(t, "events", code.events, tableNames(events))
+	for _, line := range code.nameless {
+		t.Errorf("%s: a log line has no Event", line)
+	}
+}
+
+// tableNames returns the quoted names in the first column of a page's tables.
+func tableNames(page string) map[string]bool {
+	names := map[string]bool{}
+	for _, row := range regexp.MustCompile("(?m)^\\| (`[^|]*) \\|").FindAllStringSubmatch(page, -1) {
+		for _, name := range regexp.MustCompile("`(\\w+)`").FindAllStringSubmatch(row[1], -1) {
+			names[name[1]] = true
+		}
+	}
+	return names
+}
+
+func compareNames(t *testing.T, what string, code, page map[string]bool) {
+	t.Helper()
+	if len(code) == 0 {
+		t.Errorf("got no %s in the code", what)
+	}
+	for _, name := range slices.Sorted(maps.Keys(code)) {
+		if !page[name] {
+			t.Errorf("%s: %s is not in docs/metrics-and-events.md", what, name)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(page)) {
+		if !code[name] {
+			t.Errorf("%s: %s is in docs/metrics-and-events.md and not in the code", what, name)
+		}
+	}
+}
+
+func readCode(t *testing.T) found {
+	t.Helper()
+	f := found{metrics: map[string]bool{}, events: map[string]bool{}}
+	err := filepath.WalkDir(".", func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+		if err != nil {
+			return err
+		}
+		f.read(path, file)
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+// read collects the names of one file.
+func (f *found) read(path string, file *ast.File) {
+	lines, events := 0, 0
+	ast.Inspect(file, func(n ast.Node) bool {
+		call, ok := n.(*ast.CallExpr)
+		if !ok {
+			return true
+		}
+		method, ok := call.Fun.(*ast.SelectorExpr)
+		if !ok {
+			return true
+		}
+		switch method.Sel.Name {
+		case "Counter", "Gauge", "Timer", "Histogram":
+			if name := literal(call, 0); name != "" {
+				f.metrics[name] = true
+			}
+		case "Msg", "Msgf":
+			lines++
+		case "Str":
+			if name := literal(call, 1); literal(call, 0) == "Event" {
+				f.events[name] = true
+				events++
+			}
+		}
+		return true
+	})
+	if events < lines {
+		f.nameless = append(f.nameless, path)
+	}
+}
+
+// literal returns the text of an argument that is a string literal, else "".
+func literal(call *ast.CallExpr, i int) string {
+	if i >= len(call.Args) {
+		return ""
+	}
+	l, ok := call.Args[i].(*ast.BasicLit)
+	if !ok {
+		return ""
+	}
+	s, err := strconv.Unquote(l.Value)
+	if err != nil {
+		return ""
+	}
+	return s
+}
--- a/operator/api.go
+++ b/operator/api.go
@@ -190,11 +190,11 @@
 		if !changes && !refused {
 			return
 		}
-		event, line := "AdminChange", a.deps.Logger.Info()
+		line := a.deps.Logger.Info().Str("Event", "AdminChange")
 		if refused {
-			event, line = "AdminRefusal", a.deps.Logger.Warn()
+			line = a.deps.Logger.Warn().Str("Event", "AdminRefusal")
 		}
-		line.Str("Event", event).
+		line.
 			Str("Author", t.who.author()).
 			Str("Operation", r.name).
 			Str("Path", logged(req.URL.Path)).
--- a/peer/accept.go
+++ b/peer/accept.go
@@ -43,7 +43,7 @@
 	}
 	u, err := m.welcome(r.Context(), conn)
 	if err != nil {
-		m.options.Logger.Debug().Err(err).Msg("link refused")
+		m.options.Logger.Debug().Str("Event", "LinkRefused").Err(err).Msg("link refused")
 		_ = conn.CloseNow()
 		return
 	}
--- a/peer/call.go
+++ b/peer/call.go
@@ -48,7 +48,7 @@
 	}
 	frame, err := encodeFrame(wireFrame{}, message)
 	if err != nil {
-		m.options.Logger.Error().Err(err).Msg("message cannot be encoded")
+		m.options.Logger.Error().Str("Event", "MessageNotEncoded").Err(err).Msg("message cannot be encoded")
 		return
 	}
 	m.sendFrame(to, frame)
@@ -59,7 +59,7 @@
 func (m *Mesh) Broadcast(message Message) {
 	frame, err := encodeFrame(wireFrame{}, message)
 	if err != nil {
-		m.options.Logger.Error().Err(err).Msg("message cannot be encoded")
+		m.options.Logger.Error().Str("Event", "MessageNotEncoded").Err(err).Msg("message cannot be encoded")
 		return
 	}
 	for _, member := range m.Members() {
--- a/peer/link.go
+++ b/peer/link.go
@@ -68,7 +68,7 @@
 		}
 		f, err := decodeFrame(data)
 		if err != nil {
-			l.mesh.options.Logger.Warn().Err(err).Str("Peer", string(l.node)).Msg("frame cannot be decoded")
+			l.mesh.options.Logger.Warn().Str("Event", "FrameNotDecoded").Err(err).Str("Peer", string(l.node)).Msg("frame cannot be decoded")
 			break
 		}
 		l.take(ctx, f)
@@ -218,7 +218,7 @@
 func (l *link) sendUrgent(f wireFrame, m Message) bool {
 	frame, err := encodeFrame(f, m)
 	if err != nil {
-		l.mesh.options.Logger.Error().Err(err).Msg("message cannot be encoded")
+		l.mesh.options.Logger.Error().Str("Event", "MessageNotEncoded").Err(err).Msg("message cannot be encoded")
 		return false
 	}
 	return l.out.pushUrgent(frame)
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -187,7 +187,7 @@
 				return
 			}
 			if _, err := m.handle(ctx, from, message); err != nil {
-				m.options.Logger.Debug().Err(err).Str("Peer", string(from)).Msg("one-way message failed")
+				m.options.Logger.Debug().Str("Event", "OneWayMessageFailed").Err(err).Str("Peer", string(from)).Msg("one-way message failed")
 			}
 		}
 	}
--- a/peer/watch.go
+++ b/peer/watch.go
@@ -51,7 +51,7 @@
 	defer cancel()
 	members, err := m.options.Seeds(ctx)
 	if err != nil {
-		m.options.Logger.Warn().Err(err).Msg("list of VMs cannot be read")
+		m.options.Logger.Warn().Str("Event", "VMListNotRead").Err(err).Msg("list of VMs cannot be read")
 		return
 	}
 	m.mu.Lock()
--- a/platformlog/appender.go
+++ b/platformlog/appender.go
@@ -246,7 +246,7 @@
 		if !maybe {
 			a.putBack(batch, taken)
 		}
-		a.replica.options.Logger.Warn().Err(err).Bool("MayBeAppended", maybe).Msg("append failed")
+		a.replica.options.Logger.Warn().Str("Event", "AppendFailed").Err(err).Bool("MayBeAppended", maybe).Msg("append failed")
 		sleep(ctx, b.next(), a.resolved)
 		if !maybe {
 			return
@@ -260,9 +260,9 @@
 	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
 	_, err := a.replica.options.Client.Append(ctx, fold.DecisionStream, [][]byte{data})
-	a.replica.scope.Counter("Appends").Inc(1)
+	a.replica.scope.Counter("appends").Inc(1)
 	if err != nil {
-		a.replica.scope.Counter("AppendFailures").Inc(1)
+		a.replica.scope.Counter("append_failures").Inc(1)
 	}
 	a.replica.appendUp.Store(err == nil)
 	return err
--- a/platformlog/follower.go
+++ b/platformlog/follower.go
@@ -35,7 +35,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+CallTimeout)
 	defer cancel()
 	page, err := r.options.Client.Read(ctx, stream, from, most, wait)
-	r.scope.Counter("Reads").Inc(1)
+	r.scope.Counter("reads").Inc(1)
 	return page, err
 }
 
@@ -98,14 +98,14 @@
 	if errors.As(err, &e) && e.Failure == OutOfRetention {
 		r.readUp.Store(true)
 		if recovered := r.recoverFromLog(ctx, e.Oldest, e.Next); recovered != nil {
-			r.options.Logger.Error().Err(recovered).Msg("no snapshot in the log")
+			r.options.Logger.Error().Str("Event", "SnapshotMissing").Err(recovered).Msg("no snapshot in the log")
 			r.recoverFromPeer(ctx, e.Oldest-1)
 		}
 		return
 	}
 	r.readUp.Store(false)
-	r.scope.Counter("ReadFailures").Inc(1)
-	r.options.Logger.Warn().Err(err).Msg("read of the log failed")
+	r.scope.Counter("read_failures").Inc(1)
+	r.options.Logger.Warn().Str("Event", "LogReadFailed").Err(err).Msg("read of the log failed")
 	if !r.Ready() {
 		r.recoverFromPeer(ctx, 0)
 	}
@@ -165,11 +165,11 @@
 	defer cancel()
 	through, data, err := r.options.PeerSnapshot(ctx, max(atLeast, r.offset()))
 	if err != nil {
-		r.options.Logger.Warn().Err(err).Msg("no snapshot from a peer")
+		r.options.Logger.Warn().Str("Event", "PeerSnapshotMissing").Err(err).Msg("no snapshot from a peer")
 		return
 	}
 	if err := r.restore(through, data); err != nil {
-		r.options.Logger.Error().Err(err).Msg("snapshot of a peer is not usable")
+		r.options.Logger.Error().Str("Event", "PeerSnapshotUnusable").Err(err).Msg("snapshot of a peer is not usable")
 		return
 	}
 	r.mu.Lock()
--- a/platformlog/importer.go
+++ b/platformlog/importer.go
@@ -52,7 +52,7 @@
 	page, err := r.read(ctx, fold.ConfigurationStream, after+1, importRecords, ReadWait)
 	var e *Error
 	if errors.As(err, &e) && e.Failure == OutOfRetention && e.Oldest > after+1 {
-		r.options.Logger.Error().Uint64("After", uint64(after)).Uint64("Oldest", uint64(e.Oldest)).
+		r.options.Logger.Error().Str("Event", "ConfigurationLost").Uint64("After", uint64(after)).Uint64("Oldest", uint64(e.Oldest)).
 			Msg("operator records left the log before they were imported")
 		return r.proposeImport(ctx, fold.ConfigurationImported{After: after, Through: e.Oldest - 1})
 	}
--- a/platformlog/replica.go
+++ b/platformlog/replica.go
@@ -226,8 +226,8 @@
 func (r *Replica) applyOne(o domain.Offset, d decoded) {
 	if d.err != nil {
 		r.state.Skip(o)
-		r.scope.Counter("UndecodableDecisions").Inc(1)
-		r.options.Logger.Error().Err(d.err).Uint64("Offset", uint64(o)).Msg("decision record cannot be decoded and is skipped by every node")
+		r.scope.Counter("undecodable_decisions").Inc(1)
+		r.options.Logger.Error().Str("Event", "DecisionSkipped").Err(d.err).Uint64("Offset", uint64(o)).Msg("decision record cannot be decoded and is skipped by every node")
 		return
 	}
 	outcomes := r.state.Apply(o, d.batch)
@@ -257,14 +257,14 @@
 
 // noteImport logs every operator record that had no effect.
 func (r *Replica) noteImport(o domain.Offset, record fold.ConfigurationImported) {
-	r.scope.Counter("ConfigurationImports").Inc(1)
+	r.scope.Counter("configuration_imports").Inc(1)
 	for c := record.After + 1; c <= record.Through; c++ {
 		rejection, known := r.state.ConfigurationResult(c)
 		if !known || rejection == fold.Accepted {
 			continue
 		}
-		r.scope.Counter("ConfigurationSkipped").Inc(1)
-		r.options.Logger.Error().Uint64("ConfigurationOffset", uint64(c)).Uint64("Offset", uint64(o)).
+		r.scope.Counter("configuration_skipped").Inc(1)
+		r.options.Logger.Error().Str("Event", "ConfigurationSkipped").Uint64("ConfigurationOffset", uint64(c)).Uint64("Offset", uint64(o)).
 			Stringer("Rejection", rejection).Msg("operator record has no effect")
 	}
 }
@@ -276,8 +276,8 @@
 	}
 	close(r.changed)
 	r.changed = make(chan struct{})
-	r.scope.Gauge("DecisionOffset").Update(float64(r.state.Offset()))
-	r.scope.Gauge("ConfigurationOffset").Update(float64(r.state.ConfigurationOffset()))
+	r.scope.Gauge("decision_offset").Update(float64(r.state.Offset()))
+	r.scope.Gauge("configuration_offset").Update(float64(r.state.ConfigurationOffset()))
 }
 
 // offset returns the offset of the state.
--- a/platformlog/snapshot.go
+++ b/platformlog/snapshot.go
@@ -65,7 +65,7 @@
 			continue
 		}
 		if err := r.writeSnapshot(ctx); err != nil && ctx.Err() == nil {
-			r.options.Logger.Warn().Err(err).Msg("snapshot was not written")
+			r.options.Logger.Warn().Str("Event", "SnapshotNotWritten").Err(err).Msg("snapshot was not written")
 		}
 	}
 	return ctx.Err()
@@ -94,6 +94,6 @@
 			return err
 		}
 	}
-	r.scope.Counter("Snapshots").Inc(1)
+	r.scope.Counter("snapshots").Inc(1)
 	return nil
 }
