Show queues, servers left out, servers without an owner and ages of doubts

Change: the callers' API lists its queues and the servers it leaves out; the owner's loop notes when it first saw each doubt; status adds the listed servers without a lease.

--- a/commands/status.go
+++ b/commands/status.go
@@ -148,9 +148,9 @@
 func rounded(d time.Duration) string { return d.Round(100 * time.Millisecond).String() }
 
 func queueTable(s operator.Status) table {
-	t := table{header: []string{"QUEUE", "WAITING", "OLDEST", "ESTIMATE"}}
+	t := table{header: []string{"QUEUE", "WAITING", "RUNNING", "HOLD"}}
 	for _, q := range s.Queues {
-		t.rows = append(t.rows, []string{string(q.Model), strconv.Itoa(q.Waiting), rounded(q.Oldest), rounded(q.Estimate)})
+		t.rows = append(t.rows, []string{string(q.Model), strconv.Itoa(q.Waiting), strconv.Itoa(q.Running), rounded(q.Hold)})
 	}
 	return t
 }
@@ -164,9 +164,9 @@
 }
 
 func breakerTable(s operator.Status) table {
-	t := table{header: []string{"BREAKER", "STATE", "FAILURES"}}
+	t := table{header: []string{"LEFT OUT", "FAILURES", "FOR"}}
 	for _, b := range s.Breakers {
-		t.rows = append(t.rows, []string{string(b.Server), b.State, strconv.Itoa(b.Failures)})
+		t.rows = append(t.rows, []string{string(b.Server), strconv.Itoa(b.Failures), rounded(b.For)})
 	}
 	return t
 }
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -55,6 +55,7 @@
 	viewSince time.Time
 	movedAt   time.Time
 	wait      sync.WaitGroup
+	doubts    doubtClock
 }
 
 // NewOwnership returns an Ownership without leases.
@@ -86,6 +87,7 @@
 
 func (o *Ownership) step(ctx context.Context) {
 	leases := o.leases()
+	o.doubts.see(leases, time.Now())
 	o.follow(ctx, leases)
 	if o.deps.Leaving() || !o.deps.Settled() {
 		return
--- a/node/system.go
+++ b/node/system.go
@@ -12,6 +12,7 @@
 	"github.com/parsleylug/parsleylug/objective"
 	"github.com/parsleylug/parsleylug/operator"
 	"github.com/parsleylug/parsleylug/peer"
+	"github.com/parsleylug/parsleylug/platform"
 	"github.com/parsleylug/parsleylug/platformlog"
 	"github.com/parsleylug/parsleylug/verdict"
 )
@@ -120,9 +121,37 @@
 	})
 	out.Nodes = s.nodes(out.Servers)
 	out.Wakes = n.home.Wakes()
+	s.unowned(&out)
+	for _, q := range n.callers.Queues() {
+		out.Queues = append(out.Queues, operator.QueueStatus{Model: q.Model, Waiting: q.Waiting, Running: q.Running, Hold: q.Hold})
+	}
+	for _, e := range n.callers.Ejections() {
+		out.Breakers = append(out.Breakers, operator.BreakerStatus{Server: e.Server, Failures: e.Failures, For: e.For})
+	}
 	return out, nil
 }
 
+// unowned adds the backend servers of the platform's list that have no lease: the
+// plain services, which need none, and engines that nobody owns yet.
+func (s *System) unowned(out *operator.Status) {
+	leased := make(map[domain.ServerID]bool)
+	for _, v := range out.Servers {
+		leased[v.Server] = true
+	}
+	for _, k := range []platform.VMKind{platform.Engine, platform.Service} {
+		for _, v := range s.node.deps.Directory.OfKind(k) {
+			id := domain.ServerID(v.ID)
+			if leased[id] {
+				continue
+			}
+			out.Servers = append(out.Servers, operator.ServerStatus{
+				Server: id, Kind: k.String(), Region: v.Region, Zone: v.Zone, Alive: true, Leaving: v.Leaving,
+				Drained: s.node.deps.serverDrained(id, v.Zone), ChecksFences: v.ChecksFences, Memory: v.Memory,
+			})
+		}
+	}
+}
+
 // agreed fills in what the agreed state and the load reports show.
 func (s *System) agreed(out *operator.Status, f *fold.State) {
 	now := time.Now()
@@ -147,7 +176,9 @@
 			out.Permits = append(out.Permits, permitStatus(p, reports, now))
 		}
 		for _, d := range l.Doubts {
-			out.Doubts = append(out.Doubts, operator.DoubtStatus{Server: l.Server, Owner: d.Owner, Earlier: d.Fence})
+			out.Doubts = append(out.Doubts, operator.DoubtStatus{
+				Server: l.Server, Owner: d.Owner, Earlier: d.Fence, Since: s.node.ownership.doubts.age(l.Server, d.Fence, now),
+			})
 		}
 		out.Servers = append(out.Servers, v)
 	}
--- a/operator/mapstatus.go
+++ b/operator/mapstatus.go
@@ -118,10 +118,10 @@
 
 func wireOfQueueStatus(s QueueStatus) WireQueueStatus {
 	return WireQueueStatus{
-		Model:                string(s.Model),
-		Waiting:              s.Waiting,
-		OldestMilliseconds:   s.Oldest.Milliseconds(),
-		EstimateMilliseconds: s.Estimate.Milliseconds(),
+		Model:            string(s.Model),
+		Waiting:          s.Waiting,
+		Running:          s.Running,
+		HoldMilliseconds: s.Hold.Milliseconds(),
 	}
 }
 
@@ -136,9 +136,9 @@
 
 func wireOfBreakerStatus(s BreakerStatus) WireBreakerStatus {
 	return WireBreakerStatus{
-		Server:   string(s.Server),
-		State:    s.State,
-		Failures: s.Failures,
+		Server:          string(s.Server),
+		Failures:        s.Failures,
+		ForMilliseconds: s.For.Milliseconds(),
 	}
 }
 
@@ -234,10 +234,10 @@
 
 func (w WireQueueStatus) value() QueueStatus {
 	return QueueStatus{
-		Model:    domain.ModelName(w.Model),
-		Waiting:  w.Waiting,
-		Oldest:   time.Duration(w.OldestMilliseconds) * time.Millisecond,
-		Estimate: time.Duration(w.EstimateMilliseconds) * time.Millisecond,
+		Model:   domain.ModelName(w.Model),
+		Waiting: w.Waiting,
+		Running: w.Running,
+		Hold:    time.Duration(w.HoldMilliseconds) * time.Millisecond,
 	}
 }
 
@@ -253,8 +253,8 @@
 func (w WireBreakerStatus) value() BreakerStatus {
 	return BreakerStatus{
 		Server:   domain.ServerID(w.Server),
-		State:    w.State,
 		Failures: w.Failures,
+		For:      time.Duration(w.ForMilliseconds) * time.Millisecond,
 	}
 }
 
--- a/operator/status.go
+++ b/operator/status.go
@@ -103,10 +103,9 @@
 type QueueStatus struct {
 	Model   domain.ModelName
 	Waiting int
-	// Oldest is how long the first one has waited.
-	Oldest time.Duration
-	// Estimate is the wait that a new request is told.
-	Estimate time.Duration
+	Running int
+	// Hold is how long a request keeps its place, as learned so far.
+	Hold time.Duration
 }
 
 // WakeStatus is one cold start in progress.
@@ -121,8 +120,9 @@
 // BreakerStatus is a backend server that takes no new work for now.
 type BreakerStatus struct {
 	Server   domain.ServerID
-	State    string
 	Failures int
+	// For is how long the server is still left out.
+	For time.Duration
 }
 
 // Severity is how urgent a problem is.
@@ -229,6 +229,6 @@
 		}
 	}
 	for _, b := range s.Breakers {
-		d.addf(Note, "poison-request.md", "backend server %s takes no new work: breaker %s after %d failures", b.Server, b.State, b.Failures)
+		d.addf(Note, "poison-request.md", "node %s leaves backend server %s out for %s after %d failures", s.Node, b.Server, b.For.Round(time.Second), b.Failures)
 	}
 }
--- a/operator/wirestatus.go
+++ b/operator/wirestatus.go
@@ -77,10 +77,10 @@
 
 // WireQueueStatus is the JSON form of QueueStatus.
 type WireQueueStatus struct {
-	Model                string
-	Waiting              int
-	OldestMilliseconds   int64
-	EstimateMilliseconds int64
+	Model            string
+	Waiting          int
+	Running          int
+	HoldMilliseconds int64
 }
 
 // WireWakeStatus is the JSON form of WakeStatus.
@@ -93,9 +93,9 @@
 
 // WireBreakerStatus is the JSON form of BreakerStatus.
 type WireBreakerStatus struct {
-	Server   string
-	State    string
-	Failures int
+	Server          string
+	Failures        int
+	ForMilliseconds int64
 }
 
 // WireProblem is the JSON form of Problem.
