--- a/bench/cluster_test.go
+++ b/bench/cluster_test.go
@@ -34,6 +34,8 @@
 	// log is the decision stream; readers poll it.
 	log     [][]byte
 	started int
+	// opened counts the connections ever made.
+	opened atomic.Int64
 }
 
 type traffic struct{ bytes, packets, farBytes, farPackets atomic.Int64 }
@@ -147,6 +149,7 @@
 		if err != nil {
 			return nil, err
 		}
+		c.opened.Add(1)
 		return &metered{Conn: conn, traffic: &c.traffic, far: c.regionOf(address) != from}, nil
 	}
 }
@@ -260,18 +263,18 @@
 }
 
 // whole waits until every node counts all and returns how long it took.
-func (c *cluster) whole(within time.Duration) time.Duration {
-	return c.until(within, func(n *clusterNode) bool { return len(n.Members()) == len(c.nodes) })
+func (c *cluster) whole() time.Duration {
+	return c.until(func(n *clusterNode) bool { return len(n.Members()) == len(c.nodes) })
 }
 
 // reached waits until every node has the record.
-func (c *cluster) reached(o domain.Offset, within time.Duration) time.Duration {
-	return c.until(within, func(n *clusterNode) bool { return n.nextOffset() > o })
+func (c *cluster) reached(o domain.Offset) time.Duration {
+	return c.until(func(n *clusterNode) bool { return n.nextOffset() > o })
 }
 
-func (c *cluster) until(within time.Duration, done func(*clusterNode) bool) time.Duration {
+func (c *cluster) until(done func(*clusterNode) bool) time.Duration {
 	start := time.Now()
-	for time.Since(start) < within {
+	for time.Since(start) < settleTime {
 		missing := 0
 		for _, n := range c.nodes {
 			if !done(n) {
@@ -283,7 +286,7 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	return within
+	return settleTime
 }
 
 // processorTime is what this process used so far.
@@ -295,10 +298,11 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// memory is what the process holds, after a collection.
+// memory is what live objects and stacks take, after two collections.
 func memory() float64 {
+	runtime.GC()
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
-	return float64(m.HeapInuse + m.StackInuse)
+	return float64(m.HeapAlloc + m.StackInuse)
 }
--- a/bench/cost_test.go
+++ b/bench/cost_test.go
@@ -11,6 +11,7 @@
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fold"
 	"github.com/parsleylug/parsleylug/membership"
+	"github.com/parsleylug/parsleylug/node"
 	"github.com/parsleylug/parsleylug/peer"
 	"github.com/parsleylug/parsleylug/platformlog"
 	"github.com/parsleylug/parsleylug/rendezvous"
@@ -32,7 +33,7 @@
 func pair(b *testing.B) (*cluster, *clusterNode, domain.NodeID) {
 	c := newCluster(b, 2)
 	b.Cleanup(c.close)
-	c.whole(settleTime)
+	c.whole()
 	time.Sleep(time.Second)
 	return c, c.nodes[0], c.nodes[1].member.Node
 }
@@ -79,6 +80,24 @@
 	measureSend(b, "Heartbeat", peer.LogRecords{First: 1 << 30})
 }
 
+// BenchmarkCapacityLink measures the memory of one end of a link.
+func BenchmarkCapacityLink(b *testing.B) {
+	const nodes = 60
+	c := newCluster(b, nodes)
+	defer c.close()
+	for b.Loop() {
+		c.whole()
+		time.Sleep(2 * time.Second)
+		before, opened := memory(), c.opened.Load()
+		for _, n := range c.nodes[1:] {
+			if _, err := c.nodes[0].Call(context.Background(), n.member.Node, peer.Wake{}); err != nil {
+				b.Fatal(err)
+			}
+		}
+		record(b, "LinkMemory", "B", (memory()-before)/2/float64(c.opened.Load()-opened))
+	}
+}
+
 func serverReport(models int) peer.ServerReport {
 	s := peer.ServerReport{Server: "engine-0123", Fence: 1 << 30, Sequence: 1 << 20, Alive: true, FreeMemory: 20 * domain.Gibibyte}
 	for i := range models {
@@ -151,6 +170,16 @@
 		nodes = append(nodes, m.Node)
 	}
 	timed(b, "FirstProcessor", func() { rendezvous.First("model/coral-frame-notes", nodes) })
+	timed(b, "RankProcessor", func() { rendezvous.Rank("model/coral-frame-notes", nodes) })
+	before = memory()
+	var reports node.Reports
+	for i := range plannedServers {
+		r := serverReport(plannedReplicas / plannedServers)
+		r.Server = serverName(i)
+		reports.Add(r, now)
+	}
+	record(b, "ReportsMemory", "B", memory()-before)
+	reports.Forget("")
 }
 
 func member(i int) membership.Member {
@@ -187,10 +216,12 @@
 	f := folder{b: b, codec: codec, state: &fold.State{}}
 	f.fill()
 	record(b, "FoldMemory", "B", memory()-before)
+	encoding := processorTime()
 	snapshot, err := codec.EncodeSnapshot(f.state.Snapshot())
 	if err != nil {
 		b.Fatal(err)
 	}
+	record(b, "SnapshotProcessor", "core-s", (processorTime() - encoding).Seconds())
 	record(b, "SnapshotBytes", "B", float64(len(snapshot)))
 	const changes = 2000
 	f.bytes = 0
--- a/bench/mesh_test.go
+++ b/bench/mesh_test.go
@@ -36,12 +36,12 @@
 	c := newCluster(b, size)
 	defer c.close()
 	suffix := fmt.Sprintf("%d", size)
-	record(b, "MeshStartSeconds"+suffix, "s", c.whole(settleTime).Seconds())
+	record(b, "MeshStartSeconds"+suffix, "s", c.whole().Seconds())
 	time.Sleep(10 * time.Second)
 	record(b, "MeshMemory"+suffix, "B/node", (memory()-base)/float64(size))
 	steady := measureIdle(b, c, suffix)
 	o := c.append(300)
-	record(b, "MeshRecordSeconds"+suffix, "s", c.reached(o, settleTime).Seconds())
+	record(b, "MeshRecordSeconds"+suffix, "s", c.reached(o).Seconds())
 	measureRestart(b, c, suffix, steady)
 }
 
@@ -69,7 +69,7 @@
 	for range third {
 		c.start()
 	}
-	took := c.whole(settleTime)
+	took := c.whole()
 	record(b, "MeshThirdRestartSeconds"+suffix, "s", took.Seconds())
 	time.Sleep(3 * time.Second)
 	elapsed := time.Since(start).Seconds()
--- /dev/null
+++ b/bench/page_test.go
@@ -0,0 +1,93 @@
+package bench
+
+import (
+	"math"
+	"os"
+	"testing"
+)
+
+// pageVariable makes the test of the page write the tables instead.
+const (
+	pageVariable = "PARSLEYLUG_WRITE_CAPACITY"
+	pagePath     = "../docs/CAPACITY.md"
+)
+
+func recorded(t *testing.T) Slopes {
+	t.Helper()
+	s, err := ReadSlopes(slopesPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func TestPageShowsTheRecordedSlopes(t *testing.T) {
+	data, err := os.ReadFile(pagePath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tables, err := Page(Rows(), recorded(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want, err := Replace(string(data), tables)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if os.Getenv(pageVariable) != "" {
+		if err := os.WriteFile(pagePath, []byte(want), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	if got := string(data); got != want {
+		t.Errorf("got a page that differs from %s and the rows; run the test with %s=1 and read what changed", slopesPath, pageVariable)
+	}
+}
+
+func TestRowsFitOrSaySo(t *testing.T) {
+	s := recorded(t)
+	for _, r := range Rows() {
+		got, ok := r.Product(s)
+		if !ok {
+			t.Errorf("%s, %s: got no slope recorded", r.Role, r.Measure)
+			continue
+		}
+		if r.Budget == 0 {
+			continue
+		}
+		if over := got > r.Budget; over != r.OverBudget {
+			t.Errorf("%s, %s: got %.3g %s of %.3g, want OverBudget %v", r.Role, r.Measure, got, r.Unit, r.Budget, over)
+		}
+		if r.OverBudget && r.Change == "" {
+			t.Errorf("%s, %s: got no word on what would change", r.Role, r.Measure)
+		}
+	}
+}
+
+func TestProductIsTheSumOfTheTerms(t *testing.T) {
+	s := Slopes{}.Set(Slope{Name: "B", Value: 3}).Set(Slope{Name: "A", Value: 2.0004})
+	r := Row{Terms: []Term{{"A", 10, ""}, {"B", 100, ""}, {"", 1, ""}}}
+	got, ok := r.Product(s)
+	if want := 321.0; !ok || math.Abs(got-want) > 1e-9 {
+		t.Errorf("got %v %v, want %v", got, ok, want)
+	}
+	r.Terms = append(r.Terms, Term{"C", 1, ""})
+	if _, ok := r.Product(s); ok {
+		t.Error("got a product with a slope that is not recorded")
+	}
+}
+
+func TestEverySlopeIsRecordedOnce(t *testing.T) {
+	s := recorded(t)
+	for i := range s[1:] {
+		if s[i].Name >= s[i+1].Name {
+			t.Errorf("got %s before %s, want sorted names", s[i].Name, s[i+1].Name)
+		}
+	}
+	for _, one := range s {
+		if one.Value <= 0 || one.Unit == "" {
+			t.Errorf("got %+v, want a figure and a unit", one)
+		}
+	}
+}
--- a/bench/slopes.go
+++ b/bench/slopes.go
@@ -4,9 +4,9 @@
 
 import (
 	"encoding/json"
-	"math"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -65,9 +65,9 @@
 // round keeps three significant digits, which is more than a measurement on a
 // shared machine can tell.
 func round(v float64) float64 {
-	if v == 0 || math.IsNaN(v) || math.IsInf(v, 0) {
+	rounded, err := strconv.ParseFloat(strconv.FormatFloat(v, 'e', 2, 64), 64)
+	if err != nil {
 		return 0
 	}
-	scale := math.Pow(10, 2-math.Floor(math.Log10(math.Abs(v))))
-	return math.Round(v*scale) / scale
+	return rounded
 }
