Answer stale news and distrust timeouts of a busy process

Cause: a third of 200 nodes came back after 13.1 s in one run on a busy machine. A new node ignored that an unknown node is gone and later took stale news of it for true; nobody corrected it before the next comparison of views. Connections that failed because this process itself lacked processor time raised suspicions.

Change: a node that hears a gone node called alive passes the loss on again; while its own ticks come late by three intervals, and for a second after, a node does not count its failed connections as silence. A refused one still counts.

--- a/membership/table.go
+++ b/membership/table.go
@@ -308,6 +308,9 @@
 		e = t.add(Update{Member: u.Member, Status: Listed})
 	}
 	if !u.supersedes(e) {
+		if e.Status == Gone && u.Status != Gone {
+			t.gossip[n] = true // The sender missed the loss.
+		}
 		return
 	}
 	if e.Status == Suspect && u.Status == Alive {
--- a/peer/dial.go
+++ b/peer/dial.go
@@ -59,6 +59,8 @@
 		return
 	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, errOtherNode):
 		m.table.Refused(now, to.Node)
+	case now.Before(m.busyUntil):
+		return
 	default:
 		m.table.Silent(now, to.Node)
 	}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -57,6 +57,8 @@
 	syncVersion uint64
 	syncs       int
 	lastStep    time.Time
+	// busyUntil is when this node trusts its own timeouts again.
+	busyUntil time.Time
 }
 
 // remote is what the mesh keeps for another node.
--- a/peer/watch.go
+++ b/peer/watch.go
@@ -25,6 +25,10 @@
 	// silentTime is how long a link may owe a pong without a byte before it is
 	// dropped.
 	silentTime = 2 * time.Second
+	// lateStep is the time between two ticks that shows that this process lacks
+	// processor time; its failed connections prove nothing for busyTime then.
+	lateStep = 3 * tickInterval
+	busyTime = time.Second
 	// idleTime is how long a link that is not to a neighbour stays without use.
 	idleTime = time.Minute
 )
@@ -79,6 +83,9 @@
 	defer m.mu.Unlock()
 	m.table.Tick(now)
 	paused := !m.lastStep.IsZero() && now.Sub(m.lastStep) > membership.PauseTime
+	if !m.lastStep.IsZero() && now.Sub(m.lastStep) > lateStep {
+		m.busyUntil = now.Add(busyTime)
+	}
 	m.lastStep = now
 	neighbours := m.table.Neighbours()
 	for _, n := range neighbours {
