--- a/caller/chat.go
+++ b/caller/chat.go
@@ -33,7 +33,12 @@
 func (a *API) chat(ctx context.Context, request any) (any, error) {
 	call, _ := request.(*chatCall)
 	started := time.Now()
+	leave, err := a.enter(call)
+	if err != nil {
+		return nil, err
+	}
 	s := a.newSession(ctx, call)
+	s.leave = leave
 	first, err := s.next()
 	if err != nil {
 		s.close()
@@ -70,10 +75,12 @@
 			return
 		}
 		if token.Finish != "" {
-			_ = c.write(w, control, events.end(token, s.relay.next))
+			s.completed()
+			_ = c.write(w, control, events.end(token, s.relay.Next()))
 			return
 		}
 		if token, err = s.next(); err != nil {
+			s.trace.failed(verdict.Of(err))
 			_ = c.write(w, control, events.failure(verdict.Of(err)))
 			return
 		}
@@ -138,6 +145,7 @@
 	for {
 		text.WriteString(token.Text)
 		if token.Finish != "" {
+			s.completed()
 			break
 		}
 		if text.Len() > int(maximumAnswer) {
@@ -151,7 +159,7 @@
 	body, err := json.Marshal(completionWire{
 		ID: "chatcmpl-" + string(s.call.id), Object: "chat.completion", Created: c.created.Unix(), Model: s.call.name,
 		Choices: []choiceWire{{Message: messageWire{Role: "assistant", Content: text.String()}, FinishReason: token.Finish}},
-		Usage:   newUsage(token, s.relay.next),
+		Usage:   newUsage(token, s.relay.Next()),
 	})
 	if err != nil {
 		return err
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -71,12 +71,14 @@
 
 // Replica is one loaded or loading model.
 type Replica struct {
-	Model    domain.ModelName
-	Version  domain.VersionName
-	Memory   domain.Bytes
-	Loading  bool
-	Running  int
-	Waiting  int
+	Model   domain.ModelName
+	Version domain.VersionName
+	Memory  domain.Bytes
+	Loading bool
+	Running int
+	Waiting int
+	// Served counts requests taken since the replica was loaded.
+	Served   uint64
 	Adapters []domain.AdapterName
 }
 
--- a/node/handle.go
+++ b/node/handle.go
@@ -27,10 +27,10 @@
 	Usage func(from domain.NodeID, u peer.Usage)
 	// Heard takes what another node says of how far it has folded.
 	Heard func(from domain.NodeID, a peer.Applied)
-	// Status returns this node's status as JSON.
-	Status func() ([]byte, error)
+	// Status returns a part of this node's status as JSON.
+	Status func(peer.StatusRequest) ([]byte, error)
 	// Deliver takes records that a relay passed on.
-	Deliver func(first domain.Offset, records [][]byte)
+	Deliver func(from domain.NodeID, r peer.LogRecords)
 }
 
 // Handle answers one message.
@@ -43,13 +43,13 @@
 	case peer.ReleasePermit:
 		return peer.Released{}, h.Ownership.Release(ctx, m)
 	case peer.AcquirePace:
-		return h.Pacer.Acquire(ctx, m)
+		return h.Pacer.Acquire(ctx, from, m)
 	case peer.CommandQuery:
 		return h.Claims.Query(ctx, m), nil
 	case peer.SnapshotRequest:
 		return h.snapshot(m)
 	case peer.StatusRequest:
-		raw, err := h.Status()
+		raw, err := h.Status(m)
 		return peer.Status{JSON: raw}, err
 	}
 	return nil, h.notice(from, m)
@@ -71,7 +71,7 @@
 	case peer.Applied:
 		h.Heard(from, m)
 	case peer.LogRecords:
-		h.Deliver(m.First, m.Records)
+		h.Deliver(from, m)
 	default:
 		return verdict.Refuse(verdict.BadRequest, "the message is not known here")
 	}
--- a/peer/decode.go
+++ b/peer/decode.go
@@ -93,7 +93,8 @@
 		w, err := body[wireUsage](f)
 		return usageFromWire(w), err
 	case numberStatusRequest:
-		return StatusRequest{}, nil
+		w, err := body[wireStatusRequest](f)
+		return StatusRequest{Part: StatusPart(w.Part), Request: w.Request}, err
 	case numberStatus:
 		w, err := body[wireStatus](f)
 		return Status(w), err
@@ -169,7 +170,7 @@
 func suspectsFromWire(w wireSuspects) Suspects {
 	m := Suspects{Suspects: make([]Suspect, len(w.Suspects))}
 	for i, s := range w.Suspects {
-		m.Suspects[i] = Suspect{Content: hashFromWire(s.Content), Crashes: s.Crashes, Server: s.Server}
+		m.Suspects[i] = Suspect{Content: hashFromWire(s.Content), Crashes: s.Crashes, Server: s.Server, Alone: s.Alone, Begun: s.Begun}
 	}
 	return m
 }
