Join TLS to the listeners and links; settle sooner after a restart

Cause: package tlsfiles was used by nothing; a restarted node waited 6 s for links to nodes that the list still showed though they were dead. Change: settings for certificates of callers and operators and of links between nodes, checked with the others; a node links for 1.5 s at most once the list shows it.

--- a/commands/serve.go
+++ b/commands/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"os"
@@ -18,6 +19,7 @@
 	"github.com/parsleylug/parsleylug/node"
 	"github.com/parsleylug/parsleylug/operator"
 	"github.com/parsleylug/parsleylug/settings"
+	"github.com/parsleylug/parsleylug/tlsfiles"
 )
 
 // metricsInterval is how often gathered metrics are handed on.
@@ -56,6 +58,9 @@
 	o.Logger.Info().Str("Event", "Serving").Str("CallerURL", "http://"+o.Caller.Addr().String()).
 		Str("AdminURL", "http://"+o.Admin.Addr().String()).Str("PeerAddress", o.Peer.Addr().String()).
 		Str("Region", string(v.Region)).Str("Zone", string(v.Zone)).Msg("node serves")
+	if err := secure(&o, v); err != nil {
+		return err
+	}
 	n, err := node.New(o)
 	if err != nil {
 		return err
@@ -112,6 +117,28 @@
 	return o, func() { _ = scopeCloser.Close() }, nil
 }
 
+// secure puts TLS on the listeners and the links between nodes.
+func secure(o *node.Options, v settings.Values) error {
+	if !v.TLS.Off() {
+		s, err := tlsfiles.New(v.TLS, o.Logger)
+		if err != nil {
+			return &UsageError{Err: errors.Wrap(err, "--tls-certificate")}
+		}
+		o.Caller = tls.NewListener(o.Caller, s.Server())
+		o.Admin = tls.NewListener(o.Admin, s.Server())
+		o.Background = append(o.Background, s.Run)
+	}
+	if !v.PeerTLS.Off() {
+		s, err := tlsfiles.New(v.PeerTLS, o.Logger)
+		if err != nil {
+			return &UsageError{Err: errors.Wrap(err, "--peer-certificate")}
+		}
+		o.PeerTLS = s.Peers()
+		o.Background = append(o.Background, s.Run)
+	}
+	return nil
+}
+
 func listen(address string) (net.Listener, error) {
 	var lc net.ListenConfig
 	l, err := lc.Listen(context.Background(), "tcp", address)
--- a/node/node.go
+++ b/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"slices"
@@ -37,8 +38,10 @@
 	// importKey is hashed to rank the nodes that import configuration.
 	importKey = "configuration/import"
 	// settleLimit is how long a node waits to be shown in the platform's list, and
-	// to link to every node of it, before it does without.
+	// linkLimit to link to every node of it, before it does without. The list shows
+	// dead nodes for a while.
 	settleLimit = 6 * time.Second
+	linkLimit   = 1500 * time.Millisecond
 	// stopPoll is how often a stopping node looks whether its work has ended.
 	stopPoll = 20 * time.Millisecond
 )
@@ -54,6 +57,10 @@
 	Caller, Peer, Admin net.Listener
 	LogURL              string
 	VMListURL           string
+	// PeerTLS secures the links between nodes; nil means plain TCP.
+	PeerTLS *tls.Config
+	// Background runs beside the node, until it ends.
+	Background []func(context.Context) error
 	// KeepAlive is how long an idle replica stays loaded.
 	KeepAlive time.Duration
 	// DrainGrace is how long a stopping node takes new requests, until the
@@ -85,6 +92,8 @@
 	heard     heard
 	started   time.Time
 	isSettled atomic.Bool
+	// listedAt is when the list first showed this node, in nanoseconds.
+	listedAt atomic.Int64
 	// stopping is set first in a stop; refusing after DrainGrace.
 	stopping atomic.Bool
 	refusing atomic.Bool
@@ -105,7 +114,7 @@
 	directory := &Directory{}
 	handler := &Handler{}
 	n.mesh = peer.NewMesh(peer.Options{
-		Self: self, Listener: o.Peer, Logger: o.Logger, Scope: o.Scope, Handle: handler.Handle,
+		Self: self, Listener: o.Peer, TLS: o.PeerTLS, Logger: o.Logger, Scope: o.Scope, Handle: handler.Handle,
 		Seeds: func(context.Context) ([]peer.Member, error) { return directory.Seeds(), nil },
 	})
 	n.relay = relay.New(relay.Options{
@@ -209,11 +218,22 @@
 	if n.isSettled.Load() {
 		return true
 	}
-	ok := n.deps.Directory.ListsNode(n.options.Node) && n.linked() || time.Since(n.started) >= settleLimit
-	if ok {
-		n.isSettled.Store(true)
+	if !n.listed() {
+		return false
 	}
-	return ok
+	n.isSettled.Store(true)
+	return true
+}
+
+// listed tells whether the list shows this node and it has linked to the others,
+// or whether the wait for either has been long enough.
+func (n *Node) listed() bool {
+	now := time.Now()
+	if !n.deps.Directory.ListsNode(n.options.Node) {
+		return now.Sub(n.started) >= settleLimit
+	}
+	n.listedAt.CompareAndSwap(0, now.UnixNano())
+	return n.linked() || now.Sub(time.Unix(0, n.listedAt.Load())) >= linkLimit
 }
 
 // linked tells whether every node of the platform's list is a live member.
@@ -243,7 +263,7 @@
 		func(ctx context.Context) error { n.tellApplied(ctx); return nil },
 		func(ctx context.Context) error { n.tellUsage(ctx); return nil },
 	}
-	for _, l := range loops {
+	for _, l := range append(loops, n.options.Background...) {
 		group.Go(func() error { return unlessEnded(running, l(running)) })
 	}
 	servers := n.serve(group)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -13,25 +13,31 @@
 
 	"github.com/parsleylug/parsleylug/configuration"
 	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/tlsfiles"
 )
 
 // Settings are the flags of a node as they were given. They are text, so that
 // Values can report every fault at once. Each flag is also read from the
 // environment, as PARSLEYLUG_ and the flag's name in capitals.
 type Settings struct {
-	LogURL         string `name:"log-url" help:"URL of the platform's log. Without the URLs the node starts stand-ins of its own." placeholder:"URL"`
-	WeightStoreURL string `name:"weight-store-url" help:"URL of the weight store; engines load from it, nodes only pace the loads." placeholder:"URL"`
-	VMListURL      string `name:"vm-list-url" help:"URL of the platform's list of VMs." placeholder:"URL"`
-	Listen         string `help:"IP:PORT for callers." default:"127.0.0.1:8080"`
-	PeerListen     string `help:"IP:PORT for other nodes, as they can reach it." default:"127.0.0.1:0"`
-	AdminListen    string `help:"IP:PORT for operators, health and metrics." default:"127.0.0.1:8081"`
-	Region         string `help:"Region of this VM." default:"brisbane"`
-	Zone           string `help:"Availability zone of this VM." default:"brisbane-a"`
-	Config         string `help:"Operator configuration for stand-ins of its own; the sample without it." placeholder:"FILE"`
-	KeepAlive      string `help:"How long an idle replica stays loaded." default:"5m"`
-	DrainGrace     string `help:"How long a stopping node still takes requests, so that the balancer sees it first." default:"2s"`
-	DrainLimit     string `help:"How long a stop waits for running requests." default:"5m"`
-	LogLevel       string `help:"Lowest level logged: debug, info, warn or error." default:"info"`
+	LogURL          string `name:"log-url" help:"URL of the platform's log. Without the URLs the node starts stand-ins of its own." placeholder:"URL"`
+	WeightStoreURL  string `name:"weight-store-url" help:"URL of the weight store; engines load from it, nodes only pace the loads." placeholder:"URL"`
+	VMListURL       string `name:"vm-list-url" help:"URL of the platform's list of VMs." placeholder:"URL"`
+	Listen          string `help:"IP:PORT for callers." default:"127.0.0.1:8080"`
+	PeerListen      string `help:"IP:PORT for other nodes, as they can reach it." default:"127.0.0.1:0"`
+	AdminListen     string `help:"IP:PORT for operators, health and metrics." default:"127.0.0.1:8081"`
+	Region          string `help:"Region of this VM." default:"brisbane"`
+	Zone            string `help:"Availability zone of this VM." default:"brisbane-a"`
+	Config          string `help:"Operator configuration for stand-ins of its own; the sample without it." placeholder:"FILE"`
+	TLSCertificate  string `name:"tls-certificate" help:"PEM certificate for callers and operators; TLS is off without it." placeholder:"FILE"`
+	TLSKey          string `name:"tls-key" help:"PEM key of --tls-certificate." placeholder:"FILE"`
+	PeerCertificate string `name:"peer-certificate" help:"PEM certificate for links between nodes; TLS is off there without it." placeholder:"FILE"`
+	PeerKey         string `name:"peer-key" help:"PEM key of --peer-certificate." placeholder:"FILE"`
+	PeerAuthority   string `name:"peer-authority" help:"PEM certificates that every node's certificate chains to." placeholder:"FILE"`
+	KeepAlive       string `help:"How long an idle replica stays loaded." default:"5m"`
+	DrainGrace      string `help:"How long a stopping node still takes requests, so that the balancer sees it first." default:"2s"`
+	DrainLimit      string `help:"How long a stop waits for running requests." default:"5m"`
+	LogLevel        string `help:"Lowest level logged: debug, info, warn or error." default:"info"`
 }
 
 // Values are checked settings.
@@ -44,7 +50,9 @@
 	Region                            domain.Region
 	Zone                              domain.Zone
 	// Config is a configuration file for the stand-ins, or empty.
-	Config                            string
+	Config string
+	// TLS is for callers and operators, PeerTLS for links between nodes.
+	TLS, PeerTLS                      tlsfiles.Files
 	KeepAlive, DrainGrace, DrainLimit time.Duration
 	LogLevel                          zerolog.Level
 }
@@ -101,6 +109,7 @@
 		DrainLimit:  c.duration("drain-limit", s.DrainLimit),
 		LogLevel:    c.level("log-level", s.LogLevel),
 	}
+	c.tls(s, &v)
 	c.platform(s, &v)
 	c.distinct(v)
 	if len(c.faults) > 0 {
@@ -109,6 +118,18 @@
 	return v, nil
 }
 
+// tls checks that the files of each kind of certificate are named together.
+func (c *checker) tls(s Settings, v *Values) {
+	v.TLS = tlsfiles.Files{Certificate: s.TLSCertificate, Key: s.TLSKey}
+	v.PeerTLS = tlsfiles.Files{Certificate: s.PeerCertificate, Key: s.PeerKey, Authority: s.PeerAuthority}
+	if (s.TLSCertificate == "") != (s.TLSKey == "") {
+		c.add("tls-certificate", "goes with --tls-key")
+	}
+	if !v.PeerTLS.Off() && (s.PeerCertificate == "" || s.PeerKey == "" || s.PeerAuthority == "") {
+		c.add("peer-certificate", "goes with --peer-key and --peer-authority")
+	}
+}
+
 // platform checks the URLs, which are given together or not at all. Nodes do
 // without that of the weight store, since engines load from it.
 func (c *checker) platform(s Settings, v *Values) {
--- a/tlsfiles/tlsfiles.go
+++ b/tlsfiles/tlsfiles.go
@@ -77,7 +77,7 @@
 		}
 		changed, err := s.Reload()
 		if err != nil {
-			s.logger.Error().Err(err).Msg("certificates cannot be used; the ones before stay in use")
+			s.logger.Error().Err(err).Str("Event", "CertificatesNotReloaded").Msg("certificates cannot be used; the ones before stay in use")
 		}
 		if changed {
 			s.logger.Info().Str("Event", "CertificatesReloaded").Time("Expires", s.Expires()).Msg("certificates reloaded")
