Let a slow engine send comments as well as a waiting one

Cause: a stream without a byte for 4 s counts as silent; an engine whose pace is very low would have been taken for one. Change: an engine sends a comment each second while a token or prompt takes longer. Conclusion: the new test counts 5 comments in 6 s of virtual time.

--- a/standin/chat.go
+++ b/standin/chat.go
@@ -146,12 +146,12 @@
 		e.crash()
 		return false
 	}
-	if !sleep(ctx, time.Duration(e.prefill(l, c))*e.tokenTime()/prefillShare) {
+	if !out.work(ctx, time.Duration(e.prefill(l, c))*e.tokenTime()/prefillShare) {
 		return false
 	}
 	tokens, finish := c.prompt.answer()
 	for i := c.resume; i < len(tokens); i++ {
-		if !sleep(ctx, e.tokenTime()) || !e.pause.wait(ctx) {
+		if !out.work(ctx, e.tokenTime()) || !e.pause.wait(ctx) {
 			return false
 		}
 		if !out.token(wireToken{Index: i, Text: tokens[i]}) {
--- a/standin/eventstream.go
+++ b/standin/eventstream.go
@@ -43,13 +43,26 @@
 		case <-ctx.Done():
 			return false
 		case <-t.C:
-			if !s.write(": waiting\n\n") {
+			if !s.comment() {
 				return false
 			}
 		}
 	}
 }
 
+// work takes d and sends comments meanwhile, so that a slow engine is not taken
+// for a silent connection.
+func (s *eventStream) work(ctx context.Context, d time.Duration) bool {
+	for ; d > commentInterval; d -= commentInterval {
+		if !sleep(ctx, commentInterval) || !s.comment() {
+			return false
+		}
+	}
+	return sleep(ctx, d)
+}
+
+func (s *eventStream) comment() bool { return s.write(": waiting\n\n") }
+
 func (s *eventStream) token(t wireToken) bool {
 	t.Attempt = s.attempt
 	data, err := json.Marshal(t)
--- a/standin/time_test.go
+++ b/standin/time_test.go
@@ -1,6 +1,9 @@
 package standin
 
 import (
+	"context"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -178,3 +181,21 @@
 		})
 	}
 }
+
+func TestSlowStreamSendsComments(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := httptest.NewRecorder()
+		s := newEventStream(w, "a1")
+		if !s.work(t.Context(), 3500*time.Millisecond) {
+			t.Error("the work broke off")
+		}
+		never, cancel := context.WithTimeout(t.Context(), 2500*time.Millisecond)
+		defer cancel()
+		if s.await(never, nil) {
+			t.Error("a request was admitted that never was")
+		}
+		if got, want := strings.Count(w.Body.String(), ": waiting\n"), 5; got != want {
+			t.Errorf("got %d comments in 6 s, want %d", got, want)
+		}
+	})
+}
