--- a/platformlog/appender.go
+++ b/platformlog/appender.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"sync"
 
+	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 
 	"github.com/parsleylug/parsleylug/domain"
@@ -222,6 +224,18 @@
 	a.last -= domain.Sequence(len(batch.Records))
 }
 
+// fail ends proposals that cannot be encoded together.
+func (a *appender) fail(batch fold.Batch, taken []*proposal, cause error) {
+	a.putBack(batch, taken)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.queue = a.queue[len(taken):]
+	a.queued -= len(batch.Records)
+	for _, p := range taken {
+		p.finish(&verdict.Error{Verdict: verdict.NotRun, Reason: verdict.BadRequest, Message: "records cannot be encoded", Cause: cause})
+	}
+}
+
 // appendNext appends one batch. It returns when the batch is in the log, or
 // certainly not.
 func (a *appender) appendNext(ctx context.Context, b *backoff) {
@@ -231,7 +245,7 @@
 	}
 	data, err := a.replica.codec.EncodeBatch(batch)
 	if err != nil {
-		a.putBack(batch, taken)
+		a.fail(batch, taken, err)
 		return
 	}
 	maybe := false
@@ -246,7 +260,7 @@
 		if !maybe {
 			a.putBack(batch, taken)
 		}
-		a.replica.options.Logger.Warn().Err(err).Bool("MayBeAppended", maybe).Msg("append failed")
+		a.replica.options.Logger.Warn().Str("Event", "AppendFailed").Err(err).Bool("MayBeAppended", maybe).Msg("append failed")
 		sleep(ctx, b.next(), a.resolved)
 		if !maybe {
 			return
@@ -260,11 +274,13 @@
 	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
 	_, err := a.replica.options.Client.Append(ctx, fold.DecisionStream, [][]byte{data})
-	a.replica.scope.Counter("Appends").Inc(1)
+	a.replica.scope.Counter("appends").Inc(1)
 	if err != nil {
-		a.replica.scope.Counter("AppendFailures").Inc(1)
+		a.replica.scope.Counter("append_failures").Inc(1)
 	}
-	a.replica.appendUp.Store(err == nil)
+	var e *Error
+	refused := errors.As(err, &e) && e.Status == http.StatusTooManyRequests
+	a.replica.appendUp.Store(err == nil || refused)
 	return err
 }
 
