--- a/fold/record.go
+++ b/fold/record.go
@@ -68,7 +68,7 @@
 type ServerFacts struct {
 	Memory domain.Bytes
 	// ChecksFences is true only where the server refuses an order with a fence
-	// older than the newest one it has seen.
+	// older than the newest one it has seen, also from before its last restart.
 	ChecksFences bool
 	Region       domain.Region
 	Zone         domain.Zone
--- a/owner/account_test.go
+++ b/owner/account_test.go
@@ -125,3 +125,64 @@
 		t.Error("the old owner may have loaded the model in incarnation 2")
 	}
 }
+
+func TestInvariantEveryPermitCountsWhereFencesAreIgnored(t *testing.T) {
+	for _, c := range []struct {
+		checks bool
+		want   domain.Bytes
+	}{{true, 12}, {false, 0}} {
+		if got := owned(12, c.checks).Free(); got != c.want {
+			t.Errorf("checks %v: got %d free, want %d", c.checks, got, c.want)
+		}
+	}
+}
+
+func TestInvariantAdaptersStayWithinThePermit(t *testing.T) {
+	a := owned(13, true)
+	if got, want := a.StartAdapter("a"), NotLoaded; !errors.Is(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	_ = a.StartLoad("a")
+	a.FinishLoad("a", engine.Done)
+	_ = a.StartLoad("b")
+	a.FinishLoad("b", engine.Done)
+	if got := a.StartAdapter("a"); got != nil {
+		t.Errorf("got %v, want nil", got)
+	}
+	a.FinishAdapter("a", engine.Done)
+	a.SetPermits([]fold.Permit{{Model: "a", AttachedAt: 6, Size: 8}, {Model: "b", AttachedAt: 7, Size: 6, Revoked: true}})
+	if got, want := a.StartAdapter("a"), NoMemory; !errors.Is(got, want) {
+		t.Errorf("a permit that grew beyond the memory: got %v, want %v", got, want)
+	}
+	if got, want := a.StartAdapter("b"), PermitRevoked; !errors.Is(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	_ = a.StartUnload("b")
+	a.FinishUnload("b", engine.Done)
+	if got := a.StartAdapter("a"); got != nil {
+		t.Errorf("got %v, want nil", got)
+	}
+}
+
+func TestFaultStaleRefusalEndsTheLease(t *testing.T) {
+	a := owned(12, true)
+	_ = a.StartLoad("a")
+	a.FinishLoad("a", engine.RefusedStale)
+	if got, want := a.StartLoad("b"), NotOwner; !errors.Is(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
+func TestFaultLoadDuringReleaseIsRefused(t *testing.T) {
+	a := owned(12, true)
+	if !a.StartRelease("a") {
+		t.Fatal("an unloaded model cannot be released")
+	}
+	if got, want := a.StartLoad("a"), Releasing; !errors.Is(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	a.CancelRelease("a")
+	if got := a.StartLoad("a"); got != nil {
+		t.Errorf("got %v, want nil", got)
+	}
+}
