Count engines alone and show the last status in the test of killed nodes

Cause: status lists services and dead nodes too, so the test waited for a state that never comes; one run of four killed nodes waited over 10 s and left no trace of what it saw. Change: the test counts live nodes and engines, and prints the last status where it fails.

--- a/acceptance/failure_test.go
+++ b/acceptance/failure_test.go
@@ -20,7 +20,7 @@
 		Leases        int
 		Configuration uint64
 	}
-	Servers []struct{ Server, Owner string }
+	Servers []struct{ Server, Kind, Owner string }
 }
 
 func (s *system) status(p *process) (out status, ok bool) {
@@ -42,11 +42,14 @@
 	await(s.t, 10*time.Second, "every engine to have an owner", func() bool {
 		st, ok := s.status(s.nodes[0])
 		clear(leases)
+		owned := 0
 		for _, v := range st.Servers {
-			owner, _, _ := strings.Cut(v.Owner, "@")
-			leases[owner]++
+			if owner, _, found := strings.Cut(v.Owner, "@"); found && v.Kind == "Engine" {
+				leases[owner]++
+				owned++
+			}
 		}
-		return ok && len(st.Servers) == len(s.URLs.EngineURLs)
+		return ok && owned == len(s.URLs.EngineURLs)
 	})
 	slices.SortStableFunc(s.nodes, func(a, b *process) int { return leases[b.peer] - leases[a.peer] })
 	s.t.Logf("leases by node: %v", leases)
@@ -57,6 +60,7 @@
 	whole, refused, broken atomic.Int64
 	slowest                atomic.Int64
 	wait                   sync.WaitGroup
+	once                   sync.Once
 	stop                   chan struct{}
 }
 
@@ -95,8 +99,9 @@
 	l.slowest.Store(max(l.slowest.Load(), int64(a.took)))
 }
 
+// end stops the callers; it may be called more than once.
 func (l *load) end() {
-	close(l.stop)
+	l.once.Do(func() { close(l.stop) })
 	l.wait.Wait()
 }
 
@@ -109,6 +114,7 @@
 			s.ownersFirst()
 			survivors := s.nodes[kill:]
 			l := s.load(survivors, models, 16, 20*time.Second)
+			t.Cleanup(l.end)
 			time.Sleep(5 * time.Second)
 			for _, p := range s.nodes[:kill] {
 				if err := p.command.Process.Kill(); err != nil {
@@ -124,10 +130,23 @@
 				}
 				return false
 			}
+			var last status
+			t.Cleanup(func() {
+				if t.Failed() {
+					t.Logf("last status: %+v", last)
+				}
+			})
 			await(t, 10*time.Second, "every lease to be with a live node", func() bool {
 				for _, p := range survivors {
 					st, ok := s.status(p)
-					if !ok || len(st.Nodes) != len(survivors) {
+					last = st
+					alive := 0
+					for _, n := range st.Nodes {
+						if n.Alive {
+							alive++
+						}
+					}
+					if !ok || alive != len(survivors) {
 						return false
 					}
 					for _, v := range st.Servers {
