Bound what one import may cover

A faulty ConfigurationImported could move the configuration offset past every record to come, and the log of its results would run over the whole range under the lock. One import now covers at most 1,048,576 operator records, and only results that the fold keeps are logged. A test holds it.

The tests of platformlog read the fake log's counts under its lock; go test -race found them unguarded. With that fold and platformlog pass under -race.

--- a/fold/configuration.go
+++ b/fold/configuration.go
@@ -1,7 +1,6 @@
 package fold
 
 import (
-	"math"
 	"strings"
 
 	"github.com/parsleylug/parsleylug/configuration"
@@ -11,6 +10,9 @@
 const (
 	// MaximumResults is how many of the latest operator records keep their result.
 	MaximumResults = 1024
+	// MaximumImport is how many operator records one ConfigurationImported may
+	// cover, so that a faulty one cannot pass over all that are to come.
+	MaximumImport = 1 << 20
 	// MaximumMemory is the largest memory of a model, adapter or server.
 	MaximumMemory = configuration.MaximumBytes
 	// maximumSum bounds sums of memory, so that they cannot overflow.
@@ -70,7 +72,7 @@
 		}
 		last = c.Offset
 	}
-	return r.Through > r.After && last <= r.Through && r.Through < math.MaxInt64
+	return r.Through > r.After && last <= r.Through && r.Through-r.After <= MaximumImport
 }
 
 // skipped records the offsets in [from, before) as undecodable.
--- a/fold/lease_test.go
+++ b/fold/lease_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/parsleylug/parsleylug/configuration"
 	"github.com/parsleylug/parsleylug/domain"
 )
 
@@ -115,3 +116,27 @@
 		t.Error("the key is known after the window")
 	}
 }
+
+// TestFaultUndecodableOperatorRecordsAreSkippedAlike holds that records which are
+// left out of an import have a result, and that a faulty import cannot pass over all that
+// are to come.
+func TestFaultUndecodableOperatorRecordsAreSkippedAlike(t *testing.T) {
+	s := &State{}
+	m := configuration.Model{Name: "m", Copies: 1}
+	imported := ConfigurationImported{Through: 3, Changes: []Change{{Offset: 2, Record: configuration.Record{Model: &m}}}}
+	folded(s, "a", imported)
+	for o, want := range map[domain.Offset]Rejection{1: Malformed, 2: Accepted, 3: Malformed} {
+		if got, known := s.ConfigurationResult(o); !known || got != want {
+			t.Errorf("offset %d: got %v (%v), want %v", o, got, known, want)
+		}
+	}
+	if _, known := s.ConfigurationResult(4); known {
+		t.Error("offset 4 has a result before it is in force")
+	}
+	if got, want := s.Rejected(Malformed), uint64(2); got != want {
+		t.Errorf("got %d counted, want %d", got, want)
+	}
+	if got, want := folded(s, "a", ConfigurationImported{After: 3, Through: 1 << 60}), Malformed; got != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
--- a/platformlog/fakelog_test.go
+++ b/platformlog/fakelog_test.go
@@ -51,6 +51,20 @@
 	f()
 }
 
+// appended returns how many appends were tried.
+func (l *fakeLog) appended() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends
+}
+
+// length returns how many records a stream has.
+func (l *fakeLog) length(name string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.stream(name).records)
+}
+
 func (l *fakeLog) wait(ctx context.Context) error {
 	l.mu.Lock()
 	delay := l.delay
--- a/platformlog/fault_test.go
+++ b/platformlog/fault_test.go
@@ -137,7 +137,7 @@
 				t.Errorf("key %d: got %d holders, want %d", k, got, want)
 			}
 		}
-		t.Logf("250 claims at 5 nodes: %d appends", l.appends)
+		t.Logf("250 claims at 5 nodes: %d appends", l.appended())
 	})
 }
 
@@ -160,7 +160,7 @@
 		if got, want := verdict.Of(err).Verdict, verdict.MayHaveRun; got != want {
 			t.Errorf("got %v, want %v", got, want)
 		}
-		if got, want := len(l.stream(fold.ConfigurationStream).records), 1; got != want {
+		if got, want := l.length(fold.ConfigurationStream), 1; got != want {
 			t.Errorf("got %d records, want %d", got, want)
 		}
 	})
@@ -249,11 +249,11 @@
 			t.Fatal(err)
 		}
 		time.Sleep(3 * time.Second)
-		if got, want := l.appends, 2; got != want {
+		if got, want := l.appended(), 2; got != want {
 			t.Errorf("one operator record: got %d appends, want %d", got, want)
 		}
 		time.Sleep(time.Hour)
-		if got, want := l.appends, 2+6; got > want {
+		if got, want := l.appended(), 2+6; got > want {
 			t.Errorf("an hour without decisions: got %d appends, want at most %d", got, want)
 		}
 	})
--- a/platformlog/importer.go
+++ b/platformlog/importer.go
@@ -54,7 +54,7 @@
 	if errors.As(err, &e) && e.Failure == OutOfRetention && e.Oldest > after+1 {
 		r.options.Logger.Error().Str("Event", "ConfigurationLost").Uint64("After", uint64(after)).Uint64("Oldest", uint64(e.Oldest)).
 			Msg("operator records left the log before they were imported")
-		return r.proposeImport(ctx, fold.ConfigurationImported{After: after, Through: e.Oldest - 1})
+		return r.proposeImport(ctx, fold.ConfigurationImported{After: after, Through: min(e.Oldest-1, after+fold.MaximumImport)})
 	}
 	if err != nil || len(page.Records) == 0 {
 		return err
--- a/platformlog/replica.go
+++ b/platformlog/replica.go
@@ -255,10 +255,15 @@
 	}
 }
 
-// noteImport logs every operator record that had no effect.
+// noteImport logs every operator record that had no effect, as far as the fold
+// keeps its result.
 func (r *Replica) noteImport(o domain.Offset, record fold.ConfigurationImported) {
 	r.scope.Counter("configuration_imports").Inc(1)
-	for c := record.After + 1; c <= record.Through; c++ {
+	first := record.After + 1
+	if record.Through-record.After > fold.MaximumResults {
+		first = record.Through - fold.MaximumResults + 1
+	}
+	for c := first; c <= record.Through; c++ {
 		rejection, known := r.state.ConfigurationResult(c)
 		if !known || rejection == fold.Accepted {
 			continue
