--- a/node/handle.go
+++ b/node/handle.go
@@ -37,7 +37,7 @@
 func (h *Handler) Handle(ctx context.Context, from domain.NodeID, m peer.Message) (peer.Message, error) {
 	switch m := m.(type) {
 	case peer.Wake:
-		return h.Home.Wake(ctx, m)
+		return h.Home.wakeForPeer(ctx, m)
 	case peer.Load:
 		return h.Ownership.Load(ctx, m)
 	case peer.ReleasePermit:
--- a/node/home.go
+++ b/node/home.go
@@ -157,6 +157,16 @@
 	return firstWakeEstimate
 }
 
+// wakeForPeer is Wake for another node. A home that stops says so, whatever its
+// stop did to the wake, so that the asker goes to the next home.
+func (h *Home) wakeForPeer(ctx context.Context, w peer.Wake) (peer.Message, error) {
+	r, err := h.Wake(ctx, w)
+	if err != nil && h.deps.Leaving() {
+		return nil, verdict.Refuse(verdict.Draining, "the model's home is stopping")
+	}
+	return r, err
+}
+
 // join returns the running wake of the model or starts one.
 func (h *Home) join(ctx context.Context, w peer.Wake) *flight {
 	h.mu.Lock()
--- a/node/placer.go
+++ b/node/placer.go
@@ -107,9 +107,14 @@
 	return r, refused(err)
 }
 
-// answered tells whether a home itself refused, in contrast to a broken link.
+// answered tells whether a home itself refused, in contrast to a broken link and
+// to a home that stops.
 func answered(err error) bool {
-	return err != nil && verdict.Of(err).Verdict == verdict.NotRun && verdict.Of(err).Reason != verdict.Unknown
+	if err == nil {
+		return false
+	}
+	e := verdict.Of(err)
+	return e.Verdict == verdict.NotRun && e.Reason != verdict.Unknown && e.Reason != verdict.Draining
 }
 
 // refused turns any failure to place into NotRun, which is true: nothing was sent
--- /dev/null
+++ b/node/placer_test.go
@@ -0,0 +1,28 @@
+package node
+
+import (
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleylug/parsleylug/verdict"
+)
+
+func TestOnlyAHomeThatStaysAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		err  error
+		want bool
+	}{
+		{"no error", nil, false},
+		{"broken link", errors.New("closed"), false},
+		{"may have run", verdict.Doubt(verdict.NoCapacity, "", nil), false},
+		{"no room", verdict.Refuse(verdict.NoCapacity, ""), true},
+		{"too late", verdict.Refuse(verdict.DeadlineTooShort, ""), true},
+		{"stopping", verdict.Refuse(verdict.Draining, ""), false},
+	} {
+		if got := answered(c.err); got != c.want {
+			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
+		}
+	}
+}
