--- a/standin/time_test.go
+++ b/standin/time_test.go
@@ -1,6 +1,9 @@
 package standin
 
 import (
+	"context"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -157,3 +160,42 @@
 		return false
 	}
 }
+
+func TestAdapterLoadsSlowDownBeyondThirtyInFlight(t *testing.T) {
+	for _, c := range []struct {
+		inFlight int
+		crowding float64
+	}{{1, 1}, {30, 1}, {90, 3}} {
+		synctest.Test(t, func(t *testing.T) {
+			s := adapterStore{seed: 3}
+			s.inFlight.Store(int64(c.inFlight - 1))
+			began := time.Now()
+			s.load(t.Context(), "m:a")
+			alone := s.timeOf("m:a")
+			if alone < 3*time.Millisecond || alone > 15*time.Millisecond {
+				t.Errorf("got %v alone, want 3 to 15 ms", alone)
+			}
+			if got, want := time.Since(began), time.Duration(float64(alone)*c.crowding); got != want {
+				t.Errorf("%d in flight: got %v, want %v", c.inFlight, got, want)
+			}
+		})
+	}
+}
+
+func TestSlowStreamSendsComments(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := httptest.NewRecorder()
+		s := newEventStream(w, "a1")
+		if !s.work(t.Context(), 3500*time.Millisecond) {
+			t.Error("the work broke off")
+		}
+		never, cancel := context.WithTimeout(t.Context(), 2500*time.Millisecond)
+		defer cancel()
+		if s.await(never, nil) {
+			t.Error("a request was admitted that never was")
+		}
+		if got, want := strings.Count(w.Body.String(), ": waiting\n"), 5; got != want {
+			t.Errorf("got %d comments in 6 s, want %d", got, want)
+		}
+	})
+}
