Log callers' refused keys and test every kind of refusal

Cause: a caller's wrong, missing or expired key, or a model of another team, was refused and counted, and left no line in the log. Conclusion: no key is in the log.

--- a/caller/api.go
+++ b/caller/api.go
@@ -55,8 +55,13 @@
 	// isolation keeps suspected contents apart.
 	isolation isolation
 	shares    shares
+	// audit logs refused keys, at most auditBurst a second.
+	audit zerolog.Logger
 }
 
+// auditBurst bounds what callers without a key can write to the log.
+const auditBurst = 10
+
 // New returns an API over d.
 func New(d Deps) *API {
 	if d.Scope == nil {
@@ -74,7 +79,7 @@
 	if d.Nodes == nil {
 		d.Nodes = func() int { return 1 }
 	}
-	return &API{Deps: d}
+	return &API{Deps: d, audit: d.Logger.Sample(&zerolog.BurstSampler{Burst: auditBurst, Period: time.Second})}
 }
 
 // InFlight returns how many callers' requests are not yet answered whole.
--- a/caller/refusal.go
+++ b/caller/refusal.go
@@ -70,6 +70,9 @@
 	id := requestOf(ctx)
 	traceOf(ctx).failed(e)
 	a.Scope.Tagged(map[string]string{"reason": e.Reason.String(), "verdict": e.Verdict.String()}).Counter("refusals").Inc(1)
+	if e.Reason == verdict.Unauthenticated || e.Reason == verdict.Forbidden {
+		a.audit.Info().Str("Event", "CallerRefused").Str("Request", string(id)).Str("Reason", e.Reason.String()).Msg("a key was refused")
+	}
 	if e.Reason == verdict.Unknown {
 		a.Logger.Error().Str("Event", "UnexpectedFailure").Err(err).Str("Request", string(id)).Msg("unexpected failure")
 	}
--- a/commands/testscript_test.go
+++ b/commands/testscript_test.go
@@ -27,6 +27,9 @@
 		"exits-with": exitsWith,
 		// eventually PATTERN ARGS... runs parsleylug until its output matches.
 		"eventually": eventually,
+		// metric NAME TAG VALUE WANT succeeds where the node's counters of a name with
+		// a tag add up to a number.
+		"metric": metric,
 		// request METHOD URL [BODY] [NAME:VALUE...] prints the status and the answer.
 		"request": request,
 	})
@@ -73,6 +76,40 @@
 	os.Exit(1)
 }
 
+// metric waits, since a node hands its metrics on every second.
+func metric() {
+	got := ""
+	for started := time.Now(); time.Since(started) < eventuallyLimit; time.Sleep(20 * time.Millisecond) {
+		if got = sumMetric(os.Args[1], os.Args[2]+`="`+os.Args[3]+`"`); got == os.Args[4] {
+			return
+		}
+	}
+	fmt.Fprintf(os.Stderr, "%s with %s: got %s, want %s\n", os.Args[1], os.Args[3], got, os.Args[4])
+	os.Exit(1)
+}
+
+// sumMetric adds up the series of a name that hold a tag.
+func sumMetric(name, tag string) string {
+	resp, err := http.Get(os.Getenv("PARSLEYLUG_ADMIN_URL") + "/metrics")
+	if err != nil {
+		panic(err)
+	}
+	defer resp.Body.Close()
+	sum := 0.0
+	for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
+		line := lines.Text()
+		if !strings.HasPrefix(line, name+"{") || !strings.Contains(line, tag) {
+			continue
+		}
+		v, err := strconv.ParseFloat(line[strings.LastIndexByte(line, ' ')+1:], 64)
+		if err != nil {
+			panic(err)
+		}
+		sum += v
+	}
+	return strconv.FormatFloat(sum, 'f', -1, 64)
+}
+
 func request() {
 	body := ""
 	if len(os.Args) > 3 {
@@ -122,7 +159,8 @@
 }
 
 // start runs a process of this program until the end of the script and returns
-// the first JSON line of its output or log that wanted accepts.
+// the first JSON line of its output or log that wanted accepts. The output and log
+// are also written to a file that is named for the command, such as serve.log.
 func start(ts *testscript.TestScript, args []string, wanted func(map[string]any) bool) map[string]any {
 	program, err := exec.LookPath("parsleylug")
 	ts.Check(err)
@@ -138,13 +176,16 @@
 	ts.Check(err)
 	cmd.Stdout = cmd.Stderr
 	ts.Check(cmd.Start())
+	file, err := os.OpenFile(ts.MkAbs(args[0]+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	ts.Check(err)
 	first := make(chan map[string]any, 1)
 	drained := make(chan struct{})
-	go readLogs(logs, wanted, first, drained)
+	go readLogs(io.TeeReader(logs, file), wanted, first, drained)
 	ts.Defer(func() {
 		ts.Check(cmd.Process.Signal(syscall.SIGTERM))
 		<-drained
 		ts.Check(cmd.Wait())
+		ts.Check(file.Close())
 	})
 	select {
 	case line := <-first:
