Lengthen timeouts after suspicions that proved wrong

Cause: 200 nodes in one process on three cores never got whole views: late answers made suspicions, suspicions made news and new connections, and these made answers late. The views were not whole 90 s after the start.

Change: each suspicion that is refuted, of this node or by it, lengthens this node's timeouts up to eightfold; they shorten again by one step each 2 s without one. News of suspicions goes on at most every 20 ms between ticks.

Detection in virtual time is as before (go test ./membership -v).

Conclusion: overload no longer feeds on itself; a node that makes mistakes notices a silent death later, others tell it.

--- a/membership/table.go
+++ b/membership/table.go
@@ -28,6 +28,11 @@
 	// TombstoneTime is how long a node that left the list is remembered, so that
 	// late news does not bring it back.
 	TombstoneTime = 10 * time.Minute
+	// maximumSlowness bounds how far a node lengthens its own timeouts.
+	maximumSlowness = 7
+	// recoveryTime is how long a node goes without a mistake before it shortens
+	// them again by one step.
+	recoveryTime = 2 * time.Second
 	// PauseTime is the gap between two Ticks that shows that this process itself
 	// was paused and that silence of others proves nothing.
 	PauseTime = time.Second
@@ -46,7 +51,11 @@
 	neighbours  []domain.NodeID
 	ringVersion uint64
 	lastTick    time.Time
-	nextRetry   time.Time
+	// slowness counts recent mistakes: suspicions by this node that were refuted,
+	// and of this node. Where it is high, the node or its links are overloaded.
+	slowness  int
+	mistakeAt time.Time
+	nextRetry time.Time
 }
 
 type entry struct {
@@ -216,11 +225,15 @@
 func (t *Table) Tick(now time.Time) {
 	paused := !t.lastTick.IsZero() && now.Sub(t.lastTick) > PauseTime
 	t.lastTick = now
+	if t.slowness > 0 && now.Sub(t.mistakeAt) >= recoveryTime {
+		t.slowness--
+		t.mistakeAt = now
+	}
 	for _, e := range t.suspects {
 		if paused {
 			e.suspectedAt = now
 		}
-		if now.Sub(e.suspectedAt) >= e.patience() {
+		if now.Sub(e.suspectedAt) >= e.patience()*time.Duration(1+t.slowness) {
 			t.set(now, e, Gone)
 		}
 	}
@@ -294,7 +307,7 @@
 func (t *Table) apply(now time.Time, u Update) {
 	n := u.Member.Node
 	if n == t.self.Member.Node {
-		t.refute(u)
+		t.refute(now, u)
 		return
 	}
 	if u.Status == Listed || n == "" {
@@ -315,6 +328,9 @@
 	}
 	if e.Status == Suspect && u.Status == Alive {
 		e.distrustUntil = now.Add(DistrustTime)
+		if e.accused {
+			t.mistake(now)
+		}
 	}
 	e.Incarnation = u.Incarnation
 	if u.Status != Gone && e.Member != u.Member {
@@ -325,15 +341,26 @@
 }
 
 // refute answers news that this node is suspect or gone with a newer record.
-func (t *Table) refute(u Update) {
+func (t *Table) refute(now time.Time, u Update) {
 	if u.Status < Suspect || u.Incarnation < t.self.Incarnation {
 		return
 	}
+	t.mistake(now)
 	t.self.Incarnation = u.Incarnation + 1
 	t.gossip[t.self.Member.Node] = true
 	t.urgent = true
 }
 
+func (t *Table) mistake(now time.Time) {
+	t.slowness = min(t.slowness+1, maximumSlowness)
+	t.mistakeAt = now
+}
+
+// Slowness is by how many times this node should lengthen its timeouts, from 0.
+// It rises with mistakes, so that overloaded nodes do not drive each other
+// into ever more suspicions.
+func (t *Table) Slowness() int { return t.slowness }
+
 func (t *Table) set(now time.Time, e *entry, s Status) {
 	n := e.Member.Node
 	if !e.present() || s == Gone || s == Listed {
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -232,3 +232,26 @@
 		table.Neighbours()
 	}
 }
+
+func TestMistakesLengthenTimeouts(t *testing.T) {
+	now := time.Unix(1, 0)
+	table := NewTable(Member{Node: "a"})
+	b := Member{Node: "b"}
+	table.Heard(now, Update{Member: b, Status: Alive, Incarnation: 1})
+	for i := range uint64(2 * maximumSlowness) {
+		now = now.Add(2 * DistrustTime)
+		table.Tick(now)
+		table.Silent(now, "b")
+		table.Merge(now, []Update{{Member: b, Status: Alive, Incarnation: i + 2}})
+	}
+	if got, want := table.Slowness(), 1; got < want || got > maximumSlowness {
+		t.Errorf("got slowness %d after mistakes, want %d to %d", got, want, maximumSlowness)
+	}
+	for range 2 * maximumSlowness {
+		now = now.Add(recoveryTime)
+		table.Tick(now)
+	}
+	if got := table.Slowness(); got != 0 {
+		t.Errorf("got slowness %d after a time without mistakes, want 0", got)
+	}
+}
--- a/peer/dial.go
+++ b/peer/dial.go
@@ -101,7 +101,10 @@
 // connect makes one connection with its handshake.
 func (m *Mesh) connect(run context.Context, to Member) error {
 	m.metrics.dials.Inc(1)
-	ctx, cancel := context.WithTimeout(run, dialTime)
+	m.mu.Lock()
+	patience := time.Duration(1 + m.table.Slowness())
+	m.mu.Unlock()
+	ctx, cancel := context.WithTimeout(run, dialTime*patience)
 	defer cancel()
 	conn, response, err := websocket.Dial(ctx, m.scheme()+to.Address+path, &websocket.DialOptions{HTTPClient: m.client()})
 	if response != nil && response.Body != nil {
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -57,6 +57,8 @@
 	syncVersion uint64
 	syncs       int
 	lastStep    time.Time
+	// spreadAt is when news last went on.
+	spreadAt time.Time
 	// busyUntil is when this node trusts its own timeouts again.
 	busyUntil time.Time
 }
--- a/peer/watch.go
+++ b/peer/watch.go
@@ -12,6 +12,8 @@
 const (
 	tickInterval = 100 * time.Millisecond
 	seedInterval = 2 * time.Second
+	// spreadInterval bounds how often urgent news goes on between two ticks.
+	spreadInterval = 20 * time.Millisecond
 	// syncInterval is how often two neighbours compare their views while nothing
 	// changes, changedSyncInterval while something does.
 	syncInterval        = 10 * time.Second
@@ -125,9 +127,10 @@
 	if u, ok := m.table.Lookup(n); ok && u.Member.Region != m.options.Self.Region {
 		interval = farPing
 	}
+	patience := time.Duration(1 + m.table.Slowness())
 	best := r.best()
 	for _, l := range slices.Clone(r.links) {
-		switch l.check(now, interval, neighbour && l.dialled, l == best) {
+		switch l.check(now, interval, patience, neighbour && l.dialled, l == best) {
 		case linkFine:
 		case linkDoubtful:
 			m.startDial(n, r)
@@ -153,12 +156,12 @@
 )
 
 // check pings if it is time to and judges the link.
-func (l *link) check(now time.Time, interval time.Duration, keep, best bool) linkState {
+func (l *link) check(now time.Time, interval, patience time.Duration, keep, best bool) linkState {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	watched := keep || len(l.calls) > 0
 	if !l.pingAt.IsZero() {
-		return l.overdue(now)
+		return l.overdue(now, patience)
 	}
 	if watched && now.Sub(l.lastPingAt) >= interval {
 		l.pingAt, l.lastPingAt = now, now
@@ -179,15 +182,15 @@
 	return linkFine
 }
 
-func (l *link) overdue(now time.Time) linkState {
+func (l *link) overdue(now time.Time, patience time.Duration) linkState {
 	silence := now.Sub(l.pingAt)
 	if l.readAt.After(l.pingAt) {
 		silence = now.Sub(l.readAt)
 	}
-	if silence >= silentTime {
+	if silence >= silentTime*patience {
 		return linkSilent
 	}
-	if silence >= pongTime && !l.probed {
+	if silence >= pongTime*patience && !l.probed {
 		l.probed = true
 		return linkDoubtful
 	}
@@ -214,6 +217,7 @@
 		return
 	}
 	now := time.Now()
+	m.spreadAt = now
 	for _, l := range m.allLinks() {
 		l.mu.Lock()
 		near := l.neighbour(now) || now.Sub(l.usedAt) < nearPing
@@ -246,7 +250,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.table.Merge(time.Now(), updates)
-	if m.table.Urgent() {
+	if m.table.Urgent() && time.Since(m.spreadAt) >= spreadInterval {
 		m.spread()
 	}
 }
