Acknowledge lost leases until it is done, and read model and permit together

Cause: read beside the model check of takeover: an owner that lost its lease gave its acknowledgement up once an order was under way or the log was away, which left the doubt until its VM was gone; a model read before its permit could be loaded with more memory than the permit has; ServerGone lacked the fence it needs; a node starting in a log outage took the first peer's state, not the newest; every node might append 20 a second, 18,800 at 940 nodes. Change: the old owner asks until the log has it, and a stopping node waits for that; model, adapter and permits come from one state; a server that the list lost but that answers keeps its permits; the newest state of all peers; 300 appends a second are divided by the live nodes; an order that was not sent has failed, not unclear.

--- a/node/directory.go
+++ b/node/directory.go
@@ -22,6 +22,8 @@
 	// known is false until the first answer came.
 	known bool
 	vms   map[string]platform.VM
+	// addresses are those of every VM that was ever listed since the start.
+	addresses map[string]string
 }
 
 // Run reads the list until ctx ends. A failed read keeps the last answer: a list
@@ -53,6 +55,12 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.addresses == nil {
+		d.addresses = make(map[string]string)
+	}
+	for id, v := range m {
+		d.addresses[id] = v.Address
+	}
 	d.vms = m
 	d.known = true
 }
@@ -72,6 +80,15 @@
 	return v, ok && v.Kind != platform.Entry
 }
 
+// Address returns where a backend server is or last was. A server that the list
+// lost may still answer there.
+func (d *Directory) Address(s domain.ServerID) (string, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	a, ok := d.addresses[string(s)]
+	return a, ok
+}
+
 // ListsNode tells whether the list still has an entry VM.
 func (d *Directory) ListsNode(n domain.NodeID) bool {
 	d.mu.RLock()
--- a/node/keeper.go
+++ b/node/keeper.go
@@ -140,36 +140,45 @@
 }
 
 // acknowledge tells the new owner, through the log, that no order of this one is
-// left. It waits for the answers of orders on the way.
+// left. It waits until that is so: for the answers of orders on the way, and for a
+// restart of the server where an order has none.
 func (k *keeper) acknowledge(ctx context.Context) {
 	t := time.NewTicker(pollInterval)
 	defer t.Stop()
-	for k.pending() {
+	warned := false
+	for !k.quiet() || !k.tellLost(ctx) {
+		if !warned {
+			warned = true
+			k.log.Warn().Str("Event", "LeaseLostInDoubt").Msg("orders without an answer, or the log, keep the old lease in doubt")
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
-	}
-	k.mu.Lock()
-	quiet, doubtful := k.account.Quiet(), k.account.Doubtful()
-	k.mu.Unlock()
-	if !quiet {
-		k.log.Warn().Str("Event", "LeaseLostInDoubt").Int("Models", len(doubtful)).Msg("orders without an answer keep the old lease in doubt")
-		return
-	}
-	d := fold.DoubtCleared{Server: k.lease.Server, Proof: fold.OwnerAcknowledged, Earlier: k.lease.Fence}
-	if _, err := k.deps.Agreement.Propose(ctx, d); err != nil {
-		k.log.Warn().Err(err).Str("Event", "AcknowledgementFailed").Msg("the old lease stays in doubt")
-		return
+		k.poll(ctx)
 	}
 	k.log.Info().Str("Event", "LeaseLost").Msg("another node owns the backend server")
 }
 
-func (k *keeper) pending() bool {
+// quiet tells whether no order of this owner can take effect any more.
+func (k *keeper) quiet() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.orders > 0
+	return k.orders == 0 && k.account.Quiet()
+}
+
+// tellLost proposes the acknowledgement and tells whether the log has it. A
+// rejected one has nothing left to clear.
+func (k *keeper) tellLost(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
+	defer cancel()
+	d := fold.DoubtCleared{Server: k.lease.Server, Proof: fold.OwnerAcknowledged, Earlier: k.lease.Fence}
+	if _, err := k.deps.Agreement.Propose(ctx, d); err != nil {
+		k.log.Warn().Err(err).Str("Event", "AcknowledgementFailed").Msg("the old lease stays in doubt")
+		return false
+	}
+	return true
 }
 
 // wantsNewFence tells whether orders have been in doubt for long enough on a server
@@ -207,7 +216,7 @@
 	defer k.mu.Unlock()
 	k.state = st
 	k.seen = now
-	k.agree()
+	k.agree(nil)
 	k.account.Observe(mark, st)
 	for _, r := range st.Replicas {
 		if r.Running+r.Waiting > 0 || k.usedAt[r.Model].IsZero() || k.served[r.Model] != r.Served {
@@ -218,8 +227,7 @@
 }
 
 func (k *keeper) address() (string, bool) {
-	v, ok := k.deps.Directory.Server(k.lease.Server)
-	return v.Address, ok
+	return k.deps.Directory.Address(k.lease.Server)
 }
 
 // permits reads the permits of the server.
@@ -228,13 +236,17 @@
 	return out
 }
 
-// agree brings the account up to the agreed state; the caller holds mu.
-func (k *keeper) agree() {
+// agree brings the account up to the agreed state and calls read, if any, with the
+// same state; the caller holds mu.
+func (k *keeper) agree(read func(*fold.State)) {
 	var lease fold.Lease
 	var permits []fold.Permit
 	k.deps.Agreement.View(func(s *fold.State) {
 		lease, _ = s.Lease(k.lease.Server)
 		permits = s.ServerPermits(k.lease.Server)
+		if read != nil {
+			read(s)
+		}
 	})
 	if lease.Fence != k.lease.Fence {
 		return
@@ -307,7 +319,8 @@
 }
 
 // order gives one order under this lease. The order itself outlives ctx, so that
-// its answer is seen; a lost lease refuses it before it is sent.
+// its answer is seen; a lost lease refuses it before it is sent. An order that was
+// not sent has failed for certain.
 func (k *keeper) order(ctx context.Context, o engine.Order) (engine.OrderStatus, error) {
 	address, ok := k.address()
 	if !ok {
@@ -320,7 +333,11 @@
 	o.Fence = k.lease.Fence
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderTimeout)
 	defer cancel()
-	return k.deps.Engines.Order(ctx, address, o)
+	st, err := k.deps.Engines.Order(ctx, address, o)
+	if err != nil && verdict.Of(err).Verdict == verdict.NotRun {
+		return engine.FailedLoad, err
+	}
+	return st, err
 }
 
 // beginOrder counts an order unless the lease is lost in the newest state known.
--- a/node/load.go
+++ b/node/load.go
@@ -81,7 +81,8 @@
 	if err := k.ensurePermit(ctx, m, size); err != nil {
 		return err
 	}
-	if err := k.reserve(ctx, m, size); err != nil {
+	model, err := k.reserve(ctx, m, size)
+	if err != nil {
 		return err
 	}
 	release, err := k.pace.Acquire(ctx, m)
@@ -177,21 +178,23 @@
 	return held, revoked, r
 }
 
-// reserve starts the load in the account, after idle replicas made room for it.
-func (k *keeper) reserve(ctx context.Context, m domain.ModelName, size domain.Bytes) error {
+// reserve starts the load in the account, after idle replicas made room for it. It
+// returns the model of the same state as the permit: one read at another moment
+// could take more memory than the permit has.
+func (k *keeper) reserve(ctx context.Context, m domain.ModelName, size domain.Bytes) (model configuration.Model, err error) {
 	for {
 		k.mu.Lock()
-		k.agree()
+		k.agree(func(s *fold.State) { model, _ = s.Model(m) })
 		err := k.account.StartLoad(m)
 		k.mu.Unlock()
 		if err == nil {
-			return nil
+			return model, nil
 		}
 		if !errors.Is(err, owner.NoMemory) {
-			return &verdict.Error{Verdict: verdict.NotRun, Reason: verdict.NoCapacity, Message: "the load cannot start now", RetryAfter: retryLoadAfter, Cause: err}
+			return model, &verdict.Error{Verdict: verdict.NotRun, Reason: verdict.NoCapacity, Message: "the load cannot start now", RetryAfter: retryLoadAfter, Cause: err}
 		}
 		if evictErr := k.evict(ctx, m, size, false); evictErr != nil {
-			return evictErr
+			return model, evictErr
 		}
 	}
 }
@@ -232,12 +235,12 @@
 func (k *keeper) loadAdapter(ctx context.Context, m domain.ModelName, a domain.AdapterName) error {
 	var adapter configuration.Adapter
 	var ok bool
-	k.deps.Agreement.View(func(s *fold.State) { adapter, ok = s.Adapter(m, a) })
+	k.mu.Lock()
+	k.agree(func(s *fold.State) { adapter, ok = s.Adapter(m, a) })
 	if !ok {
+		k.mu.Unlock()
 		return verdict.Refuse(verdict.UnknownModel, "the adapter is not configured")
 	}
-	k.mu.Lock()
-	k.agree()
 	err := k.account.StartAdapter(m)
 	k.mu.Unlock()
 	if err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -42,6 +43,9 @@
 	// dead nodes for a while.
 	settleLimit = 6 * time.Second
 	linkLimit   = 1500 * time.Millisecond
+	// appendsPerSecond is what all nodes together may append, below what the
+	// platform's log takes.
+	appendsPerSecond = 300
 	// stopPoll is how often a stopping node looks whether its work has ended.
 	stopPoll = 20 * time.Millisecond
 )
@@ -123,7 +127,7 @@
 	})
 	replica, err := platformlog.New(platformlog.Options{
 		Client: n.log, Records: operatorRecords(), Node: o.Node, Logger: o.Logger, Scope: o.Scope,
-		ImportDelay: n.importDelay, PeerSnapshot: n.peerSnapshot, Relay: n.relay.Reads, OnRecords: n.relay.OnRecords,
+		ImportDelay: n.importDelay, AppendsPerSecond: n.appendShare, PeerSnapshot: n.peerSnapshot, Relay: n.relay.Reads, OnRecords: n.relay.OnRecords,
 	})
 	if err != nil {
 		return nil, err
@@ -332,16 +336,41 @@
 	return 0
 }
 
-// peerSnapshot asks the other nodes for a state that is new enough.
+// peerSnapshot asks every other node for its state and returns the newest. Each is
+// asked only for one newer than those seen, so that few send it whole.
 func (n *Node) peerSnapshot(ctx context.Context, atLeast domain.Offset) (domain.Offset, []byte, error) {
+	var mu sync.Mutex
+	best := peer.Snapshot{}
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(askAtOnce)
 	for _, m := range n.mesh.Members() {
 		if m.Node == n.options.Node {
 			continue
 		}
-		a, err := n.mesh.Call(ctx, m.Node, peer.SnapshotRequest{AtLeast: atLeast})
-		if s, ok := a.(peer.Snapshot); err == nil && ok {
-			return s.Through, s.Data, nil
-		}
+		group.Go(func() error {
+			mu.Lock()
+			want := max(atLeast, best.Through+1)
+			mu.Unlock()
+			ask, cancel := context.WithTimeout(ctx, askTimeout)
+			defer cancel()
+			a, err := n.mesh.Call(ask, m.Node, peer.SnapshotRequest{AtLeast: want})
+			s, ok := a.(peer.Snapshot)
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil && ok && s.Through > best.Through {
+				best = s
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	if best.Data == nil {
+		return 0, nil, errors.New("node: no peer has a state that is new enough")
 	}
-	return 0, nil, errors.New("node: no peer has a state that is new enough")
+	return best.Through, best.Data, nil
+}
+
+// appendShare is this node's share of the appends that the system allows itself.
+func (n *Node) appendShare() float64 {
+	return appendsPerSecond / float64(max(1, len(n.deps.members())))
 }
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -47,6 +47,8 @@
 
 	mu      sync.Mutex
 	keepers map[domain.ServerID]*keeper
+	// retiring counts keepers that lost their lease and have not told so yet.
+	retiring int
 	// missing is since when the platform's list lacks a VM.
 	missing map[string]time.Time
 	// view are the members last seen, viewSince since when they are the same, and
@@ -196,18 +198,25 @@
 		return nil
 	}
 	var out []fold.Record
-	for s := range leases {
+	for s, l := range leases {
 		_, listed := o.deps.Directory.Server(s)
-		if o.missingFor(string(s), listed) < goneAfter {
+		if o.missingFor(string(s), listed) < goneAfter || o.answers(s) {
 			continue
 		}
 		if first, ok := rendezvous.First("gone/"+string(s), o.deps.members()); ok && first == o.deps.node() {
-			out = append(out, fold.ServerGone{Server: s})
+			out = append(out, fold.ServerGone{Server: s, Fence: l.Fence})
 		}
 	}
 	return out
 }
 
+// answers tells whether a server that the list lacks still answers its owner. The
+// list may lose a live server, whose replicas must go on counting.
+func (o *Ownership) answers(s domain.ServerID) bool {
+	_, alive := o.deps.Reports.Answers(s, time.Now())
+	return alive
+}
+
 // goneOwners clears the doubt about owners whose VM left the platform's list.
 func (o *Ownership) goneOwners(leases map[domain.ServerID]fold.Lease) []fold.Record {
 	if !o.deps.Directory.Known() {
@@ -265,6 +274,7 @@
 			continue
 		}
 		k.retire()
+		o.retiring++
 		delete(o.keepers, s)
 	}
 	for s, l := range leases {
@@ -277,10 +287,28 @@
 		go func() {
 			defer o.wait.Done()
 			k.run(ctx)
+			o.finished(k)
 		}()
 	}
 }
 
+// finished counts a keeper that has ended after it lost its lease.
+func (o *Ownership) finished(k *keeper) {
+	if !k.isRetired() {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.retiring--
+}
+
+// Quiet tells whether this node owns nothing and has told of every lease it lost.
+func (o *Ownership) Quiet() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.keepers) == 0 && o.retiring == 0
+}
+
 func (o *Ownership) keeper(s domain.ServerID) (*keeper, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -311,14 +339,3 @@
 	}
 	return k.release(ctx, r.Model)
 }
-
-// Owned returns the servers that this node owns now.
-func (o *Ownership) Owned() []domain.ServerID {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	out := make([]domain.ServerID, 0, len(o.keepers))
-	for s := range o.keepers {
-		out = append(out, s)
-	}
-	return out
-}
--- a/node/reports.go
+++ b/node/reports.go
@@ -159,6 +159,18 @@
 	return 0
 }
 
+// Answers returns the last report of a server that answers its owner at now,
+// whether or not it takes new work.
+func (r *Reports) Answers(s domain.ServerID, now time.Time) (peer.ServerReport, bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	e := r.servers[s]
+	if e == nil || !e.report.Alive || now.Sub(e.at) > reportLifetime {
+		return peer.ServerReport{}, false
+	}
+	return e.report, true
+}
+
 // Server returns the last report of a server that is alive and believed at now.
 func (r *Reports) Server(s domain.ServerID, now time.Time) (peer.ServerReport, bool) {
 	r.mu.RLock()
--- a/node/stop.go
+++ b/node/stop.go
@@ -60,7 +60,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, handOverLimit)
 	defer cancel()
-	n.await(ctx, func() bool { return len(n.ownership.Owned()) == 0 })
+	n.await(ctx, func() bool { return n.ownership.Quiet() })
 }
 
 // withdraw takes the node off the platform's list.
--- a/node/unload.go
+++ b/node/unload.go
@@ -144,7 +144,7 @@
 func (k *keeper) startRelease(m domain.ModelName) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.agree()
+	k.agree(nil)
 	return k.loads[m] == nil && !k.unloading[m] && k.account.StartRelease(m)
 }
 
@@ -155,7 +155,7 @@
 	out, err := k.deps.Agreement.Propose(ctx, fold.PermitReleased{Model: m, Server: k.lease.Server, Fence: k.lease.Fence})
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	defer k.agree()
+	defer k.agree(nil)
 	if err != nil {
 		if verdict.Of(err).Verdict == verdict.NotRun {
 			k.account.CancelRelease(m)
