Promise by team and model, and be ready only with a configuration

Cause: every team had the same objectives. A first node could say that it was ready before any operator record was imported, and would have told callers that no model exists: config_apply.txtar found an empty configuration in one run of go test ./... A record over 64 KiB passed the checker and was then left out by the import. Change: Team.Objectives, checked, documented and used by the recorder and the report; readiness and the callers' API wait for the first import; the checker's limit of a record is that of the import. Conclusion: an installation without any configuration is not ready.

--- a/configuration/catalogue.go
+++ b/configuration/catalogue.go
@@ -91,6 +91,8 @@
 	Share float64
 	// Models the team may call; empty means all.
 	Models []domain.ModelName
+	// Objectives are the promises to the team that differ from the defaults.
+	Objectives []Objective
 }
 
 // Role is what a key allows.
--- a/configuration/decode_objects.go
+++ b/configuration/decode_objects.go
@@ -41,6 +41,7 @@
 	for _, n := range r.names("Models") {
 		t.Models = append(t.Models, domain.ModelName(n))
 	}
+	t.Objectives = readObjectives(r)
 	for i, n := range r.list("Keys") {
 		t.Keys = append(t.Keys, readKey(r, n, i))
 	}
--- a/configuration/docs_test.go
+++ b/configuration/docs_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/objective"
 )
 
 // TestFieldsAreDocumented encodes records with every field set and looks each
@@ -21,7 +22,7 @@
 		{Adapter: &Adapter{Name: "a", Model: "m", Version: "v", Memory: 1}},
 		{Service: &Service{Name: "s", IdempotentMethods: []string{"GET"}}},
 		{Team: &Team{Name: "t", RequestsPerSecond: 1, TokensPerMinute: 1, Concurrency: 1, Priority: 1, Share: 1,
-			Models: []domain.ModelName{"m"}, Keys: []Key{{Name: "k", Hash: hash, Expires: time.Unix(1, 0)}}}},
+			Objectives: []Objective{{Model: "m", Measure: objective.FirstToken, Within: time.Second, Share: 0.5}}, Models: []domain.ModelName{"m"}, Keys: []Key{{Name: "k", Hash: hash, Expires: time.Unix(1, 0)}}}},
 		{Deployment: &Deployment{ColdStartWeight: 1, IdleWeight: 1, DefaultTimeout: time.Second, MaximumTimeout: time.Second, RequireKeys: true}},
 		{Drain: &Drain{Server: "s", Off: true}}, {Drain: &Drain{Node: "n"}}, {Drain: &Drain{Zone: "z"}},
 		{Quarantine: &Quarantine{Content: hash, Release: true}},
--- a/configuration/encode.go
+++ b/configuration/encode.go
@@ -91,13 +91,14 @@
 
 type wireTeam struct {
 	Name              string
-	Keys              []wireKey `json:",omitempty"`
-	RequestsPerSecond float64   `json:",omitempty"`
-	TokensPerMinute   int64     `json:",omitempty"`
-	Concurrency       int       `json:",omitempty"`
-	Priority          int       `json:",omitempty"`
-	Share             float64   `json:",omitempty"`
-	Models            []string  `json:",omitempty"`
+	Keys              []wireKey       `json:",omitempty"`
+	RequestsPerSecond float64         `json:",omitempty"`
+	TokensPerMinute   int64           `json:",omitempty"`
+	Concurrency       int             `json:",omitempty"`
+	Priority          int             `json:",omitempty"`
+	Share             float64         `json:",omitempty"`
+	Models            []string        `json:",omitempty"`
+	Objectives        []wireObjective `json:",omitempty"`
 }
 
 type wireKey struct {
@@ -222,6 +223,7 @@
 		Concurrency:       t.Concurrency,
 		Priority:          int(t.Priority),
 		Share:             t.Share,
+		Objectives:        wireOfObjectives(t.Objectives),
 	}
 	for _, m := range t.Models {
 		w.Models = append(w.Models, string(m))
--- a/configuration/fuzz_test.go
+++ b/configuration/fuzz_test.go
@@ -23,6 +23,7 @@
 		`{"SchemaVersion":1,"Model":{"Name":"m","MemoryGiB":0.5,"Region":"a","Newer":{"Regions":["a","b"]}}}`,
 		`{"SchemaVersion":2,"Expect":3,"ID":"x","Team":{"Name":"t","Keys":[{"Name":"k","Role":"Caller","Hash":"` +
 			`0000000000000000000000000000000000000000000000000000000000000000","Expires":"2027-01-01T01:00:00.5+10:00"}]}}`,
+		`{"SchemaVersion":2,"Team":{"Name":"t","Objectives":[{"Model":"m","Measure":"ColdStart","WithinMilliseconds":9000,"Share":0.9}]}}`,
 		`{"SchemaVersion":2,"Drain":{"Zone":"z","Off":true}}`,
 		`{"SchemaVersion":2,"Deployment":{"IdleWeight":1e300}}`,
 	} {
--- /dev/null
+++ b/configuration/objective.go
@@ -0,0 +1,104 @@
+package configuration
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/objective"
+)
+
+// Objective is a service-level promise to a team that differs from the default.
+type Objective struct {
+	// Model is the model meant; empty means every model and service.
+	Model   domain.ModelName
+	Measure objective.Measure
+	// Within bounds one event; zero for InTime, whose bound is the deadline.
+	Within time.Duration
+	// Share is the part of events that must keep the bound, between 0 and 1.
+	Share float64
+}
+
+// Goal returns what the team is promised: the objective of the model, else that
+// of every model, else the default.
+func (t Team) Goal(n domain.ModelName, m objective.Measure) objective.Goal {
+	goal := objective.DefaultGoal(m)
+	for _, o := range t.Objectives {
+		if o.Measure != m {
+			continue
+		}
+		if o.Model == n {
+			return objective.Goal{Within: o.Within, Share: o.Share}
+		}
+		if o.Model == "" {
+			goal = objective.Goal{Within: o.Within, Share: o.Share}
+		}
+	}
+	return goal
+}
+
+func readObjectives(r *reader) []Objective {
+	var out []Objective
+	for i, n := range r.list("Objectives") {
+		inner := r.c.object(n, fmt.Sprintf("%s[%d]", r.join("Objectives"), i))
+		if inner == nil {
+			continue
+		}
+		out = append(out, readObjective(inner))
+		inner.finish()
+	}
+	return out
+}
+
+func readObjective(r *reader) Objective {
+	o := Objective{
+		Model:   domain.ModelName(r.name("Model", false)),
+		Measure: readMeasure(r),
+		Within:  r.milliseconds("WithinMilliseconds"),
+		Share:   r.amount("Share"),
+	}
+	if o.Share <= 0 || o.Share >= 1 {
+		r.fault(r.peek("Share"), "Share", "must be between 0 and 1", "for example 0.99")
+	}
+	if (o.Within == 0) != (o.Measure == objective.InTime) {
+		r.fault(r.peek("WithinMilliseconds"), "WithinMilliseconds", "must be given for every measure but InTime", "")
+	}
+	return o
+}
+
+func readMeasure(r *reader) objective.Measure {
+	s := r.text("Measure")
+	var names []string
+	for _, m := range objective.Measures() {
+		if m.String() == s {
+			return m
+		}
+		names = append(names, m.String())
+	}
+	suggestion := ""
+	if near := closest(s, names); near != "" {
+		suggestion = fmt.Sprintf("did you mean %q?", near)
+	}
+	r.fault(r.peek("Measure"), "Measure", "must be FirstToken, BetweenTokens, InTime or ColdStart", suggestion)
+	return objective.FirstToken
+}
+
+type wireObjective struct {
+	Model              string `json:",omitempty"`
+	Measure            string
+	WithinMilliseconds int64 `json:",omitempty"`
+	Share              float64
+}
+
+func wireOfObjectives(objectives []Objective) []wireObjective {
+	var out []wireObjective
+	for _, o := range objectives {
+		out = append(out, wireObjective{
+			Model:              string(o.Model),
+			Measure:            o.Measure.String(),
+			WithinMilliseconds: o.Within.Milliseconds(),
+			Share:              o.Share,
+		})
+	}
+	return out
+}
--- a/configuration/tree.go
+++ b/configuration/tree.go
@@ -10,8 +10,9 @@
 
 // Limits on what an operator may send, so that a decoder's memory is bounded.
 const (
-	// MaximumRecordSize is the largest encoded record, in bytes.
-	MaximumRecordSize = 256 << 10
+	// MaximumRecordSize is the largest encoded record, in bytes. A larger one is
+	// not imported from the log.
+	MaximumRecordSize = 64 << 10
 	// MaximumFileSize is the largest configuration file, in bytes.
 	MaximumFileSize = 16 << 20
 	// maximumNodes is how many JSON values one input may hold.
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/parsleylug/parsleylug/decisions"
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/engine"
+	"github.com/parsleylug/parsleylug/fold"
 	"github.com/parsleylug/parsleylug/objective"
 	"github.com/parsleylug/parsleylug/peer"
 	"github.com/parsleylug/parsleylug/platform"
@@ -129,6 +130,7 @@
 		return nil, err
 	}
 	n.replica = replica
+	n.recorder.Goals = n.goal
 	n.deps = &Deps{
 		Self: self, Agreement: n.replica, Mesh: n.mesh, Directory: directory, Reports: &Reports{},
 		Engines: &engine.Client{Region: o.Region}, KeepAlive: o.KeepAlive, Logger: o.Logger, Scope: o.Scope,
@@ -164,7 +166,7 @@
 		Chatter: &engine.Client{Region: n.options.Region}, Services: &service.Client{},
 		Region: n.options.Region, Zone: n.options.Zone, Node: n.options.Node,
 		Logger: n.options.Logger, Scope: n.options.Scope,
-		Draining: n.refusing.Load, Ready: n.replica.Ready,
+		Draining: n.refusing.Load, Ready: n.configured,
 		Spread: func(s []peer.Suspect) { n.mesh.Broadcast(peer.Suspects{Suspects: s}) },
 	})
 	*h = Handler{
@@ -182,6 +184,14 @@
 	return n.notReady() == ""
 }
 
+// configured tells whether this node can show a configuration. Before the first
+// import it would tell callers that no model exists.
+func (n *Node) configured() bool {
+	some := false
+	n.replica.View(func(s *fold.State) { some = s.ConfigurationOffset() > 0 })
+	return some && n.replica.Ready()
+}
+
 // notReady tells a person why the node is not ready, or nothing.
 func (n *Node) notReady() string {
 	switch {
@@ -189,6 +199,8 @@
 		return "the node is stopping"
 	case !n.replica.Ready():
 		return "the agreed state has not caught up with the platform's log"
+	case !n.configured():
+		return "no configuration is in force yet"
 	case !n.deps.Directory.Known():
 		return "the platform's list of VMs was not read yet"
 	case !n.settled():
--- a/node/observer.go
+++ b/node/observer.go
@@ -5,8 +5,10 @@
 	"sync"
 	"time"
 
+	"github.com/parsleylug/parsleylug/configuration"
 	"github.com/parsleylug/parsleylug/decisions"
 	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/fold"
 	"github.com/parsleylug/parsleylug/objective"
 	"github.com/parsleylug/parsleylug/peer"
 )
@@ -23,6 +25,13 @@
 // Ended implements caller.Observer.
 func (o observer) Ended(e objective.Event) { o.node.recorder.Record(e) }
 
+// goal returns what a team is promised now.
+func (n *Node) goal(k objective.Key, m objective.Measure) objective.Goal {
+	var team configuration.Team
+	n.replica.View(func(s *fold.State) { team, _ = s.Team(k.Team) })
+	return team.Goal(k.Model, m)
+}
+
 // decided records a step that this node took for a caller's request elsewhere.
 func (d *Deps) decided(w peer.Wake, k decisions.Kind, s domain.ServerID, detail string) {
 	if d.Journal == nil {
--- a/operator/openapi_test.go
+++ b/operator/openapi_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/parsleylug/parsleylug/configuration"
 	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/objective"
 )
 
 var update = flag.Bool("update", false, "write openapi.json from the handlers")
@@ -158,7 +159,8 @@
 		{Adapter: &configuration.Adapter{Name: "a", Model: "m", Version: "v", Memory: 1}},
 		{Service: &configuration.Service{Name: "s", IdempotentMethods: []string{"GET"}}},
 		{Team: &configuration.Team{Name: "t", RequestsPerSecond: .5, TokensPerMinute: 1, Concurrency: 1, Priority: 1, Share: .5, Models: []domain.ModelName{"m"},
-			Keys: []configuration.Key{{Name: "k", Hash: hash, Expires: end}}}},
+			Objectives: []configuration.Objective{{Model: "m", Measure: objective.FirstToken, Within: one, Share: .5}},
+			Keys:       []configuration.Key{{Name: "k", Hash: hash, Expires: end}}}},
 		{Deployment: &configuration.Deployment{ColdStartWeight: .5, IdleWeight: .5, DefaultTimeout: one, MaximumTimeout: one, RequireKeys: true}},
 		{Drain: &configuration.Drain{Server: "s", Off: true}}, {Drain: &configuration.Drain{Node: "n"}}, {Drain: &configuration.Drain{Zone: "z"}},
 		{Quarantine: &configuration.Quarantine{Content: hash, Release: true}},
--- a/operator/reports.go
+++ b/operator/reports.go
@@ -213,7 +213,18 @@
 	if who.role == configuration.Caller {
 		snapshot = snapshot.ForTeam(who.team)
 	}
-	return snapshot.Report(time.Now(), nil), nil
+	return snapshot.Report(time.Now(), a.goals()), nil
+}
+
+// goals reads what each team is promised.
+func (a *API) goals() func(objective.Key, objective.Measure) objective.Goal {
+	teams := map[domain.TeamName]configuration.Team{}
+	a.deps.System.View(func(s *fold.State) {
+		for _, t := range s.Teams() {
+			teams[t.Name] = t
+		}
+	})
+	return func(k objective.Key, m objective.Measure) objective.Goal { return teams[k.Team].Goal(k.Model, m) }
 }
 
 func encodePage(_ context.Context, w http.ResponseWriter, response any) error {
