Add the policy for waking and idling models

Change: package waking: keep-alive from each model's own idle times and weekly profile around the break-even time, models due ahead of their callers, eviction by expected cost of waking again per byte, placement, order of loads, estimate of a wake. Nothing uses it yet.

--- /dev/null
+++ b/waking/place_test.go
@@ -0,0 +1,93 @@
+package waking
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/parsleylug/parsleylug/domain"
+)
+
+func TestEvictTakesTheCheapestToWakeAgain(t *testing.T) {
+	got := Evict([]Candidate{
+		{Model: "soon", Size: 10, ColdStart: 10 * time.Second, Chance: .9},
+		{Model: "cached", Size: 10, ColdStart: time.Second, Chance: .5},
+		{Model: "never", Size: 10, ColdStart: 20 * time.Second, Chance: .01},
+	}, 15)
+	if want := []domain.ModelName{"never", "cached"}; !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
+func TestPlacePrefersTheCache(t *testing.T) {
+	got := Place([]Server{
+		{ID: "remote", Free: 100, ColdStart: 20 * time.Second},
+		{ID: "small", Free: 5, ColdStart: time.Second},
+		{ID: "disk", Free: 5, Idle: []Candidate{{Model: "x", Size: 10, ColdStart: 4 * time.Second, Chance: .5}}, ColdStart: 5 * time.Second},
+	}, Need{Model: "m", Size: 10})
+	if want := []domain.ServerID{"disk", "remote"}; !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
+// TestPlaceNeverPassesMemory checks that each named server has the room, and that Evict makes it.
+func TestPlaceNeverPassesMemory(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		var servers []Server
+		for i := range rapid.IntRange(0, 6).Draw(r, "servers") {
+			s := Server{ID: domain.ServerID(fmt.Sprint(i)), Free: domain.Bytes(rapid.Int64Range(0, 50).Draw(r, "free"))}
+			for j := range rapid.IntRange(0, 5).Draw(r, "idle") {
+				s.Idle = append(s.Idle, Candidate{
+					Model:  domain.ModelName(fmt.Sprint(j)),
+					Size:   domain.Bytes(rapid.Int64Range(0, 40).Draw(r, "size")),
+					Chance: rapid.Float64Range(0, 1).Draw(r, "chance"),
+				})
+			}
+			servers = append(servers, s)
+		}
+		need := Need{Model: "m", Size: domain.Bytes(rapid.Int64Range(1, 100).Draw(r, "need"))}
+		for _, id := range Place(servers, need) {
+			s := servers[slices.IndexFunc(servers, func(s Server) bool { return s.ID == id })]
+			room := s.Free
+			gone := Evict(s.Idle, need.Size-s.Free)
+			for _, c := range s.Idle {
+				if slices.Contains(gone, c.Model) {
+					room += c.Size
+				}
+			}
+			if room < need.Size {
+				t.Errorf("server %s: got room for %d, want %d", id, room, need.Size)
+			}
+		}
+	})
+}
+
+func TestNextSavesMostDeadlines(t *testing.T) {
+	by := func(s int) domain.Deadline { return domain.Deadline{At: monday.Add(time.Duration(s) * time.Second)} }
+	got := Next([]Load{
+		{Model: "ahead"},
+		{Model: "late", Callers: 100, Takes: 20 * time.Second, Deadline: by(10)},
+		{Model: "large", Callers: 8, Takes: 20 * time.Second, Deadline: by(60)},
+		{Model: "small", Callers: 5, Takes: 5 * time.Second, Deadline: by(60)},
+	}, monday)
+	if want := 3; got != want {
+		t.Errorf("got %d, want %d", got, want)
+	}
+}
+
+func BenchmarkPlaceAndEvict(b *testing.B) {
+	var servers []Server
+	for i := range 10 {
+		s := Server{ID: domain.ServerID(fmt.Sprint(i)), Free: 5, ColdStart: time.Duration(i) * time.Second}
+		for j := range 3 {
+			s.Idle = append(s.Idle, Candidate{Model: name(j), Size: 10, Chance: .1 * float64(j), ColdStart: time.Second})
+		}
+		servers = append(servers, s)
+	}
+	for b.Loop() {
+		Place(servers, Need{Model: "m", Size: 12, Callers: 3})
+	}
+}
--- /dev/null
+++ b/waking/policy_test.go
@@ -0,0 +1,154 @@
+package waking
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/parsleylug/parsleylug/domain"
+)
+
+var monday = time.Date(2026, 9, 7, 0, 0, 0, 0, time.UTC)
+
+func TestNoHistoryStaysForBreakEven(t *testing.T) {
+	var p Policy
+	w := Weights{ColdStart: 1, Idle: 60}
+	got := p.KeepFor("m", 20*time.Second, w, monday)
+	if want := 20 * time.Minute; got != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
+// TestKeepForMovesWithHistory feeds two models whose idle times are known.
+func TestKeepForMovesWithHistory(t *testing.T) {
+	var p Policy
+	w := Weights{ColdStart: 1, Idle: 60}
+	for i := range 400 {
+		p.Arrived("rare", monday.Add(time.Duration(i)*9*time.Hour), 1)
+		p.Arrived("steady", monday.Add(time.Duration(i)*15*time.Minute), 1)
+	}
+	now := monday.Add(400 * 9 * time.Hour)
+	if got, want := p.KeepFor("rare", 20*time.Second, w, now), 10*time.Minute; got > want {
+		t.Errorf("rare: got %v, want at most %v", got, want)
+	}
+	now = monday.Add(400 * 15 * time.Minute)
+	if got, want := p.KeepFor("steady", 20*time.Second, w, now), 15*time.Minute; got < want {
+		t.Errorf("steady: got %v, want at least %v", got, want)
+	}
+}
+
+// TestWrongGuessIsBounded checks that no history, true or misleading, makes one idle time cost
+// more than WrongGuess times the best choice in hindsight.
+func TestWrongGuessIsBounded(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		var p Policy
+		w := Weights{ColdStart: rapid.Float64Range(.1, 10).Draw(r, "ColdStart"), Idle: rapid.Float64Range(1, 500).Draw(r, "Idle")}
+		coldStart := time.Duration(rapid.IntRange(1, 60).Draw(r, "cold")) * time.Second
+		at := monday
+		for range rapid.IntRange(0, 200).Draw(r, "arrivals") {
+			at = at.Add(time.Duration(rapid.IntRange(1, 100000).Draw(r, "gap")) * time.Second)
+			p.Arrived("m", at, 1)
+		}
+		stay := p.KeepFor("m", coldStart, w, at).Seconds()
+		even := w.BreakEven(coldStart, p.Callers("m")).Seconds()
+		gap := rapid.Float64Range(1, 1000000).Draw(r, "next")
+		got := gap
+		if gap > stay {
+			got = stay + even
+		}
+		if want := WrongGuess * min(gap, even); got > want*1.001 {
+			t.Errorf("got a cost of %v, want at most %v (stay %v, break-even %v, idle time %v)", got, want, stay, even, gap)
+		}
+	})
+}
+
+func TestDueBeforeAWeeklyHabit(t *testing.T) {
+	p := Policy{Weights: Weights{ColdStart: 1, Idle: 20}}
+	lead := func(domain.ModelName) time.Duration { return 30 * time.Second }
+	for week := range 4 {
+		p.Arrived("liturgy", monday.AddDate(0, 0, 7*week+6).Add(9*time.Hour+50*time.Minute), 20)
+		p.KeepFor("liturgy", 30*time.Second, Weights{}, monday.AddDate(0, 0, 7*week+6).Add(10*time.Hour))
+	}
+	sunday := monday.AddDate(0, 0, 7*4+6)
+	p.Due(sunday.Add(9*time.Hour+44*time.Minute), lead)
+	got := p.Due(sunday.Add(9*time.Hour+45*time.Minute), lead)
+	if want := []domain.ModelName{"liturgy"}; !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	if got := p.Due(sunday.Add(12*time.Hour), lead); len(got) > 0 {
+		t.Errorf("got %v due without a habit, want none", got)
+	}
+}
+
+func TestStatePerModel(t *testing.T) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	p := planned1500()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	got := (int64(after.HeapAlloc) - int64(before.HeapAlloc)) / models
+	if want := int64(1024); got > want {
+		t.Errorf("got %d bytes per model, want at most %d", got, want)
+	}
+	t.Logf("%d bytes per model", got)
+	runtime.KeepAlive(p)
+}
+
+const models = 1500
+
+func planned1500() *Policy {
+	p := &Policy{Weights: Weights{ColdStart: 1, Idle: 10}}
+	for h := range 14 * 24 {
+		for i := range models {
+			if (h*7+i*13)%23 < 3 {
+				p.Arrived(name(i), monday.Add(time.Duration(h)*time.Hour+time.Duration(i)*time.Second), 1+i%7)
+			}
+		}
+	}
+	return p
+}
+
+var modelNames = func() []domain.ModelName {
+	var out []domain.ModelName
+	for i := range models {
+		out = append(out, domain.ModelName(fmt.Sprintf("m%04d", i)))
+	}
+	return out
+}()
+
+func name(i int) domain.ModelName { return modelNames[i%models] }
+
+func BenchmarkKeepFor(b *testing.B) {
+	p := planned1500()
+	now := monday.AddDate(0, 0, 14)
+	var i int
+	for b.Loop() {
+		p.KeepFor(name(i*7), 20*time.Second, Weights{ColdStart: 1, Idle: 10}, now)
+		i++
+	}
+}
+
+func BenchmarkArrived(b *testing.B) {
+	p := planned1500()
+	now := monday.AddDate(0, 0, 14)
+	var i int
+	for b.Loop() {
+		p.Arrived(name(i*7), now.Add(time.Duration(i)*time.Second), 1)
+		i++
+	}
+}
+
+// BenchmarkDue steps a second of virtual time each round.
+func BenchmarkDue(b *testing.B) {
+	p := planned1500()
+	now := monday.AddDate(0, 0, 14)
+	for b.Loop() {
+		now = now.Add(time.Second)
+		p.Due(now, func(domain.ModelName) time.Duration { return 20 * time.Second })
+	}
+}
