--- /dev/null
+++ b/arrivals/generator.go
@@ -0,0 +1,137 @@
+package arrivals
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleylug/parsleylug/domain"
+)
+
+const (
+	day  = 24 * time.Hour
+	week = 7 * day
+	// weeks is how long the traces run; the last week is measured.
+	weeks = 4
+)
+
+// Names lists the traces that Generate knows.
+func Names() []string { return []string{"coral", "imnar", "planned"} }
+
+// Generate makes a trace.
+func Generate(name string, seed uint64) (*Trace, error) {
+	g := &generator{rand: rand.New(rand.NewPCG(seed, uint64(len(name))))}
+	g.trace.Name, g.trace.Seed = name, seed
+	switch name {
+	case "coral":
+		g.coral()
+	case "imnar":
+		g.imnar()
+	case "planned":
+		g.planned()
+	default:
+		return nil, errors.Errorf("there is no trace %q: %v", name, Names())
+	}
+	slices.SortStableFunc(g.trace.Requests, func(a, b Request) int { return cmp.Compare(a.At, b.At) })
+	return &g.trace, nil
+}
+
+type generator struct {
+	rand  *rand.Rand
+	trace Trace
+}
+
+// run sets the length of the trace, from a Monday.
+func (g *generator) run(zone string, hours int) {
+	g.trace.Start = time.Date(2026, 9, 7, 0, 0, 0, 0, time.FixedZone(zone, hours*3600))
+	g.trace.Length = weeks * week
+	g.trace.Measured = (weeks - 1) * week
+}
+
+// machines adds models and servers: on each server two or three models fit.
+func (g *generator) machines(prefix string, models, servers int, regions ...domain.Region) {
+	for i := range models {
+		g.trace.Models = append(g.trace.Models, Model{
+			Name:   domain.ModelName(fmt.Sprintf("%s-%04d", prefix, i)),
+			Size:   domain.Bytes(12+4*g.rand.IntN(5)) * domain.Gibibyte,
+			Region: regions[g.rand.IntN(len(regions))],
+		})
+	}
+	for i := range servers {
+		s := Server{
+			ID:          domain.ServerID(fmt.Sprintf("engine-%04d", i)),
+			Region:      regions[i%len(regions)],
+			Memory:      56 * domain.Gibibyte,
+			DiskSlots:   4 + g.rand.IntN(20),
+			MemorySlots: 1 + g.rand.IntN(3),
+		}
+		s.OnDisk = g.rand.Perm(models)[:min(models, g.rand.IntN(s.DiskSlots+1))]
+		g.trace.Servers = append(g.trace.Servers, s)
+	}
+}
+
+// add adds a request unless it is outside the trace.
+func (g *generator) add(at time.Duration, model int) {
+	if at < 0 || at >= g.trace.Length {
+		return
+	}
+	g.trace.Requests = append(g.trace.Requests, Request{
+		At:      at,
+		Model:   model,
+		Takes:   time.Duration((2 + g.rand.ExpFloat64()*6) * float64(time.Second)),
+		Timeout: time.Minute,
+	})
+}
+
+// session adds requests of one person who works with a model for a while.
+func (g *generator) session(at time.Duration, model int, requests, pause float64) {
+	for {
+		g.add(at, model)
+		if g.rand.Float64() < 1/requests {
+			return
+		}
+		at += g.exponential(pause)
+	}
+}
+
+// burst adds requests of many people within a time.
+func (g *generator) burst(at time.Duration, model, requests int, within time.Duration) {
+	for range requests {
+		g.add(at+time.Duration(g.rand.Float64()*float64(within)), model)
+	}
+}
+
+// exponential is a random duration with a mean in seconds.
+func (g *generator) exponential(mean float64) time.Duration {
+	return time.Duration(g.rand.ExpFloat64() * mean * float64(time.Second))
+}
+
+// normal is a random duration round zero.
+func (g *generator) normal(deviation time.Duration) time.Duration {
+	return time.Duration(g.rand.NormFloat64() * float64(deviation))
+}
+
+// logNormal is a random factor whose median is 1.
+func (g *generator) logNormal(spread float64) float64 {
+	return math.Exp(g.rand.NormFloat64() * spread)
+}
+
+// poisson calls f at random times, rate times an hour between from and until, thinned by
+// the hour's share.
+func (g *generator) poisson(rate float64, from, until time.Duration, share func(time.Duration) float64, f func(time.Duration)) {
+	if rate <= 0 {
+		return
+	}
+	for at := from + g.exponential(3600/rate); at < until; at += g.exponential(3600 / rate) {
+		if g.rand.Float64() < share(at) {
+			f(at)
+		}
+	}
+}
+
+func (g *generator) chance(p float64) bool { return g.rand.Float64() < p }
