Bound queues in bytes and hold a view against any news

Cause: queues of a link were bounded by frames alone, of up to 256 KB each, against a budget of 64 MB; a property test with arbitrary news found that a peer without an id in its handshake ends the process, and that a node which left the list without having answered stayed a neighbour.

Change: frames that wait are bounded in bytes as well (1 MB of one-way messages, 8 MB of calls and answers); handshakes without an id are ignored; forgetting a node is a change of the view; what is kept for unknown nodes is dropped.

Conclusion: nothing a peer says can end a node or grow its queues without bound.

--- /dev/null
+++ b/membership/property_test.go
@@ -0,0 +1,72 @@
+package membership
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/parsleylug/parsleylug/domain"
+)
+
+// TestAnyNewsKeepsTheInvariants feeds a view whatever a confused peer may say.
+func TestAnyNewsKeepsTheInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		self := Member{Node: "a", Region: "r", Zone: "z"}
+		table := NewTable(self)
+		now := time.Unix(1000, 0)
+		member := rapid.Custom(func(t *rapid.T) Member {
+			return Member{
+				Node:   rapid.SampledFrom([]domain.NodeID{"", "a", "b", "c", "d"}).Draw(t, "node"),
+				Region: rapid.SampledFrom([]domain.Region{"r", "s"}).Draw(t, "region"),
+				Zone:   "z", Leaving: rapid.Bool().Draw(t, "leaving"),
+			}
+		})
+		update := rapid.Custom(func(t *rapid.T) Update {
+			return Update{member.Draw(t, "member"), Status(rapid.IntRange(0, 3).Draw(t, "status")), uint64(rapid.IntRange(0, 4).Draw(t, "incarnation"))}
+		})
+		t.Repeat(map[string]func(*rapid.T){
+			"Heard":   func(t *rapid.T) { table.Heard(now, update.Draw(t, "update")) },
+			"Merge":   func(t *rapid.T) { table.Merge(now, rapid.SliceOf(update).Draw(t, "updates")) },
+			"Listed":  func(t *rapid.T) { table.Listed(now, rapid.SliceOf(member).Draw(t, "members")) },
+			"Silent":  func(t *rapid.T) { table.Silent(now, member.Draw(t, "member").Node) },
+			"Refused": func(t *rapid.T) { table.Refused(now, member.Draw(t, "member").Node) },
+			"Gossip":  func(*rapid.T) { table.TakeGossip() },
+			"Leave":   func(*rapid.T) { table.Leave() },
+			"Tick": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "milliseconds")) * time.Millisecond)
+				table.Tick(now)
+				table.Probes(now)
+			},
+			"": invariants(table),
+		})
+	})
+}
+
+func invariants(table *Table) func(*rapid.T) {
+	var members []Member
+	var version, incarnation uint64
+	return func(t *rapid.T) {
+		now := table.Members()
+		if !slices.IsSortedFunc(now, func(m, n Member) int { return strings.Compare(string(m.Node), string(n.Node)) }) {
+			t.Fatalf("got members %v, want them sorted", now)
+		}
+		if !slices.Contains(now, table.Self().Member) {
+			t.Fatalf("got members %v, want this node among them", now)
+		}
+		if table.Version() == version && !slices.Equal(now, members) {
+			t.Fatalf("got members %v at the version of %v", now, members)
+		}
+		if table.Self().Incarnation < incarnation {
+			t.Fatalf("got incarnation %d after %d", table.Self().Incarnation, incarnation)
+		}
+		for _, n := range table.Neighbours() {
+			if u, ok := table.Lookup(n); !ok || u.Status == Gone || n == "a" || n == "" {
+				t.Fatalf("got neighbour %q %v, want one that may be alive", n, u)
+			}
+		}
+		members, version, incarnation = now, table.Version(), table.Self().Incarnation
+	}
+}
--- a/membership/table.go
+++ b/membership/table.go
@@ -123,7 +123,7 @@
 		e.listed = false
 	}
 	for _, m := range members {
-		if m.Node == t.self.Member.Node {
+		if m.Node == t.self.Member.Node || m.Node == "" {
 			continue
 		}
 		e, ok := t.entries[m.Node]
@@ -149,6 +149,7 @@
 		if e.Status == Listed || now.Sub(e.goneAt) >= TombstoneTime {
 			delete(t.entries, n)
 			delete(t.gossip, n)
+			t.version++
 		}
 	}
 }
@@ -160,7 +161,10 @@
 		return
 	}
 	t.apply(now, u)
-	e := t.entries[u.Member.Node]
+	e, ok := t.entries[u.Member.Node]
+	if !ok {
+		return
+	}
 	if e.Status == Suspect && u.Incarnation >= e.Incarnation {
 		t.set(now, e, Alive)
 	}
--- a/peer/accept.go
+++ b/peer/accept.go
@@ -97,10 +97,9 @@
 	m.table.Heard(time.Now(), u)
 	r := m.remote(l.node)
 	r.links = append(r.links, l)
-	for _, f := range r.waiting {
+	for _, f := range r.waiting.take() {
 		l.out.pushBulk(f)
 	}
-	r.waiting = nil
 	if m.ctx.Err() != nil {
 		go l.close()
 		return
--- a/peer/call.go
+++ b/peer/call.go
@@ -80,36 +80,34 @@
 func (m *Mesh) sendFrame(to domain.NodeID, frame []byte) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	u, ok := m.table.Lookup(to)
+	if !ok || u.Status == membership.Gone {
+		m.metrics.dropped.Inc(1)
+		return
+	}
 	r := m.remote(to)
 	if l := r.best(); l != nil {
 		l.use()
 		m.metrics.dropped.Inc(int64(l.out.pushBulk(frame)))
 		return
 	}
-	u, ok := m.table.Lookup(to)
-	if !ok || u.Status == membership.Gone {
-		m.metrics.dropped.Inc(1)
-		return
-	}
-	var dropped int
-	r.waiting, dropped = appendBounded(r.waiting, frame)
-	m.metrics.dropped.Inc(int64(dropped))
+	m.metrics.dropped.Inc(int64(r.waiting.pushBulk(frame)))
 	m.startDial(to, r)
 }
 
 // linkTo returns a link to a node, dialling it if need be.
 func (m *Mesh) linkTo(ctx context.Context, to domain.NodeID) (*link, error) {
 	m.mu.Lock()
-	r := m.remote(to)
-	if l := r.best(); l != nil {
-		m.mu.Unlock()
-		return l, nil
-	}
 	u, ok := m.table.Lookup(to)
 	if !ok || u.Status == membership.Gone {
 		m.mu.Unlock()
 		return nil, unreachable("the peer is gone")
 	}
+	r := m.remote(to)
+	if l := r.best(); l != nil {
+		m.mu.Unlock()
+		return l, nil
+	}
 	m.startDial(to, r)
 	settled := r.settled
 	m.mu.Unlock()
--- a/peer/dial.go
+++ b/peer/dial.go
@@ -64,7 +64,7 @@
 	default:
 		m.table.Silent(now, to.Node)
 	}
-	r.waiting = nil
+	m.metrics.dropped.Inc(int64(len(r.waiting.take())))
 	m.spread()
 }
 
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -70,7 +70,7 @@
 	dialling bool
 	settled  chan struct{}
 	// waiting are one-way frames until the first link is up.
-	waiting [][]byte
+	waiting frameQueue
 }
 
 // best returns the newest link, or nil.
--- a/peer/outbox.go
+++ b/peer/outbox.go
@@ -2,18 +2,57 @@
 
 import "sync"
 
-// Bounds of what waits to be written on one link.
+// Bounds of what waits to be written on one link, in frames and bytes. One frame
+// is taken however large it is.
 const (
 	maximumUrgentFrames = 8192
+	maximumUrgentBytes  = 8 << 20
 	maximumBulkFrames   = 1024
+	maximumBulkBytes    = 1 << 20
 )
 
+// frameQueue holds frames in order. The zero frameQueue is empty.
+type frameQueue struct {
+	frames [][]byte
+	bytes  int
+}
+
+func (q *frameQueue) push(frame []byte) {
+	q.frames = append(q.frames, frame)
+	q.bytes += len(frame)
+}
+
+// fits tells whether a frame may be added within the bounds.
+func (q *frameQueue) fits(frame []byte, mostFrames, mostBytes int) bool {
+	return len(q.frames) == 0 || len(q.frames) < mostFrames && q.bytes+len(frame) <= mostBytes
+}
+
+// pushBulk drops the oldest frames until the new one fits and returns how many.
+func (q *frameQueue) pushBulk(frame []byte) int {
+	dropped := 0
+	for !q.fits(frame, maximumBulkFrames, maximumBulkBytes) {
+		q.bytes -= len(q.frames[0])
+		q.frames[0] = nil
+		q.frames = q.frames[1:]
+		dropped++
+	}
+	q.push(frame)
+	return dropped
+}
+
+// take empties the queue.
+func (q *frameQueue) take() [][]byte {
+	frames := q.frames
+	*q = frameQueue{}
+	return frames
+}
+
 // outbox holds frames until the link's writer takes them. Urgent frames (calls,
 // answers, control) go first and are refused when there are too many; of bulk
 // frames the oldest are dropped.
 type outbox struct {
 	mu           sync.Mutex
-	urgent, bulk [][]byte
+	urgent, bulk frameQueue
 	closed       bool
 	ready        chan struct{}
 }
@@ -24,10 +63,10 @@
 func (o *outbox) pushUrgent(frame []byte) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.closed || len(o.urgent) >= maximumUrgentFrames {
+	if o.closed || !o.urgent.fits(frame, maximumUrgentFrames, maximumUrgentBytes) {
 		return false
 	}
-	o.urgent = append(o.urgent, frame)
+	o.urgent.push(frame)
 	o.signal()
 	return true
 }
@@ -39,23 +78,11 @@
 	if o.closed {
 		return 1
 	}
-	var dropped int
-	o.bulk, dropped = appendBounded(o.bulk, frame)
+	dropped := o.bulk.pushBulk(frame)
 	o.signal()
 	return dropped
 }
 
-// appendBounded appends a frame and drops the oldest one where there are too
-// many.
-func appendBounded(frames [][]byte, frame []byte) ([][]byte, int) {
-	if len(frames) < maximumBulkFrames {
-		return append(frames, frame), 0
-	}
-	copy(frames, frames[1:])
-	frames[len(frames)-1] = frame
-	return frames, 1
-}
-
 func (o *outbox) signal() {
 	select {
 	case o.ready <- struct{}{}:
@@ -72,11 +99,10 @@
 			o.mu.Unlock()
 			return nil, false
 		}
-		if len(o.urgent)+len(o.bulk) > 0 {
-			frames := o.urgent
-			o.urgent = nil
+		if !o.hasNone() {
+			frames := o.urgent.take()
 			if len(frames) == 0 {
-				frames, o.bulk = o.bulk, nil
+				frames = o.bulk.take()
 			}
 			o.mu.Unlock()
 			return frames, true
@@ -89,9 +115,12 @@
 func (o *outbox) empty() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.urgent)+len(o.bulk) == 0
+	return o.hasNone()
 }
 
+// hasNone tells whether nothing waits. The caller holds mu.
+func (o *outbox) hasNone() bool { return len(o.urgent.frames)+len(o.bulk.frames) == 0 }
+
 func (o *outbox) close() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/peer/watch.go
+++ b/peer/watch.go
@@ -100,6 +100,10 @@
 	}
 	links := 0
 	for n, r := range m.remotes {
+		if _, known := m.table.Lookup(n); !known && len(r.links) == 0 && !r.dialling {
+			delete(m.remotes, n)
+			continue
+		}
 		links += len(r.links)
 		if paused {
 			r.excuse(now)
