Send replica sets on change through the zones' trees and loads to who routes there

Package reports decides without input, output or clock: a table by fence and sequence, a comparison of two tables by digests, quantised counts, and who subscribes to whose counts. relay.Tree says to whom news goes. The node joins them in News. Applied offsets are asked for when an operator asks. An owner answers a load with the server's report, so that a home needs not wait for it.

--- a/node/deps.go
+++ b/node/deps.go
@@ -22,7 +22,9 @@
 	Mesh      Mesh
 	Directory *Directory
 	Reports   *Reports
-	Engines   engine.Orderer
+	// News passes reports and loads on.
+	News    *News
+	Engines engine.Orderer
 	// KeepAlive is how long an idle replica stays loaded.
 	KeepAlive time.Duration
 	Logger    zerolog.Logger
--- a/node/grow.go
+++ b/node/grow.go
@@ -70,6 +70,7 @@
 	if !ok || model.Paused || len(ready) == 0 || domain.Copies(len(ready)) >= model.Copies {
 		return false
 	}
+	h.deps.News.Decide(ready, now)
 	concurrency := model.Concurrency
 	if concurrency == 0 {
 		concurrency = configuration.DefaultConcurrency
--- a/node/handle.go
+++ b/node/handle.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/peer"
@@ -12,21 +11,19 @@
 // Handler answers what other nodes send. A nil answer belongs to a message that
 // wants none.
 type Handler struct {
-	Reports   *Reports
+	News      *News
 	Home      *Home
 	Ownership *Ownership
 	Pacer     *Pacer
 	Claims    *Claims
 	// Snapshot returns the encoded state of this node.
 	Snapshot func() (domain.Offset, []byte, error)
-	// Applied returns how far this node has folded.
+	// Applied returns how far this node has folded and what its servers do.
 	Applied func() peer.Applied
 	// Learn takes suspects from other nodes.
 	Learn func([]peer.Suspect)
 	// Usage takes the use of limits at another node.
 	Usage func(from domain.NodeID, u peer.Usage)
-	// Heard takes what another node says of how far it has folded.
-	Heard func(from domain.NodeID, a peer.Applied)
 	// Status returns a part of this node's status as JSON.
 	Status func(peer.StatusRequest) ([]byte, error)
 	// Deliver takes records that a relay passed on.
@@ -39,7 +36,7 @@
 	case peer.Wake:
 		return h.Home.wakeForPeer(ctx, m)
 	case peer.Load:
-		return h.Ownership.Load(ctx, m)
+		return h.load(ctx, m)
 	case peer.ReleasePermit:
 		return peer.Released{}, h.Ownership.Release(ctx, m)
 	case peer.AcquirePace:
@@ -49,6 +46,9 @@
 	case peer.SnapshotRequest:
 		return h.snapshot(m)
 	case peer.StatusRequest:
+		if m.Part == peer.AppliedPart {
+			return h.Applied(), nil
+		}
 		raw, err := h.Status(m)
 		return peer.Status{JSON: raw}, err
 	}
@@ -57,19 +57,16 @@
 
 // notice takes messages that want no answer.
 func (h *Handler) notice(from domain.NodeID, m peer.Message) error {
+	if h.News.handle(from, m) {
+		return nil
+	}
 	switch m := m.(type) {
-	case peer.Reports:
-		for _, r := range m.Servers {
-			h.Reports.Add(r, time.Now())
-		}
 	case peer.ReleasePace:
 		h.Pacer.Release(m)
 	case peer.Suspects:
 		h.Learn(m.Suspects)
 	case peer.Usage:
 		h.Usage(from, m)
-	case peer.Applied:
-		h.Heard(from, m)
 	case peer.LogRecords:
 		h.Deliver(from, m)
 	default:
@@ -78,6 +75,16 @@
 	return nil
 }
 
+// load answers with the server's report, so that the home needs not wait for it.
+func (h *Handler) load(ctx context.Context, m peer.Load) (peer.Message, error) {
+	a, err := h.Ownership.Load(ctx, m)
+	if err != nil {
+		return nil, err
+	}
+	a.Reports = h.News.own(m.Server)
+	return a, nil
+}
+
 func (h *Handler) snapshot(r peer.SnapshotRequest) (peer.Message, error) {
 	through, data, err := h.Snapshot()
 	if err != nil {
--- a/node/home.go
+++ b/node/home.go
@@ -277,7 +277,12 @@
 		_, err := h.local.Load(ctx, l)
 		return err
 	}
-	_, err := h.deps.Mesh.Call(ctx, c.owner, l)
+	a, err := h.deps.Mesh.Call(ctx, c.owner, l)
+	if loaded, ok := a.(peer.Loaded); ok {
+		for _, r := range loaded.Reports {
+			h.deps.Reports.Add(r, time.Now())
+		}
+	}
 	return err
 }
 
--- a/node/keeper.go
+++ b/node/keeper.go
@@ -23,8 +23,6 @@
 	// deadAfter is how long a server may fail to answer before it is reported
 	// as not alive.
 	deadAfter = time.Second
-	// reportInterval is how often an unchanged report is sent again.
-	reportInterval = 2 * time.Second
 	// doubtfulAfter is how long an order stays in doubt before the owner renews
 	// its lease for a newer fence.
 	doubtfulAfter = 2 * time.Second
@@ -61,8 +59,8 @@
 
 	// makeRoom admits one eviction at a time.
 	makeRoom chan struct{}
-	sent     peer.ServerReport
-	sentAt   time.Time
+	// sent is the last report that was news; guarded by mu.
+	sent peer.ServerReport
 }
 
 // flight is one piece of work that several callers wait for.
--- a/node/node.go
+++ b/node/node.go
@@ -90,6 +90,7 @@
 	journal   *decisions.Journal
 	callers   *caller.API
 	heard     heard
+	news      *News
 	started   time.Time
 	isSettled atomic.Bool
 	// listedAt is when the list first showed this node, in nanoseconds.
@@ -134,6 +135,8 @@
 		Engines: &engine.Client{Region: o.Region}, KeepAlive: o.KeepAlive, Logger: o.Logger, Scope: o.Scope,
 		Leaving: n.stopping.Load, Settled: n.settled, LogDown: n.logDown, Journal: n.journal,
 	}
+	n.news = NewNews(n.deps)
+	n.deps.News = n.news
 	n.join(handler)
 	return n, nil
 }
@@ -168,8 +171,8 @@
 		Spread: func(s []peer.Suspect) { n.mesh.Broadcast(peer.Suspects{Suspects: s}) },
 	})
 	*h = Handler{
-		Reports: n.deps.Reports, Home: n.home, Ownership: n.ownership, Pacer: pacer, Claims: n.claims,
-		Snapshot: n.replica.EncodedSnapshot, Applied: n.applied, Heard: n.heard.add,
+		News: n.news, Home: n.home, Ownership: n.ownership, Pacer: pacer, Claims: n.claims,
+		Snapshot: n.replica.EncodedSnapshot, Applied: n.answerApplied,
 		Learn:   n.callers.Learn,
 		Usage:   n.callers.LearnUsage,
 		Status:  n.part,
@@ -260,7 +263,7 @@
 		func(ctx context.Context) error { n.announce(ctx); return nil },
 		func(ctx context.Context) error { n.ownership.Run(ctx); return nil },
 		func(ctx context.Context) error { n.home.Run(ctx); return nil },
-		func(ctx context.Context) error { n.tellApplied(ctx); return nil },
+		func(ctx context.Context) error { n.news.Run(ctx); return nil },
 		func(ctx context.Context) error { n.tellUsage(ctx); return nil },
 	}
 	for _, l := range append(loops, n.options.Background...) {
--- a/node/observer.go
+++ b/node/observer.go
@@ -9,6 +9,7 @@
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/objective"
 	"github.com/parsleylug/parsleylug/peer"
+	"github.com/parsleylug/parsleylug/verdict"
 )
 
 // observer keeps what the callers' API decided and how requests ended. It
@@ -42,8 +43,24 @@
 // a time, with each answer. It returns how many did not answer.
 func (n *Node) gather(ctx context.Context, r peer.StatusRequest, add func(raw []byte) error) int {
 	var mu sync.Mutex
-	var wait sync.WaitGroup
 	silent := 0
+	n.eachNode(func(to domain.NodeID) {
+		raw, err := n.ask(ctx, to, r)
+		mu.Lock()
+		defer mu.Unlock()
+		if err == nil {
+			err = add(raw)
+		}
+		if err != nil {
+			silent++
+		}
+	})
+	return silent
+}
+
+// eachNode calls ask for every other live node, a bounded number at a time.
+func (n *Node) eachNode(ask func(to domain.NodeID)) {
+	var wait sync.WaitGroup
 	slots := make(chan struct{}, askAtOnce)
 	for _, m := range n.mesh.Members() {
 		if m.Node == n.options.Node {
@@ -52,19 +69,10 @@
 		slots <- struct{}{}
 		wait.Go(func() {
 			defer func() { <-slots }()
-			raw, err := n.ask(ctx, m.Node, r)
-			mu.Lock()
-			defer mu.Unlock()
-			if err == nil {
-				err = add(raw)
-			}
-			if err != nil {
-				silent++
-			}
+			ask(m.Node)
 		})
 	}
 	wait.Wait()
-	return silent
 }
 
 func (n *Node) ask(ctx context.Context, to domain.NodeID, r peer.StatusRequest) ([]byte, error) {
@@ -90,6 +98,7 @@
 		e, _ := n.journal.Find(r.Request)
 		return e.Encode()
 	case peer.AppliedPart:
+		// The handler answers it with a message of its own.
 	}
-	return n.statusJSON()
+	return nil, verdict.Refuse(verdict.BadRequest, "the part is not known here")
 }
--- a/node/placer.go
+++ b/node/placer.go
@@ -136,7 +136,10 @@
 // ready returns replicas from the reports that this request may go to.
 func (p *Placer) ready(n caller.Need) []routing.Replica {
 	var servers []domain.ServerID
-	for _, l := range p.deps.Reports.Ready(n.Model, time.Now()) {
+	now := time.Now()
+	loaded := p.deps.Reports.Ready(n.Model, now)
+	p.deps.News.Use(loaded, now)
+	for _, l := range loaded {
 		if n.Adapter != "" && !slices.Contains(l.Model.Adapters, n.Adapter) {
 			continue
 		}
@@ -165,7 +168,7 @@
 		if i := slices.IndexFunc(reports, func(l Loaded) bool { return l.Server == s }); i >= 0 {
 			l := reports[i]
 			r.Running, r.Waiting, r.Adapters = l.Model.Running, l.Model.Waiting, l.Model.Adapters
-			r.ReportedAt, r.LoadedAt = l.At, l.Since
+			r.ReportedAt, r.LoadedAt = l.CountedAt, l.Since
 		}
 		if r.Concurrency == 0 {
 			r.Concurrency = configuration.DefaultConcurrency
--- a/node/report.go
+++ b/node/report.go
@@ -1,39 +1,53 @@
 package node
 
 import (
-	"reflect"
+	"cmp"
+	"slices"
 	"time"
 
-	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/peer"
+	"github.com/parsleylug/parsleylug/reports"
 )
 
-// report sends what this owner knows of its server, when it changed or has not
-// been sent for reportInterval.
+// report tells every node what changed of this owner's server, and the nodes that
+// route to it how much it has to do.
 func (k *keeper) report() {
-	r, send := k.nextReport(time.Now())
-	if !send {
+	r, ok, news := k.nextReport(time.Now())
+	if !ok {
 		return
 	}
-	k.deps.Reports.Add(r, time.Now())
-	k.deps.Mesh.Broadcast(peer.Reports{Servers: []peer.ServerReport{r}})
+	if news {
+		k.deps.News.Publish(r)
+	} else {
+		// The same version again confirms it here.
+		k.deps.Reports.Add(r.WithoutCounts(), time.Now())
+	}
+	k.deps.News.Offer(r.Counts())
 }
 
-func (k *keeper) nextReport(now time.Time) (peer.ServerReport, bool) {
+// nextReport returns the report of this moment, if there is one, and whether it is
+// news to others.
+func (k *keeper) nextReport(now time.Time) (r peer.ServerReport, ok, news bool) {
+	known := k.deps.Reports.Version(k.lease.Server)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.retired || k.seen.IsZero() {
-		return peer.ServerReport{}, false
+		return peer.ServerReport{}, false, false
 	}
-	r := k.currentReport(now)
+	r = k.currentReport(now)
+	news = reports.IsNews(k.sent, r)
 	r.Sequence = k.sent.Sequence
-	if reflect.DeepEqual(r, k.sent) && now.Sub(k.sentAt) < reportInterval {
-		return peer.ServerReport{}, false
+	if known.Fence == r.Fence && known.Sequence > r.Sequence {
+		r.Sequence, news = known.Sequence, true
+	}
+	if !news {
+		sent := k.sent
+		sent.Models = r.Models
+		return sent, true, false
 	}
 	r.Sequence++
 	k.sent = r
-	k.sentAt = now
-	return r, true
+	return r, true, true
 }
 
 // currentReport builds the report; the caller holds mu.
@@ -55,8 +69,10 @@
 			Running:  x.Running,
 			Waiting:  x.Waiting,
 			Loading:  x.Loading,
-			Adapters: append([]domain.AdapterName(nil), x.Adapters...),
+			Adapters: slices.Sorted(slices.Values(x.Adapters)),
 		})
 	}
+	// Engines list their replicas in no order, which is no news.
+	slices.SortFunc(r.Models, func(a, b peer.ModelReport) int { return cmp.Compare(a.Model, b.Model) })
 	return r
 }
--- a/node/system.go
+++ b/node/system.go
@@ -14,6 +14,7 @@
 	"github.com/parsleylug/parsleylug/peer"
 	"github.com/parsleylug/parsleylug/platform"
 	"github.com/parsleylug/parsleylug/platformlog"
+	"github.com/parsleylug/parsleylug/reports"
 	"github.com/parsleylug/parsleylug/verdict"
 )
 
@@ -66,13 +67,11 @@
 }
 
 // Applied implements operator.System.
-func (s *System) Applied(context.Context) (map[domain.NodeID]domain.Offset, error) {
-	heard := s.node.heard.all()
+func (s *System) Applied(ctx context.Context) (map[domain.NodeID]domain.Offset, error) {
 	out := make(map[domain.NodeID]domain.Offset)
-	for _, m := range s.node.mesh.Members() {
-		out[m.Node] = heard[m.Node].Configuration
+	for n, a := range s.node.gatherApplied(ctx, true) {
+		out[n] = a.Configuration
 	}
-	out[s.node.options.Node] = s.node.applied().Configuration
 	return out, nil
 }
 
@@ -107,8 +106,9 @@
 }
 
 // Status implements operator.System.
-func (s *System) Status(context.Context) (operator.Status, error) {
+func (s *System) Status(ctx context.Context) (operator.Status, error) {
 	n := s.node
+	applied := n.gatherApplied(ctx, false)
 	out := operator.Status{
 		Node: n.options.Node, Version: n.options.Version, At: time.Now(),
 		Ready: n.Ready(), NotReady: n.notReady(),
@@ -117,9 +117,9 @@
 	out.Log = operator.LogStatus{Up: n.replica.LogUp(), SinceAnswer: lag}
 	n.replica.View(func(f *fold.State) {
 		out.Log.Decision, out.Log.Configuration = f.Offset(), f.ConfigurationOffset()
-		s.agreed(&out, f)
+		s.agreed(&out, f, countsOf(applied))
 	})
-	out.Nodes = s.nodes(out.Servers)
+	out.Nodes = s.nodes(out.Servers, applied)
 	out.Wakes = n.home.Wakes()
 	s.unowned(&out)
 	for _, q := range n.callers.Queues() {
@@ -153,9 +153,9 @@
 }
 
 // agreed fills in what the agreed state and the load reports show.
-func (s *System) agreed(out *operator.Status, f *fold.State) {
+func (s *System) agreed(out *operator.Status, f *fold.State, counts map[domain.ServerID]reports.Loads) {
 	now := time.Now()
-	reports := s.node.deps.Reports
+	known := s.node.deps.Reports
 	for _, l := range f.Leases() {
 		vm, listed := s.node.deps.Directory.Server(l.Server)
 		v := operator.ServerStatus{
@@ -163,17 +163,17 @@
 			Leaving: !listed || vm.Leaving, Drained: f.ServerDrained(l.Server, l.Facts.Zone),
 			Owner: l.Owner, Fence: l.Fence, ChecksFences: l.Facts.ChecksFences, Memory: l.Facts.Memory,
 		}
-		r, seen := reports.Server(l.Server, now)
+		r, seen := known.Server(l.Server, now)
 		v.Alive = seen
 		if seen {
 			v.Used = l.Facts.Memory - r.FreeMemory
 		}
-		for _, m := range r.Models {
+		for _, m := range counts[l.Server].Models {
 			v.Running += m.Running
 			v.Waiting += m.Waiting
 		}
 		for _, p := range f.ServerPermits(l.Server) {
-			out.Permits = append(out.Permits, permitStatus(p, reports, now))
+			out.Permits = append(out.Permits, permitStatus(p, known, now))
 		}
 		for _, d := range l.Doubts {
 			out.Doubts = append(out.Doubts, operator.DoubtStatus{
@@ -184,19 +184,30 @@
 	}
 }
 
-func permitStatus(p fold.Permit, reports *Reports, now time.Time) operator.PermitStatus {
+// countsOf returns what the newest owner of each server says of its requests.
+func countsOf(applied map[domain.NodeID]peer.Applied) map[domain.ServerID]reports.Loads {
+	out := make(map[domain.ServerID]reports.Loads)
+	for _, a := range applied {
+		for _, l := range a.Loads {
+			if l.Fence >= out[l.Server].Fence {
+				out[l.Server] = l
+			}
+		}
+	}
+	return out
+}
+
+func permitStatus(p fold.Permit, known *Reports, now time.Time) operator.PermitStatus {
 	out := operator.PermitStatus{Model: p.Model, Server: p.Server, Revoked: p.Revoked}
-	r, ok := reports.Server(p.Server, now)
+	r, ok := known.Server(p.Server, now)
 	if i := modelIndex(r, p.Model); ok && i >= 0 {
 		out.Loaded, out.Loading = !r.Models[i].Loading, r.Models[i].Loading
 	}
 	return out
 }
 
-// nodes lists the members with how far each has folded.
-func (s *System) nodes(servers []operator.ServerStatus) []operator.NodeStatus {
-	heard := s.node.heard.all()
-	heard[s.node.options.Node] = s.node.applied()
+// nodes lists the members with how far each says that it has folded.
+func (s *System) nodes(servers []operator.ServerStatus, applied map[domain.NodeID]peer.Applied) []operator.NodeStatus {
 	leases := make(map[domain.NodeID]int)
 	for _, v := range servers {
 		leases[v.Owner]++
@@ -206,7 +217,7 @@
 	for _, m := range s.node.mesh.Members() {
 		out = append(out, operator.NodeStatus{
 			Node: m.Node, Address: m.Address, Region: m.Region, Zone: m.Zone, Alive: true, Leaving: m.Leaving,
-			Roles: roles[m.Node], Leases: leases[m.Node], Configuration: heard[m.Node].Configuration,
+			Roles: roles[m.Node], Leases: leases[m.Node], Configuration: applied[m.Node].Configuration,
 		})
 	}
 	return out
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -14,7 +14,7 @@
 	Ping{}, Pong{}, Failed{}, Wake{}, Replicas{}, Load{}, Loaded{}, AcquirePace{}, Paced{}, ReleasePace{},
 	Reports{}, CommandQuery{}, CommandAnswer{}, Suspects{}, SnapshotRequest{}, Snapshot{}, LogRecords{},
 	Applied{}, Usage{}, StatusRequest{}, Status{}, Leave{}, Hello{}, Welcome{}, Gossip{}, Compare{}, Differs{},
-	ReleasePermit{}, Released{},
+	ReleasePermit{}, Released{}, CompareReports{}, ReportVersions{}, Subscribe{}, Loads{},
 }
 
 // fill sets every field below v to a value that differs from zero and, where
@@ -41,7 +41,7 @@
 		v.SetInt(int64(verdict.NotRun) + int64(*next%2))
 	case reflect.Int64:
 		v.SetInt(int64(*next))
-	case reflect.Uint8, reflect.Uint64:
+	case reflect.Uint8, reflect.Uint16, reflect.Uint64:
 		v.SetUint(uint64(*next % 251))
 	case reflect.Float64:
 		v.SetFloat(float64(*next))
@@ -73,7 +73,7 @@
 		}
 		seen[f.Number] = true
 	}
-	for n := numberPing; n <= numberReleased; n++ {
+	for n := numberPing; n <= numberLoads; n++ {
 		if !seen[n] {
 			t.Errorf("got no message with number %d, want every number tested", n)
 		}
--- a/peer/decode.go
+++ b/peer/decode.go
@@ -43,7 +43,7 @@
 		return Load(w), err
 	case numberLoaded:
 		w, err := body[wireLoaded](f)
-		return Loaded(w), err
+		return Loaded{Server: w.Server, Model: w.Model, Waited: w.Waited, Reports: serversFromWire(w.Reports)}, err
 	case numberAcquirePace:
 		w, err := body[wireAcquirePace](f)
 		return AcquirePace(w), err
@@ -60,7 +60,7 @@
 		return ReleasePace(w), err
 	case numberReports:
 		w, err := body[wireReports](f)
-		return reportsFromWire(w), err
+		return Reports{Servers: serversFromWire(w.Servers), Repair: w.Repair}, err
 	case numberCommandQuery:
 		w, err := body[wireCommandQuery](f)
 		return CommandQuery{Key: hashFromWire(w.Key), Within: w.Within}, err
@@ -88,7 +88,7 @@
 	switch f.Number {
 	case numberApplied:
 		w, err := body[wireApplied](f)
-		return Applied(w), err
+		return Applied{Decision: w.Decision, Configuration: w.Configuration, Loads: loadsFromWire(w.Loads)}, err
 	case numberUsage:
 		w, err := body[wireUsage](f)
 		return usageFromWire(w), err
@@ -116,7 +116,7 @@
 		w, err := body[wireDiffers](f)
 		return Differs{Updates: updatesFromWire(w.Updates), Digests: digestsFromWire(w.Digests)}, err
 	default:
-		return nil, errUnknownMessage
+		return decodeNews(f)
 	}
 }
 
@@ -152,21 +152,6 @@
 	return 0
 }
 
-func reportsFromWire(w wireReports) Reports {
-	m := Reports{Servers: make([]ServerReport, len(w.Servers))}
-	for i, s := range w.Servers {
-		m.Servers[i] = ServerReport{
-			Server: s.Server, Fence: s.Fence, Sequence: s.Sequence,
-			Alive: s.Alive, Leaving: s.Leaving, FreeMemory: s.FreeMemory,
-			Models: make([]ModelReport, len(s.Models)),
-		}
-		for j, r := range s.Models {
-			m.Servers[i].Models[j] = ModelReport(r)
-		}
-	}
-	return m
-}
-
 func suspectsFromWire(w wireSuspects) Suspects {
 	m := Suspects{Suspects: make([]Suspect, len(w.Suspects))}
 	for i, s := range w.Suspects {
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -43,7 +43,7 @@
 	case Load:
 		return numberLoad, wireLoad(m)
 	case Loaded:
-		return numberLoaded, wireLoaded(m)
+		return numberLoaded, wireLoaded{Server: m.Server, Model: m.Model, Waited: m.Waited, Reports: serversToWire(m.Reports)}
 	case AcquirePace:
 		return numberAcquirePace, wireAcquirePace(m)
 	case Paced:
@@ -55,7 +55,7 @@
 	case ReleasePace:
 		return numberReleasePace, wireReleasePace(m)
 	case Reports:
-		return numberReports, reportsToWire(m)
+		return numberReports, wireReports{Servers: serversToWire(m.Servers), Repair: m.Repair}
 	case CommandQuery:
 		return numberCommandQuery, wireCommandQuery{Key: m.Key[:], Within: m.Within}
 	case CommandAnswer:
@@ -76,7 +76,7 @@
 func controlToWire(m Message) (messageNumber, any) {
 	switch m := m.(type) {
 	case Applied:
-		return numberApplied, wireApplied(m)
+		return numberApplied, wireApplied{Decision: m.Decision, Configuration: m.Configuration, Loads: loadsToWire(m.Loads)}
 	case Usage:
 		return numberUsage, usageToWire(m)
 	case StatusRequest:
@@ -96,7 +96,7 @@
 	case Differs:
 		return numberDiffers, wireDiffers{Updates: updatesToWire(m.Updates), Digests: m.Digests[:]}
 	default:
-		return numberNone, nil
+		return newsToWire(m)
 	}
 }
 
@@ -109,21 +109,6 @@
 	}
 }
 
-func reportsToWire(m Reports) wireReports {
-	w := wireReports{Servers: make([]wireServerReport, len(m.Servers))}
-	for i, s := range m.Servers {
-		w.Servers[i] = wireServerReport{
-			Server: s.Server, Fence: s.Fence, Sequence: s.Sequence,
-			Alive: s.Alive, Leaving: s.Leaving, FreeMemory: s.FreeMemory,
-			Models: make([]wireModelReport, len(s.Models)),
-		}
-		for j, r := range s.Models {
-			w.Servers[i].Models[j] = wireModelReport(r)
-		}
-	}
-	return w
-}
-
 func suspectsToWire(m Suspects) wireSuspects {
 	w := wireSuspects{Suspects: make([]wireSuspect, len(m.Suspects))}
 	for i, s := range m.Suspects {
--- a/peer/message.go
+++ b/peer/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/reports"
 	"github.com/parsleylug/parsleylug/verdict"
 )
 
@@ -67,6 +68,9 @@
 	Model  domain.ModelName
 	// Waited is how long the load took at the owner.
 	Waited time.Duration
+	// Reports holds the server's report after the load, or nothing, so that the
+	// asker needs not wait for it.
+	Reports []ServerReport
 }
 
 // ReleasePermit asks the owner of a server to give back a permit whose replica is
@@ -98,38 +102,38 @@
 // ReleasePace gives a slot back; it has no answer.
 type ReleasePace struct{ Slot uint64 }
 
-// Reports carries load reports of backend servers from their owner; it has no
-// answer.
-type Reports struct{ Servers []ServerReport }
-
 // ServerReport is what an owner knows of one backend server.
-type ServerReport struct {
-	Server domain.ServerID
-	// Fence is the owner's; a report with an older fence is ignored.
-	Fence domain.Fence
-	// Sequence orders reports under one fence.
-	Sequence uint64
-	// Alive is false where the server does not answer its owner.
-	Alive bool
-	// Leaving servers take no new work.
-	Leaving bool
-	// FreeMemory is what is neither loaded nor reserved.
-	FreeMemory domain.Bytes
-	Models     []ModelReport
-}
+type ServerReport = reports.Server
 
 // ModelReport is the state of one replica.
-type ModelReport struct {
-	Model domain.ModelName
-	// Running and Waiting count requests in the engine.
-	Running, Waiting int
-	// Loading replicas cannot be used yet; ReadyIn is the owner's estimate.
-	Loading bool
-	ReadyIn time.Duration
-	// Adapters are loaded on the replica.
-	Adapters []domain.AdapterName
+type ModelReport = reports.Replica
+
+// Reports carries reports of backend servers without counts; it has no answer.
+type Reports struct {
+	Servers []ServerReport
+	// Repair reports answer a comparison and are not passed on.
+	Repair bool
 }
 
+// CompareReports asks a node to compare its reports with the sender's; where they
+// differ it sends ReportVersions.
+type CompareReports struct{ Digests reports.Digests }
+
+// ReportVersions tells which reports the sender has; it has no answer.
+type ReportVersions struct {
+	// Buckets are those of which Versions is the whole; the receiver sends back
+	// what the sender lacks in them, and asks for what it lacks itself. Without
+	// Buckets the sender asks for newer reports of the servers in Versions.
+	Buckets  reports.BucketSet
+	Versions []reports.Version
+}
+
+// Subscribe asks an owner for the loads of servers for a while; it has no answer.
+type Subscribe struct{ Servers []domain.ServerID }
+
+// Loads carries counts of requests to a subscriber; it has no answer.
+type Loads struct{ Servers []reports.Loads }
+
 // CommandQuery asks the node that holds a claim how the command went. The answer
 // is CommandAnswer or Failed.
 type CommandQuery struct {
@@ -178,10 +182,13 @@
 	Records [][]byte
 }
 
-// Applied tells how far a node has folded, for status and for config --wait.
+// Applied answers a StatusRequest for AppliedPart, for status and for config
+// --wait.
 type Applied struct {
 	Decision      domain.Offset
 	Configuration domain.Offset
+	// Loads are the counts of the servers that the node owns.
+	Loads []reports.Loads
 }
 
 // Usage tells what a node's callers used since the last one, for limits.
@@ -195,7 +202,8 @@
 	Demand, Used float64
 }
 
-// StatusRequest asks a node for a part of its status. The answer is Status.
+// StatusRequest asks a node for a part of its status. The answer is Applied for
+// AppliedPart and Status for the others.
 type StatusRequest struct {
 	Part StatusPart
 	// Request is set for DecisionsPart.
@@ -236,6 +244,10 @@
 func (Paced) message()           {}
 func (ReleasePace) message()     {}
 func (Reports) message()         {}
+func (CompareReports) message()  {}
+func (ReportVersions) message()  {}
+func (Subscribe) message()       {}
+func (Loads) message()           {}
 func (CommandQuery) message()    {}
 func (CommandAnswer) message()   {}
 func (Suspects) message()        {}
--- a/peer/number.go
+++ b/peer/number.go
@@ -34,6 +34,10 @@
 	numberDiffers
 	numberReleasePermit
 	numberReleased
+	numberCompareReports
+	numberReportVersions
+	numberSubscribe
+	numberLoads
 )
 
 // frameKind tells what a frame is.
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -54,9 +54,10 @@
 		Within  time.Duration      `cbor:"4,keyasint,omitempty"`
 	}
 	wireLoaded struct {
-		Server domain.ServerID  `cbor:"1,keyasint,omitempty"`
-		Model  domain.ModelName `cbor:"2,keyasint,omitempty"`
-		Waited time.Duration    `cbor:"3,keyasint,omitempty"`
+		Server  domain.ServerID    `cbor:"1,keyasint,omitempty"`
+		Model   domain.ModelName   `cbor:"2,keyasint,omitempty"`
+		Waited  time.Duration      `cbor:"3,keyasint,omitempty"`
+		Reports []wireServerReport `cbor:"4,keyasint,omitempty"`
 	}
 	wireAcquirePace struct {
 		Model   domain.ModelName `cbor:"1,keyasint,omitempty"`
@@ -76,6 +77,36 @@
 	}
 	wireReports struct {
 		Servers []wireServerReport `cbor:"1,keyasint,omitempty"`
+		Repair  bool               `cbor:"2,keyasint,omitempty"`
+	}
+	wireCompareReports struct {
+		Digests []uint64 `cbor:"1,keyasint,omitempty"`
+	}
+	wireReportVersions struct {
+		Buckets  uint16        `cbor:"1,keyasint,omitempty"`
+		Versions []wireVersion `cbor:"2,keyasint,omitempty"`
+	}
+	wireVersion struct {
+		Server   domain.ServerID `cbor:"1,keyasint,omitempty"`
+		Fence    domain.Fence    `cbor:"2,keyasint,omitempty"`
+		Sequence uint64          `cbor:"3,keyasint,omitempty"`
+	}
+	wireSubscribe struct {
+		Servers []domain.ServerID `cbor:"1,keyasint,omitempty"`
+	}
+	wireLoadCounts struct {
+		Servers []wireServerLoads `cbor:"1,keyasint,omitempty"`
+	}
+	wireServerLoads struct {
+		Server   domain.ServerID `cbor:"1,keyasint,omitempty"`
+		Fence    domain.Fence    `cbor:"2,keyasint,omitempty"`
+		Sequence uint64          `cbor:"3,keyasint,omitempty"`
+		Models   []wireCounts    `cbor:"4,keyasint,omitempty"`
+	}
+	wireCounts struct {
+		Model   domain.ModelName `cbor:"1,keyasint,omitempty"`
+		Running int              `cbor:"2,keyasint,omitempty"`
+		Waiting int              `cbor:"3,keyasint,omitempty"`
 	}
 	wireServerReport struct {
 		Server     domain.ServerID   `cbor:"1,keyasint,omitempty"`
@@ -126,6 +157,8 @@
 	wireApplied struct {
 		Decision      domain.Offset `cbor:"1,keyasint,omitempty"`
 		Configuration domain.Offset `cbor:"2,keyasint,omitempty"`
+
+		Loads []wireServerLoads `cbor:"3,keyasint,omitempty"`
 	}
 	wireUsage struct {
 		Counters []wireUsageCounter `cbor:"1,keyasint,omitempty"`
--- /dev/null
+++ b/relay/tree.go
@@ -0,0 +1,95 @@
+package relay
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/membership"
+)
+
+const (
+	// nearHeads is how many of the first ranks of each availability zone of the own
+	// region get news from its origin: the root and its children, so that no one
+	// dead node keeps news from a zone.
+	nearHeads = 1 + FanOut
+	// farHeads is the same for other regions, where bytes are billed.
+	farHeads = 2
+)
+
+// Tree is how news goes from a node to all others: to the first ranks of each
+// zone, and from each node to its children among the ranks of its zone.
+type Tree struct {
+	heads    []domain.NodeID
+	children []domain.NodeID
+	// better are the nodes of the zone with a better rank, the parent last.
+	better []domain.NodeID
+	// roots are the roots of the other zones.
+	roots []domain.NodeID
+}
+
+// NewTree returns the tree of a node in a view.
+func NewTree(self domain.NodeID, members []membership.Member) Tree {
+	plan := NewPlan(self, members)
+	t := Tree{children: plan.Targets()}
+	if plan.Rank > 0 {
+		parent := plan.Ranked[(plan.Rank-1)/FanOut]
+		t.better = slices.DeleteFunc(slices.Clone(plan.Ranked[:plan.Rank]), func(n domain.NodeID) bool { return n == parent })
+		t.better = append(t.better, parent)
+	}
+	own := region(self, members)
+	for _, first := range zones(members) {
+		ranked := NewPlan(first.Node, members).Ranked
+		heads := farHeads
+		if first.Region == own {
+			heads = nearHeads
+		}
+		t.heads = append(t.heads, ranked[:min(heads, len(ranked))]...)
+		if !slices.Contains(ranked, self) {
+			t.roots = append(t.roots, ranked[0])
+		}
+	}
+	t.heads = slices.DeleteFunc(t.heads, func(n domain.NodeID) bool {
+		return n == self || slices.Contains(t.children, n)
+	})
+	return t
+}
+
+func region(self domain.NodeID, members []membership.Member) domain.Region {
+	i := slices.IndexFunc(members, func(m membership.Member) bool { return m.Node == self })
+	if i < 0 {
+		return ""
+	}
+	return members[i].Region
+}
+
+// zones returns one member of each availability zone.
+func zones(members []membership.Member) []membership.Member {
+	sorted := slices.Clone(members)
+	slices.SortFunc(sorted, func(a, b membership.Member) int {
+		return cmp.Or(cmp.Compare(a.Region, b.Region), cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Node, b.Node))
+	})
+	return slices.CompactFunc(sorted, func(a, b membership.Member) bool { return a.Region == b.Region && a.Zone == b.Zone })
+}
+
+// Origin returns to whom a node sends its own news.
+func (t Tree) Origin() []domain.NodeID { return slices.Concat(t.heads, t.children) }
+
+// Onward returns to whom a node sends news of others that was new to it.
+func (t Tree) Onward() []domain.NodeID { return t.children }
+
+// Partner returns with whom to compare in a round: the parent in every second one,
+// another node of a better rank in the others. The root of a zone compares with the
+// roots of other zones. It returns "" for a node that is alone.
+func (t Tree) Partner(round int) domain.NodeID {
+	if n := len(t.better); n > 0 {
+		if round%2 == 0 {
+			return t.better[n-1]
+		}
+		return t.better[round/2%n]
+	}
+	if len(t.roots) > 0 {
+		return t.roots[round%len(t.roots)]
+	}
+	return ""
+}
--- /dev/null
+++ b/reports/loads.go
@@ -0,0 +1,80 @@
+package reports
+
+import (
+	"math/bits"
+
+	"github.com/parsleylug/parsleylug/domain"
+)
+
+// quarters is in how many steps the concurrency of a replica is divided.
+const quarters = 4
+
+// Loads are the counts of requests on one server. A replica that is not in Models
+// has none.
+type Loads struct {
+	Server domain.ServerID
+	Fence  domain.Fence
+	// Sequence orders the loads under one fence; it is not that of the reports.
+	Sequence uint64
+	Models   []Load
+}
+
+// Load is the counts of one replica.
+type Load struct {
+	Model            domain.ModelName
+	Running, Waiting int
+}
+
+// Version returns the version of the loads.
+func (l Loads) Version() Version {
+	return Version{Server: l.Server, Fence: l.Fence, Sequence: l.Sequence}
+}
+
+// Counts returns the loads of a report.
+func (s Server) Counts() Loads {
+	l := Loads{Server: s.Server, Fence: s.Fence}
+	for _, m := range s.Models {
+		if m.Running > 0 || m.Waiting > 0 {
+			l.Models = append(l.Models, Load{Model: m.Model, Running: m.Running, Waiting: m.Waiting})
+		}
+	}
+	return l
+}
+
+// QuantiseRunning rounds running requests down to a quarter of the concurrency,
+// and above it to the concurrency times a power of two. A full replica is never
+// shown as one with room, nor the reverse.
+func QuantiseRunning(n, concurrency int) int {
+	if concurrency < 1 || n <= 0 {
+		return max(n, 0)
+	}
+	if n < concurrency {
+		step := max(concurrency/quarters, 1)
+		return n / step * step
+	}
+	return concurrency * powerOfTwo(n/concurrency)
+}
+
+// QuantiseWaiting rounds waiting requests down to a power of two, or none.
+func QuantiseWaiting(n int) int {
+	if n <= 0 {
+		return 0
+	}
+	return powerOfTwo(n)
+}
+
+// powerOfTwo returns the largest one up to n, which is at least 1.
+func powerOfTwo(n int) int { return 1 << (bits.Len(uint(n)) - 1) }
+
+// Quantise returns the loads as others see them.
+func (l Loads) Quantise(concurrency func(domain.ModelName) int) Loads {
+	out := l
+	out.Models = nil
+	for _, m := range l.Models {
+		m.Running, m.Waiting = QuantiseRunning(m.Running, concurrency(m.Model)), QuantiseWaiting(m.Waiting)
+		if m.Running > 0 || m.Waiting > 0 {
+			out.Models = append(out.Models, m)
+		}
+	}
+	return out
+}
