--- a/node/fake_test.go
+++ b/node/fake_test.go
@@ -31,12 +31,11 @@
 	log  *fakeLog
 	node domain.NodeID
 
-	mu      sync.Mutex
-	state   fold.State
-	folded  int
-	next    domain.Sequence
-	frozen  bool
-	started bool
+	mu     sync.Mutex
+	state  fold.State
+	folded int
+	next   domain.Sequence
+	frozen bool
 }
 
 // follow folds what is new; the caller holds mu. It returns the outcomes of the
@@ -314,6 +313,7 @@
 		go n.deps.Directory.Run(ctx, s)
 		go n.handler.Ownership.Run(ctx)
 		go n.home.Run(ctx)
+		go n.deps.News.Run(ctx)
 	}
 	return s
 }
@@ -327,11 +327,12 @@
 		KeepAlive: o.keepAlive, Logger: zerolog.Nop(),
 		Leaving: func() bool { return false }, Settled: func() bool { return true }, LogDown: func() bool { return false },
 	}
+	d.News = NewNews(d)
 	pacer := NewPacer(nil)
 	ownership := NewOwnership(d, NewPaceClient(d, pacer))
 	home := NewHome(d, ownership)
 	n := &fakeNode{deps: d, agreement: a, home: home, placer: NewPlacer(d, home), claims: NewClaims(d)}
-	n.handler = &Handler{Reports: d.Reports, Home: home, Ownership: ownership, Pacer: pacer, Claims: n.claims}
+	n.handler = &Handler{News: d.News, Home: home, Ownership: ownership, Pacer: pacer, Claims: n.claims}
 	return n
 }
 
--- a/node/invariant_test.go
+++ b/node/invariant_test.go
@@ -308,7 +308,7 @@
 func TestFaultCommandsOfTwoNodes(t *testing.T) {
 	run(t, fakeOptions{nodes: 2, engines: 1, memory: 10}, func(ctx context.Context, s *fakeSystem) {
 		runs := 0
-		forward := func(context.Context) (caller.Outcome, error) {
+		forward := func(context.Context) (caller.Outcome, error) { //nolint:unparam // the signature is that of Claims.Run
 			runs++
 			time.Sleep(300 * time.Millisecond)
 			return caller.Outcome{Status: 201, Body: []byte("booked")}, nil
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -302,6 +303,13 @@
 	o.retiring--
 }
 
+// Owned returns the servers that this node owns now.
+func (o *Ownership) Owned() []domain.ServerID {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Collect(maps.Keys(o.keepers))
+}
+
 // Quiet tells whether this node owns nothing and has told of every lease it lost.
 func (o *Ownership) Quiet() bool {
 	o.mu.Lock()
--- a/node/reports.go
+++ b/node/reports.go
@@ -82,11 +82,7 @@
 func (r *Reports) Answers(s domain.ServerID, now time.Time) (peer.ServerReport, bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	e := r.servers[s]
-	if e == nil || !e.report.Alive || now.Sub(e.at) > reportLifetime {
-		return peer.ServerReport{}, false
-	}
-	return e.report, true
+	return r.table.Answers(s, now)
 }
 
 // Server returns the last report of a server that is alive and believed at now.
--- a/reports/table.go
+++ b/reports/table.go
@@ -201,14 +201,28 @@
 	return e.merged(now), true
 }
 
+// Answers returns the last report of a server that is alive and believed at now,
+// also where it takes no new work.
+func (t *Table) Answers(s domain.ServerID, now time.Time) (Server, bool) {
+	e := t.servers[s]
+	if e == nil || !e.report.Alive || !e.believed(now) {
+		return Server{}, false
+	}
+	return e.merged(now), true
+}
+
 // Replica returns the index of a model among the replicas, or -1.
 func (s Server) Replica(m domain.ModelName) int {
 	return slices.IndexFunc(s.Models, func(r Replica) bool { return r.Model == m })
 }
 
 func (e *entry) usable(now time.Time) bool {
-	believed := e.ownerless.IsZero() || now.Sub(e.ownerless) <= OwnerlessLifetime
-	return e.report.Alive && !e.report.Leaving && believed
+	return e.report.Alive && !e.report.Leaving && e.believed(now)
+}
+
+// believed tells whether the server has an owner, or had one a short while ago.
+func (e *entry) believed(now time.Time) bool {
+	return e.ownerless.IsZero() || now.Sub(e.ownerless) <= OwnerlessLifetime
 }
 
 func (e *entry) newest() time.Time {
