--- a/peer/accept.go
+++ b/peer/accept.go
@@ -43,7 +43,7 @@
 	}
 	u, err := m.welcome(r.Context(), conn)
 	if err != nil {
-		m.options.Logger.Debug().Err(err).Msg("link refused")
+		m.options.Logger.Debug().Str("Event", "LinkRefused").Err(err).Msg("link refused")
 		_ = conn.CloseNow()
 		return
 	}
@@ -97,10 +97,9 @@
 	m.table.Heard(time.Now(), u)
 	r := m.remote(l.node)
 	r.links = append(r.links, l)
-	for _, f := range r.waiting {
+	for _, f := range r.waiting.take() {
 		l.out.pushBulk(f)
 	}
-	r.waiting = nil
 	if m.ctx.Err() != nil {
 		go l.close()
 		return
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -57,6 +57,10 @@
 	syncVersion uint64
 	syncs       int
 	lastStep    time.Time
+	// spreadAt is when news last went on.
+	spreadAt time.Time
+	// busyUntil is when this node trusts its own timeouts again.
+	busyUntil time.Time
 }
 
 // remote is what the mesh keeps for another node.
@@ -66,7 +70,7 @@
 	dialling bool
 	settled  chan struct{}
 	// waiting are one-way frames until the first link is up.
-	waiting [][]byte
+	waiting frameQueue
 }
 
 // best returns the newest link, or nil.
@@ -187,7 +191,7 @@
 				return
 			}
 			if _, err := m.handle(ctx, from, message); err != nil {
-				m.options.Logger.Debug().Err(err).Str("Peer", string(from)).Msg("one-way message failed")
+				m.options.Logger.Debug().Str("Event", "OneWayMessageFailed").Err(err).Str("Peer", string(from)).Msg("one-way message failed")
 			}
 		}
 	}
--- a/peer/watch.go
+++ b/peer/watch.go
@@ -12,6 +12,8 @@
 const (
 	tickInterval = 100 * time.Millisecond
 	seedInterval = 2 * time.Second
+	// spreadInterval bounds how often urgent news goes on between two ticks.
+	spreadInterval = 20 * time.Millisecond
 	// syncInterval is how often two neighbours compare their views while nothing
 	// changes, changedSyncInterval while something does.
 	syncInterval        = 10 * time.Second
@@ -25,6 +27,10 @@
 	// silentTime is how long a link may owe a pong without a byte before it is
 	// dropped.
 	silentTime = 2 * time.Second
+	// lateStep is the time between two ticks that shows that this process lacks
+	// processor time; its failed connections prove nothing for busyTime then.
+	lateStep = 3 * tickInterval
+	busyTime = time.Second
 	// idleTime is how long a link that is not to a neighbour stays without use.
 	idleTime = time.Minute
 )
@@ -51,7 +57,7 @@
 	defer cancel()
 	members, err := m.options.Seeds(ctx)
 	if err != nil {
-		m.options.Logger.Warn().Err(err).Msg("list of VMs cannot be read")
+		m.options.Logger.Warn().Str("Event", "VMListNotRead").Err(err).Msg("list of VMs cannot be read")
 		return
 	}
 	m.mu.Lock()
@@ -79,6 +85,9 @@
 	defer m.mu.Unlock()
 	m.table.Tick(now)
 	paused := !m.lastStep.IsZero() && now.Sub(m.lastStep) > membership.PauseTime
+	if !m.lastStep.IsZero() && now.Sub(m.lastStep) > lateStep {
+		m.busyUntil = now.Add(busyTime)
+	}
 	m.lastStep = now
 	neighbours := m.table.Neighbours()
 	for _, n := range neighbours {
@@ -91,6 +100,10 @@
 	}
 	links := 0
 	for n, r := range m.remotes {
+		if _, known := m.table.Lookup(n); !known && len(r.links) == 0 && !r.dialling {
+			delete(m.remotes, n)
+			continue
+		}
 		links += len(r.links)
 		if paused {
 			r.excuse(now)
@@ -118,9 +131,10 @@
 	if u, ok := m.table.Lookup(n); ok && u.Member.Region != m.options.Self.Region {
 		interval = farPing
 	}
+	patience := time.Duration(1 + m.table.Slowness())
 	best := r.best()
 	for _, l := range slices.Clone(r.links) {
-		switch l.check(now, interval, neighbour && l.dialled, l == best) {
+		switch l.check(now, interval, patience, neighbour && l.dialled, l == best) {
 		case linkFine:
 		case linkDoubtful:
 			m.startDial(n, r)
@@ -146,12 +160,12 @@
 )
 
 // check pings if it is time to and judges the link.
-func (l *link) check(now time.Time, interval time.Duration, keep, best bool) linkState {
+func (l *link) check(now time.Time, interval, patience time.Duration, keep, best bool) linkState {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	watched := keep || len(l.calls) > 0
 	if !l.pingAt.IsZero() {
-		return l.overdue(now)
+		return l.overdue(now, patience)
 	}
 	if watched && now.Sub(l.lastPingAt) >= interval {
 		l.pingAt, l.lastPingAt = now, now
@@ -172,15 +186,15 @@
 	return linkFine
 }
 
-func (l *link) overdue(now time.Time) linkState {
+func (l *link) overdue(now time.Time, patience time.Duration) linkState {
 	silence := now.Sub(l.pingAt)
 	if l.readAt.After(l.pingAt) {
 		silence = now.Sub(l.readAt)
 	}
-	if silence >= silentTime {
+	if silence >= silentTime*patience {
 		return linkSilent
 	}
-	if silence >= pongTime && !l.probed {
+	if silence >= pongTime*patience && !l.probed {
 		l.probed = true
 		return linkDoubtful
 	}
@@ -207,6 +221,7 @@
 		return
 	}
 	now := time.Now()
+	m.spreadAt = now
 	for _, l := range m.allLinks() {
 		l.mu.Lock()
 		near := l.neighbour(now) || now.Sub(l.usedAt) < nearPing
@@ -239,7 +254,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.table.Merge(time.Now(), updates)
-	if m.table.Urgent() {
+	if m.table.Urgent() && time.Since(m.spreadAt) >= spreadInterval {
 		m.spread()
 	}
 }
