--- a/caller/session.go
+++ b/caller/session.go
@@ -304,6 +304,9 @@
 // give builds the final failure with the verdict that is true of all attempts.
 func (s *session) give(r verdict.Reason, message string, cause error) error {
 	e := &verdict.Error{Verdict: verdict.NotRun, Reason: r, Message: message, Cause: cause}
+	if !s.mayHaveRun {
+		e.RetryAfter = retryElsewhere
+	}
 	if s.mayHaveRun {
 		e.Verdict = verdict.MayHaveRun
 	}
