Refuse changes that would lock every operator out

Cause: requiring keys before an operator's key exists, or removing the last one, could not be undone by anyone. Change: a change is refused where keys would be required and no valid key with the role Operator be left, over all its records; the audit line tells dry runs from changes; the upgrade test prints its slowest answer.

--- a/acceptance/upgrade_test.go
+++ b/acceptance/upgrade_test.go
@@ -131,9 +131,9 @@
 	for _, p := range s.nodes {
 		wait.Go(func() { s.watchProbe(p, stop, &accepted) })
 	}
-	var whole atomic.Int64
+	var answers served
 	for i := range 24 {
-		wait.Go(func() { s.call(b, stop, i, models, &whole) })
+		wait.Go(func() { s.call(b, stop, i, models, &answers) })
 	}
 	for i, p := range s.nodes {
 		if err := p.command.Process.Signal(syscall.SIGTERM); err != nil {
@@ -153,9 +153,9 @@
 	close(stop)
 	wait.Wait()
 	b.end()
-	t.Logf("%d whole answers, %d changes accepted", whole.Load(), accepted.Load())
-	if whole.Load() == 0 || accepted.Load() < 2 {
-		t.Errorf("got %d whole answers and %d changes, want some of both", whole.Load(), accepted.Load())
+	t.Logf("%d whole answers, the slowest %s in %v; %d changes accepted", answers.whole, answers.slowestID, answers.slowest, accepted.Load())
+	if answers.whole == 0 || accepted.Load() < 2 {
+		t.Errorf("got %d whole answers and %d changes, want some of both", answers.whole, accepted.Load())
 	}
 	s.checkLimits()
 }
@@ -214,7 +214,7 @@
 }
 
 // call asks through the balancer until stop is closed; every answer must be whole.
-func (s *system) call(b *balancer, stop chan struct{}, i int, models []string, whole *atomic.Int64) {
+func (s *system) call(b *balancer, stop chan struct{}, i int, models []string, answers *served) {
 	for n := 0; ; n++ {
 		select {
 		case <-stop:
@@ -231,6 +231,23 @@
 			s.t.Errorf("request %s at %s: got %+v, want its own whole answer", id, p.caller, a)
 			continue
 		}
-		whole.Add(1)
+		answers.add(id, a.took)
+	}
+}
+
+// served counts whole answers.
+type served struct {
+	mu        sync.Mutex
+	whole     int
+	slowest   time.Duration
+	slowestID string
+}
+
+func (s *served) add(id string, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.whole++
+	if took > s.slowest {
+		s.slowest, s.slowestID = took, id
 	}
 }
--- a/operator/api.go
+++ b/operator/api.go
@@ -199,6 +199,7 @@
 			Str("Operation", r.name).
 			Str("Path", logged(req.URL.Path)).
 			Str("Request", logged(req.Header.Get("X-Request-Id"))).
+			Bool("DryRun", req.URL.Query().Get("dryRun") != "").
 			Int("Status", code).
 			Int64("TookMilliseconds", time.Since(t.started).Milliseconds()).
 			Msg("operator request")
--- a/operator/api_test.go
+++ b/operator/api_test.go
@@ -193,3 +193,19 @@
 		t.Errorf("got %+v, want no problem", got)
 	}
 }
+
+func TestNoChangeLocksEveryOperatorOut(t *testing.T) {
+	f := newFixture(t, model(1))
+	require := string(f.encode(configuration.Record{Deployment: &configuration.Deployment{RequireKeys: true}}))
+	code, body := f.do("PUT", "/admin/v1/deployment", require)
+	f.want(code, body, 400, "lock every operator out")
+
+	f = newFixture(t, secured()...)
+	auth := []string{"Authorization", "Bearer Operator"}
+	code, body = f.do("DELETE", "/admin/v1/teams/coral/keys/ReadOnly", "", auth...)
+	f.want(code, body, 200, "Applied")
+	code, body = f.do("DELETE", "/admin/v1/teams/coral/keys/Operator", "", auth...)
+	f.want(code, body, 400, "lock every operator out")
+	code, body = f.do("DELETE", "/admin/v1/teams/coral", "", auth...)
+	f.want(code, body, 400, "lock every operator out")
+}
--- a/operator/change.go
+++ b/operator/change.go
@@ -64,6 +64,9 @@
 	if err := a.checkVersions(records); err != nil {
 		return Change{}, err
 	}
+	if err := a.checkLockout(records); err != nil {
+		return Change{}, err
+	}
 	if o.dryRun {
 		return a.dryRun(ctx, records)
 	}
