--- a/node/node.go
+++ b/node/node.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -43,6 +44,9 @@
 	// dead nodes for a while.
 	settleLimit = 6 * time.Second
 	linkLimit   = 1500 * time.Millisecond
+	// appendsPerSecond is what all nodes together may append, below what the
+	// platform's log takes.
+	appendsPerSecond = 300
 	// stopPoll is how often a stopping node looks whether its work has ended.
 	stopPoll = 20 * time.Millisecond
 )
@@ -91,6 +95,7 @@
 	journal   *decisions.Journal
 	callers   *caller.API
 	heard     heard
+	news      *News
 	started   time.Time
 	isSettled atomic.Bool
 	// listedAt is when the list first showed this node, in nanoseconds.
@@ -124,7 +129,7 @@
 	})
 	replica, err := platformlog.New(platformlog.Options{
 		Client: n.log, Records: operatorRecords(), Node: o.Node, Logger: o.Logger, Scope: o.Scope,
-		ImportDelay: n.importDelay, PeerSnapshot: n.peerSnapshot, Relay: n.relay.Reads, OnRecords: n.relay.OnRecords,
+		ImportDelay: n.importDelay, AppendsPerSecond: n.appendShare, PeerSnapshot: n.peerSnapshot, Relay: n.relay.Reads, OnRecords: n.relay.OnRecords,
 	})
 	if err != nil {
 		return nil, err
@@ -136,6 +141,8 @@
 		Engines: &engine.Client{Region: o.Region}, KeepAlive: o.KeepAlive, Logger: o.Logger, Scope: o.Scope,
 		Leaving: n.stopping.Load, Settled: n.settled, LogDown: n.logDown, Journal: n.journal,
 	}
+	n.news = NewNews(n.deps)
+	n.deps.News = n.news
 	n.join(handler)
 	return n, nil
 }
@@ -170,8 +177,8 @@
 		Spread: func(s []peer.Suspect) { n.mesh.Broadcast(peer.Suspects{Suspects: s}) },
 	})
 	*h = Handler{
-		Reports: n.deps.Reports, Home: n.home, Ownership: n.ownership, Pacer: pacer, Claims: n.claims,
-		Snapshot: n.replica.EncodedSnapshot, Applied: n.applied, Heard: n.heard.add,
+		News: n.news, Home: n.home, Ownership: n.ownership, Pacer: pacer, Claims: n.claims,
+		Snapshot: n.replica.EncodedSnapshot, Applied: n.answerApplied,
 		Learn:   n.callers.Learn,
 		Usage:   n.callers.LearnUsage,
 		Status:  n.part,
@@ -272,7 +279,7 @@
 		func(ctx context.Context) error { n.announce(ctx); return nil },
 		func(ctx context.Context) error { n.ownership.Run(ctx); return nil },
 		func(ctx context.Context) error { n.home.Run(ctx); return nil },
-		func(ctx context.Context) error { n.tellApplied(ctx); return nil },
+		func(ctx context.Context) error { n.news.Run(ctx); return nil },
 		func(ctx context.Context) error { n.tellUsage(ctx); return nil },
 	}
 	for _, l := range append(loops, n.options.Background...) {
@@ -344,16 +351,41 @@
 	return 0
 }
 
-// peerSnapshot asks the other nodes for a state that is new enough.
+// peerSnapshot asks every other node for its state and returns the newest. Each is
+// asked only for one newer than those seen, so that few send it whole.
 func (n *Node) peerSnapshot(ctx context.Context, atLeast domain.Offset) (domain.Offset, []byte, error) {
+	var mu sync.Mutex
+	best := peer.Snapshot{}
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(askAtOnce)
 	for _, m := range n.mesh.Members() {
 		if m.Node == n.options.Node {
 			continue
 		}
-		a, err := n.mesh.Call(ctx, m.Node, peer.SnapshotRequest{AtLeast: atLeast})
-		if s, ok := a.(peer.Snapshot); err == nil && ok {
-			return s.Through, s.Data, nil
-		}
+		group.Go(func() error {
+			mu.Lock()
+			want := max(atLeast, best.Through+1)
+			mu.Unlock()
+			ask, cancel := context.WithTimeout(ctx, askTimeout)
+			defer cancel()
+			a, err := n.mesh.Call(ask, m.Node, peer.SnapshotRequest{AtLeast: want})
+			s, ok := a.(peer.Snapshot)
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil && ok && s.Through > best.Through {
+				best = s
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	if best.Data == nil {
+		return 0, nil, errors.New("node: no peer has a state that is new enough")
 	}
-	return 0, nil, errors.New("node: no peer has a state that is new enough")
+	return best.Through, best.Data, nil
+}
+
+// appendShare is this node's share of the appends that the system allows itself.
+func (n *Node) appendShare() float64 {
+	return appendsPerSecond / float64(max(1, len(n.deps.members())))
 }
