List suspected contents and let operators release them

Cause: an operator could not learn the hash of a request that crashed engines, and a release did not end the 24 hours for which nodes refuse it by themselves. Conclusion: a node that is cut off during the release keeps its suspicion until it ends by itself.

--- a/caller/status.go
+++ b/caller/status.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/peer"
 	"github.com/parsleylug/parsleylug/retries"
+	"github.com/parsleylug/parsleylug/suspects"
 )
 
 // Queue is the admission queue of one model at this node.
@@ -41,3 +43,18 @@
 	defer a.health.mu.Unlock()
 	return a.health.breakers.Ejections(time.Now())
 }
+
+// Suspects lists the contents that this node runs apart or refuses because backend
+// servers crashed while they ran them.
+func (a *API) Suspects() []suspects.Entry {
+	a.isolation.mu.Lock()
+	defer a.isolation.mu.Unlock()
+	return a.isolation.list.Entries(time.Now())
+}
+
+// Release clears a content of suspicion here and at the other nodes.
+func (a *API) Release(content [32]byte) {
+	cleared := []peer.Suspect{{Content: content}}
+	a.Learn(cleared)
+	a.Spread(cleared)
+}
--- a/commands/status.go
+++ b/commands/status.go
@@ -71,7 +71,7 @@
 
 func statusTables(s operator.Status) []table {
 	return []table{
-		nodeTable(s), serverTable(s), permitTable(s), doubtTable(s), queueTable(s), wakeTable(s), breakerTable(s),
+		nodeTable(s), serverTable(s), permitTable(s), doubtTable(s), queueTable(s), wakeTable(s), breakerTable(s), suspectTable(s),
 	}
 }
 
@@ -170,3 +170,11 @@
 	}
 	return t
 }
+
+func suspectTable(s operator.Status) table {
+	t := table{header: []string{"SUSPECTED CONTENT", "REFUSED", "CRASHES", "FOR"}}
+	for _, c := range s.Suspects {
+		t.rows = append(t.rows, []string{c.Content, strconv.FormatBool(c.Refused), strconv.Itoa(c.Crashes), rounded(c.For)})
+	}
+	return t
+}
--- a/commands/testscript_test.go
+++ b/commands/testscript_test.go
@@ -30,6 +30,8 @@
 		// metric NAME TAG VALUE WANT succeeds where the node's counters of a name with
 		// a tag add up to a number.
 		"metric": metric,
+		// suspect prints the first content that status lists as suspected.
+		"suspect": suspect,
 		// request METHOD URL [BODY] [NAME:VALUE...] prints the status and the answer.
 		"request": request,
 	})
@@ -43,6 +45,10 @@
 	testscript.Run(t, testscript.Params{
 		Files: append(scripts, pagesScript(t)),
 		Cmds:  map[string]func(*testscript.TestScript, bool, []string){"serve": startNode, "standins": startStandins, "env-file": envFile},
+		// The condition acceptance holds for the slow scripts, which run on demand.
+		Condition: func(name string) (bool, error) {
+			return name == "acceptance" && os.Getenv("PARSLEYLUG_ACCEPTANCE") == "1", nil
+		},
 	})
 }
 
@@ -76,6 +82,12 @@
 	os.Exit(1)
 }
 
+func suspect() {
+	var out bytes.Buffer
+	Execute([]string{"status"}, os.Stdin, &out, os.Stderr)
+	fmt.Println(regexp.MustCompile(`(?m)^[0-9a-f]{64}`).FindString(out.String()))
+}
+
 // metric waits, since a node hands its metrics on every second.
 func metric() {
 	got := ""
@@ -150,12 +162,17 @@
 }
 
 // startStandins is the script command "standins FLAGS...": it starts the stand-ins
-// and sets PARSLEYLUG_LOG_URL, PARSLEYLUG_WEIGHT_STORE_URL and PARSLEYLUG_VM_LIST_URL.
+// and sets PARSLEYLUG_LOG_URL, PARSLEYLUG_WEIGHT_STORE_URL, PARSLEYLUG_VM_LIST_URL,
+// CONTROL_URL and, for each engine, ENGINE_1_URL and so on.
 func startStandins(ts *testscript.TestScript, _ bool, args []string) {
 	line := start(ts, append([]string{"standin"}, args...), func(line map[string]any) bool { return line["LogURL"] != nil })
 	ts.Setenv("PARSLEYLUG_LOG_URL", line["LogURL"].(string))
 	ts.Setenv("PARSLEYLUG_WEIGHT_STORE_URL", line["WeightStoreURL"].(string))
 	ts.Setenv("PARSLEYLUG_VM_LIST_URL", line["VMListURL"].(string))
+	ts.Setenv("CONTROL_URL", line["ControlURL"].(string))
+	for i, url := range line["EngineURLs"].([]any) {
+		ts.Setenv(fmt.Sprintf("ENGINE_%d_URL", i+1), url.(string))
+	}
 }
 
 // start runs a process of this program until the end of the script and returns
--- a/node/system.go
+++ b/node/system.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,6 +16,7 @@
 	"github.com/parsleylug/parsleylug/platform"
 	"github.com/parsleylug/parsleylug/platformlog"
 	"github.com/parsleylug/parsleylug/reports"
+	"github.com/parsleylug/parsleylug/suspects"
 	"github.com/parsleylug/parsleylug/verdict"
 )
 
@@ -75,6 +77,9 @@
 	return out, nil
 }
 
+// Release implements operator.System.
+func (s *System) Release(content [32]byte) { s.node.callers.Release(content) }
+
 // Burn implements operator.System.
 func (s *System) Burn(ctx context.Context) (objective.Snapshot, error) {
 	sum := s.node.recorder.Snapshot(time.Now())
@@ -125,6 +130,11 @@
 	for _, q := range n.callers.Queues() {
 		out.Queues = append(out.Queues, operator.QueueStatus{Model: q.Model, Waiting: q.Waiting, Running: q.Running, Hold: q.Hold})
 	}
+	for _, c := range n.callers.Suspects() {
+		out.Suspects = append(out.Suspects, operator.SuspectStatus{
+			Content: hex.EncodeToString(c.Content[:]), Refused: c.Standing == suspects.Refused, Crashes: c.Crashes, For: c.Left,
+		})
+	}
 	for _, e := range n.callers.Ejections() {
 		out.Breakers = append(out.Breakers, operator.BreakerStatus{Server: e.Server, Failures: e.Failures, For: e.For})
 	}
--- a/operator/api_test.go
+++ b/operator/api_test.go
@@ -209,3 +209,20 @@
 	code, body = f.do("DELETE", "/admin/v1/teams/coral", "", auth...)
 	f.want(code, body, 400, "lock every operator out")
 }
+
+func TestReleaseEndsTheNodesOwnSuspicion(t *testing.T) {
+	f := newFixture(t)
+	content := strings.Repeat("ab", 32)
+	code, body := f.do("PUT", "/admin/v1/quarantine/"+content, "")
+	f.want(code, body, 200, "Applied")
+	if got, want := len(f.system.released), 0; got != want {
+		t.Errorf("got %d contents released by a block, want %d", got, want)
+	}
+	code, body = f.do("DELETE", "/admin/v1/quarantine/"+content+"?dryRun=true", "")
+	f.want(code, body, 200, "Checked")
+	code, body = f.do("DELETE", "/admin/v1/quarantine/"+content, "")
+	f.want(code, body, 200, "Applied")
+	if got, want := len(f.system.released), 1; got != want {
+		t.Errorf("got %d contents released, want %d", got, want)
+	}
+}
--- a/operator/change.go
+++ b/operator/change.go
@@ -188,12 +188,22 @@
 	if o.wait {
 		change.Nodes = a.waitForNodes(ctx, last)
 	}
+	a.release(records, change.Results)
 	if e := lostError(change.Results); e != nil {
 		return Change{}, e
 	}
 	return change, nil
 }
 
+// release ends the nodes' own suspicion of contents that were released.
+func (a *API) release(records []configuration.Record, results []ChangeResult) {
+	for i, r := range records {
+		if r.Quarantine != nil && r.Quarantine.Release && results[i].Result == Applied.String() {
+			a.deps.System.Release(r.Quarantine.Content)
+		}
+	}
+}
+
 func (a *API) folded(o domain.Offset) bool {
 	var at domain.Offset
 	a.deps.System.View(func(s *fold.State) { at = s.ConfigurationOffset() })
--- a/operator/fake_test.go
+++ b/operator/fake_test.go
@@ -32,6 +32,7 @@
 	// refuseAppends fails appends with NotRun; loseAnswers after they took effect.
 	refuseAppends, loseAnswers bool
 	status                     Status
+	released                   [][32]byte
 	entry                      decisions.Entry
 	recorder                   objective.Recorder
 }
@@ -94,6 +95,8 @@
 
 func (f *fakeSystem) Status(context.Context) (Status, error) { return f.status, nil }
 
+func (f *fakeSystem) Release(content [32]byte) { f.released = append(f.released, content) }
+
 func (f *fakeSystem) Burn(context.Context) (objective.Snapshot, error) {
 	return f.recorder.Snapshot(testTime()), nil
 }
--- a/operator/mapstatus.go
+++ b/operator/mapstatus.go
@@ -50,6 +50,7 @@
 		Queues:   mapAll(s.Queues, wireOfQueueStatus),
 		Wakes:    mapAll(s.Wakes, wireOfWakeStatus),
 		Breakers: mapAll(s.Breakers, wireOfBreakerStatus),
+		Suspects: mapAll(s.Suspects, wireOfSuspectStatus),
 		Problems: mapAll(s.Problems, wireOfProblem),
 	}
 }
@@ -142,6 +143,15 @@
 	}
 }
 
+func wireOfSuspectStatus(s SuspectStatus) WireSuspectStatus {
+	return WireSuspectStatus{
+		Content:         s.Content,
+		Refused:         s.Refused,
+		Crashes:         s.Crashes,
+		ForMilliseconds: s.For.Milliseconds(),
+	}
+}
+
 func wireOfProblem(s Problem) WireProblem {
 	return WireProblem{
 		Severity: s.Severity.String(),
@@ -166,6 +176,7 @@
 		Queues:   mapAll(w.Queues, WireQueueStatus.value),
 		Wakes:    mapAll(w.Wakes, WireWakeStatus.value),
 		Breakers: mapAll(w.Breakers, WireBreakerStatus.value),
+		Suspects: mapAll(w.Suspects, WireSuspectStatus.value),
 		Problems: mapAll(w.Problems, WireProblem.value),
 	}
 }
@@ -258,6 +269,15 @@
 	}
 }
 
+func (w WireSuspectStatus) value() SuspectStatus {
+	return SuspectStatus{
+		Content: w.Content,
+		Refused: w.Refused,
+		Crashes: w.Crashes,
+		For:     time.Duration(w.ForMilliseconds) * time.Millisecond,
+	}
+}
+
 func (w WireProblem) value() Problem {
 	return Problem{
 		Severity: severityOf(w.Severity),
--- a/operator/status.go
+++ b/operator/status.go
@@ -24,6 +24,7 @@
 	Queues   []QueueStatus
 	Wakes    []WakeStatus
 	Breakers []BreakerStatus
+	Suspects []SuspectStatus
 	// Problems is filled by Diagnose.
 	Problems []Problem
 }
@@ -125,6 +126,17 @@
 	For time.Duration
 }
 
+// SuspectStatus is one request content that the node runs apart or refuses,
+// because backend servers crashed while they ran it.
+type SuspectStatus struct {
+	// Content is the hash of the content in hexadecimal.
+	Content string
+	Refused bool
+	Crashes int
+	// For is how long a refused content is still refused.
+	For time.Duration
+}
+
 // Severity is how urgent a problem is.
 type Severity int
 
@@ -228,6 +240,11 @@
 			d.addf(Warning, "slow-weight-store.md", "the cold start of %s at %s has run for %s and %d callers wait", w.Model, w.Server, w.Since.Round(time.Second), w.Callers)
 		}
 	}
+	for _, c := range s.Suspects {
+		if c.Refused {
+			d.addf(Warning, "poison-request.md", "requests with content %s are refused for %s: %d backend servers crashed on them", c.Content, c.For.Round(time.Second), c.Crashes)
+		}
+	}
 	for _, b := range s.Breakers {
 		d.addf(Note, "poison-request.md", "node %s leaves backend server %s out for %s after %d failures", s.Node, b.Server, b.For.Round(time.Second), b.Failures)
 	}
--- a/operator/system.go
+++ b/operator/system.go
@@ -57,6 +57,9 @@
 	Applied(ctx context.Context) (map[domain.NodeID]domain.Offset, error)
 	// Status returns the status of the whole system as this node sees it.
 	Status(ctx context.Context) (Status, error)
+	// Release clears a request content of the suspicion that nodes have of it by
+	// themselves, at every live node.
+	Release(content [32]byte)
 	// Burn returns the service-level counts of all live nodes, added up.
 	Burn(ctx context.Context) (objective.Snapshot, error)
 	// Why returns what all live nodes decided for a request; the entry has no
--- a/operator/wirestatus.go
+++ b/operator/wirestatus.go
@@ -15,6 +15,7 @@
 	Queues   []WireQueueStatus
 	Wakes    []WireWakeStatus
 	Breakers []WireBreakerStatus
+	Suspects []WireSuspectStatus
 	Problems []WireProblem
 }
 
@@ -98,6 +99,14 @@
 	ForMilliseconds int64
 }
 
+// WireSuspectStatus is the JSON form of SuspectStatus.
+type WireSuspectStatus struct {
+	Content         string
+	Refused         bool
+	Crashes         int
+	ForMilliseconds int64
+}
+
 // WireProblem is the JSON form of Problem.
 type WireProblem struct {
 	Severity string
