--- a/arrivals/imnar.go
+++ b/arrivals/imnar.go
@@ -8,7 +8,7 @@
 func (g *generator) imnar() {
 	g.run("EEST", 3)
 	g.trace.ColdStartWeight, g.trace.IdleWeight = 1, 12
-	g.machines("imnar", 105, 9, "transilvania", "muntenia", "moldova")
+	g.machines("imnar", 105, 9, "transilvania", "muntenia", "moldova") //nolint:misspell // The region's own name.
 	feasts := g.feasts()
 	for m := range g.trace.Models {
 		if g.chance(.4) {
--- a/commands/examples.go
+++ b/commands/examples.go
@@ -106,6 +106,15 @@
 `
 }
 
+// Help implements kong.HelpProvider.
+func (c *ReportWakingCommand) Help() string {
+	return `Examples:
+
+  parsleylug report waking --generate imnar:1 --generate coral:1 --png frontier.png
+  parsleylug report waking --generate coral:7 --write coral.jsonl
+`
+}
+
 // Help implements kong.HelpProvider.
 func (c *SettingsCommand) Help() string {
 	return `Examples:
--- a/commands/report_burn.go
+++ b/commands/report_burn.go
@@ -1,8 +1,6 @@
 package commands
 
 import (
-	"os"
-
 	"github.com/pkg/errors"
 
 	"github.com/parsleylug/parsleylug/objective"
@@ -10,7 +8,8 @@
 
 // ReportCommand prints reports.
 type ReportCommand struct {
-	Burn ReportBurnCommand `cmd:"" help:"Report how fast the service-level budgets burn."`
+	Burn   ReportBurnCommand   `cmd:"" help:"Report how fast the service-level budgets burn."`
+	Waking ReportWakingCommand `cmd:"" help:"Replay traces of arrivals and compare ways to wake and idle models."`
 }
 
 // ReportBurnCommand prints the service-level burn report.
@@ -44,21 +43,9 @@
 func (c *ReportBurnCommand) write(d *Deps, answer objective.WireReport, report objective.Report) error {
 	switch {
 	case c.HTML != "":
-		return writeFile(c.HTML, report)
+		return writeTo(c.HTML, report.WriteHTML)
 	case c.Output == "json":
 		return writeJSON(d.Out, answer)
 	}
 	return report.WriteText(d.Out)
 }
-
-func writeFile(name string, report objective.Report) error {
-	f, err := os.Create(name)
-	if err != nil {
-		return &UsageError{Err: errors.WithStack(err)}
-	}
-	err = report.WriteHTML(f)
-	if closed := f.Close(); err == nil {
-		err = errors.WithStack(closed)
-	}
-	return err
-}
--- a/wakereplay/policy.go
+++ b/wakereplay/policy.go
@@ -12,15 +12,30 @@
 // distance is what a server in another region adds to an answer's first token.
 const distance = 24 * time.Millisecond
 
+// horizon is how far ahead the need of a checkpoint counts.
+const horizon = 24 * time.Hour
+
 // Policy decides by package waking.
 func Policy() Strategy {
 	return Strategy{"policy", func(r *replay) strategy { return newLearned(r) }}
 }
 
+// Placed keeps each idle replica for one time and loads none ahead, but places and
+// evicts by package waking: it shows what placement alone is worth.
+func Placed(d time.Duration) Strategy {
+	return Strategy{"fixed " + d.String() + ", placed", func(r *replay) strategy {
+		l := newLearned(r)
+		l.stay = d
+		return l
+	}}
+}
+
 type learned struct {
 	*replay
 	policy waking.Policy
 	index  map[domain.ModelName]int
+	// stay replaces the policy's keep-alive and loads ahead unless it is zero.
+	stay time.Duration
 }
 
 func newLearned(r *replay) *learned {
@@ -37,18 +52,26 @@
 func (l *learned) arrived(m int) { l.policy.Arrived(l.name(m), l.time(), 1) }
 
 func (l *learned) keep(m int) time.Duration {
+	if l.stay > 0 {
+		return l.stay
+	}
 	return max(time.Second, l.policy.KeepFor(l.name(m), l.coldStart(m), l.policy.Weights, l.time()))
 }
 
-// coldStart is how long waking the model takes, as far as was seen.
+// coldStart is how long waking the model takes, as far as was seen. What is taken down
+// leaves its checkpoint on the server's disk at least, so that a slow first load doesn't count.
 func (l *learned) coldStart(m int) time.Duration {
+	disk := l.transfer(m, onDisk)
 	if d := l.models[m].took; d > 0 {
-		return d
+		return min(d, disk)
 	}
-	return l.transfer(m, onDisk)
+	return disk
 }
 
 func (l *learned) due() []int {
+	if l.stay > 0 {
+		return nil
+	}
 	var out []int
 	for _, m := range l.policy.Due(l.time(), func(m domain.ModelName) time.Duration { return l.coldStart(l.index[m]) }) {
 		out = append(out, l.index[m])
@@ -69,11 +92,11 @@
 	for i := range l.servers {
 		all = append(all, waking.Server{
 			ID: l.trace.Servers[i].ID, Region: l.trace.Servers[i].Region, Free: l.servers[i].free,
-			Idle: idle[i], ColdStart: l.estimate(m, i),
+			Idle: idle[i], ColdStart: l.estimate(m, i), Displaces: l.displaces(m, i),
 		})
 	}
 	order := waking.Place(all, waking.Need{
-		Model: l.name(m), Size: l.size(m), Callers: l.policy.Callers(l.name(m)),
+		Model: l.name(m), Size: l.size(m), Callers: l.policy.Callers(l.name(m), l.coldStart(m)),
 		Region: l.trace.Models[m].Region, Distance: distance,
 	})
 	if len(order) == 0 {
@@ -89,11 +112,36 @@
 func (l *learned) candidate(v int) waking.Candidate {
 	return waking.Candidate{
 		Model: l.name(v), Size: l.size(v), ColdStart: l.coldStart(v),
-		Chance: l.policy.Chance(l.name(v), l.time()), Callers: l.policy.Callers(l.name(v)),
+		Chance: l.policy.Chance(l.name(v), l.time()), Callers: l.policy.Callers(l.name(v), l.coldStart(v)),
 		IdleFor: l.now - l.models[v].since,
 	}
 }
 
+// displaces is the time that the checkpoint used longest ago on a full disk would take longer from
+// the weight store, if no other server has it and it is needed within a day.
+func (l *learned) displaces(m, s int) float64 {
+	x := &l.servers[s]
+	if x.tier(m) != remote || len(x.disk) < x.diskSlots {
+		return 0
+	}
+	oldest := x.disk[0]
+	if l.copiesOnDisk(oldest) > 1 {
+		return 0
+	}
+	lost := l.transfer(oldest, remote) - l.transfer(oldest, onDisk)
+	return lost.Seconds() * l.policy.ChanceWithin(l.name(oldest), l.time(), horizon) * l.policy.Callers(l.name(oldest), lost)
+}
+
+func (l *learned) copiesOnDisk(m int) int {
+	var n int
+	for i := range l.servers {
+		if slices.Contains(l.servers[i].disk, m) {
+			n++
+		}
+	}
+	return n
+}
+
 // estimate is how long a load of m on a server is expected to take from now.
 func (l *learned) estimate(m, s int) time.Duration {
 	t := l.servers[s].tier(m)
--- a/wakereplay/result.go
+++ b/wakereplay/result.go
@@ -63,10 +63,10 @@
 // WriteText writes a table of results.
 func WriteText(w io.Writer, results []Result) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "TRACE\tSTRATEGY\tP50 s\tP95 s\tP99 s\tP99.9 s\tIDLE h\tCOST\tCOLD\tREFUSED\tREQUESTS\tLOADS\tAHEAD\tSTORE\tSTORE s\t")
+	_, _ = fmt.Fprintln(t, "TRACE\tSTRATEGY\tP50 s\tP95 s\tP99 s\tP99.9 s\tIDLE h\tCOST\tCOLD\tREFUSED\tREQUESTS\tLOADS\tAHEAD\tSTORE\tSTORE s\t")
 	for i := range results {
 		r := &results[i]
-		fmt.Fprintf(t, "%s\t%s\t%.2f\t%.2f\t%.2f\t%.2f\t%.1f\t%.0f\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t\n",
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%.2f\t%.2f\t%.2f\t%.2f\t%.1f\t%.0f\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t\n",
 			r.Trace, r.Strategy, r.Quantile(.5).Seconds(), r.Quantile(.95).Seconds(), r.Quantile(.99).Seconds(), r.Quantile(.999).Seconds(),
 			r.Idle.Hours(), r.Cost(), r.Cold(), r.Refused, len(r.Waits), r.Loads, r.Ahead, r.StoreLoads, r.StoreBusy.Seconds())
 	}
--- a/wakereplay/strategy.go
+++ b/wakereplay/strategy.go
@@ -35,6 +35,7 @@
 func Strategies() []Strategy {
 	return []Strategy{
 		Policy(),
+		Placed(10 * time.Minute),
 		Fixed(5 * time.Minute), Fixed(10 * time.Minute), Fixed(30 * time.Minute),
 		NeverUnload(), Fixed(0),
 		Oracle(false), Oracle(true),
--- a/waking/history.go
+++ b/waking/history.go
@@ -96,9 +96,11 @@
 	h.running = 0
 }
 
-// callers is how many requests are expected to wait for one cold start.
-func (h *history) callers() float64 {
-	return math.Max(1, float64(h.burst))
+// callers is how many requests are expected to wait for one cold start, in units of its whole
+// length: the first waits for all of it, those of its burst that come meanwhile for half.
+func (h *history) callers(coldStart time.Duration) float64 {
+	during := math.Min(1, float64(coldStart)/float64(burstTime))
+	return 1 + math.Max(0, float64(h.burst)-1)*during/2
 }
 
 func (h *history) addGap(gap time.Duration) {
@@ -145,15 +147,43 @@
 // expects is the probability of an arrival in a slot. The slot of the
 // week is drawn towards the same time on other days while weeks are few.
 func (h *history) expects(slot int64, now int64) float64 {
-	days := h.daysSeen(now)
-	if days < 1 {
-		return 0
-	}
 	var all int
 	for d := weekly(slot) % slotsPerDay; d < slotsPerWeek; d += slotsPerDay {
 		all += int(h.week[d])
 	}
+	return expects(h.week[weekly(slot)], all, h.daysSeen(now))
+}
+
+// expects is the chance of an arrival in a slot that saw counted weeks with one, and all of such
+// days together with the same time on other days.
+func expects(counted uint8, all int, days float64) float64 {
+	if days < 1 {
+		return 0
+	}
 	daily := math.Min(1, float64(all)/(math.Floor(days)+1))
-	weeks := math.Floor(days/7 + 1.0/7)
-	return math.Min(1, (float64(h.week[weekly(slot)])+daily)/(weeks+1))
+	weeks := math.Floor((days + 1) / 7)
+	return math.Min(1, (float64(counted)+daily)/(weeks+1))
+}
+
+// likely returns the first slot from first on, within a week, whose chance of an arrival passes a
+// threshold.
+func (h *history) likely(first int64, threshold float64, now int64) (slot int64, ok bool) {
+	days := h.daysSeen(now)
+	if threshold >= 1 || days < 1 {
+		return 0, false
+	}
+	var all [slotsPerDay]int
+	for i, c := range h.week {
+		all[i%slotsPerDay] += int(c)
+	}
+	place := weekly(first)
+	for i := range slotsPerWeek {
+		if a := all[place%slotsPerDay]; a > 0 && expects(h.week[place], a, days) > threshold {
+			return first + int64(i), true
+		}
+		if place++; place == slotsPerWeek {
+			place = 0
+		}
+	}
+	return 0, false
 }
--- a/waking/place.go
+++ b/waking/place.go
@@ -19,6 +19,9 @@
 	// ColdStart is how long the load would take there, from where the checkpoint is
 	// cached and what waits before it.
 	ColdStart time.Duration
+	// Displaces is what the load would push out of the server's cache of checkpoints: the
+	// expected wait, in seconds, of the callers who would miss it.
+	Displaces float64
 	// Holds is true where a permit for the model is attached.
 	Holds bool
 }
@@ -69,7 +72,7 @@
 	if s.Region != m.Region {
 		wait += m.Distance
 	}
-	p.cost = max(1, m.Callers) * wait.Seconds()
+	p.cost = max(1, m.Callers)*wait.Seconds() + s.Displaces
 	if p.left >= 0 {
 		return p, true
 	}
--- a/waking/policy.go
+++ b/waking/policy.go
@@ -11,7 +11,7 @@
 const (
 	// trust is how far a model's own history may move its keep-alive from the
 	// break-even time, up or down.
-	trust = 4
+	trust = 6
 	// WrongGuess is the most that one idle time may cost, as a multiple of the best choice in
 	// hindsight between staying loaded and one cold start: a stay of break-even × trust
 	// costs trust + 1 cold starts where none was needed, one of break-even ÷ trust costs
@@ -20,6 +20,8 @@
 	// priorGaps is how many idle times the break-even rule counts for against
 	// a model's own.
 	priorGaps = 3
+	// margin is how much more than its idle time a load ahead must be expected to save.
+	margin = 2
 )
 
 // Policy learns when each model is needed. The zero Policy works and may be used by
@@ -69,7 +71,7 @@
 // factor of trust of the break-even time, which alone decides while there is no history. Zero
 // weights stand for the policy's own.
 // Any idle time then costs at most WrongGuess times the best in hindsight.
-func (p *Policy) KeepFor(m domain.ModelName, coldStart time.Duration, w Weights, now time.Time) time.Duration {
+func (p *Policy) KeepFor(m domain.ModelName, coldStart time.Duration, w Weights, _ time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if w == (Weights{}) {
@@ -80,16 +82,12 @@
 		return w.BreakEven(coldStart, 1)
 	}
 	h.lead = float32(coldStart.Seconds())
-	return h.keepFor(coldStart, w.orDefaults(), now)
+	return h.keepFor(coldStart, w)
 }
 
-func (h *history) keepFor(coldStart time.Duration, w Weights, now time.Time) time.Duration {
-	even := w.BreakEven(coldStart, h.callers())
-	stay := h.cheapest(even)
-	if end := h.hotUntil(now, even); end > stay {
-		stay = end
-	}
-	return min(max(stay, even/trust), trust*even)
+func (h *history) keepFor(coldStart time.Duration, w Weights) time.Duration {
+	even := w.BreakEven(coldStart, h.callers(coldStart))
+	return min(max(h.cheapest(even), even/trust), trust*even)
 }
 
 // cheapest returns the stay with the least expected cost, in units of idle time: a cold
@@ -126,25 +124,6 @@
 	return priorGaps * (stay - even)
 }
 
-// hotUntil returns how long the current and the next slots are likely enough to
-// see another arrival that staying is cheaper than loading again.
-func (h *history) hotUntil(now time.Time, even time.Duration) time.Duration {
-	slot := slotOf(now)
-	var until time.Duration
-	for i := int64(0); time.Duration(i)*slotTime < trust*even; i++ {
-		if h.expects(slot+i, now.UnixNano())*float64(even) < float64(slotTime) {
-			break
-		}
-		until = time.Duration(i+1) * slotTime
-	}
-	if until == 0 {
-		return 0
-	}
-	_, offset := now.Zone()
-	into := time.Duration((now.Unix()+int64(offset))%int64(slotTime/time.Second)) * time.Second
-	return until - into
-}
-
 // Due returns the models to load now, ahead of callers that are expected soon after lead,
 // the model's cold-start time. Each model is named once for each expected slot; the caller leaves
 // out what is loaded. An unused load costs no more than the cold start that it would have
@@ -157,7 +136,7 @@
 		e := p.plan[0]
 		e.h.lead = float32(lead(e.m).Seconds())
 		ahead := now.Add(e.h.leadTime())
-		if p.worth(e.h, slotOf(ahead), now) {
+		if e.h.expects(slotOf(ahead), now.UnixNano()) > p.threshold(e.h) {
 			out = append(out, e.m)
 		}
 		p.replan(e.m, e.h, ahead)
@@ -169,39 +148,41 @@
 	return time.Duration(float64(h.lead) * float64(time.Second))
 }
 
-// worth tells whether loading m for a slot saves more than it is expected to cost.
-func (p *Policy) worth(h *history, slot int64, now time.Time) bool {
+// threshold is the least chance of an arrival in a slot for which a load ahead is
+// expected to save margin times what it costs: the load and, until the arrival or the slot's end,
+// idle time.
+func (p *Policy) threshold(h *history) float64 {
 	lead := h.leadTime()
-	even := p.Weights.BreakEven(max(lead, time.Second), h.callers())
-	chance := h.expects(slot, now.UnixNano())
-	idle := float64(lead) + float64(slotTime)*(1-chance/2)
-	return chance*float64(even) > idle
+	even := p.Weights.BreakEven(max(lead, time.Second), h.callers(lead))
+	return margin * float64(lead+slotTime) / (float64(even) + margin*float64(slotTime)/2)
 }
 
 // replan puts m into the plan for the next slot after at that is worth a load.
 func (p *Policy) replan(m domain.ModelName, h *history, at time.Time) {
-	first := slotOf(at) + 1
-	for s := first; s < first+int64(slotsPerWeek); s++ {
-		if !p.worth(h, s, at) {
-			continue
-		}
-		_, offset := at.Zone()
-		start := (s*int64(slotTime/time.Second) - int64(offset)) * int64(time.Second)
-		h.due = start - int64(h.leadTime())
-		if h.heap == 0 {
-			heap.Push(&p.plan, planned{m, h})
-			return
+	slot, ok := h.likely(slotOf(at)+1, p.threshold(h), at.UnixNano())
+	if !ok {
+		if h.heap > 0 {
+			heap.Remove(&p.plan, int(h.heap-1))
 		}
-		heap.Fix(&p.plan, int(h.heap-1))
 		return
 	}
-	if h.heap > 0 {
-		heap.Remove(&p.plan, int(h.heap-1))
+	_, offset := at.Zone()
+	start := (slot*int64(slotTime/time.Second) - int64(offset)) * int64(time.Second)
+	h.due = start - int64(h.leadTime())
+	if h.heap == 0 {
+		heap.Push(&p.plan, planned{m, h})
+		return
 	}
+	heap.Fix(&p.plan, int(h.heap-1))
 }
 
 // Chance is the probability that m is needed within the hour after now.
 func (p *Policy) Chance(m domain.ModelName, now time.Time) float64 {
+	return p.ChanceWithin(m, now, time.Hour)
+}
+
+// ChanceWithin is the probability that m is needed within d after now.
+func (p *Policy) ChanceWithin(m domain.ModelName, now time.Time, d time.Duration) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.models[m]
@@ -209,33 +190,34 @@
 		return 0
 	}
 	none := 1.0
-	for i := range int64(time.Hour / slotTime) {
+	for i := range int64(d / slotTime) {
 		none *= 1 - h.expects(slotOf(now)+i, now.UnixNano())
 	}
-	return max(1-none, h.soon(now))
+	return max(1-none, h.soon(now, d))
 }
 
 // soon is the share of past idle times, longer than the present one, that ended
-// within an hour from now.
-func (h *history) soon(now time.Time) float64 {
+// within d from now.
+func (h *history) soon(now time.Time, d time.Duration) float64 {
 	idle := now.Sub(time.Unix(0, h.last))
 	var within, longer float64
 	for b := binOf(idle); b < gapBins; b++ {
 		longer += float64(h.gaps[b])
-		if binEnd(b) <= idle+time.Hour {
+		if binEnd(b) <= idle+d {
 			within += float64(h.gaps[b])
 		}
 	}
 	return within / (longer + 1)
 }
 
-// Callers is how many requests are expected to wait for one cold start of m.
-func (p *Policy) Callers(m domain.ModelName) float64 {
+// Callers is how many requests are expected to wait for one cold start of m, in units of its
+// whole length.
+func (p *Policy) Callers(m domain.ModelName, coldStart time.Duration) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.models[m]
 	if h == nil {
 		return 1
 	}
-	return h.callers()
+	return h.callers(coldStart)
 }
--- a/waking/policy_test.go
+++ b/waking/policy_test.go
@@ -54,7 +54,7 @@
 			p.Arrived("m", at, 1)
 		}
 		stay := p.KeepFor("m", coldStart, w, at).Seconds()
-		even := w.BreakEven(coldStart, p.Callers("m")).Seconds()
+		even := w.BreakEven(coldStart, p.Callers("m", coldStart)).Seconds()
 		gap := rapid.Float64Range(1, 1000000).Draw(r, "next")
 		got := gap
 		if gap > stay {
