--- a/wakereplay/plot.go
+++ b/wakereplay/plot.go
@@ -17,6 +17,8 @@
 	plotHeight = 6 * vg.Inch
 	// leastHours stands for no idle time on the logarithmic axis.
 	leastHours = .1
+	// legendRoom widens the axis to the right of the results.
+	legendRoom = 300
 )
 
 // quantiles are the plotted quantiles of the wait.
@@ -66,18 +68,21 @@
 	return errors.WithStack(err)
 }
 
-// addNames labels each result at its 99th percentile.
+// addNames numbers each result at its 99th percentile and puts the names into the legend.
 func addNames(p *plot.Plot, results []Result) error {
-	var names plotter.XYLabels
+	var numbers plotter.XYLabels
 	for i := range results {
 		r := &results[i]
-		names.XYs = append(names.XYs, plotter.XY{X: max(leastHours, r.Idle.Hours()), Y: r.Quantile(.99).Seconds()})
-		names.Labels = append(names.Labels, fmt.Sprintf(" %s: %s", r.Trace, r.Strategy))
+		numbers.XYs = append(numbers.XYs, plotter.XY{X: max(leastHours, r.Idle.Hours()), Y: r.Quantile(.99).Seconds()})
+		numbers.Labels = append(numbers.Labels, fmt.Sprintf(" %d", i+1))
+		p.Legend.Add(fmt.Sprintf("%d %s: %s", i+1, r.Trace, r.Strategy))
 	}
-	labels, err := plotter.NewLabels(names)
+	labels, err := plotter.NewLabels(numbers)
 	if err != nil {
 		return errors.WithStack(err)
 	}
 	p.Add(labels)
+	p.Legend.Top = true
+	p.X.Max *= legendRoom
 	return nil
 }
