Look for the importer's role often and read the log rarely

Cause: nodes that get records from a relay read the log every 5 s all the same: 184 reads a second at 940 nodes (docs/CAPACITY.md). A node that takes over the import slept through it: up to 5 s, over the 3 s in which a change must be in force; found while the interval was to be raised. Change: such nodes read once a minute; whether a node is to import is looked at four times a second, which reads nothing; limits know how many nodes are alive.

--- a/node/node.go
+++ b/node/node.go
@@ -173,7 +173,7 @@
 		Chatter: &engine.Client{Region: n.options.Region}, Services: &service.Client{},
 		Region: n.options.Region, Zone: n.options.Zone, Node: n.options.Node,
 		Logger: n.options.Logger, Scope: n.options.Scope,
-		Draining: n.refusing.Load, Ready: n.configured,
+		Draining: n.refusing.Load, Ready: n.configured, Nodes: func() int { return len(n.deps.members()) },
 		Spread: func(s []peer.Suspect) { n.mesh.Broadcast(peer.Suspects{Suspects: s}) },
 	})
 	*h = Handler{
--- a/platformlog/deliver_test.go
+++ b/platformlog/deliver_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -104,3 +105,38 @@
 	}
 	return c.fakeLog.Read(ctx, stream, from, most, wait)
 }
+
+// TestFaultLostImporterIsReplacedInTime takes away the only node that imports, and
+// changes the configuration once another one has its role.
+func TestFaultLostImporterIsReplacedInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		l := newFakeLog(14)
+		first, stop := context.WithCancel(ctx)
+		start(first, t, l, "a", nil)
+		var lost atomic.Bool
+		b := start(ctx, t, l, "b", func(o *Options) {
+			o.Relay = lost.Load
+			o.ImportDelay = func() time.Duration {
+				if lost.Load() {
+					return 0
+				}
+				return time.Second
+			}
+		})
+		time.Sleep(10 * time.Second)
+		stop()
+		lost.Store(true)
+		// The relay's runner does so when it takes over the reading.
+		b.Deliver(b.offset()+2, nil)
+		offset, err := l.Append(ctx, fold.ConfigurationStream, [][]byte{operatorRecord(t, 2)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(3 * time.Second)
+		if got := b.configurationOffset(); got < offset {
+			t.Errorf("got configuration %d 3 s after the change, want %d", got, offset)
+		}
+	})
+}
--- a/platformlog/importer.go
+++ b/platformlog/importer.go
@@ -14,6 +14,9 @@
 	// MaximumConfigurationRecord is the longest operator record, in bytes.
 	MaximumConfigurationRecord = 64 << 10
 
+	// roleInterval is how often a node looks whether it is to import.
+	roleInterval = 250 * time.Millisecond
+
 	importRecords = 200
 	importBytes   = MaximumBatchBytes / 2
 )
@@ -39,13 +42,20 @@
 			continue
 		}
 		b.reset()
-		if !r.relay() && r.importDelay() > 0 {
-			sleep(ctx, IdleRead, nil)
-		}
+		r.awaitImport(ctx)
 	}
 	return ctx.Err()
 }
 
+// awaitImport returns when this node is among those that import, and at the
+// latest after IdleRead. It reads nothing, so that looking often costs nothing.
+func (r *Replica) awaitImport(ctx context.Context) {
+	end := time.Now().Add(IdleRead)
+	for !r.relay() && r.importDelay() > 0 && time.Now().Before(end) && ctx.Err() == nil {
+		sleep(ctx, roleInterval, nil)
+	}
+}
+
 // importOnce reads one page of operator records and proposes it.
 func (r *Replica) importOnce(ctx context.Context) error {
 	after := r.configurationOffset()
--- a/platformlog/replica.go
+++ b/platformlog/replica.go
@@ -22,7 +22,7 @@
 	// CallTimeout bounds a call to the log beside the wait it asks for.
 	CallTimeout = 5 * time.Second
 	// IdleRead is how often a node reads that gets its records from a relay.
-	IdleRead = 5 * time.Second
+	IdleRead = time.Minute
 	// DefaultSnapshotEvery is the number of batches between snapshots.
 	DefaultSnapshotEvery = 10000
 	// DefaultSnapshotInterval is the longest time between snapshots.
