--- a/bench/cluster_test.go
+++ b/bench/cluster_test.go
@@ -14,6 +14,7 @@
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/peer"
 	"github.com/parsleylug/parsleylug/relay"
+	"github.com/parsleylug/parsleylug/reports"
 )
 
 const (
@@ -203,6 +204,8 @@
 		return nil, nil
 	case peer.Wake:
 		return peer.Replicas{Model: m.Model, Servers: []domain.ServerID{"engine-1", "engine-2"}, ValidFor: time.Second}, nil
+	case peer.StatusRequest:
+		return peer.Applied{Decision: 1 << 30, Configuration: 1 << 24, Loads: []reports.Loads{serverReport(10).Counts()}}, nil
 	default:
 		return nil, nil
 	}
--- a/bench/cost_test.go
+++ b/bench/cost_test.go
@@ -15,6 +15,7 @@
 	"github.com/parsleylug/parsleylug/peer"
 	"github.com/parsleylug/parsleylug/platformlog"
 	"github.com/parsleylug/parsleylug/rendezvous"
+	"github.com/parsleylug/parsleylug/reports"
 )
 
 // The planned size.
@@ -41,16 +42,21 @@
 // BenchmarkCapacityCall measures what a Wake with its answer costs both ends
 // together.
 func BenchmarkCapacityCall(b *testing.B) {
-	c, from, to := pair(b)
 	wake := peer.Wake{
 		Request: "01HZZZZZZZZZZZZZZZZZZZZZZZ", Model: "coral-frame-notes-large", Adapter: "franchise-042",
 		Team: "coral-research", Region: "region-0", Within: 30 * time.Second,
 	}
-	measureMessages(b, c, "Call", func(wait *sync.WaitGroup, n int) {
+	measureCalls(b, "Call", wake)
+}
+
+// measureCalls measures what a request with its answer costs both ends together.
+func measureCalls(b *testing.B, name string, m peer.Message) {
+	c, from, to := pair(b)
+	measureMessages(b, c, name, func(wait *sync.WaitGroup, n int) {
 		for range 8 {
 			wait.Go(func() {
 				for range n / 8 {
-					if _, err := from.Call(context.Background(), to, wake); err != nil {
+					if _, err := from.Call(context.Background(), to, m); err != nil {
 						b.Error(err)
 						return
 					}
@@ -65,9 +71,32 @@
 	measureSend(b, "Report", peer.Reports{Servers: []peer.ServerReport{serverReport(10)}})
 }
 
-// BenchmarkCapacityApplied measures an Applied message.
+// BenchmarkCapacityApplied measures a question for Applied with its answer, of a
+// node that owns one server.
 func BenchmarkCapacityApplied(b *testing.B) {
-	measureSend(b, "Applied", peer.Applied{Decision: 1 << 30, Configuration: 1 << 24})
+	measureCalls(b, "Applied", peer.StatusRequest{Part: peer.AppliedPart})
+}
+
+// BenchmarkCapacityLoads measures the counts of one server with ten busy replicas.
+func BenchmarkCapacityLoads(b *testing.B) {
+	l := serverReport(10).Counts()
+	l.Sequence = 1 << 20
+	measureSend(b, "Loads", peer.Loads{Servers: []reports.Loads{l}})
+}
+
+// BenchmarkCapacitySubscribe measures a subscription to the loads of one server.
+func BenchmarkCapacitySubscribe(b *testing.B) {
+	measureSend(b, "Subscribe", peer.Subscribe{Servers: []domain.ServerID{"engine-0123"}})
+}
+
+// BenchmarkCapacityCompare measures the digests of one comparison that finds no
+// difference.
+func BenchmarkCapacityCompare(b *testing.B) {
+	var d reports.Digests
+	for i := range d {
+		d[i] = 1<<63 + uint64(i)
+	}
+	measureSend(b, "Compare", peer.CompareReports{Digests: d})
 }
 
 // BenchmarkCapacityLogRecord measures one record of 300 bytes passed to one node.
@@ -172,14 +201,15 @@
 	timed(b, "FirstProcessor", func() { rendezvous.First("model/coral-frame-notes", nodes) })
 	timed(b, "RankProcessor", func() { rendezvous.Rank("model/coral-frame-notes", nodes) })
 	before = memory()
-	var reports node.Reports
+	var known node.Reports
 	for i := range plannedServers {
 		r := serverReport(plannedReplicas / plannedServers)
 		r.Server = serverName(i)
-		reports.Add(r, now)
+		known.Add(r.WithoutCounts(), now)
 	}
 	record(b, "ReportsMemory", "B", memory()-before)
-	reports.Forget("")
+	timed(b, "DigestsProcessor", func() { known.Compare() })
+	known.Forget("")
 }
 
 func member(i int) membership.Member {
--- a/node/news.go
+++ b/node/news.go
@@ -21,6 +21,9 @@
 	interestsInterval = 250 * time.Millisecond
 	// repairChunk bounds the reports of one message.
 	repairChunk = 32
+	// fewRepairs is up to how many new reports of a repair are passed on: more are
+	// not lost news but what a node that has just started lacks.
+	fewRepairs = 4
 )
 
 // News passes on what the nodes know of the backend servers: reports through the
@@ -235,7 +238,7 @@
 			fresh = append(fresh, r)
 		}
 	}
-	if m.Repair || len(fresh) == 0 {
+	if len(fresh) == 0 || m.Repair && len(fresh) > fewRepairs {
 		return
 	}
 	for _, to := range n.currentTree().Onward() {
--- a/peer/message.go
+++ b/peer/message.go
@@ -111,7 +111,7 @@
 // Reports carries reports of backend servers without counts; it has no answer.
 type Reports struct {
 	Servers []ServerReport
-	// Repair reports answer a comparison and are not passed on.
+	// Repair reports answer a comparison; many of them are not passed on.
 	Repair bool
 }
 
--- a/relay/tree.go
+++ b/relay/tree.go
@@ -22,10 +22,11 @@
 type Tree struct {
 	heads    []domain.NodeID
 	children []domain.NodeID
-	// better are the nodes of the zone with a better rank, the parent last.
-	better []domain.NodeID
-	// roots are the roots of the other zones.
-	roots []domain.NodeID
+	// parent is "" for the root of a zone.
+	parent domain.NodeID
+	// others are further nodes to compare with: those of a better rank, the next
+	// rank, and the roots of other zones where this node is near the root itself.
+	others []domain.NodeID
 }
 
 // NewTree returns the tree of a node in a view.
@@ -33,9 +34,11 @@
 	plan := NewPlan(self, members)
 	t := Tree{children: plan.Targets()}
 	if plan.Rank > 0 {
-		parent := plan.Ranked[(plan.Rank-1)/FanOut]
-		t.better = slices.DeleteFunc(slices.Clone(plan.Ranked[:plan.Rank]), func(n domain.NodeID) bool { return n == parent })
-		t.better = append(t.better, parent)
+		t.parent = plan.Ranked[(plan.Rank-1)/FanOut]
+		t.others = append(t.others, plan.Ranked[:plan.Rank]...)
+	}
+	if next := plan.Rank + 1; next < len(plan.Ranked) {
+		t.others = append(t.others, plan.Ranked[next])
 	}
 	own := region(self, members)
 	for _, first := range zones(members) {
@@ -45,10 +48,11 @@
 			heads = nearHeads
 		}
 		t.heads = append(t.heads, ranked[:min(heads, len(ranked))]...)
-		if !slices.Contains(ranked, self) {
-			t.roots = append(t.roots, ranked[0])
+		if plan.Rank <= FanOut && !slices.Contains(ranked, self) {
+			t.others = append(t.others, ranked[0])
 		}
 	}
+	t.others = slices.DeleteFunc(t.others, func(n domain.NodeID) bool { return n == t.parent })
 	t.heads = slices.DeleteFunc(t.heads, func(n domain.NodeID) bool {
 		return n == self || slices.Contains(t.children, n)
 	})
@@ -79,17 +83,17 @@
 func (t Tree) Onward() []domain.NodeID { return t.children }
 
 // Partner returns with whom to compare in a round: the parent in every second one,
-// another node of a better rank in the others. The root of a zone compares with the
-// roots of other zones. It returns "" for a node that is alone.
+// and the others in turn. A parent that is dead and still in the view keeps nothing
+// from this node for long. It returns "" for a node that is alone.
 func (t Tree) Partner(round int) domain.NodeID {
-	if n := len(t.better); n > 0 {
-		if round%2 == 0 {
-			return t.better[n-1]
-		}
-		return t.better[round/2%n]
-	}
-	if len(t.roots) > 0 {
-		return t.roots[round%len(t.roots)]
+	switch n := len(t.others); {
+	case t.parent != "" && (round%2 == 0 || n == 0):
+		return t.parent
+	case n == 0:
+		return ""
+	case t.parent == "":
+		return t.others[round%n]
+	default:
+		return t.others[round/2%n]
 	}
-	return ""
 }
--- /dev/null
+++ b/reports/table_test.go
@@ -0,0 +1,201 @@
+package reports
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/parsleylug/parsleylug/domain"
+)
+
+var start = time.Unix(1000, 0)
+
+func report(server domain.ServerID, fence domain.Fence, sequence uint64, models ...domain.ModelName) Server {
+	s := Server{Server: server, Fence: fence, Sequence: sequence, Alive: true, FreeMemory: domain.Gibibyte}
+	for _, m := range models {
+		s.Models = append(s.Models, Replica{Model: m})
+	}
+	return s
+}
+
+func servers(r []Ready) []domain.ServerID {
+	var out []domain.ServerID
+	for _, x := range r {
+		out = append(out, x.Server)
+	}
+	return out
+}
+
+// exchange lets a compare itself with b, the way that two nodes do.
+func exchange(a, b *Table, now time.Time) {
+	set, versions := b.Differing(a.Digests())
+	if set == 0 {
+		return
+	}
+	give, want := a.Reconcile(set, versions)
+	for _, r := range give {
+		b.Add(r, now)
+	}
+	for _, r := range b.Wanted(want) {
+		a.Add(r, now)
+	}
+}
+
+func TestAnyOrderAndOneComparisonAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		newest := map[domain.ServerID]Server{}
+		var tables [2]Table
+		for range rapid.IntRange(0, 60).Draw(t, "Reports") {
+			server := domain.ServerID(fmt.Sprintf("s%d", rapid.IntRange(0, 20).Draw(t, "Server")))
+			fence, sequence := rapid.IntRange(1, 3).Draw(t, "Fence"), rapid.IntRange(1, 4).Draw(t, "Sequence")
+			// The contents follow from the version: an owner sends one report under it.
+			model := domain.ModelName(fmt.Sprintf("m%d", (fence*7+sequence)%5))
+			r := report(server, domain.Fence(fence), uint64(sequence), model)
+			lost := rapid.IntRange(0, 2).Draw(t, "ReachesOnly")
+			for i := range tables {
+				if lost == 2 || lost == i {
+					tables[i].Add(r, start)
+				}
+			}
+			if r.Version().Newer(newest[server].Version()) {
+				newest[server] = r
+			}
+		}
+		exchange(&tables[0], &tables[1], start)
+		for i := range tables {
+			checkTable(t, &tables[i], newest)
+		}
+		if set, _ := tables[0].Differing(tables[1].Digests()); set != 0 {
+			t.Errorf("got buckets %b that differ after a comparison, want none", set)
+		}
+	})
+}
+
+func checkTable(t *rapid.T, table *Table, newest map[domain.ServerID]Server) {
+	want := map[domain.ModelName][]domain.ServerID{}
+	for s, r := range newest {
+		if got, ok := table.Server(s, start); !ok || !reflect.DeepEqual(got, r) {
+			t.Errorf("got %+v, want the newest report %+v", got, r)
+		}
+		want[r.Models[0].Model] = append(want[r.Models[0].Model], s)
+	}
+	if got := len(table.Models()); got != len(want) {
+		t.Errorf("got %d models, want %d", got, len(want))
+	}
+	for m, s := range want {
+		slices.Sort(s)
+		if got := servers(table.Ready(m, start)); !slices.Equal(got, s) {
+			t.Errorf("%s: got %v, want %v", m, got, s)
+		}
+	}
+}
+
+func TestNewOwnerWinsByFence(t *testing.T) {
+	var table Table
+	table.Add(report("s", 5, 90, "m"), start)
+	table.AddLoads(Loads{Server: "s", Fence: 5, Sequence: 70, Models: []Load{{"m", 3, 0}}}, start)
+	if !table.Add(report("s", 6, 1, "m"), start) {
+		t.Error("got the first report of the new owner ignored")
+	}
+	if table.Add(report("s", 5, 91, "other"), start) {
+		t.Error("got a late report of the old owner taken")
+	}
+	table.AddLoads(Loads{Server: "s", Fence: 5, Sequence: 71, Models: []Load{{"m", 9, 9}}}, start)
+	if got := table.Ready("m", start); len(got) != 1 || got[0].Model.Running != 3 {
+		t.Errorf("got %+v, want late loads of the old owner ignored", got)
+	}
+	table.AddLoads(Loads{Server: "s", Fence: 6, Sequence: 1}, start)
+	if got := table.Ready("m", start); got[0].Model.Running != 0 {
+		t.Errorf("got %d running, want the new owner's loads", got[0].Model.Running)
+	}
+}
+
+func TestReportsOutliveAnOwnerForAWhile(t *testing.T) {
+	var table Table
+	table.Add(report("s", 1, 1, "m"), start)
+	standing := Owned
+	sweep := func(after time.Duration) int {
+		table.Sweep(start.Add(after), func(domain.ServerID) Standing { return standing })
+		return len(table.Ready("m", start.Add(after)))
+	}
+	if got := sweep(time.Hour); got != 1 {
+		t.Errorf("got %d replicas after an hour without news, want 1", got)
+	}
+	standing = Ownerless
+	if got := sweep(time.Hour); got != 1 {
+		t.Errorf("got %d replicas as the owner was lost, want 1", got)
+	}
+	if got := sweep(time.Hour + OwnerlessLifetime + time.Second); got != 0 {
+		t.Errorf("got %d replicas without an owner, want none", got)
+	}
+	standing = Owned
+	if got := sweep(2 * time.Hour); got != 1 {
+		t.Errorf("got %d replicas once there is an owner, want 1", got)
+	}
+	standing = Gone
+	if sweep(2 * time.Hour); !table.Empty() || len(table.Models()) != 0 {
+		t.Error("got a server that is gone kept")
+	}
+}
+
+func TestDeniedReplicaComesBack(t *testing.T) {
+	var table Table
+	table.Add(report("s", 1, 1, "m"), start)
+	table.Deny("s", "m", start)
+	if got := table.Ready("m", start.Add(deniedFor-1)); len(got) != 0 {
+		t.Errorf("got %v, want the denied replica left out", got)
+	}
+	if got := table.Ready("m", start.Add(deniedFor)); len(got) != 1 {
+		t.Errorf("got %v, want it tried again", got)
+	}
+	table.Deny("s", "m", start)
+	table.Add(report("s", 1, 2, "m"), start)
+	if got := table.Ready("m", start); len(got) != 1 {
+		t.Errorf("got %v, want a newer report to count", got)
+	}
+}
+
+func TestLoadsLapse(t *testing.T) {
+	var table Table
+	table.Add(report("s", 1, 1, "m"), start)
+	table.AddLoads(Loads{Server: "s", Fence: 1, Sequence: 2, Models: []Load{{"m", 8, 1}}}, start)
+	table.AddLoads(Loads{Server: "s", Fence: 1, Sequence: 1, Models: []Load{{"m", 0, 5}}}, start)
+	for _, c := range []struct{ after, counted time.Duration }{{0, 0}, {1500 * time.Millisecond, time.Second}, {loadsLifetime, loadsLifetime}} {
+		got := table.Ready("m", start.Add(c.after))[0]
+		if got.Model.Running != 8 || got.Model.Waiting != 1 || !got.CountedAt.Equal(start.Add(c.counted)) {
+			t.Errorf("after %v: got %+v, want 8 and 1 as of %v", c.after, got, c.counted)
+		}
+	}
+	if got := table.Ready("m", start.Add(loadsLifetime+1))[0]; got.Model.Running != 0 || got.Model.Waiting != 0 {
+		t.Errorf("got %+v, want no counts without a subscription", got)
+	}
+}
+
+func TestOnlyNewsIsNews(t *testing.T) {
+	base := report("s", 1, 1, "m")
+	for name, c := range map[string]struct {
+		change func(*Server)
+		want   bool
+	}{
+		"Nothing":      {func(*Server) {}, false},
+		"Counts":       {func(s *Server) { s.Models[0].Running = 9 }, false},
+		"LittleMemory": {func(s *Server) { s.FreeMemory -= domain.Mebibyte }, false},
+		"MuchMemory":   {func(s *Server) { s.FreeMemory /= 2 }, true},
+		"Loading":      {func(s *Server) { s.Models[0].Loading = true }, true},
+		"Adapter":      {func(s *Server) { s.Models[0].Adapters = []domain.AdapterName{"a"} }, true},
+		"Dead":         {func(s *Server) { s.Alive = false }, true},
+		"Leaving":      {func(s *Server) { s.Leaving = true }, true},
+		"Fence":        {func(s *Server) { s.Fence++ }, true},
+		"Unloaded":     {func(s *Server) { s.Models = nil }, true},
+	} {
+		changed := report("s", 1, 1, "m")
+		c.change(&changed)
+		if got := IsNews(base, changed); got != c.want {
+			t.Errorf("%s: got %v, want %v", name, got, c.want)
+		}
+	}
+}
