Confirm a report only as of the server's last answer

Confirmations now carry when the server answered: the owner's own by the time of its poll, the report in the answer to a load by its age.

--- a/bench/rows.go
+++ b/bench/rows.go
@@ -20,7 +20,24 @@
 	loads        = 5.0  // a second at the weight store
 	snapshotTime = 600.0
 	fanOut       = 4.0
-	streams      = 1 + fanOut // one received, the others sent
+	// news are changes of a server's set of replicas: a wake begins and ends a load,
+	// an idling takes the replica off and frees its memory.
+	news = 2*moves + takeovers
+	// newsIn counts that a node near the root of a zone gets news from its origin
+	// too.
+	newsIn = streams + 1
+	// originHeads are the nodes to which a server's owner sends its news: five in
+	// each zone of its region and two in each other one.
+	originHeads = farHeads + 5*zones/6
+	farHeads    = 2 * zones * 5 / 6
+	// comparisons are those of the node that most others compare with, and its own
+	// (go test ./relay -v -run Comparisons).
+	comparisons = 6.3 + 1
+	// loadsRate is the most messages a second with the counts of one server.
+	loadsRate = 8.0
+	followed  = 16.0       // servers whose counts a node follows
+	renewals  = 0.1        // a second and followed server
+	streams   = 1 + fanOut // one received, the others sent
 	// heapFactor is how much the collector lets the heap grow over what lives.
 	heapFactor = 2.0
 	// demandLinks are links to all nodes of the region that are not neighbours.
@@ -99,7 +116,7 @@
 	fits.Measure = "the same with a snapshot an hour and a view every 5 minutes (not built)"
 	fits.Terms = append([]Term{
 		{"SnapshotBytes", streams/hour - streams/snapshotTime, "snapshots/s fewer"},
-		{"CallBytes", nodes/300 - nodes/60, "calls/s fewer"},
+		{"AppliedBytes", nodes/300 - nodes/60, "calls/s fewer"},
 	}, sum.Terms...)
 	return fits
 }
@@ -124,19 +141,22 @@
 			Terms:     []Term{{"CallBytes", loads, "loads/s"}, {"HeartbeatBytes", loads, "releases/s"}},
 			Mechanism: "the weight store's own pace bounds it"},
 		{Role: "operator's view", Measure: "status of all, once a minute", Unit: bytesPerSecond, Budget: budgetNetwork,
-			Terms:     []Term{{"CallBytes", nodes / 60, "calls/s"}},
+			Terms:     []Term{{"AppliedBytes", nodes / 60, "calls/s"}},
 			Mechanism: "asked for by the node that the operator talks to"},
-		{Role: "owner", Measure: "load reports to every node", Unit: bytesPerSecond, Budget: budgetNetwork, OverBudget: true,
-			Terms:     []Term{{"ReportBytes", 2 * servers / nodes * 0.5 * (nodes - 1), "reports/s at both ends"}},
-			Mechanism: "broadcast of each server at each change, at least every 2 s",
-			Change:    "send changes of the set of replicas through the zones' trees (next row) and loads to no one but those that route there"},
-		{Role: "owner", Measure: "replica sets through the trees (not built)", Unit: bytesPerSecond, Budget: budgetNetwork,
-			Terms:     []Term{{"ReportBytes", streams * (moves + takeovers), "reports/s in and out"}},
+		{Role: "each node", Measure: "applied offsets, every change waited for", Unit: bytesPerSecond, Budget: budgetNetwork,
+			Terms:     []Term{{"AppliedBytes", 2 * changes, "calls/s at both ends"}},
+			Mechanism: "asked by the node that an operator talks to, each node once a change; operators spread over the nodes"},
+		{Role: "owner and relay", Measure: "replica sets through the trees", Unit: bytesPerSecond, Budget: budgetNetwork,
+			Terms: []Term{{"ReportBytes", newsIn * news, "reports/s in and out"},
+				{"ReportBytes", originHeads * news / nodes, "reports/s of own servers"}},
 			Mechanism: "a report only where the set of replicas or the server's state changes"},
-		{Role: "each node", Measure: "applied offsets to every node", Unit: bytesPerSecond, Budget: budgetNetwork, OverBudget: true,
-			Terms:     []Term{{"AppliedBytes", 2 * 0.5 * (nodes - 1), "messages/s at both ends"}},
-			Mechanism: "broadcast every 2 s",
-			Change:    "answer them in Status when an operator asks, and gather them up the zones' trees for config --wait"},
+		{Role: "relay", Measure: "comparisons of replica sets", Unit: bytesPerSecond, Budget: budgetNetwork,
+			Terms:     []Term{{"CompareBytes", comparisons, "comparisons/s"}},
+			Mechanism: "each node compares digests with one other a second"},
+		{Role: "owner and entry", Measure: "counts of requests", Unit: bytesPerSecond, Budget: budgetNetwork,
+			Terms: []Term{{"LoadsBytes", 2 * loadsRate * servers / nodes, "messages/s at both ends"},
+				{"SubscribeBytes", 2 * followed * renewals, "renewals/s at both ends"}},
+			Mechanism: "quantised, to at most 16 followed servers' subscribers, at most 8 messages a second a server"},
 	}
 }
 
@@ -158,12 +178,19 @@
 		{Role: "pacer", Measure: "slots", Unit: coreShare, Budget: budgetProcessor,
 			Terms:     []Term{{"CallProcessor", loads, "loads/s"}, {"HeartbeatProcessor", loads, "releases/s"}},
 			Mechanism: "the weight store's own pace bounds it"},
-		{Role: "owner", Measure: "load reports to every node", Unit: coreShare, Budget: budgetProcessor, OverBudget: true,
-			Terms:     []Term{{"ReportProcessor", servers / nodes * 0.5 * (nodes - 1), "reports/s"}},
-			Mechanism: "broadcast of each server at each change, at least every 2 s", Change: "as for its bytes"},
-		{Role: "each node", Measure: "applied offsets to every node", Unit: coreShare, Budget: budgetProcessor, OverBudget: true,
-			Terms:     []Term{{"AppliedProcessor", 0.5 * (nodes - 1), "messages/s"}},
-			Mechanism: "broadcast every 2 s", Change: "as for their bytes"},
+		{Role: "each node", Measure: "applied offsets, every change waited for", Unit: coreShare, Budget: budgetProcessor,
+			Terms:     []Term{{"AppliedProcessor", changes, "calls/s"}},
+			Mechanism: "as above"},
+		{Role: "owner and relay", Measure: "replica sets through the trees", Unit: coreShare, Budget: budgetProcessor,
+			Terms:     []Term{{"ReportProcessor", newsIn*news + originHeads*news/nodes, "reports/s"}},
+			Mechanism: "as above"},
+		{Role: "relay", Measure: "comparisons of replica sets", Unit: coreShare, Budget: budgetProcessor,
+			Terms:     []Term{{"CompareProcessor", comparisons, "comparisons/s"}, {"DigestsProcessor", comparisons, "digests/s"}},
+			Mechanism: "as above"},
+		{Role: "owner and entry", Measure: "counts of requests", Unit: coreShare, Budget: budgetProcessor,
+			Terms: []Term{{"LoadsProcessor", loadsRate * servers / nodes, "messages/s"},
+				{"SubscribeProcessor", followed * renewals, "renewals/s"}},
+			Mechanism: "as above"},
 	}
 }
 
@@ -193,5 +220,8 @@
 		{Role: "between regions", Measure: "links, pings and views of all nodes", Unit: bytesPerSecond,
 			Terms:     []Term{{"MeshFarBytes200", nodes, "nodes"}},
 			Mechanism: "2 far neighbours a node, pinged every 2 s"},
+		{Role: "between regions", Measure: "replica sets", Unit: bytesPerSecond,
+			Terms:     []Term{{"ReportBytes", farHeads * news, "reports/s"}},
+			Mechanism: "two nodes of each zone of other regions"},
 	}
 }
--- a/node/handle.go
+++ b/node/handle.go
@@ -81,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a.Reports = h.News.own(m.Server)
+	a.Reports, a.Age = h.News.own(m.Server)
 	return a, nil
 }
 
--- a/node/home.go
+++ b/node/home.go
@@ -280,7 +280,7 @@
 	a, err := h.deps.Mesh.Call(ctx, c.owner, l)
 	if loaded, ok := a.(peer.Loaded); ok {
 		for _, r := range loaded.Reports {
-			h.deps.Reports.Add(r, time.Now())
+			h.deps.Reports.Add(r, time.Now().Add(-loaded.Age))
 		}
 	}
 	return err
--- a/node/news.go
+++ b/node/news.go
@@ -155,13 +155,14 @@
 	}
 }
 
-// own returns the report of a server that this node owns.
-func (n *News) own(s domain.ServerID) []peer.ServerReport {
-	r, ok := n.deps.Reports.Server(s, time.Now())
+// own returns the report of a server that this node owns, and its age.
+func (n *News) own(s domain.ServerID) ([]peer.ServerReport, time.Duration) {
+	now := time.Now()
+	r, ok := n.deps.Reports.Server(s, now)
 	if !ok {
-		return nil
+		return nil, 0
 	}
-	return []peer.ServerReport{r.WithoutCounts()}
+	return []peer.ServerReport{r.WithoutCounts()}, now.Sub(n.deps.Reports.Confirmed(s))
 }
 
 func (n *News) concurrency(m domain.ModelName) int {
--- a/node/report.go
+++ b/node/report.go
@@ -19,12 +19,19 @@
 	if news {
 		k.deps.News.Publish(r)
 	} else {
-		// The same version again confirms it here.
-		k.deps.Reports.Add(r.WithoutCounts(), time.Now())
+		// The same version again confirms it here, as of the last answer of the
+		// server.
+		k.deps.Reports.Add(r.WithoutCounts(), k.seenAt())
 	}
 	k.deps.News.Offer(r.Counts())
 }
 
+func (k *keeper) seenAt() time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.seen
+}
+
 // nextReport returns the report of this moment, if there is one, and whether it is
 // news to others.
 func (k *keeper) nextReport(now time.Time) (r peer.ServerReport, ok, news bool) {
--- a/node/reports.go
+++ b/node/reports.go
@@ -84,6 +84,13 @@
 	return r.table.Server(s, now)
 }
 
+// Confirmed returns when the owner of a server last confirmed its report.
+func (r *Reports) Confirmed(s domain.ServerID) time.Time {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.table.Confirmed(s)
+}
+
 // Version returns the version of a server's report; it is zero where there is none.
 func (r *Reports) Version(s domain.ServerID) reports.Version {
 	r.mu.RLock()
--- a/peer/message.go
+++ b/peer/message.go
@@ -71,6 +71,8 @@
 	// Reports holds the server's report after the load, or nothing, so that the
 	// asker needs not wait for it.
 	Reports []ServerReport
+	// Age is how long ago the server confirmed that report.
+	Age time.Duration
 }
 
 // ReleasePermit asks the owner of a server to give back a permit whose replica is
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -58,6 +58,7 @@
 		Model   domain.ModelName   `cbor:"2,keyasint,omitempty"`
 		Waited  time.Duration      `cbor:"3,keyasint,omitempty"`
 		Reports []wireServerReport `cbor:"4,keyasint,omitempty"`
+		Age     time.Duration      `cbor:"5,keyasint,omitempty"`
 	}
 	wireAcquirePace struct {
 		Model   domain.ModelName `cbor:"1,keyasint,omitempty"`
--- a/reports/table.go
+++ b/reports/table.go
@@ -55,7 +55,7 @@
 	}
 	old := t.servers[s.Server]
 	if old != nil && !s.Version().Newer(old.report.Version()) {
-		if s.Version() == old.report.Version() {
+		if s.Version() == old.report.Version() && now.After(old.at) {
 			old.at = now
 		}
 		return false
@@ -169,8 +169,8 @@
 type Ready struct {
 	Server domain.ServerID
 	Model  Replica
-	// Since is when the replica was first reported, At when its owner was last
-	// heard of, CountedAt as of when the counts hold.
+	// Since is when the replica was first reported, At when its owner last
+	// confirmed it, CountedAt as of when the counts hold.
 	Since, At, CountedAt time.Time
 }
 
@@ -184,7 +184,7 @@
 		}
 		r := e.merged(now)
 		if i := r.Replica(m); i >= 0 && !r.Models[i].Loading {
-			out = append(out, Ready{Server: s, Model: r.Models[i], Since: e.since[m], At: e.newest(), CountedAt: e.countedAt(now)})
+			out = append(out, Ready{Server: s, Model: r.Models[i], Since: e.since[m], At: e.at, CountedAt: e.countedAt(now)})
 		}
 	}
 	slices.SortFunc(out, func(a, b Ready) int { return cmp.Compare(a.Server, b.Server) })
@@ -201,6 +201,14 @@
 	return e.merged(now), true
 }
 
+// Confirmed returns when the owner of a server last confirmed its report.
+func (t *Table) Confirmed(s domain.ServerID) time.Time {
+	if e := t.servers[s]; e != nil {
+		return e.at
+	}
+	return time.Time{}
+}
+
 // Replica returns the index of a model among the replicas, or -1.
 func (s Server) Replica(m domain.ModelName) int {
 	return slices.IndexFunc(s.Models, func(r Replica) bool { return r.Model == m })
@@ -211,13 +219,6 @@
 	return e.report.Alive && !e.report.Leaving && believed
 }
 
-func (e *entry) newest() time.Time {
-	if e.loadsAt.After(e.at) {
-		return e.loadsAt
-	}
-	return e.at
-}
-
 // countedAt returns as of when the counts hold. An owner sends them when they change,
 // so that its silence confirms them.
 func (e *entry) countedAt(now time.Time) time.Time {
