--- a/bench/page.go
+++ b/bench/page.go
@@ -67,6 +67,9 @@
 }
 
 func (r Row) formula() string {
+	if r.Parts != "" {
+		return r.Parts
+	}
 	if len(r.Terms) > maximumTerms {
 		return "sum of the rows above"
 	}
--- a/node/applied.go
+++ b/node/applied.go
@@ -57,13 +57,13 @@
 	return a
 }
 
-// answerApplied is applied with the counts of the servers that this node owns.
+// answerApplied is applied with the load of each of the servers that this node owns.
 func (n *Node) answerApplied() peer.Applied {
 	a := n.applied()
 	now := time.Now()
 	for _, s := range n.ownership.Owned() {
 		if r, ok := n.deps.Reports.Server(s, now); ok {
-			a.Loads = append(a.Loads, r.Counts())
+			a.Loads = append(a.Loads, r.Counts().Total())
 		}
 	}
 	return a
--- a/peer/message.go
+++ b/peer/message.go
@@ -189,7 +189,7 @@
 type Applied struct {
 	Decision      domain.Offset
 	Configuration domain.Offset
-	// Loads are the counts of the servers that the node owns.
+	// Loads are the sums of the counts of the servers that the node owns.
 	Loads []reports.Loads
 }
 
--- a/reports/loads.go
+++ b/reports/loads.go
@@ -41,6 +41,17 @@
 	return l
 }
 
+// Total returns the sum of the counts, without the models.
+func (l Loads) Total() Loads {
+	var sum Load
+	for _, m := range l.Models {
+		sum.Running += m.Running
+		sum.Waiting += m.Waiting
+	}
+	l.Models = []Load{sum}
+	return l
+}
+
 // QuantiseRunning rounds running requests down to a quarter of the concurrency,
 // and above it to the concurrency times a power of two. A full replica is never
 // shown as one with room, nor the reverse.
--- a/reports/subscriptions.go
+++ b/reports/subscriptions.go
@@ -13,8 +13,8 @@
 	// subscriber.
 	LoadsInterval = 250 * time.Millisecond
 	// loadsSpacing is how much of that each subscriber adds, so that a server's
-	// loads are at most 8 messages a second however many nodes route to it.
-	loadsSpacing = 125 * time.Millisecond
+	// loads are at most 5 messages a second however many nodes route to it.
+	loadsSpacing = 200 * time.Millisecond
 	// RenewInterval is how often a subscription is renewed.
 	RenewInterval = 10 * time.Second
 	// SubscriptionLifetime is how long one lasts; one renewal may be lost.
