--- a/bench/cluster_test.go
+++ b/bench/cluster_test.go
@@ -205,7 +205,7 @@
 	case peer.Wake:
 		return peer.Replicas{Model: m.Model, Servers: []domain.ServerID{"engine-1", "engine-2"}, ValidFor: time.Second}, nil
 	case peer.StatusRequest:
-		return peer.Applied{Decision: 1 << 30, Configuration: 1 << 24, Loads: []reports.Loads{serverReport(10).Counts().Total()}}, nil
+		return peer.Applied{Decision: 1 << 30, Configuration: 1 << 24, Loads: []reports.Loads{serverReport().Counts().Total()}}, nil
 	default:
 		return nil, nil
 	}
--- a/bench/cost_test.go
+++ b/bench/cost_test.go
@@ -68,7 +68,7 @@
 
 // BenchmarkCapacityReport measures a report of one server with ten replicas.
 func BenchmarkCapacityReport(b *testing.B) {
-	measureSend(b, "Report", peer.Reports{Servers: []peer.ServerReport{serverReport(10)}})
+	measureSend(b, "Report", peer.Reports{Servers: []peer.ServerReport{serverReport()}})
 }
 
 // BenchmarkCapacityApplied measures a question for Applied with its answer, of a
@@ -79,7 +79,7 @@
 
 // BenchmarkCapacityLoads measures the counts of one server with ten busy replicas.
 func BenchmarkCapacityLoads(b *testing.B) {
-	l := serverReport(10).Counts()
+	l := serverReport().Counts()
 	l.Sequence = 1 << 20
 	measureSend(b, "Loads", peer.Loads{Servers: []reports.Loads{l}})
 }
@@ -127,9 +127,10 @@
 	}
 }
 
-func serverReport(models int) peer.ServerReport {
+// serverReport is of a server with the planned replicas.
+func serverReport() peer.ServerReport {
 	s := peer.ServerReport{Server: "engine-0123", Fence: 1 << 30, Sequence: 1 << 20, Alive: true, FreeMemory: 20 * domain.Gibibyte}
-	for i := range models {
+	for i := range plannedReplicas / plannedServers {
 		s.Models = append(s.Models, peer.ModelReport{
 			Model: domain.ModelName(fmt.Sprintf("coral-frame-notes-%04d", i)), Running: 3, Waiting: 1,
 			Adapters: []domain.AdapterName{"franchise-042", "franchise-077", "franchise-101"},
@@ -203,7 +204,7 @@
 	before = memory()
 	var known node.Reports
 	for i := range plannedServers {
-		r := serverReport(plannedReplicas / plannedServers)
+		r := serverReport()
 		r.Server = serverName(i)
 		known.Add(r.WithoutCounts(), now)
 	}
--- a/node/news_test.go
+++ b/node/news_test.go
@@ -229,3 +229,35 @@
 		}
 	})
 }
+
+// TestNewsAtThePlannedSize spreads one change over 22 availability zones.
+func TestNewsAtThePlannedSize(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer time.Sleep(time.Second)
+		defer cancel()
+		n := newNetwork(22, 43)
+		for i := range n.members {
+			n.start(ctx, i)
+		}
+		owner := n.nodes[n.members[7].Node].News
+		begin := loadedReport(5, 1)
+		owner.Publish(begin)
+		n.settle(t, begin)
+		time.Sleep(5 * time.Second)
+		before := n.count("peer.Reports")
+		first := loadedReport(5, 2)
+		owner.Publish(first)
+		took, sent := n.settle(t, first), n.count("peer.Reports")-before
+		if most := len(n.members) * 11 / 10; sent > most || took > 200*time.Millisecond {
+			t.Errorf("got news everywhere after %v in %d messages, want 200 ms and %d", took, sent, most)
+		}
+		t.Logf("one change is at %d nodes after %v in %d messages", len(n.members), took, sent)
+		n.setLoss(1)
+		second := loadedReport(5, 3)
+		owner.Publish(second)
+		time.Sleep(time.Second)
+		n.setLoss(0)
+		t.Logf("news that all missed is everywhere after %v", n.settle(t, second))
+	})
+}
