--- a/bench/rows.go
+++ b/bench/rows.go
@@ -112,12 +112,11 @@
 // which is over it too.
 func lessOften(sum *Row) Row {
 	sum.OverBudget = true
-	sum.Change = "write a snapshot an hour, where retention allows it, and ask for an operator's view every 5 minutes (next row)"
+	sum.Change = "ask for an operator's view every 5 minutes and not each minute (next row)"
 	fits := *sum
 	fits.Change = "keep the roots of zones from being the pacer, from owning servers and from following counts (second next row)"
-	fits.Measure = "the same with a snapshot an hour and a view every 5 minutes (not built)"
+	fits.Measure = "the same with an operator's view every 5 minutes"
 	fits.Terms = append([]Term{
-		{"SnapshotBytes", streams/hour - streams/snapshotTime, "snapshots/s fewer"},
 		{"AppliedBytes", nodes/300 - nodes/60, "calls/s fewer"},
 	}, sum.Terms...)
 	return fits
@@ -126,7 +125,7 @@
 // ordinary is a node that owns servers and routes, is a leaf of its zone's tree, and
 // is neither the pacer nor asked by operators.
 func ordinary() Row {
-	return Row{Role: "ordinary node", Measure: "everything that it does", Unit: bytesPerSecond, Budget: budgetNetwork,
+	return Row{Role: "ordinary node", Measure: "everything of it that fits", Unit: bytesPerSecond, Budget: budgetNetwork,
 		Terms: []Term{{"MeshBytes200", 1, "nodes"}, {"MeshRestartBytes200", restarts, "restarts and failures/s"},
 			{"LogRecordBytes", changes + 2*moves + 2*takeovers, "records/s"}, {"HeartbeatBytes", 1, "heartbeats/s"},
 			{"SnapshotBytes", 1 / snapshotTime, "snapshots/s"}, {"ReportBytes", news + originHeads*news/nodes, "reports/s"},
@@ -138,10 +137,10 @@
 
 // root is the root of a zone's tree with nothing else to do.
 func root() Row {
-	return Row{Role: "root of a zone", Measure: "the tree alone, with a snapshot an hour (not built)", Unit: bytesPerSecond, Budget: budgetNetwork,
+	return Row{Role: "root of a zone", Measure: "the tree alone, without servers, counts and other roles (not built)", Unit: bytesPerSecond, Budget: budgetNetwork,
 		Terms: []Term{{"MeshBytes200", 1, "nodes"}, {"MeshRestartBytes200", restarts, "restarts and failures/s"},
 			{"LogRecordBytes", streams * (changes + 2*moves + 2*takeovers), "records/s"}, {"HeartbeatBytes", streams, "heartbeats/s"},
-			{"SnapshotBytes", streams / hour, "snapshots/s"}, {"ReportBytes", newsIn * news, "reports/s"},
+			{"SnapshotBytes", streams / snapshotTime, "snapshots/s"}, {"ReportBytes", newsIn * news, "reports/s"},
 			{"CompareBytes", comparisons, "comparisons/s"}, {"AppliedBytes", 2 * changes, "calls/s"}},
 		Mechanism: "links, log records, replica sets and comparisons",
 		Parts:     "its parts of the rows above"}
@@ -183,6 +182,10 @@
 			Terms: []Term{{"LoadsBytes", 2 * loadsRate * servers / nodes, "messages/s at both ends"},
 				{"SubscribeBytes", 2 * followed * renewals, "renewals/s at both ends"}},
 			Mechanism: "quantised, to at most 16 followed servers' subscribers, at most 5 messages a second a server"},
+		{Role: "each node", Measure: "use of limits to every node", Unit: bytesPerSecond, Budget: budgetNetwork, OverBudget: true,
+			Terms:     []Term{{"UsageBytes", 2 * (nodes - 1), "messages/s at both ends"}},
+			Mechanism: "broadcast every second while callers use a limit; ten limits are assumed",
+			Change:    "send each limit's use to its home by hash, which answers with the share"},
 	}
 }
 
@@ -217,6 +220,9 @@
 			Terms: []Term{{"LoadsProcessor", loadsRate * servers / nodes, "messages/s"},
 				{"SubscribeProcessor", followed * renewals, "renewals/s"}},
 			Mechanism: "as above"},
+		{Role: "each node", Measure: "use of limits to every node", Unit: coreShare, Budget: budgetProcessor, OverBudget: true,
+			Terms:     []Term{{"UsageProcessor", nodes - 1, "messages/s"}},
+			Mechanism: "broadcast every second while callers use a limit", Change: "as for its bytes"},
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,7 @@
 	"github.com/parsleylug/parsleylug/decisions"
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/engine"
+	"github.com/parsleylug/parsleylug/fold"
 	"github.com/parsleylug/parsleylug/objective"
 	"github.com/parsleylug/parsleylug/peer"
 	"github.com/parsleylug/parsleylug/platform"
@@ -42,6 +44,9 @@
 	// dead nodes for a while.
 	settleLimit = 6 * time.Second
 	linkLimit   = 1500 * time.Millisecond
+	// appendsPerSecond is what all nodes together may append, below what the
+	// platform's log takes.
+	appendsPerSecond = 300
 	// stopPoll is how often a stopping node looks whether its work has ended.
 	stopPoll = 20 * time.Millisecond
 )
@@ -124,12 +129,13 @@
 	})
 	replica, err := platformlog.New(platformlog.Options{
 		Client: n.log, Records: operatorRecords(), Node: o.Node, Logger: o.Logger, Scope: o.Scope,
-		ImportDelay: n.importDelay, PeerSnapshot: n.peerSnapshot, Relay: n.relay.Reads, OnRecords: n.relay.OnRecords,
+		ImportDelay: n.importDelay, AppendsPerSecond: n.appendShare, PeerSnapshot: n.peerSnapshot, Relay: n.relay.Reads, OnRecords: n.relay.OnRecords,
 	})
 	if err != nil {
 		return nil, err
 	}
 	n.replica = replica
+	n.recorder.Goals = n.goal
 	n.deps = &Deps{
 		Self: self, Agreement: n.replica, Mesh: n.mesh, Directory: directory, Reports: &Reports{},
 		Engines: &engine.Client{Region: o.Region}, KeepAlive: o.KeepAlive, Logger: o.Logger, Scope: o.Scope,
@@ -167,7 +173,7 @@
 		Chatter: &engine.Client{Region: n.options.Region}, Services: &service.Client{},
 		Region: n.options.Region, Zone: n.options.Zone, Node: n.options.Node,
 		Logger: n.options.Logger, Scope: n.options.Scope,
-		Draining: n.refusing.Load, Ready: n.replica.Ready,
+		Draining: n.refusing.Load, Ready: n.configured,
 		Spread: func(s []peer.Suspect) { n.mesh.Broadcast(peer.Suspects{Suspects: s}) },
 	})
 	*h = Handler{
@@ -185,6 +191,14 @@
 	return n.notReady() == ""
 }
 
+// configured tells whether this node can show a configuration. Before the first
+// import it would tell callers that no model exists.
+func (n *Node) configured() bool {
+	some := false
+	n.replica.View(func(s *fold.State) { some = s.ConfigurationOffset() > 0 })
+	return some && n.replica.Ready()
+}
+
 // notReady tells a person why the node is not ready, or nothing.
 func (n *Node) notReady() string {
 	switch {
@@ -192,6 +206,8 @@
 		return "the node is stopping"
 	case !n.replica.Ready():
 		return "the agreed state has not caught up with the platform's log"
+	case !n.configured():
+		return "no configuration is in force yet"
 	case !n.deps.Directory.Known():
 		return "the platform's list of VMs was not read yet"
 	case !n.settled():
@@ -335,16 +351,41 @@
 	return 0
 }
 
-// peerSnapshot asks the other nodes for a state that is new enough.
+// peerSnapshot asks every other node for its state and returns the newest. Each is
+// asked only for one newer than those seen, so that few send it whole.
 func (n *Node) peerSnapshot(ctx context.Context, atLeast domain.Offset) (domain.Offset, []byte, error) {
+	var mu sync.Mutex
+	best := peer.Snapshot{}
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(askAtOnce)
 	for _, m := range n.mesh.Members() {
 		if m.Node == n.options.Node {
 			continue
 		}
-		a, err := n.mesh.Call(ctx, m.Node, peer.SnapshotRequest{AtLeast: atLeast})
-		if s, ok := a.(peer.Snapshot); err == nil && ok {
-			return s.Through, s.Data, nil
-		}
+		group.Go(func() error {
+			mu.Lock()
+			want := max(atLeast, best.Through+1)
+			mu.Unlock()
+			ask, cancel := context.WithTimeout(ctx, askTimeout)
+			defer cancel()
+			a, err := n.mesh.Call(ask, m.Node, peer.SnapshotRequest{AtLeast: want})
+			s, ok := a.(peer.Snapshot)
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil && ok && s.Through > best.Through {
+				best = s
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	if best.Data == nil {
+		return 0, nil, errors.New("node: no peer has a state that is new enough")
 	}
-	return 0, nil, errors.New("node: no peer has a state that is new enough")
+	return best.Through, best.Data, nil
+}
+
+// appendShare is this node's share of the appends that the system allows itself.
+func (n *Node) appendShare() float64 {
+	return appendsPerSecond / float64(max(1, len(n.deps.members())))
 }
--- a/node/reports.go
+++ b/node/reports.go
@@ -77,6 +77,14 @@
 	return r.table.Ready(m, now)
 }
 
+// Answers returns the last report of a server that answers its owner at now,
+// whether or not it takes new work.
+func (r *Reports) Answers(s domain.ServerID, now time.Time) (peer.ServerReport, bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.table.Answers(s, now)
+}
+
 // Server returns the last report of a server that is alive and believed at now.
 func (r *Reports) Server(s domain.ServerID, now time.Time) (peer.ServerReport, bool) {
 	r.mu.RLock()
