--- a/bench/cost_test.go
+++ b/bench/cost_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -43,16 +42,21 @@
 // BenchmarkCapacityCall measures what a Wake with its answer costs both ends
 // together.
 func BenchmarkCapacityCall(b *testing.B) {
-	c, from, to := pair(b)
 	wake := peer.Wake{
 		Request: "01HZZZZZZZZZZZZZZZZZZZZZZZ", Model: "coral-frame-notes-large", Adapter: "franchise-042",
 		Team: "coral-research", Region: "region-0", Within: 30 * time.Second,
 	}
-	measureMessages(b, c, "Call", func(wait *sync.WaitGroup, n int) {
+	measureCalls(b, "Call", wake)
+}
+
+// measureCalls measures what a request with its answer costs both ends together.
+func measureCalls(b *testing.B, name string, m peer.Message) {
+	c, from, to := pair(b)
+	measureMessages(b, c, name, func(wait *sync.WaitGroup, n int) {
 		for range 8 {
 			wait.Go(func() {
 				for range n / 8 {
-					if _, err := from.Call(context.Background(), to, wake); err != nil {
+					if _, err := from.Call(context.Background(), to, m); err != nil {
 						b.Error(err)
 						return
 					}
@@ -64,35 +68,44 @@
 
 // BenchmarkCapacityReport measures a report of one server with ten replicas.
 func BenchmarkCapacityReport(b *testing.B) {
-	measureSend(b, "Report", peer.Reports{Servers: []peer.ServerReport{serverReport(10)}})
+	measureSend(b, "Report", peer.Reports{Servers: []peer.ServerReport{serverReport()}})
+}
+
+// BenchmarkCapacityUsage measures the use of ten limits.
+func BenchmarkCapacityUsage(b *testing.B) {
+	var u peer.Usage
+	for i := range 10 {
+		u.Counters = append(u.Counters, peer.UsageCounter{Name: fmt.Sprintf("team/coral-%d/requests", i), Demand: 12.345, Used: 9.876})
+	}
+	measureSend(b, "Usage", u)
+}
+
+// BenchmarkCapacityApplied measures a question for Applied with its answer, of a
+// node that owns one server.
+func BenchmarkCapacityApplied(b *testing.B) {
+	measureCalls(b, "Applied", peer.StatusRequest{Part: peer.AppliedPart})
 }
 
-// BenchmarkCapacityLoads measures the loads of one server with ten replicas.
+// BenchmarkCapacityLoads measures the counts of one server with ten busy replicas.
 func BenchmarkCapacityLoads(b *testing.B) {
-	measureSend(b, "Loads", peer.Loads{Servers: []reports.Loads{serverReport(10).Counts()}})
+	l := serverReport().Counts()
+	l.Sequence = 1 << 20
+	measureSend(b, "Loads", peer.Loads{Servers: []reports.Loads{l}})
 }
 
-// BenchmarkCapacitySubscribe measures the renewal of one subscription.
+// BenchmarkCapacitySubscribe measures a subscription to the loads of one server.
 func BenchmarkCapacitySubscribe(b *testing.B) {
 	measureSend(b, "Subscribe", peer.Subscribe{Servers: []domain.ServerID{"engine-0123"}})
 }
 
-// BenchmarkCapacityCompare measures a comparison of reports.
+// BenchmarkCapacityCompare measures the digests of one comparison that finds no
+// difference.
 func BenchmarkCapacityCompare(b *testing.B) {
-	var m peer.CompareReports
-	for i := range m.Digests {
-		m.Digests[i] = uint64(i+1) << 56
-	}
-	measureSend(b, "Compare", m)
-}
-
-// BenchmarkCapacityUsage measures the use of ten limits.
-func BenchmarkCapacityUsage(b *testing.B) {
-	var u peer.Usage
-	for i := range 10 {
-		u.Counters = append(u.Counters, peer.UsageCounter{Name: fmt.Sprintf("team/coral-%d/requests", i), Demand: 12.345, Used: 9.876})
+	var d reports.Digests
+	for i := range d {
+		d[i] = 1<<63 + uint64(i)
 	}
-	measureSend(b, "Usage", u)
+	measureSend(b, "Compare", peer.CompareReports{Digests: d})
 }
 
 // BenchmarkCapacityLogRecord measures one record of 300 bytes passed to one node.
@@ -123,9 +136,10 @@
 	}
 }
 
-func serverReport(models int) peer.ServerReport {
+// serverReport is of a server with the planned replicas.
+func serverReport() peer.ServerReport {
 	s := peer.ServerReport{Server: "engine-0123", Fence: 1 << 30, Sequence: 1 << 20, Alive: true, FreeMemory: 20 * domain.Gibibyte}
-	for i := range models {
+	for i := range plannedReplicas / plannedServers {
 		s.Models = append(s.Models, peer.ModelReport{
 			Model: domain.ModelName(fmt.Sprintf("coral-frame-notes-%04d", i)), Running: 3, Waiting: 1,
 			Adapters: []domain.AdapterName{"franchise-042", "franchise-077", "franchise-101"},
@@ -199,12 +213,13 @@
 	before = memory()
 	var known node.Reports
 	for i := range plannedServers {
-		r := serverReport(plannedReplicas / plannedServers)
+		r := serverReport()
 		r.Server = serverName(i)
-		known.Add(r, now)
+		known.Add(r.WithoutCounts(), now)
 	}
 	record(b, "ReportsMemory", "B", memory()-before)
-	runtime.KeepAlive(&known)
+	timed(b, "DigestsProcessor", func() { known.Compare() })
+	known.Forget("")
 }
 
 func member(i int) membership.Member {
--- a/bench/rows.go
+++ b/bench/rows.go
@@ -20,13 +20,24 @@
 	loads        = 5.0  // a second at the weight store
 	snapshotTime = 600.0
 	fanOut       = 4.0
-	streams      = 1 + fanOut // one received, the others sent
-	// heads are the first ranks of the zones that get news from its origin: five in
-	// each zone of its region, two in each other.
-	heads     = 5*zones/6 + 2*zones*5/6
-	loadsRate = 8.0  // messages a second for a server
-	interests = 16.0 // servers that a node follows
-	renewTime = 10.0 // seconds
+	// news are changes of a server's set of replicas: a wake begins and ends a load,
+	// an idling takes the replica off and frees its memory.
+	news = 2*moves + takeovers
+	// newsIn counts that a node near the root of a zone gets news from its origin
+	// too.
+	newsIn = streams + 1
+	// originHeads are the nodes to which a server's owner sends its news: five in
+	// each zone of its region and two in each other one.
+	originHeads = farHeads + 5*zones/6
+	farHeads    = 2 * zones * 5 / 6
+	// comparisons are those of the node that most others compare with, and its own
+	// (go test ./relay -v -run Comparisons).
+	comparisons = 6.3 + 1
+	// loadsRate is the most messages a second with the counts of one server.
+	loadsRate = 5.0
+	followed  = 16.0       // servers whose counts a node follows
+	renewals  = 0.1        // a second and followed server
+	streams   = 1 + fanOut // one received, the others sent
 	// heapFactor is how much the collector lets the heap grow over what lives.
 	heapFactor = 2.0
 	// demandLinks are links to all nodes of the region that are not neighbours.
@@ -67,6 +78,8 @@
 	OverBudget bool
 	Change     string
 	Mechanism  string
+	// Parts stands for the formula of a sum of parts of other rows.
+	Parts string
 }
 
 // Product is the row's figure.
@@ -89,28 +102,50 @@
 // Rows returns every figure of docs/CAPACITY.md.
 func Rows() []Row {
 	rows := withTotal(networkRows(), bytesPerSecond, budgetNetwork)
-	rows = append(rows, lessLoad(&rows[len(rows)-1]))
+	rows = append(rows, lessOften(&rows[len(rows)-1]), ordinary(), root())
 	rows = append(rows, withTotal(processorRows(), coreShare, budgetProcessor)...)
 	rows = append(rows, withTotal(memoryRows(), bytes, budgetMemory)...)
 	return append(rows, systemRows()...)
 }
 
-// lessLoad marks the sum of the network as over its budget and returns the one
-// that fits.
-func lessLoad(sum *Row) Row {
+// lessOften marks the sum of the network as over its budget and returns a smaller one,
+// which is over it too.
+func lessOften(sum *Row) Row {
 	sum.OverBudget = true
-	sum.Change = "send at most 4 loads a second for a server, and leave the pacer and the operator's view to a node that owns no server (next row)"
+	sum.Change = "ask for an operator's view every 5 minutes and not each minute (next row)"
 	fits := *sum
-	fits.OverBudget, fits.Change = false, ""
-	fits.Measure = "the same with half the loads (not built), without pacer and operator's view"
+	fits.Change = "keep the roots of zones from being the pacer, from owning servers and from following counts (second next row)"
+	fits.Measure = "the same with an operator's view every 5 minutes"
 	fits.Terms = append([]Term{
-		{"LoadsBytes", -loadsRate * servers / nodes, "fewer loads/s"},
-		{"CallBytes", -nodes/60 - loads, "fewer calls/s"},
-		{"HeartbeatBytes", -loads, "fewer releases/s"},
+		{"AppliedBytes", nodes/300 - nodes/60, "calls/s fewer"},
 	}, sum.Terms...)
 	return fits
 }
 
+// ordinary is a node that owns servers and routes, is a leaf of its zone's tree, and
+// is neither the pacer nor asked by operators.
+func ordinary() Row {
+	return Row{Role: "ordinary node", Measure: "everything of it that fits", Unit: bytesPerSecond, Budget: budgetNetwork,
+		Terms: []Term{{"MeshBytes200", 1, "nodes"}, {"MeshRestartBytes200", restarts, "restarts and failures/s"},
+			{"LogRecordBytes", changes + 2*moves + 2*takeovers, "records/s"}, {"HeartbeatBytes", 1, "heartbeats/s"},
+			{"SnapshotBytes", 1 / snapshotTime, "snapshots/s"}, {"ReportBytes", news + originHeads*news/nodes, "reports/s"},
+			{"CompareBytes", 2, "comparisons/s"}, {"LoadsBytes", 2 * loadsRate * servers / nodes, "counts/s"},
+			{"SubscribeBytes", 2 * followed * renewals, "renewals/s"}, {"AppliedBytes", 2 * changes, "calls/s"}},
+		Mechanism: "a leaf of its zone's tree that is neither the pacer nor asked by operators; three of four nodes",
+		Parts:     "its parts of the rows above"}
+}
+
+// root is the root of a zone's tree with nothing else to do.
+func root() Row {
+	return Row{Role: "root of a zone", Measure: "the tree alone, without servers, counts and other roles (not built)", Unit: bytesPerSecond, Budget: budgetNetwork,
+		Terms: []Term{{"MeshBytes200", 1, "nodes"}, {"MeshRestartBytes200", restarts, "restarts and failures/s"},
+			{"LogRecordBytes", streams * (changes + 2*moves + 2*takeovers), "records/s"}, {"HeartbeatBytes", streams, "heartbeats/s"},
+			{"SnapshotBytes", streams / snapshotTime, "snapshots/s"}, {"ReportBytes", newsIn * news, "reports/s"},
+			{"CompareBytes", comparisons, "comparisons/s"}, {"AppliedBytes", 2 * changes, "calls/s"}},
+		Mechanism: "links, log records, replica sets and comparisons",
+		Parts:     "its parts of the rows above"}
+}
+
 func withTotal(rows []Row, unit string, budget float64) []Row {
 	return append(rows, Total(rows, unit, budget))
 }
@@ -130,18 +165,23 @@
 		{Role: "pacer", Measure: "slots", Unit: bytesPerSecond, Budget: budgetNetwork,
 			Terms:     []Term{{"CallBytes", loads, "loads/s"}, {"HeartbeatBytes", loads, "releases/s"}},
 			Mechanism: "the weight store's own pace bounds it"},
-		{Role: "operator's view", Measure: "applied offsets of all, once a minute", Unit: bytesPerSecond, Budget: budgetNetwork,
-			Terms:     []Term{{"CallBytes", nodes / 60, "calls/s"}},
+		{Role: "operator's view", Measure: "status of all, once a minute", Unit: bytesPerSecond, Budget: budgetNetwork,
+			Terms:     []Term{{"AppliedBytes", nodes / 60, "calls/s"}},
 			Mechanism: "asked for by the node that the operator talks to"},
-		{Role: "owner", Measure: "reports through the trees", Unit: bytesPerSecond, Budget: budgetNetwork,
-			Terms: []Term{{"ReportBytes", streams * (moves + takeovers), "reports/s in and out"},
-				{"ReportBytes", heads * (moves + takeovers) / nodes, "reports/s to the zones' heads"},
-				{"CompareBytes", 2, "comparisons/s at both ends"}},
-			Mechanism: "a report only where the set of replicas or the server's state changes; views are compared once a second"},
-		{Role: "owner", Measure: "loads to who routes there", Unit: bytesPerSecond, Budget: budgetNetwork,
+		{Role: "each node", Measure: "applied offsets, every change waited for", Unit: bytesPerSecond, Budget: budgetNetwork,
+			Terms:     []Term{{"AppliedBytes", 2 * changes, "calls/s at both ends"}},
+			Mechanism: "asked by the node that an operator talks to, each node once a change; operators spread over the nodes"},
+		{Role: "owner and relay", Measure: "replica sets through the trees", Unit: bytesPerSecond, Budget: budgetNetwork,
+			Terms: []Term{{"ReportBytes", newsIn * news, "reports/s in and out"},
+				{"ReportBytes", originHeads * news / nodes, "reports/s of own servers"}},
+			Mechanism: "a report only where the set of replicas or the server's state changes"},
+		{Role: "relay", Measure: "comparisons of replica sets", Unit: bytesPerSecond, Budget: budgetNetwork,
+			Terms:     []Term{{"CompareBytes", comparisons, "comparisons/s"}},
+			Mechanism: "each node compares digests with one other a second"},
+		{Role: "owner and entry", Measure: "counts of requests", Unit: bytesPerSecond, Budget: budgetNetwork,
 			Terms: []Term{{"LoadsBytes", 2 * loadsRate * servers / nodes, "messages/s at both ends"},
-				{"SubscribeBytes", 2 * interests / renewTime, "renewals/s at both ends"}},
-			Mechanism: "quantised, on change, at most 8 messages a second for a server; a node follows at most 16 servers"},
+				{"SubscribeBytes", 2 * followed * renewals, "renewals/s at both ends"}},
+			Mechanism: "quantised, to at most 16 followed servers' subscribers, at most 5 messages a second a server"},
 		{Role: "each node", Measure: "use of limits to every node", Unit: bytesPerSecond, Budget: budgetNetwork, OverBudget: true,
 			Terms:     []Term{{"UsageBytes", 2 * (nodes - 1), "messages/s at both ends"}},
 			Mechanism: "broadcast every second while callers use a limit; ten limits are assumed",
@@ -167,10 +207,19 @@
 		{Role: "pacer", Measure: "slots", Unit: coreShare, Budget: budgetProcessor,
 			Terms:     []Term{{"CallProcessor", loads, "loads/s"}, {"HeartbeatProcessor", loads, "releases/s"}},
 			Mechanism: "the weight store's own pace bounds it"},
-		{Role: "owner", Measure: "reports and loads", Unit: coreShare, Budget: budgetProcessor,
-			Terms: []Term{{"ReportProcessor", streams * (moves + takeovers), "reports/s"}, {"CompareProcessor", 1, "comparisons/s"},
-				{"LoadsProcessor", loadsRate * servers / nodes, "loads/s"}, {"SubscribeProcessor", interests / renewTime, "renewals/s"}},
-			Mechanism: "as for their bytes"},
+		{Role: "each node", Measure: "applied offsets, every change waited for", Unit: coreShare, Budget: budgetProcessor,
+			Terms:     []Term{{"AppliedProcessor", changes, "calls/s"}},
+			Mechanism: "as above"},
+		{Role: "owner and relay", Measure: "replica sets through the trees", Unit: coreShare, Budget: budgetProcessor,
+			Terms:     []Term{{"ReportProcessor", newsIn*news + originHeads*news/nodes, "reports/s"}},
+			Mechanism: "as above"},
+		{Role: "relay", Measure: "comparisons of replica sets", Unit: coreShare, Budget: budgetProcessor,
+			Terms:     []Term{{"CompareProcessor", comparisons, "comparisons/s"}, {"DigestsProcessor", comparisons, "digests/s"}},
+			Mechanism: "as above"},
+		{Role: "owner and entry", Measure: "counts of requests", Unit: coreShare, Budget: budgetProcessor,
+			Terms: []Term{{"LoadsProcessor", loadsRate * servers / nodes, "messages/s"},
+				{"SubscribeProcessor", followed * renewals, "renewals/s"}},
+			Mechanism: "as above"},
 		{Role: "each node", Measure: "use of limits to every node", Unit: coreShare, Budget: budgetProcessor, OverBudget: true,
 			Terms:     []Term{{"UsageProcessor", nodes - 1, "messages/s"}},
 			Mechanism: "broadcast every second while callers use a limit", Change: "as for its bytes"},
@@ -198,10 +247,13 @@
 				{"", 2 * takeovers, "leases/s"}, {"", 5 / snapshotTime, "snapshot chunks/s"}},
 			Mechanism: "no append for a wake or an idling under a permit; this counts each as a move"},
 		{Role: "log", Measure: "reads", Unit: perSecond, Budget: budgetAppends,
-			Terms:     []Term{{"", zones, "long polls of relays/s"}, {"", (nodes - zones) / 5, "idle reads/s"}},
-			Mechanism: "one reader a zone; the others look every 5 s in spite of heartbeats"},
+			Terms:     []Term{{"", zones, "long polls of relays/s"}, {"", (nodes - zones) / 60, "idle reads/s"}},
+			Mechanism: "one reader a zone; the others look once a minute beside the heartbeats"},
 		{Role: "between regions", Measure: "links, pings and views of all nodes", Unit: bytesPerSecond,
 			Terms:     []Term{{"MeshFarBytes200", nodes, "nodes"}},
 			Mechanism: "2 far neighbours a node, pinged every 2 s"},
+		{Role: "between regions", Measure: "replica sets", Unit: bytesPerSecond,
+			Terms:     []Term{{"ReportBytes", farHeads * news, "reports/s"}},
+			Mechanism: "two nodes of each zone of other regions"},
 	}
 }
--- a/node/news.go
+++ b/node/news.go
@@ -21,6 +21,9 @@
 	interestsInterval = 250 * time.Millisecond
 	// repairChunk bounds the reports of one message.
 	repairChunk = 32
+	// fewRepairs is up to how many new reports of a repair are passed on: more are
+	// not lost news but what a node that has just started lacks.
+	fewRepairs = 4
 )
 
 // News passes on what the nodes know of the backend servers: reports through the
@@ -152,13 +155,14 @@
 	}
 }
 
-// own returns the report of a server that this node owns.
-func (n *News) own(s domain.ServerID) []peer.ServerReport {
-	r, ok := n.deps.Reports.Server(s, time.Now())
+// own returns the report of a server that this node owns, and its age.
+func (n *News) own(s domain.ServerID) ([]peer.ServerReport, time.Duration) {
+	now := time.Now()
+	r, ok := n.deps.Reports.Server(s, now)
 	if !ok {
-		return nil
+		return nil, 0
 	}
-	return []peer.ServerReport{r.WithoutCounts()}
+	return []peer.ServerReport{r.WithoutCounts()}, now.Sub(n.deps.Reports.Confirmed(s))
 }
 
 func (n *News) concurrency(m domain.ModelName) int {
@@ -235,7 +239,7 @@
 			fresh = append(fresh, r)
 		}
 	}
-	if m.Repair || len(fresh) == 0 {
+	if len(fresh) == 0 || m.Repair && len(fresh) > fewRepairs {
 		return
 	}
 	for _, to := range n.currentTree().Onward() {
--- a/peer/message.go
+++ b/peer/message.go
@@ -71,6 +71,8 @@
 	// Reports holds the server's report after the load, or nothing, so that the
 	// asker needs not wait for it.
 	Reports []ServerReport
+	// Age is how long ago the server confirmed that report.
+	Age time.Duration
 }
 
 // ReleasePermit asks the owner of a server to give back a permit whose replica is
@@ -111,7 +113,7 @@
 // Reports carries reports of backend servers without counts; it has no answer.
 type Reports struct {
 	Servers []ServerReport
-	// Repair reports answer a comparison and are not passed on.
+	// Repair reports answer a comparison; many of them are not passed on.
 	Repair bool
 }
 
@@ -187,7 +189,7 @@
 type Applied struct {
 	Decision      domain.Offset
 	Configuration domain.Offset
-	// Loads are the counts of the servers that the node owns.
+	// Loads are the sums of the counts of the servers that the node owns.
 	Loads []reports.Loads
 }
 
