Put the appends of an availability zone into one

Cause: 940 nodes share a few hundred appends a second; each by itself may make one in three seconds, which a caller's command would wait for. At 940 nodes 22 relays share 200 appends a second, 9 each.

--- a/node/handle.go
+++ b/node/handle.go
@@ -26,6 +26,8 @@
 	Usage func(from domain.NodeID, u peer.Usage)
 	// Status returns a part of this node's status as JSON.
 	Status func(peer.StatusRequest) ([]byte, error)
+	// Append appends records of a node of this availability zone.
+	Append func(ctx context.Context, a peer.AppendRecords) (peer.Appended, error)
 	// Deliver takes records that a relay passed on.
 	Deliver func(from domain.NodeID, r peer.LogRecords)
 }
@@ -39,6 +41,8 @@
 		return h.load(ctx, m)
 	case peer.ReleasePermit:
 		return peer.Released{}, h.Ownership.Release(ctx, m)
+	case peer.AppendRecords:
+		return h.Append(ctx, m)
 	case peer.AcquirePace:
 		return h.Pacer.Acquire(ctx, from, m)
 	case peer.CommandQuery:
--- a/node/node.go
+++ b/node/node.go
@@ -44,9 +44,10 @@
 	// dead nodes for a while.
 	settleLimit = 6 * time.Second
 	linkLimit   = 1500 * time.Millisecond
-	// appendsPerSecond is what all nodes together may append, below what the
-	// platform's log takes.
-	appendsPerSecond = 300
+	// appendsPerSecond is what all relays together may append, and directPerSecond
+	// what nodes may without them, together below what the platform's log takes.
+	appendsPerSecond = 200
+	directPerSecond  = 100
 	// stopPoll is how often a stopping node looks whether its work has ended.
 	stopPoll = 20 * time.Millisecond
 )
@@ -90,6 +91,7 @@
 	claims    *Claims
 	home      *Home
 	relay     *relay.Runner
+	appends   *relay.Appends
 	log       *platformlog.Client
 	recorder  *objective.Recorder
 	journal   *decisions.Journal
@@ -127,9 +129,13 @@
 		Self: o.Node, Mesh: n.mesh, Replica: deliverer{n}, Next: func() domain.Offset { return n.applied().Decision + 1 },
 		Healthy: func() bool { return n.replica.LogUp() },
 	})
+	n.appends = relay.NewAppends(relay.AppendOptions{
+		Log: n.log, Mesh: n.mesh, Plan: func() relay.Plan { return relay.NewPlan(o.Node, n.mesh.Members()) },
+		ZoneRate: n.zoneShare, NodeRate: n.appendShare,
+	})
 	replica, err := platformlog.New(platformlog.Options{
-		Client: n.log, Records: operatorRecords(), Node: o.Node, Logger: o.Logger, Scope: o.Scope,
-		ImportDelay: n.importDelay, AppendsPerSecond: n.appendShare, PeerSnapshot: n.peerSnapshot, Relay: n.relay.Reads, OnRecords: n.relay.OnRecords,
+		Client: n.appends, Records: operatorRecords(), Node: o.Node, Logger: o.Logger, Scope: o.Scope,
+		ImportDelay: n.importDelay, PeerSnapshot: n.peerSnapshot, Relay: n.relay.Reads, OnRecords: n.relay.OnRecords,
 	})
 	if err != nil {
 		return nil, err
@@ -183,6 +189,7 @@
 		Usage:   n.callers.LearnUsage,
 		Status:  n.part,
 		Deliver: n.relay.Handle,
+		Append:  n.appends.Handle,
 	}
 }
 
@@ -275,6 +282,7 @@
 		n.replica.Run,
 		n.mesh.Run,
 		n.relay.Run,
+		n.appends.Run,
 		func(ctx context.Context) error { n.deps.Directory.Run(ctx, n.list); return nil },
 		func(ctx context.Context) error { n.announce(ctx); return nil },
 		func(ctx context.Context) error { n.ownership.Run(ctx); return nil },
@@ -385,7 +393,18 @@
 	return best.Through, best.Data, nil
 }
 
-// appendShare is this node's share of the appends that the system allows itself.
+// zoneShare is the share of this node's availability zone of the appends that the
+// system allows itself, but for those that nodes make without their relay.
+func (n *Node) zoneShare() float64 {
+	zones := make(map[domain.Zone]bool)
+	for _, m := range n.mesh.Members() {
+		zones[m.Zone] = true
+	}
+	return appendsPerSecond / float64(max(1, len(zones)))
+}
+
+// appendShare is this node's share of the appends that nodes make without their
+// relay, on top of those of the relays.
 func (n *Node) appendShare() float64 {
-	return appendsPerSecond / float64(max(1, len(n.deps.members())))
+	return directPerSecond / float64(max(1, len(n.deps.members())))
 }
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -14,7 +14,7 @@
 	Ping{}, Pong{}, Failed{}, Wake{}, Replicas{}, Load{}, Loaded{}, AcquirePace{}, Paced{}, ReleasePace{},
 	Reports{}, CommandQuery{}, CommandAnswer{}, Suspects{}, SnapshotRequest{}, Snapshot{}, LogRecords{},
 	Applied{}, Usage{}, StatusRequest{}, Status{}, Leave{}, Hello{}, Welcome{}, Gossip{}, Compare{}, Differs{},
-	ReleasePermit{}, Released{}, CompareReports{}, ReportVersions{}, Subscribe{}, Loads{},
+	AppendRecords{}, Appended{}, ReleasePermit{}, Released{}, CompareReports{}, ReportVersions{}, Subscribe{}, Loads{},
 }
 
 // fill sets every field below v to a value that differs from zero and, where
--- a/peer/decode.go
+++ b/peer/decode.go
@@ -76,6 +76,12 @@
 	case numberSnapshot:
 		w, err := body[wireSnapshot](f)
 		return Snapshot(w), err
+	case numberAppendRecords:
+		w, err := body[wireAppendRecords](f)
+		return AppendRecords(w), err
+	case numberAppended:
+		w, err := body[wireAppended](f)
+		return Appended(w), err
 	case numberLogRecords:
 		w, err := body[wireLogRecords](f)
 		return LogRecords(w), err
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -66,6 +66,10 @@
 		return numberSnapshotRequest, wireSnapshotRequest(m)
 	case Snapshot:
 		return numberSnapshot, wireSnapshot(m)
+	case AppendRecords:
+		return numberAppendRecords, wireAppendRecords(m)
+	case Appended:
+		return numberAppended, wireAppended(m)
 	case LogRecords:
 		return numberLogRecords, wireLogRecords(m)
 	default:
--- a/peer/message.go
+++ b/peer/message.go
@@ -184,6 +184,14 @@
 	Records [][]byte
 }
 
+// AppendRecords asks the relay of the sender's availability zone to append records
+// to the decision stream together with those of others. The answer is Appended or
+// Failed, whose verdict says whether the records may be in the log.
+type AppendRecords struct{ Records [][]byte }
+
+// Appended answers AppendRecords with the offset of the first record.
+type Appended struct{ First domain.Offset }
+
 // Applied answers a StatusRequest for AppliedPart, for status and for config
 // --wait.
 type Applied struct {
@@ -255,6 +263,8 @@
 func (Suspects) message()        {}
 func (SnapshotRequest) message() {}
 func (Snapshot) message()        {}
+func (AppendRecords) message()   {}
+func (Appended) message()        {}
 func (LogRecords) message()      {}
 func (Applied) message()         {}
 func (Usage) message()           {}
--- a/peer/number.go
+++ b/peer/number.go
@@ -38,6 +38,8 @@
 	numberReportVersions
 	numberSubscribe
 	numberLoads
+	numberAppendRecords
+	numberAppended
 )
 
 // frameKind tells what a frame is.
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -151,6 +151,12 @@
 		Through domain.Offset `cbor:"1,keyasint,omitempty"`
 		Data    []byte        `cbor:"2,keyasint,omitempty"`
 	}
+	wireAppendRecords struct {
+		Records [][]byte `cbor:"1,keyasint,omitempty"`
+	}
+	wireAppended struct {
+		First domain.Offset `cbor:"1,keyasint,omitempty"`
+	}
 	wireLogRecords struct {
 		First   domain.Offset `cbor:"1,keyasint,omitempty"`
 		Records [][]byte      `cbor:"2,keyasint,omitempty"`
--- /dev/null
+++ b/relay/appends_test.go
@@ -0,0 +1,153 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/fold"
+	"github.com/parsleylug/parsleylug/peer"
+	"github.com/parsleylug/parsleylug/platformlog"
+	"github.com/parsleylug/parsleylug/verdict"
+)
+
+// countedLog counts appends and keeps what came.
+type countedLog struct {
+	platformlog.Log
+	mu      sync.Mutex
+	appends int
+	records []string
+	err     error
+}
+
+func (l *countedLog) Append(_ context.Context, _ string, records [][]byte) (domain.Offset, error) {
+	time.Sleep(5 * time.Millisecond)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.err != nil {
+		return 0, l.err
+	}
+	l.appends++
+	first := domain.Offset(len(l.records) + 1)
+	for _, r := range records {
+		l.records = append(l.records, string(r))
+	}
+	return first, nil
+}
+
+// toRelay hands calls to the relay's Appends, unless it is cut off.
+type toRelay struct {
+	relay *Appends
+	err   error
+}
+
+func (c *toRelay) Call(ctx context.Context, _ domain.NodeID, m peer.Message) (peer.Message, error) {
+	if c.err != nil {
+		return nil, c.err
+	}
+	return c.relay.Handle(ctx, m.(peer.AppendRecords))
+}
+
+func fixed(f float64) func() float64 { return func() float64 { return f } }
+
+// zoneOf runs a relay and n other nodes over one log until the test ends.
+func zoneOf(t *testing.T, l *countedLog, n int, zoneRate float64) (nodes []*Appends, mesh *toRelay) {
+	t.Helper()
+	ranked := []domain.NodeID{"relay", "other"}
+	mesh = &toRelay{}
+	options := AppendOptions{Log: l, Mesh: mesh, ZoneRate: fixed(zoneRate), NodeRate: fixed(1)}
+	options.Plan = func() Plan { return Plan{Ranked: ranked} }
+	mesh.relay = NewAppends(options)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		_ = mesh.relay.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	options.Plan = func() Plan { return Plan{Ranked: ranked, Rank: 1} }
+	for range n {
+		nodes = append(nodes, NewAppends(options))
+	}
+	return nodes, mesh
+}
+
+// TestAppendsOfAZoneShareOne has 40 nodes append 5 times each and holds that each
+// learns where its own records are.
+func TestAppendsOfAZoneShareOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &countedLog{}
+		nodes, _ := zoneOf(t, l, 40, 10)
+		start := time.Now()
+		var wait sync.WaitGroup
+		for i, n := range nodes {
+			wait.Go(func() {
+				for j := range 5 {
+					want := string(rune('A'+i)) + string(rune('0'+j))
+					at, err := n.Append(t.Context(), fold.DecisionStream, [][]byte{[]byte(want)})
+					if err != nil {
+						t.Errorf("got %v, want an offset", err)
+						return
+					}
+					l.mu.Lock()
+					if got := l.records[at-1]; got != want {
+						t.Errorf("got %q at the offset that was told, want %q", got, want)
+					}
+					l.mu.Unlock()
+				}
+			})
+		}
+		wait.Wait()
+		if got, want := l.appends, 20; got > want {
+			t.Errorf("got %d appends for 200 of 40 nodes, want at most %d", got, want)
+		}
+		t.Logf("%d appends for 200 in %v at 10 a second", l.appends, time.Since(start))
+	})
+}
+
+// TestFaultRelayLost holds that a node appends by itself where the relay has not
+// got its records, and says that the outcome is unknown where it may have.
+func TestFaultRelayLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &countedLog{}
+		nodes, mesh := zoneOf(t, l, 1, 10)
+		mesh.err = verdict.Refuse(verdict.BackendFailed, "gone")
+		if _, err := nodes[0].Append(t.Context(), fold.DecisionStream, [][]byte{[]byte("a")}); err != nil {
+			t.Errorf("got %v with the relay gone, want a direct append", err)
+		}
+		time.Sleep(2 * directFor)
+		mesh.err = verdict.Doubt(verdict.BackendFailed, "silent", errors.New("no answer"))
+		_, err := nodes[0].Append(t.Context(), fold.DecisionStream, [][]byte{[]byte("b")})
+		if got, want := platformlog.FailureOf(err), platformlog.OutcomeUnknown; err == nil || got != want {
+			t.Errorf("got %v, want %v", err, want)
+		}
+		if _, err := nodes[0].Append(t.Context(), fold.DecisionStream, [][]byte{[]byte("b")}); err != nil {
+			t.Errorf("got %v for the append again, want a direct one", err)
+		}
+		if got, want := len(l.records), 2; got != want {
+			t.Errorf("got %d records, want %d", got, want)
+		}
+	})
+}
+
+// TestFaultRelayTellsNotAppendedFromUnknown passes the log's failures on.
+func TestFaultRelayTellsNotAppendedFromUnknown(t *testing.T) {
+	for _, want := range []platformlog.Failure{platformlog.NotAppended, platformlog.OutcomeUnknown} {
+		synctest.Test(t, func(t *testing.T) {
+			l := &countedLog{err: &platformlog.Error{Failure: want}}
+			nodes, _ := zoneOf(t, l, 1, 10)
+			_, err := nodes[0].Append(t.Context(), fold.DecisionStream, [][]byte{[]byte("a")})
+			if got := platformlog.FailureOf(err); err == nil || got != want {
+				t.Errorf("got %v, want %v", err, want)
+			}
+		})
+	}
+}
