--- a/node/deps.go
+++ b/node/deps.go
@@ -13,6 +13,7 @@
 	"github.com/parsleylug/parsleylug/engine"
 	"github.com/parsleylug/parsleylug/fold"
 	"github.com/parsleylug/parsleylug/peer"
+	"github.com/parsleylug/parsleylug/waking"
 )
 
 // Deps is what a node is made of. It is passed down to the parts of the node.
@@ -25,7 +26,9 @@
 	// News passes reports and loads on.
 	News    *News
 	Engines engine.Orderer
-	// KeepAlive is how long an idle replica stays loaded.
+	// Waking decides how long an idle replica stays loaded; without it that is KeepAlive.
+	Waking *waking.Policy
+	// KeepAlive is how long an idle replica stays loaded at most; zero means for good.
 	KeepAlive time.Duration
 	Logger    zerolog.Logger
 	Scope     tally.Scope
--- a/node/keeper.go
+++ b/node/keeper.go
@@ -47,6 +47,8 @@
 	usedAt map[domain.ModelName]time.Time
 	// served is how many requests each replica had taken at the last poll.
 	served map[domain.ModelName]uint64
+	// took is the smoothed duration of each model's loads.
+	took map[domain.ModelName]time.Duration
 	// loads are the running loads, for single flight.
 	loads map[domain.ModelName]*flight
 	// unloading replicas are left out of reports.
@@ -88,6 +90,7 @@
 		log:       d.Logger.With().Str("Server", string(l.Server)).Uint64("Fence", uint64(l.Fence)).Logger(),
 		usedAt:    make(map[domain.ModelName]time.Time),
 		served:    make(map[domain.ModelName]uint64),
+		took:      make(map[domain.ModelName]time.Duration),
 		loads:     make(map[domain.ModelName]*flight),
 		unloading: make(map[domain.ModelName]bool),
 		makeRoom:  make(chan struct{}, 1),
@@ -217,10 +220,7 @@
 	k.agree(nil)
 	k.account.Observe(mark, st)
 	for _, r := range st.Replicas {
-		if r.Running+r.Waiting > 0 || k.usedAt[r.Model].IsZero() || k.served[r.Model] != r.Served {
-			k.usedAt[r.Model] = now
-		}
-		k.served[r.Model] = r.Served
+		k.noteUse(r, now)
 	}
 }
 
--- a/node/load.go
+++ b/node/load.go
@@ -58,6 +58,9 @@
 		k.report()
 	}
 	k.mu.Lock()
+	if f.err == nil {
+		k.noteLoad(m, time.Since(start))
+	}
 	delete(k.loads, m)
 	k.mu.Unlock()
 	close(f.done)
--- a/node/node.go
+++ b/node/node.go
@@ -28,6 +28,7 @@
 	"github.com/parsleylug/parsleylug/relay"
 	"github.com/parsleylug/parsleylug/rendezvous"
 	"github.com/parsleylug/parsleylug/service"
+	"github.com/parsleylug/parsleylug/waking"
 )
 
 const (
@@ -66,7 +67,7 @@
 	PeerTLS *tls.Config
 	// Background runs beside the node, until it ends.
 	Background []func(context.Context) error
-	// KeepAlive is how long an idle replica stays loaded.
+	// KeepAlive is how long an idle replica stays loaded at most; zero means for good.
 	KeepAlive time.Duration
 	// DrainGrace is how long a stopping node takes new requests, until the
 	// balancer has seen that it is not ready.
@@ -138,7 +139,7 @@
 	n.recorder.Goals = n.goal
 	n.deps = &Deps{
 		Self: self, Agreement: n.replica, Mesh: n.mesh, Directory: directory, Reports: &Reports{},
-		Engines: &engine.Client{Region: o.Region}, KeepAlive: o.KeepAlive, Logger: o.Logger, Scope: o.Scope,
+		Engines: &engine.Client{Region: o.Region}, Waking: &waking.Policy{}, KeepAlive: o.KeepAlive, Logger: o.Logger, Scope: o.Scope,
 		Leaving: n.stopping.Load, Settled: n.settled, LogDown: n.logDown, Journal: n.journal,
 	}
 	n.news = NewNews(n.deps)
--- a/node/unload.go
+++ b/node/unload.go
@@ -11,7 +11,7 @@
 	"github.com/parsleylug/parsleylug/verdict"
 )
 
-// evict unloads the idle replica that was used longest ago to make room for m.
+// evict unloads the idle replica that is cheapest to wake again to make room for m.
 // With giveBack its permit is released too, which the fold needs before it
 // attaches another on a server that ignores fences.
 func (k *keeper) evict(ctx context.Context, m domain.ModelName, size domain.Bytes, giveBack bool) error {
@@ -61,7 +61,7 @@
 }
 
 // victims lists what may be taken down: first replicas that may be loaded without
-// showing in the state, then idle ones, the one used longest ago first.
+// showing in the state, then idle ones, the cheapest to wake again first.
 func (k *keeper) victims(keep domain.ModelName) []domain.ModelName {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -72,8 +72,7 @@
 		}
 		idle = append(idle, r.Model)
 	}
-	slices.SortFunc(idle, func(a, b domain.ModelName) int { return k.usedAt[a].Compare(k.usedAt[b]) })
-	return append(k.hidden(keep), idle...)
+	return append(k.hidden(keep), k.rankIdle(idle, time.Now())...)
 }
 
 // hidden lists models that may be loaded though the server's state does not show
@@ -176,7 +175,7 @@
 	drained := k.deps.serverDrained(k.lease.Server, k.lease.Facts.Zone)
 	for _, m := range k.loadedNow() {
 		p, ok := permitOf(permits, m)
-		if ok && !drained && !p.Revoked && !k.idleFor(m, k.deps.KeepAlive) {
+		if ok && !drained && !p.Revoked && !k.idleFor(m, k.stay(m)) {
 			continue
 		}
 		// A replica that is in use is refused as busy and tried again.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -34,7 +34,7 @@
 	PeerCertificate string `name:"peer-certificate" help:"PEM certificate for links between nodes; TLS is off there without it." placeholder:"FILE"`
 	PeerKey         string `name:"peer-key" help:"PEM key of --peer-certificate." placeholder:"FILE"`
 	PeerAuthority   string `name:"peer-authority" help:"PEM certificates that every node's certificate chains to." placeholder:"FILE"`
-	KeepAlive       string `help:"How long an idle replica stays loaded." default:"5m"`
+	KeepAlive       string `help:"How long an idle replica stays loaded at most; 0s means for good." default:"24h"`
 	DrainGrace      string `help:"How long a stopping node still takes requests, so that the balancer sees it first." default:"2s"`
 	DrainLimit      string `help:"How long a stop waits for running requests." default:"5m"`
 	LogLevel        string `help:"Lowest level logged: debug, info, warn or error." default:"info"`
--- a/waking/evict.go
+++ b/waking/evict.go
@@ -33,13 +33,7 @@
 // It returns nil where all together don't make the room.
 func Evict(candidates []Candidate, need domain.Bytes) []domain.ModelName {
 	order := slices.Clone(candidates)
-	slices.SortFunc(order, func(a, b Candidate) int {
-		return cmp.Or(
-			cmp.Compare(a.value()*float64(max(1, b.Size)), b.value()*float64(max(1, a.Size))),
-			cmp.Compare(b.IdleFor, a.IdleFor),
-			cmp.Compare(a.Model, b.Model),
-		)
-	})
+	slices.SortFunc(order, compareCandidates)
 	var freed domain.Bytes
 	var out []Candidate
 	for _, c := range order {
@@ -55,6 +49,22 @@
 	return names(trim(out, freed-need))
 }
 
+// Rank orders replicas by the expected cost of waking them again per byte and hour, the least
+// first, and those of equal cost by how long they have been idle.
+func Rank(candidates []Candidate) []domain.ModelName {
+	order := slices.Clone(candidates)
+	slices.SortFunc(order, compareCandidates)
+	return names(order)
+}
+
+func compareCandidates(a, b Candidate) int {
+	return cmp.Or(
+		cmp.Compare(a.value()*float64(max(1, b.Size)), b.value()*float64(max(1, a.Size))),
+		cmp.Compare(b.IdleFor, a.IdleFor),
+		cmp.Compare(a.Model, b.Model),
+	)
+}
+
 // trim leaves out what isn't needed, the dearest first.
 func trim(out []Candidate, spare domain.Bytes) []Candidate {
 	for i := len(out) - 1; i >= 0; i-- {
--- a/waking/place_test.go
+++ b/waking/place_test.go
@@ -22,6 +22,18 @@
 	}
 }
 
+func TestRankByCostOfWakingAgain(t *testing.T) {
+	c := []Candidate{
+		{Model: "recent", Size: 1, IdleFor: time.Minute},
+		{Model: "old", Size: 1, IdleFor: time.Hour},
+		{Model: "needed", Size: 1, IdleFor: 2 * time.Hour, Chance: .5, ColdStart: time.Second},
+	}
+	got := Rank(c)
+	if want := []domain.ModelName{"old", "recent", "needed"}; !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
 func TestPlacePrefersTheCache(t *testing.T) {
 	got := Place([]Server{
 		{ID: "remote", Free: 100, ColdStart: 20 * time.Second},
