Mend two data races in tests

Cause: go test -race found counters of test fakes that two goroutines write. Change: one is atomic, the other under its lock. Conclusion: no check changed.

--- a/caller/poison_test.go
+++ b/caller/poison_test.go
@@ -139,6 +139,8 @@
 	if bytes.Contains(r.Body, []byte("POISON")) {
 		time.AfterFunc(time.Duration(f.after)*s.pace+20*time.Millisecond, func() {
 			if f.crash(i) {
+				f.mu.Lock()
+				defer f.mu.Unlock()
 				f.poisoned++
 			}
 		})
--- a/node/invariant_test.go
+++ b/node/invariant_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -307,9 +308,9 @@
 // others whose claim is late, whose service fails, and whose node is gone.
 func TestFaultCommandsOfTwoNodes(t *testing.T) {
 	run(t, fakeOptions{nodes: 2, engines: 1, memory: 10}, func(ctx context.Context, s *fakeSystem) {
-		runs := 0
+		var runs atomic.Int64
 		forward := func(context.Context) (caller.Outcome, error) { //nolint:unparam // the signature is that of Claims.Run
-			runs++
+			runs.Add(1)
 			time.Sleep(300 * time.Millisecond)
 			return caller.Outcome{Status: 201, Body: []byte("booked")}, nil
 		}
@@ -331,8 +332,8 @@
 		if a, b := <-out, <-out; string(a.Body) != "booked" || string(b.Body) != "booked" {
 			t.Errorf("got %q and %q, want the same outcome twice", a.Body, b.Body)
 		}
-		if runs != 1 {
-			t.Errorf("got %d runs of one command, want 1", runs)
+		if runs.Load() != 1 {
+			t.Errorf("got %d runs of one command, want 1", runs.Load())
 		}
 
 		s.log.mu.Lock()
@@ -346,8 +347,8 @@
 		s.log.down = false
 		s.log.mu.Unlock()
 		time.Sleep(time.Second)
-		if o, err := send(s.nodes[1], 2, 5*time.Second, forward); err != nil || string(o.Body) != "booked" || runs != 2 {
-			t.Errorf("got %q, %v after %d runs, want the late claim given back and the resend run", o.Body, err, runs)
+		if o, err := send(s.nodes[1], 2, 5*time.Second, forward); err != nil || string(o.Body) != "booked" || runs.Load() != 2 {
+			t.Errorf("got %q, %v after %d runs, want the late claim given back and the resend run", o.Body, err, runs.Load())
 		}
 
 		lost := func(context.Context) (caller.Outcome, error) {
@@ -357,8 +358,8 @@
 			t.Errorf("got %v, want MayHaveRun", err)
 		}
 		for _, n := range s.nodes {
-			if _, err := send(n, 3, time.Second, forward); verdict.Of(err).Reason != verdict.CommandInDoubt || runs != 2 {
-				t.Errorf("got %v after %d runs, want CommandInDoubt and no run", err, runs)
+			if _, err := send(n, 3, time.Second, forward); verdict.Of(err).Reason != verdict.CommandInDoubt || runs.Load() != 2 {
+				t.Errorf("got %v after %d runs, want CommandInDoubt and no run", err, runs.Load())
 			}
 		}
 
@@ -376,11 +377,11 @@
 		// The holder of a claim dies while it forwards.
 		go func() { _, _ = send(s.nodes[0], 5, 5*time.Second, forward) }()
 		time.Sleep(100 * time.Millisecond)
-		before := runs
+		before := runs.Load()
 		s.split(fakeRegions[0])
 		_, err = send(s.nodes[1], 5, 5*time.Second, forward)
-		if got := verdict.Of(err); got == nil || got.Verdict != verdict.MayHaveRun || runs != before {
-			t.Errorf("got %v after %d runs, want MayHaveRun and no second run", err, runs-before+1)
+		if got := verdict.Of(err); got == nil || got.Verdict != verdict.MayHaveRun || runs.Load() != before {
+			t.Errorf("got %v after %d runs, want MayHaveRun and no second run", err, runs.Load()-before+1)
 		}
 	})
 }
