--- a/reports/table_test.go
+++ b/reports/table_test.go
@@ -199,3 +199,27 @@
 		}
 	}
 }
+
+// TestOldConfirmationsProveNothing keeps a server that has just failed a caller from
+// counting again before its owner has read it since.
+func TestOldConfirmationsProveNothing(t *testing.T) {
+	var table Table
+	r := report("s", 1, 1, "m")
+	table.Add(r, start)
+	asked := start.Add(time.Second)
+	for _, c := range []struct {
+		at   time.Time
+		want bool
+	}{{asked.Add(-300 * time.Millisecond), false}, {start, false}, {asked.Add(time.Millisecond), true}} {
+		if table.Add(r, c.at) {
+			t.Error("got the same report taken as news")
+		}
+		if got := table.Ready("m", asked)[0].At.After(asked); got != c.want {
+			t.Errorf("confirmed at %v: got newer than the question %v, want %v", c.at, got, c.want)
+		}
+	}
+	table.AddLoads(Loads{Server: "s", Fence: 1, Sequence: 1}, asked.Add(time.Minute))
+	if got, want := table.Confirmed("s"), asked.Add(time.Millisecond); !got.Equal(want) {
+		t.Errorf("got %v after loads, want %v: counts confirm no replica", got, want)
+	}
+}
