--- a/acceptance/failure_test.go
+++ b/acceptance/failure_test.go
@@ -14,6 +14,7 @@
 
 // status is the part of the administration API's status that the tests read.
 type status struct {
+	Log   struct{ Up bool }
 	Nodes []struct {
 		Node          string
 		Alive         bool
@@ -166,6 +167,63 @@
 	}
 }
 
+// TestKilledNodeWhileTheLogIsDown kills the node that owns most while no lease can
+// move: its roles move at once, loaded models are served, and its leases move once the log
+// is back.
+func TestKilledNodeWhileTheLogIsDown(t *testing.T) {
+	s := start(t, 8, "--engines", "16")
+	models := s.models(12)
+	s.ownersFirst()
+	warm := s.load(s.nodes, models, 24, 20*time.Second)
+	time.Sleep(6 * time.Second)
+	warm.end()
+	survivors := s.nodes[1:]
+	s.fault(`{"Log":{"Down":true}}`)
+	if err := s.nodes[0].command.Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(3 * time.Second)
+	loaded := s.observed()
+	var ready []string
+	for n, m := range loaded.Models {
+		if m.Loaded > 0 {
+			ready = append(ready, n)
+		}
+	}
+	l := s.load(survivors, ready, 16, 5*time.Second)
+	time.Sleep(10 * time.Second)
+	l.end()
+	if l.whole.Load() == 0 || l.refused.Load() > 0 {
+		t.Errorf("got %d whole and %d refused for loaded models, want all whole", l.whole.Load(), l.refused.Load())
+	}
+	st, ok := s.status(survivors[0])
+	if !ok || st.Log.Up {
+		t.Errorf("got status %v with the log up %v, want it to say that the log is down", ok, st.Log.Up)
+	}
+	owned := 0
+	for _, v := range st.Servers {
+		if strings.HasPrefix(v.Owner, s.nodes[0].peer+"@") {
+			owned++
+		}
+	}
+	if owned == 0 {
+		t.Error("got no lease of the killed node while the log is down, want those it had")
+	}
+	s.fault(`{"Log":{"Down":false}}`)
+	back := time.Now()
+	await(t, 10*time.Second, "every lease to be with a live node", func() bool {
+		st, ok := s.status(survivors[0])
+		for _, v := range st.Servers {
+			if strings.HasPrefix(v.Owner, s.nodes[0].peer+"@") {
+				return false
+			}
+		}
+		return ok
+	})
+	s.checkLimits()
+	t.Logf("whole %d while the log was down; %d leases moved %v after it was back", l.whole.Load(), owned, time.Since(back))
+}
+
 // TestFaultyEngines runs 30 s with crashes, silent connections, a poison request
 // and a slow engine.
 func TestFaultyEngines(t *testing.T) {
