--- a/acceptance/system_test.go
+++ b/acceptance/system_test.go
@@ -125,7 +125,8 @@
 // zones spread the nodes over the sample regions.
 var zones = []string{"brisbane-a", "townsville-a", "toowoomba-a"}
 
-func (s *system) startNode(i int) *process {
+// startNode runs node i with more settings behind the usual ones.
+func (s *system) startNode(i int, more ...string) *process {
 	s.t.Helper()
 	zone := zones[i%len(zones)]
 	p := &process{caller: freeAddress(s.t), admin: freeAddress(s.t), peer: freeAddress(s.t)}
@@ -134,6 +135,7 @@
 		"--listen", p.caller, "--peer-listen", p.peer, "--admin-listen", p.admin,
 		"--region", strings.TrimSuffix(zone, "-a"), "--zone", zone, "--drain-grace", "200ms",
 	}
+	p.args = append(p.args, more...)
 	s.run(p)
 	return p
 }
