Measure the policy against permits that rest

Cause: nodes bring a model back to where its permit rests; the baselines were blind to that and so too weak. Change: a baseline of fixed 10 minutes with resting permits, tests of the same bounds against it.

--- a/wakereplay/strategy.go
+++ b/wakereplay/strategy.go
@@ -35,7 +35,7 @@
 func Strategies() []Strategy {
 	return []Strategy{
 		Policy(),
-		Placed(10 * time.Minute),
+		Placed(10 * time.Minute), Resting(10 * time.Minute),
 		Fixed(5 * time.Minute), Fixed(10 * time.Minute), Fixed(30 * time.Minute),
 		NeverUnload(), Fixed(0),
 		Oracle(false), Oracle(true),
@@ -52,6 +52,14 @@
 	return Strategy{name, func(r *replay) strategy { return &fixed{replay: r, stay: d} }}
 }
 
+// Resting is Fixed where each model's permit rests at the server that loaded it last and brings it
+// back there, as on servers that check fences.
+func Resting(d time.Duration) Strategy {
+	return Strategy{"fixed " + d.String() + ", permits rest", func(r *replay) strategy {
+		return &fixed{replay: r, stay: d, rests: true}
+	}}
+}
+
 // NeverUnload takes replicas down for room only.
 func NeverUnload() Strategy {
 	return Strategy{"never unload", func(r *replay) strategy { return &fixed{replay: r, stay: forever} }}
@@ -60,6 +68,8 @@
 type fixed struct {
 	*replay
 	stay time.Duration
+	// rests is true where a permit brings a model back to its last server.
+	rests bool
 }
 
 func (f *fixed) arrived(int) {}
@@ -81,6 +91,7 @@
 	slices.SortStableFunc(order, func(a, b int) int {
 		x, y := &f.servers[a], &f.servers[b]
 		return cmp.Or(
+			falseFirst(!f.holds(m, a), !f.holds(m, b)),
 			falseFirst(x.free < size, y.free < size),
 			falseFirst(f.trace.Servers[a].Region != region, f.trace.Servers[b].Region != region),
 			cmp.Compare(x.loaded, y.loaded),
@@ -95,6 +106,11 @@
 	return 0, nil, false
 }
 
+// holds tells whether the model's permit rests at a server.
+func (f *fixed) holds(m, s int) bool {
+	return f.rests && f.models[m].took > 0 && f.models[m].server == s
+}
+
 func falseFirst(a, b bool) int {
 	switch {
 	case a == b:
