--- a/wakereplay/acceptance_test.go
+++ b/wakereplay/acceptance_test.go
@@ -48,6 +48,7 @@
 
 // against wants the policy's 99th percentile and idle time to be a baseline's, divided.
 func against(t *testing.T, name string, baseline Strategy, waits, idles time.Duration) {
+	t.Parallel()
 	for _, seed := range seeds(t) {
 		trace := generate(t, name, seed)
 		p, f := Run(trace, Policy()), Run(trace, baseline)
@@ -68,6 +69,7 @@
 func TestOracle(t *testing.T) { withinOracle(t, Oracle(true)) }
 
 func withinOracle(t *testing.T, o Strategy) {
+	t.Parallel()
 	for _, name := range []string{"imnar", "coral"} {
 		for _, seed := range seeds(t) {
 			trace := generate(t, name, seed)
