--- /dev/null
+++ b/node/shares.go
@@ -0,0 +1,75 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/peer"
+	"github.com/parsleylug/parsleylug/rendezvous"
+)
+
+// importDelay is how long this node leaves the import of configuration to the
+// nodes before it.
+func (n *Node) importDelay() time.Duration {
+	for i, m := range rendezvous.Rank(importKey, n.deps.members()) {
+		if m == n.options.Node {
+			return time.Duration(i) * importStep
+		}
+	}
+	return 0
+}
+
+// peerSnapshot asks every other node for its state and returns the newest. Each is
+// asked only for one newer than those seen, so that few send it whole.
+func (n *Node) peerSnapshot(ctx context.Context, atLeast domain.Offset) (domain.Offset, []byte, error) {
+	var mu sync.Mutex
+	best := peer.Snapshot{}
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(askAtOnce)
+	for _, m := range n.mesh.Members() {
+		if m.Node == n.options.Node {
+			continue
+		}
+		group.Go(func() error {
+			mu.Lock()
+			want := max(atLeast, best.Through+1)
+			mu.Unlock()
+			ask, cancel := context.WithTimeout(ctx, askTimeout)
+			defer cancel()
+			a, err := n.mesh.Call(ask, m.Node, peer.SnapshotRequest{AtLeast: want})
+			s, ok := a.(peer.Snapshot)
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil && ok && s.Through > best.Through {
+				best = s
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	if best.Data == nil {
+		return 0, nil, errors.New("node: no peer has a state that is new enough")
+	}
+	return best.Through, best.Data, nil
+}
+
+// zoneShare is the share of this node's availability zone of the appends that the
+// system allows itself, but for those that nodes make without their relay.
+func (n *Node) zoneShare() float64 {
+	zones := make(map[domain.Zone]bool)
+	for _, m := range n.mesh.Members() {
+		zones[m.Zone] = true
+	}
+	return appendsPerSecond / float64(max(1, len(zones)))
+}
+
+// appendShare is this node's share of the appends that nodes make without their
+// relay, on top of those of the relays.
+func (n *Node) appendShare() float64 {
+	return directPerSecond / float64(max(1, len(n.deps.members())))
+}
