Return a proposer's own outcomes in the node's fakes

Cause: TestFaultCommandsOfTwoNodes failed about once in 100 runs: the fake log handed a proposer the outcomes of the last batch it folded, which was another node's where two appended at once; one test wrote the state without its lock. Ruled out: the claims themselves, which acted on the wrong outcome as they should. Change: the fake returns the outcomes of the proposer's own batch.

--- a/node/fake_test.go
+++ b/node/fake_test.go
@@ -38,22 +38,26 @@
 	frozen bool
 }
 
-// follow folds what is new; the caller holds mu. It returns the outcomes of the
-// last batch folded.
-func (a *fakeAgreement) follow() (last []fold.Outcome) {
+// follow folds what is new; the caller holds mu. It returns the outcomes of this
+// node's own batch that begins with sequence own.
+func (a *fakeAgreement) follow(own domain.Sequence) (outcomes []fold.Outcome) {
 	a.log.mu.Lock()
 	defer a.log.mu.Unlock()
 	for !a.frozen && a.folded < len(a.log.batches) {
+		b := a.log.batches[a.folded]
 		a.folded++
-		last = a.state.Apply(domain.Offset(a.folded), a.log.batches[a.folded-1])
+		out := a.state.Apply(domain.Offset(a.folded), b)
+		if b.Node == a.node && b.First == own {
+			outcomes = out
+		}
 	}
-	return last
+	return outcomes
 }
 
 func (a *fakeAgreement) View(f func(*fold.State)) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.follow()
+	a.follow(0)
 	f(&a.state)
 }
 
@@ -79,7 +83,7 @@
 	a.log.mu.Lock()
 	a.log.batches = append(a.log.batches, b)
 	a.log.mu.Unlock()
-	return a.follow(), nil
+	return a.follow(b.First), nil
 }
 
 func (a *fakeAgreement) reachable() bool {
--- a/node/news_test.go
+++ b/node/news_test.go
@@ -194,7 +194,9 @@
 			n.start(ctx, i)
 		}
 		owner, router := n.nodes["n000"], n.nodes["n003"]
+		n.mu.Lock()
 		n.state.Apply(1, fold.Batch{Node: "n000", First: 1, Records: []fold.Record{fold.LeaseTaken{Server: "s", Owner: "n000"}}})
+		n.mu.Unlock()
 		r := loadedReport(1, 1)
 		owner.News.Publish(r)
 		n.settle(t, r)
