Watch a server while the log is away or the server does not answer

Cause: read-through: an owner waited for the log between two polls to give a revoked permit back, without a limit, and up to 2 minutes for an unload at a server that had stopped answering; its reports stood still for as long. Change: such waits end after 1 s and are left out while the log is down; a server that does not answer gets no order that nobody waits for; orders that load no model end after 5 s.

--- a/node/fake_test.go
+++ b/node/fake_test.go
@@ -159,6 +159,8 @@
 	// hidden are pairs of nodes that do not see each other, cut those that cannot
 	// reach each other either.
 	hidden, cut map[[2]domain.NodeID]bool
+	// dead engines do not answer.
+	dead bool
 	// hold delays orders of a node before the engine gets them.
 	hold map[domain.Fence]time.Duration
 }
@@ -213,6 +215,9 @@
 	time.Sleep(time.Millisecond)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.dead {
+		return engine.State{}, verdict.Refuse(verdict.BackendFailed, "connection refused")
+	}
 	e := s.engines[address]
 	out := engine.State{Incarnation: "1", Memory: e.vm.Memory}
 	for _, r := range e.replicas {
--- a/node/invariant_test.go
+++ b/node/invariant_test.go
@@ -242,6 +242,37 @@
 	})
 }
 
+// TestFaultLogDownStallsNoReport takes the log away while permits are revoked, and then
+// an engine: every node must hear of that all the same.
+func TestFaultLogDownStallsNoReport(t *testing.T) {
+	models := fakeModels(3)
+	run(t, fakeOptions{nodes: 3, engines: 1, models: models, memory: 40}, func(ctx context.Context, s *fakeSystem) {
+		for _, m := range models {
+			if _, err := s.nodes[0].placer.Place(ctx, need(m.Name, 10*time.Second)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		lowered := models[0]
+		lowered.Copies = 0
+		s.log.mu.Lock()
+		s.log.batches = append(s.log.batches, fold.Batch{Node: "setup", First: 2, Records: []fold.Record{fold.ConfigurationImported{
+			After: 3, Through: 4, Changes: []fold.Change{{Offset: 4, Record: configuration.Record{SchemaVersion: 2, Model: &lowered}}},
+		}}})
+		s.log.down = true
+		s.log.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		s.mu.Lock()
+		s.dead = true
+		s.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		for _, n := range s.nodes {
+			if got := n.deps.Reports.Ready("model-1", time.Now()); len(got) != 0 {
+				t.Errorf("node %s: got %v 5 s after the engine died, want no replica", n.deps.node(), got)
+			}
+		}
+	})
+}
+
 // TestFaultPausedOwnersLateOrder holds the orders of an owner back until after its
 // lease was taken over, for both kinds of engine.
 func TestFaultPausedOwnersLateOrder(t *testing.T) {
--- a/node/keeper.go
+++ b/node/keeper.go
@@ -26,6 +26,11 @@
 	// doubtfulAfter is how long an order stays in doubt before the owner renews
 	// its lease for a newer fence.
 	doubtfulAfter = 2 * time.Second
+	// upkeepTimeout bounds a wait for the log between two polls: the server must
+	// be watched while the log is away.
+	upkeepTimeout = time.Second
+	// quickOrderTimeout bounds an order that loads no model.
+	quickOrderTimeout = 5 * time.Second
 	// orderTimeout bounds one order; a load must fit in it.
 	orderTimeout = 2 * time.Minute
 )
@@ -119,9 +124,10 @@
 	}
 }
 
+// step reads the server, gives the orders that nobody waits for, and reports. A
+// server that does not answer gets none: they would hold up the report of it.
 func (k *keeper) step(ctx context.Context) {
-	k.poll(ctx)
-	if k.raiseFence(ctx) {
+	if k.poll(ctx) && k.raiseFence(ctx) {
 		k.takeDown(ctx)
 	}
 	k.report()
@@ -197,11 +203,11 @@
 	return now.Sub(k.doubtSince) >= doubtfulAfter
 }
 
-// poll reads the server's state into the account.
-func (k *keeper) poll(ctx context.Context) {
+// poll reads the server's state into the account and tells whether it answered.
+func (k *keeper) poll(ctx context.Context) bool {
 	address, ok := k.address()
 	if !ok {
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
@@ -210,7 +216,7 @@
 	k.mu.Unlock()
 	st, err := k.deps.Engines.State(ctx, address)
 	if err != nil {
-		return
+		return false
 	}
 	now := time.Now()
 	k.mu.Lock()
@@ -222,6 +228,7 @@
 	for _, r := range st.Replicas {
 		k.noteUse(r, now)
 	}
+	return true
 }
 
 func (k *keeper) address() (string, bool) {
@@ -263,7 +270,9 @@
 	if k.wantsBarrier() && !k.barrier(ctx) {
 		return false
 	}
-	k.clearDoubts(ctx)
+	if !k.deps.LogDown() {
+		k.clearDoubts(ctx)
+	}
 	return true
 }
 
@@ -309,7 +318,7 @@
 	if len(records) == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
+	ctx, cancel := context.WithTimeout(ctx, upkeepTimeout)
 	defer cancel()
 	if _, err := k.deps.Agreement.Propose(ctx, records...); err != nil {
 		k.log.Warn().Err(err).Str("Event", "DoubtNotCleared").Msg("releases wait for the log")
@@ -329,7 +338,11 @@
 	}
 	defer k.endOrder()
 	o.Fence = k.lease.Fence
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderTimeout)
+	limit := quickOrderTimeout
+	if o.Kind == engine.LoadModel {
+		limit = orderTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 	defer cancel()
 	st, err := k.deps.Engines.Order(ctx, address, o)
 	if err != nil && verdict.Of(err).Verdict == verdict.NotRun {
--- a/node/unload.go
+++ b/node/unload.go
@@ -182,14 +182,21 @@
 		_ = k.unload(ctx, m)
 	}
 	for _, p := range permits {
-		if (drained || p.Revoked) && k.mayRelease(p.Model) {
-			if err := k.releasePermit(ctx, p.Model); err != nil {
-				k.log.Warn().Err(err).Str("Event", "PermitNotReleased").Str("Model", string(p.Model)).Msg("a permit that is to go waits")
-			}
+		if (drained || p.Revoked) && !k.deps.LogDown() && k.mayRelease(p.Model) {
+			k.giveBack(ctx, p.Model)
 		}
 	}
 }
 
+// giveBack releases a permit that is to go; where the log is slow it is tried again.
+func (k *keeper) giveBack(ctx context.Context, m domain.ModelName) {
+	ctx, cancel := context.WithTimeout(ctx, upkeepTimeout)
+	defer cancel()
+	if err := k.releasePermit(ctx, m); err != nil {
+		k.log.Warn().Err(err).Str("Event", "PermitNotReleased").Str("Model", string(m)).Msg("a permit that is to go waits")
+	}
+}
+
 func permitOf(permits []fold.Permit, m domain.ModelName) (fold.Permit, bool) {
 	for _, p := range permits {
 		if p.Model == m {
