Pass over servers with a live owner without hashing them

Cause: read-through against the planned size: each node hashed its region's nodes for every server four times a second, and looked each owner up in a list. Change: one set of live nodes a look; servers with a live owner are passed over, leases that might move to another node are looked at every 2 s; looks come twice a second; a home hashes only models whose replicas are full.

--- /dev/null
+++ b/node/capacity_test.go
@@ -0,0 +1,76 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/fold"
+	"github.com/parsleylug/parsleylug/peer"
+	"github.com/parsleylug/parsleylug/platform"
+)
+
+// Planned sizes.
+const (
+	plannedNodes   = 940
+	plannedServers = 1000
+	plannedRegions = 6
+)
+
+// plannedMesh is a view of the planned number of nodes.
+type plannedMesh struct {
+	fakeMesh
+	members []peer.Member
+}
+
+func (m *plannedMesh) Members() []peer.Member { return m.members }
+
+// plannedList lists the planned number of engines and nodes.
+type plannedList struct{ vms []platform.VM }
+
+func (l plannedList) List(context.Context) ([]platform.VM, error) { return l.vms, nil }
+
+// BenchmarkCapacityOwnershipStep measures one look of one node over all servers,
+// each with a live owner.
+func BenchmarkCapacityOwnershipStep(b *testing.B) {
+	m := &plannedMesh{}
+	var l plannedList
+	var leases []fold.Record
+	for i := range plannedNodes {
+		r := domain.Region(fmt.Sprintf("region-%d", i%plannedRegions))
+		m.members = append(m.members, peer.Member{Node: domain.NodeID(fmt.Sprintf("node-%03d", i)), Region: r})
+		l.vms = append(l.vms, platform.VM{ID: fmt.Sprintf("node-%03d", i), Kind: platform.Entry, Region: r})
+	}
+	for i := range plannedServers {
+		id := fmt.Sprintf("engine-%04d", i)
+		r := domain.Region(fmt.Sprintf("region-%d", i%plannedRegions))
+		l.vms = append(l.vms, platform.VM{ID: id, Kind: platform.Engine, Address: id, Region: r, Memory: 64})
+		owner := m.members[1+i%(plannedNodes-1)].Node
+		leases = append(leases, fold.LeaseTaken{Server: domain.ServerID(id), Owner: owner, Facts: fold.ServerFacts{Region: r, Memory: 64}})
+	}
+	log := &fakeLog{}
+	for i, r := range leases {
+		log.batches = append(log.batches, fold.Batch{Node: r.(fold.LeaseTaken).Owner, First: domain.Sequence(1 + i/(plannedNodes-1)), Records: []fold.Record{r}})
+	}
+	d := &Deps{
+		Self: m.members[0], Agreement: &fakeAgreement{log: log, node: m.members[0].Node}, Mesh: m, Directory: &Directory{},
+		Reports: &Reports{}, Logger: zerolog.Nop(), Leaving: func() bool { return false }, Settled: func() bool { return true },
+		LogDown: func() bool { return false },
+	}
+	d.Directory.Refresh(b.Context(), l)
+	o := NewOwnership(d, nil)
+	if got := len(o.leases()); got != plannedServers {
+		b.Fatalf("got %d leases, want %d", got, plannedServers)
+	}
+	b.ResetTimer()
+	for b.Loop() {
+		// A look with hashing comes once in lookInterval.
+		o.step(b.Context())
+	}
+	perStep := b.Elapsed() / time.Duration(b.N)
+	b.ReportMetric(float64(perStep)/float64(ownershipInterval), "core")
+}
--- a/node/deps.go
+++ b/node/deps.go
@@ -95,11 +95,16 @@
 	}
 }
 
-// gives tells whether a node is to give its leases back: it leaves, or it is
-// drained while another node is not.
-func (d *Deps) gives(m peer.Member) bool {
+// serving holds the live nodes, and for each whether it keeps its leases: one that
+// leaves does not, nor one that is drained while another node is not.
+func (d *Deps) serving() map[domain.NodeID]bool {
 	undrained := d.undrained()
-	return m.Leaving || !undrained(m) && len(d.choose(undrained)) > 0
+	others := len(d.choose(undrained)) > 0
+	out := make(map[domain.NodeID]bool)
+	for _, m := range d.Mesh.Members() {
+		out[m.Node] = !m.Leaving && (undrained(m) || !others)
+	}
+	return out
 }
 
 // serverDrained tells whether the operators took a backend server out of use.
--- a/node/grow.go
+++ b/node/grow.go
@@ -40,7 +40,11 @@
 	members := h.deps.members()
 	busy := make(map[domain.ModelName]bool)
 	for _, m := range h.deps.Reports.Models() {
-		if first, ok := rendezvous.First(homeKey(m), members); !ok || first != h.deps.node() || !h.full(m, now) {
+		// Few models are full: most are passed over without hashing.
+		if !h.full(m, now) {
+			continue
+		}
+		if first, ok := rendezvous.First(homeKey(m), members); !ok || first != h.deps.node() {
 			continue
 		}
 		busy[m] = true
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -17,7 +17,7 @@
 
 const (
 	// ownershipInterval is how often a node looks for servers to own.
-	ownershipInterval = 250 * time.Millisecond
+	ownershipInterval = 500 * time.Millisecond
 	// takeoverAfter is how long the owner of a server must be out of this node's
 	// view before the lease is taken. A view that has just begun lacks nodes that
 	// are alive.
@@ -25,6 +25,9 @@
 	// stableView is how long the members must be the same before a lease moves
 	// from a live node to the one that hashing wants.
 	stableView = 5 * time.Second
+	// lookInterval is how often a node looks for such leases. Hashing every server is
+	// the dearest part of a step.
+	lookInterval = 2 * time.Second
 	// moveInterval spaces such moves at each node.
 	moveInterval = 500 * time.Millisecond
 	// absentPrefix keeps the view's missing nodes apart from the list's.
@@ -57,8 +60,10 @@
 	view      []domain.NodeID
 	viewSince time.Time
 	movedAt   time.Time
-	wait      sync.WaitGroup
-	doubts    doubtClock
+	// lookedAt is when leases of live owners were last looked at; only step uses it.
+	lookedAt time.Time
+	wait     sync.WaitGroup
+	doubts   doubtClock
 }
 
 // NewOwnership returns an Ownership without leases.
@@ -95,12 +100,7 @@
 	if o.deps.Leaving() || !o.deps.Settled() {
 		return
 	}
-	var records []fold.Record
-	for _, v := range o.deps.Directory.OfKind(platform.Engine) {
-		if r, ok := o.wanted(v, leases); ok {
-			records = append(records, r)
-		}
-	}
+	records := o.wantedLeases(leases)
 	records = append(records, o.renewals()...)
 	records = append(records, o.gone(leases)...)
 	records = append(records, o.goneOwners(leases)...)
@@ -117,20 +117,44 @@
 	return out
 }
 
-// wanted returns the lease record that this node should propose for a server.
-// A live holder keeps its lease while the view of the members is young, so that
-// a changed view moves nothing by itself.
-func (o *Ownership) wanted(v platform.VM, leases map[domain.ServerID]fold.Lease) (fold.Record, bool) {
-	s := domain.ServerID(v.ID)
-	l, held := leases[s]
-	first, ok := rendezvous.First("server/"+v.ID, o.deps.regionMembers(v.Region))
-	if !ok || first != o.deps.node() {
-		return nil, false
+// wantedLeases returns the lease records that this node should propose. Most
+// servers have a live owner and are passed over without hashing; whether such a
+// lease is to move is looked at only now and then.
+func (o *Ownership) wantedLeases(leases map[domain.ServerID]fold.Lease) []fold.Record {
+	now := time.Now()
+	look := now.Sub(o.lookedAt) >= lookInterval
+	if look {
+		o.lookedAt = now
 	}
-	if held && l.Owner == o.deps.node() {
-		return nil, false
+	serving := o.deps.serving()
+	regions := make(map[domain.Region][]domain.NodeID)
+	var out []fold.Record
+	for _, v := range o.deps.Directory.OfKind(platform.Engine) {
+		l, held := leases[domain.ServerID(v.ID)]
+		if held && l.Owner == o.deps.node() {
+			continue
+		}
+		alive := held && o.absentFor(l.Owner, serving) < takeoverAfter
+		if alive && !look {
+			continue
+		}
+		if _, ok := regions[v.Region]; !ok {
+			regions[v.Region] = o.deps.regionMembers(v.Region)
+		}
+		if r, ok := o.wanted(v, l, alive, regions[v.Region]); ok {
+			out = append(out, r)
+		}
 	}
-	if held && o.absentFor(l.Owner) < takeoverAfter && !o.mayTakeFromAlive(l) {
+	return out
+}
+
+// wanted returns the lease record that this node should propose for a server that
+// it does not own. A live holder keeps its lease while the view of the members is
+// young, so that a changed view moves nothing by itself.
+func (o *Ownership) wanted(v platform.VM, l fold.Lease, alive bool, members []domain.NodeID) (fold.Record, bool) {
+	s := domain.ServerID(v.ID)
+	first, ok := rendezvous.First("server/"+v.ID, members)
+	if !ok || first != o.deps.node() || alive && !o.mayTakeFromAlive(l) {
 		return nil, false
 	}
 	var expect domain.Fence
@@ -178,18 +202,13 @@
 // absentFor returns how long a node has not been among the live nodes that stay.
 // A node that says itself that it leaves, or that is drained, is absent for long
 // enough at once.
-func (o *Ownership) absentFor(n domain.NodeID) time.Duration {
-	for _, m := range o.deps.Mesh.Members() {
-		if m.Node != n {
-			continue
-		}
-		o.missingFor(absentPrefix+string(n), true)
-		if o.deps.gives(m) {
-			return takeoverAfter
-		}
-		return 0
+func (o *Ownership) absentFor(n domain.NodeID, serving map[domain.NodeID]bool) time.Duration {
+	stays, alive := serving[n]
+	missing := o.missingFor(absentPrefix+string(n), alive)
+	if alive && !stays {
+		return takeoverAfter
 	}
-	return o.missingFor(absentPrefix+string(n), false)
+	return missing
 }
 
 // gone returns records for leased servers that the platform's list has lacked
