Take claims back whose callers left, and refuse commands at once in a log outage

Cause: read-through: in a log outage each refused command left its claim in the queue for up to 10 minutes, to be appended and given back when the log returned, and its caller waited its whole deadline for the refusal. Touches: a command runs at most once; NotRun is true.

--- a/node/claims.go
+++ b/node/claims.go
@@ -167,9 +167,12 @@
 }
 
 // claim proposes the claim and tells whether this request won it. Where the
-// caller gives up first, the claim is given back as soon as it turns up, so that
-// NotRun is true.
+// caller gives up first, the claim is taken back, or given back as soon as it turns
+// up in the log, so that NotRun is true.
 func (c *Claims) claim(ctx context.Context, cmd caller.Command) (bool, error) {
+	if c.deps.LogDown() {
+		return false, verdict.Refuse(verdict.LogUnavailable, "no command can be claimed while the platform's log is down").After(retryLoadAfter)
+	}
 	r := &running{done: make(chan struct{})}
 	c.mu.Lock()
 	if c.running[cmd.Key] != nil {
@@ -180,10 +183,10 @@
 	c.mu.Unlock()
 
 	result := make(chan claimResult, 1)
+	background, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
 	c.wait.Add(1)
 	go func() {
 		defer c.wait.Done()
-		background, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
 		defer cancel()
 		out, err := c.deps.Agreement.Propose(background, fold.CommandClaimed{Key: cmd.Key, Request: cmd.Request})
 		result <- claimResult{out: out, err: err}
@@ -192,7 +195,7 @@
 	case a := <-result:
 		return c.claimed(cmd, a)
 	case <-ctx.Done():
-		c.giveUp(cmd, result)
+		c.giveUp(cmd, cancel, result)
 		return false, verdict.Refuse(verdict.LogUnavailable, "the command could not be claimed in time").After(retryLoadAfter)
 	}
 }
@@ -217,18 +220,42 @@
 	return false, nil
 }
 
-// giveUp returns a claim that turns up after its caller left.
-func (c *Claims) giveUp(cmd caller.Command, result <-chan claimResult) {
+// giveUp takes a claim back whose caller left: out of the queue where it still
+// waits, else out of the log once it turns up there.
+func (c *Claims) giveUp(cmd caller.Command, cancel context.CancelFunc, result <-chan claimResult) {
 	c.wait.Add(1)
 	go func() {
 		defer c.wait.Done()
+		cancel()
 		a := <-result
+		mayLand := a.err != nil && verdict.Of(a.err).Verdict != verdict.NotRun
+		if mayLand && !c.lands(cmd) {
+			mayLand = false
+		}
+		if mayLand {
+			c.abandon(cmd.Key)
+			return
+		}
 		if won, _ := c.claimed(cmd, a); won {
 			c.abandon(cmd.Key)
 		}
 	}()
 }
 
+// lands waits for a claim that may be on its way to the log and tells whether it
+// became this node's. After finishTimeout nothing more is expected; if the claim comes all
+// the same, resends are in doubt and nothing runs twice.
+func (c *Claims) lands(cmd caller.Command) bool {
+	end := time.Now().Add(finishTimeout)
+	for time.Now().Before(end) {
+		if k, ok := c.lookup(cmd.Key); ok {
+			return k.Holder == c.deps.node() && k.State != fold.CommandDone
+		}
+		time.Sleep(pollInterval)
+	}
+	return false
+}
+
 // waitOwn waits for an earlier request with the same key at this node.
 func (c *Claims) waitOwn(ctx context.Context, cmd caller.Command) (bool, error) {
 	_, settled, err := c.own(ctx, cmd)
--- a/node/fake_test.go
+++ b/node/fake_test.go
@@ -23,6 +23,8 @@
 	mu      sync.Mutex
 	batches []fold.Batch
 	down    bool
+	// late appends of proposers that left take effect once the log is back.
+	late bool
 }
 
 // fakeAgreement is one node's copy of the agreed state. A frozen one learns
@@ -67,7 +69,7 @@
 	for !a.reachable() {
 		select {
 		case <-ctx.Done():
-			return nil, verdict.Refuse(verdict.LogUnavailable, "the log is down")
+			return nil, a.left(records)
 		case <-time.After(10 * time.Millisecond):
 		}
 	}
@@ -86,6 +88,18 @@
 	return a.follow(b.First), nil
 }
 
+// left ends a proposal whose proposer gave up.
+func (a *fakeAgreement) left(records []fold.Record) error {
+	a.log.mu.Lock()
+	late := a.log.late
+	a.log.mu.Unlock()
+	if !late {
+		return verdict.Refuse(verdict.LogUnavailable, "the log is down")
+	}
+	go func() { _, _ = a.Propose(context.Background(), records...) }()
+	return verdict.Doubt(verdict.LogUnavailable, "the append has no known outcome", nil)
+}
+
 func (a *fakeAgreement) reachable() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/node/invariant_test.go
+++ b/node/invariant_test.go
@@ -367,20 +367,21 @@
 			t.Errorf("got %d runs of one command, want 1", runs.Load())
 		}
 
-		s.log.mu.Lock()
-		s.log.down = true
-		s.log.mu.Unlock()
-		_, err := send(s.nodes[0], 2, time.Second, forward)
-		if got := verdict.Of(err); got.Verdict != verdict.NotRun {
-			t.Errorf("got %v with the log down, want NotRun", err)
-		}
-		s.log.mu.Lock()
-		s.log.down = false
-		s.log.mu.Unlock()
-		time.Sleep(time.Second)
-		if o, err := send(s.nodes[1], 2, 5*time.Second, forward); err != nil || string(o.Body) != "booked" || runs.Load() != 2 {
-			t.Errorf("got %q, %v after %d runs, want the late claim given back and the resend run", o.Body, err, runs.Load())
+		var err error
+		for i, late := range []bool{false, true} {
+			key := byte(20 + i)
+			s.setLog(true, late)
+			_, err = send(s.nodes[0], key, time.Second, forward)
+			if got := verdict.Of(err); got.Verdict != verdict.NotRun {
+				t.Errorf("got %v with the log down, want NotRun", err)
+			}
+			s.setLog(false, late)
+			time.Sleep(time.Second)
+			if o, err := send(s.nodes[1], key, 5*time.Second, forward); err != nil || string(o.Body) != "booked" || runs.Load() != int64(2+i) {
+				t.Errorf("late=%v: got %q, %v after %d runs, want the claim given back and the resend run", late, o.Body, err, runs.Load())
+			}
 		}
+		s.setLog(false, false)
 
 		lost := func(context.Context) (caller.Outcome, error) {
 			return caller.Outcome{}, verdict.Doubt(verdict.BackendFailed, "no answer", nil)
@@ -389,7 +390,7 @@
 			t.Errorf("got %v, want MayHaveRun", err)
 		}
 		for _, n := range s.nodes {
-			if _, err := send(n, 3, time.Second, forward); verdict.Of(err).Reason != verdict.CommandInDoubt || runs.Load() != 2 {
+			if _, err := send(n, 3, time.Second, forward); verdict.Of(err).Reason != verdict.CommandInDoubt || runs.Load() != 3 {
 				t.Errorf("got %v after %d runs, want CommandInDoubt and no run", err, runs.Load())
 			}
 		}
@@ -417,6 +418,13 @@
 	})
 }
 
+// setLog takes the log away or brings it back.
+func (s *fakeSystem) setLog(down, late bool) {
+	s.log.mu.Lock()
+	defer s.log.mu.Unlock()
+	s.log.down, s.log.late = down, late
+}
+
 // TestReportsOfAnOldOwnerAreIgnored orders reports by fence, then sequence.
 func TestReportsOfAnOldOwnerAreIgnored(t *testing.T) {
 	var r Reports
