Let a region's servers go as soon as its last node says that it leaves

Cause: a node that leaves was shown by the platform's list for seconds more, and nodes of other regions waited for that before they took its leases. Change: nodes that the view shows as leaving do not count as listed.

--- a/node/deps.go
+++ b/node/deps.go
@@ -65,13 +65,26 @@
 	if out := d.choose(in); len(out) > 0 {
 		return out
 	}
-	listed := func(m peer.Member) bool { return !m.Leaving && in(m) && m.Node != d.node() }
+	leaving := d.leavingNow()
+	listed := func(m peer.Member) bool { return !m.Leaving && !leaving[m.Node] && in(m) && m.Node != d.node() }
 	if slices.ContainsFunc(d.Directory.Seeds(), listed) {
 		return nil
 	}
 	return d.members()
 }
 
+// leavingNow holds the nodes that say themselves that they leave, which the
+// platform's list shows later.
+func (d *Deps) leavingNow() map[domain.NodeID]bool {
+	out := make(map[domain.NodeID]bool)
+	for _, m := range d.Mesh.Members() {
+		if m.Leaving {
+			out[m.Node] = true
+		}
+	}
+	return out
+}
+
 // choose returns the live nodes that are not leaving and that keep accepts.
 func (d *Deps) choose(keep func(peer.Member) bool) []domain.NodeID {
 	var out []domain.NodeID
