--- a/node/claims.go
+++ b/node/claims.go
@@ -299,7 +299,7 @@
 
 // abandon gives a claim back; nothing of the command was sent.
 func (c *Claims) abandon(k fold.CommandKey) {
-	c.record(k, fold.CommandAbandoned{Key: k}, func() {
+	c.record(fold.CommandAbandoned{Key: k}, func() {
 		c.forget(k, verdict.Refuse(verdict.LogUnavailable, "the command was not sent"))
 	})
 }
@@ -317,7 +317,7 @@
 		f.Body = nil
 		f.Truncated = true
 	}
-	c.record(k, f, func() {
+	c.record(f, func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		delete(c.running, k)
@@ -326,7 +326,7 @@
 
 // record proposes a record in the background and calls then once the log has it
 // or the node has given up.
-func (c *Claims) record(_ fold.CommandKey, r fold.Record, then func()) {
+func (c *Claims) record(r fold.Record, then func()) {
 	c.wait.Add(1)
 	go func() {
 		defer c.wait.Done()
--- a/owner/orders.go
+++ b/owner/orders.go
@@ -21,17 +21,27 @@
 	return nil
 }
 
-// MayLoad returns why a model may not be loaded now, or nil.
-func (a *Account) MayLoad(n domain.ModelName) error {
+// permitted returns the permit under which a model or an adapter of it may be loaded,
+// or why it may not.
+func (a *Account) permitted(n domain.ModelName) (fold.Permit, error) {
 	if err := a.ready(); err != nil {
-		return err
+		return fold.Permit{}, err
 	}
 	p, ok := a.permits[n]
 	if !ok {
-		return NoPermit
+		return p, NoPermit
 	}
 	if p.Revoked {
-		return PermitRevoked
+		return p, PermitRevoked
+	}
+	return p, nil
+}
+
+// MayLoad returns why a model may not be loaded now, or nil.
+func (a *Account) MayLoad(n domain.ModelName) error {
+	p, err := a.permitted(n)
+	if err != nil {
+		return err
 	}
 	e := a.entry(n)
 	if e.releasing {
@@ -151,16 +161,10 @@
 // StartAdapter begins an order that loads an adapter on a loaded replica. The
 // permit's size has room for every adapter of the model.
 func (a *Account) StartAdapter(n domain.ModelName) error {
-	if err := a.ready(); err != nil {
+	p, err := a.permitted(n)
+	if err != nil {
 		return err
 	}
-	p, ok := a.permits[n]
-	if !ok {
-		return NoPermit
-	}
-	if p.Revoked {
-		return PermitRevoked
-	}
 	e := a.entry(n)
 	switch {
 	case e.releasing:
