--- a/commands/execute.go
+++ b/commands/execute.go
@@ -31,6 +31,7 @@
 // root is the whole command line.
 type root struct {
 	Serve   ServeCommand   `cmd:"" help:"Run one node. Without settings it brings its own stand-ins on loopback."`
+	Front   FrontCommand   `cmd:"" help:"Run one node on the users' platform, by its settings file."`
 	Standin StandinCommand `cmd:"" help:"Run the stand-ins for the platform and the backend servers."`
 	Replay  ReplayCommand  `cmd:"" help:"Replay recorded traces and print each difference."`
 
--- /dev/null
+++ b/dispatch/choose.go
@@ -0,0 +1,194 @@
+package dispatch
+
+import (
+	"sync"
+	"time"
+
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/fleet"
+	"github.com/parsleylug/parsleylug/retries"
+)
+
+const (
+	// crowdingCost is what a full set of slots costs a request.
+	crowdingCost = 150 * time.Millisecond
+	// waitingCost is what each request that waits at a server costs, in slots.
+	waitingCost = 2.0
+	// distantCost is the price of a server in another region, nearCost that of one
+	// in another availability zone.
+	distantCost = 25 * time.Millisecond
+	nearCost    = 2 * time.Millisecond
+	// coldCost is the price of a server that has just started.
+	coldCost = 100 * time.Millisecond
+	// prefixGain is what a server that has read the prompt's beginning saves.
+	prefixGain = 12 * time.Millisecond
+	// reportMemory is how long a server's own word about its load is used.
+	reportMemory = 1500 * time.Millisecond
+	// delayMemory is the time constant in which a slow answer is forgotten.
+	delayMemory = 3 * time.Second
+	// delayShare is the weight of the newest answer's delay.
+	delayShare = 0.3
+	// prefixesKept bounds the prompt beginnings remembered for one server.
+	prefixesKept = 256
+)
+
+// load is what this node knows of the load of one server.
+type load struct {
+	inFlight int
+	// others is the load that the server reported beyond this node's.
+	others   float64
+	reported time.Time
+	// delay is the average time to an answer, as of delayed.
+	delay   time.Duration
+	delayed time.Time
+	// prefixes are prompt beginnings that were sent there.
+	prefixes map[string]time.Time
+}
+
+// chooser picks servers by expected delay. The zero chooser is ready for use.
+type chooser struct {
+	mu       sync.Mutex
+	loads    map[domain.ServerID]*load
+	breakers retries.Breakers
+}
+
+func (c *chooser) of(id domain.ServerID) *load {
+	if c.loads == nil {
+		c.loads = map[domain.ServerID]*load{}
+	}
+	l := c.loads[id]
+	if l == nil {
+		l = &load{}
+		c.loads[id] = l
+	}
+	return l
+}
+
+// place is where this node stands.
+type place struct {
+	zone    domain.Zone
+	regions map[domain.Zone]domain.Region
+}
+
+func (p place) cost(z domain.Zone) time.Duration {
+	switch {
+	case z == p.zone:
+		return 0
+	case p.regions[z] == p.regions[p.zone]:
+		return nearCost
+	}
+	return distantCost
+}
+
+// choose returns the best of the candidates and counts a request in flight
+// there, or nil where there is none. Servers in avoid are taken only if there is
+// no other; servers that keep failing are left out unless all do.
+func (c *chooser) choose(now time.Time, p place, candidates []*fleet.Server, prefix string, avoid map[domain.ServerID]bool) *fleet.Server {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var best *fleet.Server
+	var bestCost time.Duration
+	bestRank := 0
+	for _, s := range candidates {
+		rank := 0
+		if avoid[s.ID] {
+			rank += 2
+		}
+		if c.breakers.Ejected(now, s.ID) {
+			rank++
+		}
+		cost := c.cost(now, p, s, prefix)
+		if best == nil || rank < bestRank || rank == bestRank && (cost < bestCost || cost == bestCost && s.ID < best.ID) {
+			best, bestCost, bestRank = s, cost, rank
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	l := c.of(best.ID)
+	l.inFlight++
+	l.remember(now, prefix)
+	return best
+}
+
+func (l *load) remember(now time.Time, prefix string) {
+	if prefix == "" {
+		return
+	}
+	if l.prefixes == nil || len(l.prefixes) >= prefixesKept {
+		l.prefixes = map[string]time.Time{}
+	}
+	l.prefixes[prefix] = now
+}
+
+func (c *chooser) cost(now time.Time, p place, s *fleet.Server, prefix string) time.Duration {
+	l := c.of(s.ID)
+	busy := float64(l.inFlight)
+	if now.Sub(l.reported) < reportMemory {
+		busy += l.others
+	}
+	cost := p.cost(s.Zone) + time.Duration(busy/float64(max(1, s.Slots))*float64(crowdingCost))
+	if s.ColdLeft > 0 {
+		cost += coldCost
+	}
+	if age := now.Sub(l.delayed); age < delayMemory {
+		cost += time.Duration(float64(l.delay) * (1 - float64(age)/float64(delayMemory)) / 2)
+	}
+	if _, ok := l.prefixes[prefix]; ok && prefix != "" {
+		cost -= prefixGain
+	}
+	return cost
+}
+
+// done takes a request off a server's count.
+func (c *chooser) done(id domain.ServerID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.of(id).inFlight--
+}
+
+// answered takes in what an answer shows: how long it took and what the server
+// says of its load.
+func (c *chooser) answered(now time.Time, id domain.ServerID, took time.Duration, said Load) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.breakers.Succeeded(now, id)
+	l := c.of(id)
+	if l.delayed.IsZero() || now.Sub(l.delayed) > delayMemory {
+		l.delay = took
+	} else {
+		l.delay += time.Duration(delayShare * float64(took-l.delay))
+	}
+	l.delayed = now
+	if said.Known {
+		l.others = max(0, float64(said.Running)+waitingCost*float64(said.Waiting)-float64(l.inFlight))
+		l.reported = now
+	}
+}
+
+// failed counts a failure of a server.
+func (c *chooser) failed(now time.Time, id domain.ServerID, unreached bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.breakers.Failed(now, id, unreached)
+}
+
+// full notes that a server refused for want of room.
+func (c *chooser) full(now time.Time, s *fleet.Server) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.of(s.ID)
+	l.others = max(l.others, waitingCost*float64(s.Slots))
+	l.reported = now
+}
+
+// running counts the requests in flight of this node.
+func (c *chooser) running() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, l := range c.loads {
+		n += l.inFlight
+	}
+	return n
+}
--- /dev/null
+++ b/dispatch/dispatcher.go
@@ -0,0 +1,168 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/fleet"
+	"github.com/parsleylug/parsleylug/retries"
+	"github.com/parsleylug/parsleylug/suspects"
+	"github.com/parsleylug/parsleylug/verdict"
+)
+
+const (
+	// shortestPatience is the least gap in a stream after which callers leave.
+	shortestPatience = 2 * time.Second
+	// patienceGoals and patienceGaps scale a route's goals to that gap.
+	patienceGoals = 4
+	patienceGaps  = 8
+	// patienceMargin is how long before its caller leaves a waiting request is
+	// refused.
+	patienceMargin = 150 * time.Millisecond
+	// leastLeft is the least time in which a backend server can answer.
+	leastLeft = 5 * time.Millisecond
+	// retryMinimum is the shortest Retry-After.
+	retryMinimum = 200 * time.Millisecond
+	// retryShare is the part of what is left that a caller may be told to wait; it
+	// keeps to less than a third.
+	retryShare = 0.3
+	// turnedAwayPause is the wait after each server has refused for want of room.
+	turnedAwayPause = 60 * time.Millisecond
+	// silenceGoals is after how many goals a repeatable request is taken to another
+	// server where nothing was heard.
+	silenceGoals = 3
+	// shortestSilence bounds that from below.
+	shortestSilence = 400 * time.Millisecond
+	// streamSilence is the gap after which a repeatable stream is taken elsewhere.
+	streamSilence = 1200 * time.Millisecond
+	// waitLeast is the shortest load for which a request may have to wait.
+	crashCheckDelay = 40 * time.Millisecond
+	crashCheckTime  = 400 * time.Millisecond
+)
+
+// Options are what a dispatcher works with.
+type Options struct {
+	Zone    domain.Zone
+	Regions map[domain.Zone]domain.Region
+	Views   *Views
+	Demand  *Demand
+	Backend Backend
+	Logger  zerolog.Logger
+	// Budget returns a new budget for one service.
+	Budget func() *retries.Window
+	// Crashed is told of contents that were running when a server crashed.
+	Crashed func(suspects.Report)
+	Counters
+}
+
+// Counters count outcomes; each function may be called at any time.
+type Counters interface {
+	// Ended counts a request by its outcome and the time to its answer.
+	Ended(kind fleet.Kind, outcome Outcome, first time.Duration)
+	// Attempted counts a sending by what became of it.
+	Attempted(result string)
+}
+
+// Dispatcher handles requests. New makes one.
+type Dispatcher struct {
+	Options
+	chooser chooser
+
+	mu       sync.Mutex
+	budgets  map[domain.ServiceName]*retries.Window
+	suspects suspects.List
+}
+
+// New returns a dispatcher.
+func New(o Options) *Dispatcher {
+	return &Dispatcher{Options: o, budgets: map[domain.ServiceName]*retries.Window{}}
+}
+
+// Running is how many attempts of this node are under way.
+func (d *Dispatcher) Running() int { return d.chooser.running() }
+
+// Learn takes in what other nodes saw of contents that crash servers.
+func (d *Dispatcher) Learn(reports []suspects.Report) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.suspects.Learn(time.Now(), reports)
+}
+
+func (d *Dispatcher) standing(c suspects.Content) suspects.Standing {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s, _ := d.suspects.Standing(time.Now(), c)
+	return s
+}
+
+func (d *Dispatcher) budget(s domain.ServiceName) *retries.Window {
+	b := d.budgets[s]
+	if b == nil {
+		b = d.Budget()
+		d.budgets[s] = b
+	}
+	return b
+}
+
+func (d *Dispatcher) countRequest(s domain.ServiceName) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.budget(s).Request(time.Now())
+}
+
+func (d *Dispatcher) mayRepeat(s domain.ServiceName) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.budget(s).Spend(time.Now())
+}
+
+// checkCrash finds out whether a server that broke off an answer has crashed, and
+// if so remembers the content that it ran.
+func (d *Dispatcher) checkCrash(s *fleet.Server, c suspects.Content, begun bool) {
+	time.Sleep(crashCheckDelay)
+	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTime)
+	defer cancel()
+	if d.Backend.Reach(ctx, s) == nil {
+		return
+	}
+	now := time.Now()
+	d.chooser.failed(now, s.ID, true)
+	d.mu.Lock()
+	report := d.suspects.Crashed(now, c, s.ID, false, begun)
+	d.mu.Unlock()
+	d.Logger.Info().Str("Event", "ServerCrashed").Str("Server", string(s.ID)).Int("ContentCrashes", report.Crashes).Msg("a server crashed while it ran a request")
+	if d.Crashed != nil {
+		d.Crashed(report)
+	}
+}
+
+// Outcome is how a request ended.
+type Outcome int
+
+//go:generate go run golang.org/x/tools/cmd/stringer@v0.52.0 -type=Outcome,Refusal -output=names_string.go
+
+// The outcomes.
+const (
+	// Served requests got a whole answer.
+	Served Outcome = iota
+	// FailedThere requests got the server's own failure.
+	FailedThere
+	// Refused requests did not run.
+	Refused
+	// Failed requests may have run and got no answer.
+	Failed
+	// Broken streams began and broke off.
+	Broken
+	// Left requests were given up by their callers.
+	Left
+)
+
+// refusal is a verdict with a Retry-After that fits what the caller has left.
+func refusal(now time.Time, r *Request, reason verdict.Reason, message string, wait time.Duration) *verdict.Error {
+	left := time.Duration(retryShare * float64(r.Deadline.Sub(now)))
+	return verdict.Refuse(reason, message).After(max(min(wait, left), min(retryMinimum, left), 0))
+}
--- /dev/null
+++ b/dispatch/pick.go
@@ -0,0 +1,148 @@
+package dispatch
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/parsleylug/parsleylug/fleet"
+	"github.com/parsleylug/parsleylug/verdict"
+)
+
+// pick returns a server for the next sending and counts the request in flight
+// there. It waits while a model or adapter is being loaded, for as long as that
+// can still serve the caller.
+func (s *session) pick(ctx context.Context) (*fleet.Server, *verdict.Error) {
+	began := time.Now()
+	waiting := false
+	defer func() {
+		if waiting {
+			s.d.Demand.stopWaiting(s.r.key())
+			s.waited += time.Since(began)
+		}
+	}()
+	limit := s.waitLimit()
+	for {
+		view := s.d.Views.Get()
+		now := time.Now()
+		candidates := s.candidates(view)
+		fresh := slices.ContainsFunc(candidates, func(c *fleet.Server) bool { return !s.avoid[c.ID] })
+		if fresh || len(candidates) > 0 && s.sends == 0 {
+			p := place{zone: s.d.Zone, regions: s.d.Regions}
+			return s.d.chooser.choose(now, p, candidates, s.r.Prefix, s.avoid), nil
+		}
+		expected, e := s.expect(view, candidates)
+		if e != nil {
+			return nil, e
+		}
+		if now.Add(expected).After(limit) {
+			return nil, refusal(now, s.r, verdict.NoCapacity, "the model cannot be had in time", expected)
+		}
+		if !waiting {
+			waiting = true
+			s.d.Demand.wait(s.r.key())
+		}
+		if e := s.await(ctx, view, limit, len(candidates) > 0); e != nil {
+			return nil, e
+		}
+	}
+}
+
+// waitLimit is until when the request may wait for a server.
+func (s *session) waitLimit() time.Time {
+	limit := s.r.Deadline.Add(-leastLeft)
+	if s.r.Route.Kind != fleet.Streaming {
+		return limit
+	}
+	patience := max(shortestPatience, patienceGoals*s.r.Route.Goal, patienceGaps*s.r.Route.GapGoal)
+	left := s.r.Arrived.Add(patience - patienceMargin)
+	if s.begun {
+		left = time.Now().Add(streamSilence)
+	}
+	if left.Before(limit) {
+		return left
+	}
+	return limit
+}
+
+// await waits for a newer view. Where servers hold the model but refused, they
+// are tried again after a pause.
+func (s *session) await(ctx context.Context, view *View, limit time.Time, refused bool) *verdict.Error {
+	wait := time.Until(limit)
+	if refused {
+		wait = min(wait, turnedAwayPause)
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return refusal(time.Now(), s.r, verdict.DeadlinePassed, "the time for the request is over", 0)
+	case <-view.Changed:
+		return nil
+	case <-timer.C:
+	}
+	if refused && time.Now().Before(limit) {
+		clear(s.avoid)
+		return nil
+	}
+	return refusal(time.Now(), s.r, verdict.DeadlineTooShort, "the model was not loaded in time", time.Second)
+}
+
+// candidates are the servers that hold what the request needs.
+func (s *session) candidates(view *View) []*fleet.Server {
+	servers := view.Servers[s.r.Service]
+	if s.r.Model == "" {
+		return servers
+	}
+	list := make([]*fleet.Server, 0, len(servers))
+	for _, c := range servers {
+		if held, ok := c.Holdings.Find(s.r.Model); ok && held.Has(s.r.Adapter) {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
+// expect estimates how long it takes until a server holds what the request
+// needs, or returns why none will.
+func (s *session) expect(view *View, candidates []*fleet.Server) (time.Duration, *verdict.Error) {
+	if len(candidates) > 0 {
+		return 0, nil
+	}
+	servers := view.Servers[s.r.Service]
+	if view.Config == nil {
+		return 0, refusal(time.Now(), s.r, verdict.NotReady, "no configuration is known", time.Second)
+	}
+	if len(servers) == 0 {
+		return 0, refusal(time.Now(), s.r, verdict.NoCapacity, "the service has no server", time.Second)
+	}
+	engine := view.Config.Services[s.r.Service].Engine
+	if s.r.Model == "" || engine == nil {
+		return 0, nil
+	}
+	model, ok := engine.Models[s.r.Model]
+	if !ok {
+		return 0, verdict.Refuse(verdict.UnknownModel, "the configuration has no such model")
+	}
+	expected := model.FromStore
+	for _, c := range servers {
+		switch {
+		case holds(c, s.r):
+			return 0, nil
+		case slices.Contains(c.Holdings.InMemory, s.r.Model):
+			expected = min(expected, model.FromMemory)
+		case slices.Contains(c.Holdings.OnDisk, s.r.Model):
+			expected = min(expected, model.FromDisk)
+		}
+	}
+	if s.waited > 0 || time.Since(s.r.Arrived) > time.Second {
+		// The load has probably begun.
+		expected = max(0, expected-time.Since(s.r.Arrived))
+	}
+	return expected, nil
+}
+
+func holds(c *fleet.Server, r *Request) bool {
+	_, ok := c.Holdings.Find(r.Model)
+	return ok
+}
--- /dev/null
+++ b/dispatch/session.go
@@ -0,0 +1,328 @@
+package dispatch
+
+import (
+	"context"
+	stderrors "errors"
+	"io"
+	"time"
+
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/fleet"
+	"github.com/parsleylug/parsleylug/suspects"
+	"github.com/parsleylug/parsleylug/verdict"
+)
+
+// session is the handling of one request.
+type session struct {
+	d      *Dispatcher
+	r      *Request
+	caller Caller
+	// runs counts the servers that may have run the request.
+	runs int
+	// sends counts the sendings.
+	sends int
+	// avoid holds the servers that failed or refused this request.
+	avoid map[domain.ServerID]bool
+	// ran is set once the request may have run.
+	ran bool
+	// begun is set once the head of the answer is with the caller.
+	begun bool
+	last  EventID
+	first time.Time
+	// waited is how long the request waited for a model.
+	waited time.Duration
+	server domain.ServerID
+	// failure is the server's own failure that is passed on if nothing better comes.
+	failure     *Answer
+	failureBody []byte
+}
+
+// Serve handles one request to its end. Its context ends when the caller leaves.
+func (d *Dispatcher) Serve(ctx context.Context, r *Request, c Caller) Outcome {
+	s := &session{d: d, r: r, caller: c, avoid: map[domain.ServerID]bool{}, last: r.LastEvent}
+	d.Demand.arrived(r.key())
+	d.countRequest(r.Service)
+	bounded, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	outcome, err := s.run(bounded)
+	if ctx.Err() != nil && outcome != Served {
+		outcome = Left
+	}
+	s.log(outcome, err)
+	first := time.Duration(0)
+	if !s.first.IsZero() {
+		first = s.first.Sub(r.Arrived)
+	}
+	d.Ended(r.Route.Kind, outcome, first)
+	return outcome
+}
+
+// run tries until the request has an answer or cannot have one.
+func (s *session) run(ctx context.Context) (Outcome, *verdict.Error) {
+	if s.d.standing(s.r.Content) == suspects.Refused {
+		return s.refuse(refusal(time.Now(), s.r, verdict.Quarantined, "this request has crashed several servers", 0))
+	}
+	for {
+		server, e := s.pick(ctx)
+		if e != nil {
+			return s.giveUp(ctx, e)
+		}
+		if s.sends > 0 && !s.d.mayRepeat(s.r.Service) {
+			s.d.chooser.done(server.ID)
+			return s.giveUp(ctx, refusal(time.Now(), s.r, verdict.NoCapacity, "the budget for repeated sendings is used up", time.Second))
+		}
+		outcome, e, done := s.attempt(ctx, server)
+		if done {
+			return outcome, e
+		}
+		if e := s.mayGoOn(ctx, e); e != nil {
+			return s.giveUp(ctx, e)
+		}
+	}
+}
+
+// mayGoOn returns nil where the request may be sent again after a failure.
+func (s *session) mayGoOn(ctx context.Context, e *verdict.Error) *verdict.Error {
+	if ctx.Err() != nil || e.Verdict == verdict.NotRun {
+		return nil
+	}
+	if !s.r.Route.Repeatable() || s.runs >= s.r.Route.MaxAttempts {
+		return e
+	}
+	if s.d.standing(s.r.Content) != suspects.Clean {
+		return e
+	}
+	return nil
+}
+
+// giveUp ends a request that gets no answer. Where a run cannot be ruled out it
+// does not say that there was none.
+func (s *session) giveUp(ctx context.Context, e *verdict.Error) (Outcome, *verdict.Error) {
+	if s.begun {
+		s.caller.Abort()
+		return Broken, e
+	}
+	if s.failure != nil {
+		if err := s.caller.Whole(s.failure, s.failureBody); err != nil {
+			return Left, e
+		}
+		return FailedThere, e
+	}
+	if s.ran {
+		reason := e.Reason
+		if e.Verdict == verdict.NotRun || reason == verdict.Unknown {
+			reason = verdict.BackendFailed
+		}
+		if stderrors.Is(ctx.Err(), context.DeadlineExceeded) {
+			reason = verdict.DeadlinePassed
+		}
+		doubt := verdict.Doubt(reason, "the request may have run, its answer is lost", e)
+		s.caller.Refuse(doubt)
+		return Failed, doubt
+	}
+	return s.refuse(e)
+}
+
+func (s *session) refuse(e *verdict.Error) (Outcome, *verdict.Error) {
+	s.d.Demand.refused(s.r.key(), time.Now())
+	s.caller.Refuse(e)
+	return Refused, e
+}
+
+// attempt sends the request to one server. Done means that the request has its
+// final answer.
+func (s *session) attempt(ctx context.Context, server *fleet.Server) (Outcome, *verdict.Error, bool) {
+	sent := time.Now()
+	s.server = server.ID
+	s.sends++
+	k := s.r.key()
+	s.d.Demand.run(k, 1)
+	defer func() {
+		s.d.chooser.done(server.ID)
+		s.d.Demand.run(k, -1)
+	}()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := s.watchSilence(cancel)
+	defer silence.Stop()
+	answer, err := s.d.Backend.Send(ctx, server, s.r, Attempt{Left: s.r.Deadline.Sub(sent), After: s.last, Priority: s.r.Route.Priority})
+	if err != nil {
+		return s.unanswered(ctx, server, verdict.Of(err))
+	}
+	if answer.Refusal != NotRefused {
+		discard(answer)
+		return s.turnedAway(server, answer)
+	}
+	s.ran = true
+	s.runs++
+	if !answer.Genuine {
+		discard(answer)
+		return s.spoilt(server)
+	}
+	s.d.chooser.answered(time.Now(), server.ID, time.Since(sent), answer.Load)
+	if answer.Events != nil {
+		return s.stream(server, answer, silence)
+	}
+	return s.whole(server, answer)
+}
+
+// watchSilence cuts an attempt that nothing is heard of, where the request may
+// be sent to another server instead.
+func (s *session) watchSilence(cancel context.CancelFunc) *time.Timer {
+	limit := max(silenceGoals*s.r.Route.Goal, shortestSilence)
+	if s.begun {
+		limit = streamSilence
+	}
+	if !s.r.Route.Repeatable() || s.runs+1 >= s.r.Route.MaxAttempts {
+		limit = time.Until(s.r.Deadline) + time.Second
+	}
+	return time.AfterFunc(limit, cancel)
+}
+
+func discard(a *Answer) {
+	if a.Events != nil {
+		a.Events.Close()
+	}
+	if a.Body != nil {
+		_ = a.Body.Close()
+	}
+}
+
+// unanswered deals with a sending that brought no answer.
+func (s *session) unanswered(ctx context.Context, server *fleet.Server, e *verdict.Error) (Outcome, *verdict.Error, bool) {
+	s.avoid[server.ID] = true
+	if e.Verdict == verdict.NotRun {
+		s.d.Attempted("Unreached")
+		if ctx.Err() == nil {
+			s.d.chooser.failed(time.Now(), server.ID, true)
+		}
+		return 0, e, false
+	}
+	s.ran = true
+	s.runs++
+	s.d.Attempted("Unanswered")
+	s.d.chooser.failed(time.Now(), server.ID, false)
+	if ctx.Err() == nil {
+		go s.d.checkCrash(server, s.r.Content, s.begun)
+	}
+	return 0, e, false
+}
+
+// turnedAway deals with a server that did not run the request.
+func (s *session) turnedAway(server *fleet.Server, a *Answer) (Outcome, *verdict.Error, bool) {
+	s.avoid[server.ID] = true
+	s.d.Attempted(a.Refusal.String())
+	if a.Refusal == Full {
+		s.d.chooser.full(time.Now(), server)
+	}
+	return 0, verdict.Refuse(verdict.NoCapacity, "the server did not run the request"), false
+}
+
+func (s *session) spoilt(server *fleet.Server) (Outcome, *verdict.Error, bool) {
+	s.avoid[server.ID] = true
+	s.d.Attempted("Spoilt")
+	s.d.chooser.failed(time.Now(), server.ID, false)
+	return 0, verdict.Doubt(verdict.BackendFailed, "the server's answer cannot be used", nil), false
+}
+
+// whole passes on an answer that is not a stream.
+func (s *session) whole(server *fleet.Server, a *Answer) (Outcome, *verdict.Error, bool) {
+	body, err := io.ReadAll(a.Body)
+	_ = a.Body.Close()
+	if err != nil {
+		s.avoid[server.ID] = true
+		s.d.Attempted("CutShort")
+		s.d.chooser.failed(time.Now(), server.ID, false)
+		return 0, verdict.Doubt(verdict.BackendFailed, "the server's answer is incomplete", err), false
+	}
+	if !a.Success() {
+		return s.failedThere(server, a, body)
+	}
+	s.d.Attempted("Answered")
+	s.first = time.Now()
+	if s.begun {
+		// A stream that was begun cannot go on with an answer that is none.
+		return 0, verdict.Doubt(verdict.StreamBroken, "the server did not resume the stream", nil), false
+	}
+	if err := s.caller.Whole(a, body); err != nil {
+		return Left, verdict.Doubt(verdict.Unknown, "the caller has left", err), true
+	}
+	return Served, nil, true
+}
+
+// failedThere keeps the server's own failure and lets another server try.
+func (s *session) failedThere(server *fleet.Server, a *Answer, body []byte) (Outcome, *verdict.Error, bool) {
+	s.avoid[server.ID] = true
+	s.d.Attempted("FailedThere")
+	e := verdict.Doubt(verdict.BackendFailed, "the server failed the request", nil)
+	if s.begun {
+		return 0, e, false
+	}
+	s.failure, s.failureBody = a, body
+	return 0, e, false
+}
+
+// stream passes on events until the stream ends.
+func (s *session) stream(server *fleet.Server, a *Answer, silence *time.Timer) (Outcome, *verdict.Error, bool) {
+	defer a.Events.Close()
+	repeatable := s.r.Route.Repeatable() && s.runs < s.r.Route.MaxAttempts
+	for {
+		event, err := a.Events.Next()
+		if stderrors.Is(err, io.EOF) {
+			if err := s.caller.Event(nil); err != nil {
+				return Left, verdict.Doubt(verdict.Unknown, "the caller has left", err), true
+			}
+			s.d.Attempted("Answered")
+			return Served, nil, true
+		}
+		if err != nil {
+			return s.broken(server, err)
+		}
+		if repeatable {
+			silence.Reset(streamSilence)
+		}
+		if event.ID != 0 && event.ID <= s.last {
+			continue
+		}
+		if !s.begun {
+			s.begun = true
+			s.first = time.Now()
+			if err := s.caller.Begin(a); err != nil {
+				return Left, verdict.Doubt(verdict.Unknown, "the caller has left", err), true
+			}
+		}
+		if err := s.caller.Event(event.Raw); err != nil {
+			return Left, verdict.Doubt(verdict.Unknown, "the caller has left", err), true
+		}
+		if event.ID != 0 {
+			s.last = event.ID
+		}
+	}
+}
+
+func (s *session) broken(server *fleet.Server, err error) (Outcome, *verdict.Error, bool) {
+	s.avoid[server.ID] = true
+	s.d.Attempted("BrokenOff")
+	s.d.chooser.failed(time.Now(), server.ID, false)
+	go s.d.checkCrash(server, s.r.Content, s.begun)
+	return 0, verdict.Doubt(verdict.StreamBroken, "the stream broke off", err), false
+}
+
+// log writes the one line that tells how a request ended.
+func (s *session) log(o Outcome, e *verdict.Error) {
+	line := s.d.Logger.Info()
+	if o == Served {
+		line = s.d.Logger.Debug()
+	}
+	line = line.Str("Event", "RequestEnded").Str("Request", string(s.r.ID)).Stringer("Outcome", o).
+		Str("Route", string(s.r.Route.Name)).Str("Service", string(s.r.Service)).Str("Model", string(s.r.Model)).
+		Str("Adapter", string(s.r.Adapter)).Str("Server", string(s.server)).Int("Sends", s.sends).Int("Runs", s.runs).
+		Int64("WaitedMs", s.waited.Milliseconds()).Int64("TookMs", time.Since(s.r.Arrived).Milliseconds()).
+		Int64("LastEvent", int64(s.last))
+	if e != nil {
+		line = line.Stringer("Verdict", e.Verdict).Stringer("Reason", e.Reason).Int64("RetryAfterMs", e.RetryAfter.Milliseconds()).Err(e.Cause)
+		line.Msg(e.Message)
+		return
+	}
+	line.Msg("the caller has its answer")
+}
--- /dev/null
+++ b/dispatch/waiting.go
@@ -0,0 +1,113 @@
+package dispatch
+
+import (
+	"sync"
+	"time"
+
+	"github.com/parsleylug/parsleylug/placement"
+)
+
+// expectedReturn is how long a refused request still counts as waiting: its
+// caller comes back, and should then find the model.
+const expectedReturn = 4 * time.Second
+
+// Demand counts what this node's requests need, for the owner of the engines.
+// The zero Demand is ready for use.
+type Demand struct {
+	mu      sync.Mutex
+	keys    map[placement.Key]*count
+	changed map[placement.Key]bool
+	// urgent is signalled when a request begins to wait.
+	urgent chan struct{}
+}
+
+type count struct {
+	waiting, running, arrived int
+	// returning are the times until which refused requests are expected back.
+	returning []time.Time
+}
+
+// Urgent is signalled when the owner should be told at once.
+func (d *Demand) Urgent() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.signal()
+}
+
+func (d *Demand) signal() chan struct{} {
+	if d.urgent == nil {
+		d.urgent = make(chan struct{}, 1)
+	}
+	return d.urgent
+}
+
+func (d *Demand) change(k placement.Key, f func(*count)) {
+	if k.Model == "" {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.keys == nil {
+		d.keys = map[placement.Key]*count{}
+		d.changed = map[placement.Key]bool{}
+	}
+	c := d.keys[k]
+	if c == nil {
+		c = &count{}
+		d.keys[k] = c
+	}
+	f(c)
+	d.changed[k] = true
+}
+
+func (d *Demand) arrived(k placement.Key) { d.change(k, func(c *count) { c.arrived++ }) }
+
+// wait counts a request that has no server yet.
+func (d *Demand) wait(k placement.Key) {
+	d.change(k, func(c *count) { c.waiting++ })
+	select {
+	case d.signal() <- struct{}{}:
+	default:
+	}
+}
+
+func (d *Demand) stopWaiting(k placement.Key) { d.change(k, func(c *count) { c.waiting-- }) }
+
+// refused counts a request whose caller is expected to come back.
+func (d *Demand) refused(k placement.Key, now time.Time) {
+	d.change(k, func(c *count) { c.returning = append(c.returning, now.Add(expectedReturn)) })
+}
+
+func (d *Demand) run(k placement.Key, n int) { d.change(k, func(c *count) { c.running += n }) }
+
+// Take returns what changed since the last call.
+func (d *Demand) Take(now time.Time) []placement.Demand {
+	return d.take(now, false)
+}
+
+// All returns everything, for an owner that knows nothing.
+func (d *Demand) All(now time.Time) []placement.Demand {
+	return d.take(now, true)
+}
+
+func (d *Demand) take(now time.Time, all bool) []placement.Demand {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []placement.Demand
+	for k, c := range d.keys {
+		before := len(c.returning)
+		for len(c.returning) > 0 && now.After(c.returning[0]) {
+			c.returning = c.returning[1:]
+		}
+		if !all && !d.changed[k] && before == len(c.returning) {
+			continue
+		}
+		list = append(list, placement.Demand{Key: k, Waiting: c.waiting + len(c.returning), Running: c.running, Arrived: c.arrived})
+		c.arrived = 0
+		if c.waiting == 0 && c.running == 0 && len(c.returning) == 0 {
+			delete(d.keys, k)
+		}
+	}
+	clear(d.changed)
+	return list
+}
--- /dev/null
+++ b/entry/link.go
@@ -0,0 +1,136 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/fleet"
+	"github.com/parsleylug/parsleylug/hub"
+	"github.com/parsleylug/parsleylug/lease"
+)
+
+const (
+	// reportInterval is how often a node tells the owner what has changed.
+	reportInterval = 250 * time.Millisecond
+	// gatherTime is how long a report waits for more requests that begin to wait.
+	gatherTime = 5 * time.Millisecond
+	// relinkPause is the wait before the owner is looked up again.
+	relinkPause = 500 * time.Millisecond
+	// updateSilence is after how long without an update the link is given up.
+	ownedShard lease.Shard = 0
+)
+
+// keepLink keeps a link to the owner, if that is another node.
+func (n *Node) keepLink(ctx context.Context) {
+	for ctx.Err() == nil {
+		if n.owns() {
+			pause(ctx, relinkPause)
+			continue
+		}
+		if err := n.link(ctx); err != nil && ctx.Err() == nil {
+			n.Logger.Info().Str("Event", "OwnerLinkLost").Err(err).Msg("there is no link to the owner")
+		}
+		n.dropOverlay()
+		pause(ctx, relinkPause)
+	}
+}
+
+func (n *Node) owns() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.lease.Held(n.Uptime.Now())
+}
+
+func (n *Node) dropOverlay() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.fence != 0 {
+		return
+	}
+	n.overlay = nil
+	n.publish(time.Now())
+}
+
+// link looks the owner up and works with it until the link breaks.
+func (n *Node) link(ctx context.Context) error {
+	owners, err := n.Group.Owners(ctx)
+	if err != nil {
+		return err
+	}
+	owner, ok := owners[ownedShard]
+	if !ok || owner == n.Name {
+		return errors.New("nobody else owns the model engines")
+	}
+	l, err := hub.Dial(ctx, n.Dialer, n.HubAddress(owner))
+	if err != nil {
+		return err
+	}
+	defer l.Close()
+	n.Logger.Info().Str("Event", "OwnerLinked").Str("Owner", string(owner)).Msg("linked to the owner")
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		defer cancel()
+		n.report(ctx, l)
+	}()
+	for {
+		u, err := l.Receive(ctx)
+		if err != nil {
+			return err
+		}
+		n.updated(u)
+	}
+}
+
+// report tells the owner what this node's requests need.
+func (n *Node) report(ctx context.Context, l *hub.Link) {
+	demands := n.Demand.All(time.Now())
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	idle := time.Now()
+	for {
+		n.mu.Lock()
+		crashes := n.crashes
+		n.crashes = nil
+		n.mu.Unlock()
+		if len(demands) > 0 || len(crashes) > 0 || time.Since(idle) > time.Second {
+			if err := l.Send(ctx, hub.Report{Node: n.Name, Demands: demands, Suspects: crashes}); err != nil {
+				return
+			}
+			idle = time.Now()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.Demand.Urgent():
+			pause(ctx, gatherTime)
+		case <-ticker.C:
+		}
+		demands = n.Demand.Take(time.Now())
+	}
+}
+
+// updated takes in what the owner says.
+func (n *Node) updated(u hub.Update) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.fence != 0 {
+		return
+	}
+	overlay := make(map[domain.ServerID]fleet.Holdings, len(n.overlay)+len(u.Servers))
+	for id, h := range n.overlay {
+		overlay[id] = h
+	}
+	for _, s := range u.Servers {
+		overlay[s.ID] = s.Holdings
+	}
+	n.overlay = overlay
+	n.nodes = u.Nodes
+	if len(u.Suspects) > 0 && n.Learn != nil {
+		n.Learn(u.Suspects)
+	}
+	n.publish(time.Now())
+}
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/parsleylug/parsleylug/dispatch"
+	"github.com/parsleylug/parsleylug/fleet"
+)
+
+// metricsInterval is how often gathered metrics are handed on.
+const metricsInterval = 2 * time.Second
+
+// Metrics counts what becomes of requests. NewMetrics makes one.
+type Metrics struct {
+	scope    tally.Scope
+	reporter prometheus.Reporter
+}
+
+// NewMetrics returns metrics that can be read as text.
+func NewMetrics() *Metrics {
+	r := prometheus.NewReporter(prometheus.Options{})
+	scope, _ := tally.NewRootScope(tally.ScopeOptions{Prefix: "parsleylug", CachedReporter: r, Separator: prometheus.DefaultSeparator}, metricsInterval)
+	return &Metrics{scope: scope, reporter: r}
+}
+
+// Handler serves the metrics as text.
+func (m *Metrics) Handler() http.Handler { return m.reporter.HTTPHandler() }
+
+// latencyBuckets reach from a millisecond to half a minute.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
+
+// Ended implements dispatch.Counters.
+func (m *Metrics) Ended(k fleet.Kind, o dispatch.Outcome, first time.Duration) {
+	s := m.scope.Tagged(map[string]string{"kind": k.String(), "outcome": o.String()})
+	s.Counter("requests").Inc(1)
+	if first > 0 {
+		s.Histogram("first_answer", latencyBuckets).RecordDuration(first)
+	}
+}
+
+// Attempted implements dispatch.Counters.
+func (m *Metrics) Attempted(result string) {
+	m.scope.Tagged(map[string]string{"result": result}).Counter("attempts").Inc(1)
+}
--- /dev/null
+++ b/entry/node.go
@@ -0,0 +1,196 @@
+// Package entry is one node in front of backend servers whose state lies in the
+// platform's store: it follows configuration and registrations, shares the
+// ownership of the model engines with the other nodes, and gives orders while it
+// is the owner.
+package entry
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/parsleylug/parsleylug/dispatch"
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/fleet"
+	"github.com/parsleylug/parsleylug/hub"
+	"github.com/parsleylug/parsleylug/lease"
+	"github.com/parsleylug/parsleylug/placement"
+	"github.com/parsleylug/parsleylug/suspects"
+)
+
+// Feed follows what the operator and the backend servers write.
+type Feed interface {
+	Configuration(ctx context.Context, after domain.Offset, wait time.Duration) (*fleet.Configuration, domain.Offset, error)
+	Servers(ctx context.Context, after domain.Offset) (changes []fleet.Change, whole bool, next domain.Offset, err error)
+}
+
+// Group shares the ownership among the nodes.
+type Group interface {
+	Join(ctx context.Context, g lease.Generation, ttl time.Duration) (lease.Grant, error)
+	Leave(ctx context.Context) error
+	Owners(ctx context.Context) (map[lease.Shard]domain.NodeID, error)
+}
+
+// Engines takes orders.
+type Engines interface {
+	Report(ctx context.Context, s fleet.Server) (fleet.Holdings, error)
+	Order(ctx context.Context, o placement.Order, f domain.Fence) (placement.Outcome, error)
+}
+
+// Uptime is a clock that also counts the time in which the VM was suspended.
+type Uptime interface{ Now() time.Duration }
+
+// Options are what a node works with.
+type Options struct {
+	// Name is this start of this node; it holds the address of its hub.
+	Name    domain.NodeID
+	Feed    Feed
+	Group   Group
+	Engines Engines
+	Uptime  Uptime
+	Dialer  *net.Dialer
+	// HubAddress returns the address of a node's hub.
+	HubAddress func(domain.NodeID) string
+	Logger     zerolog.Logger
+	// ServersEvery is how often the registrations are read.
+	ServersEvery time.Duration
+	// TimeToLive is how long a silent member keeps its shards.
+	TimeToLive time.Duration
+	// Settle is how long a new owner waits before its first order.
+	Settle time.Duration
+}
+
+// Node is one node. New makes one.
+type Node struct {
+	Options
+	Views  dispatch.Views
+	Demand dispatch.Demand
+	Hub    hub.Hub
+	// Learn takes in contents that crash servers, seen by other nodes.
+	Learn func([]suspects.Report)
+
+	mu        sync.Mutex
+	directory fleet.Directory
+	config    *fleet.Configuration
+	listed    bool
+	leaving   bool
+	// overlay is what the owner says of the servers, newer than registrations.
+	overlay map[domain.ServerID]fleet.Holdings
+	planner placement.Planner
+	lease   lease.Lease
+	// fence is the one under which this node is the owner; 0 while it is not.
+	fence    domain.Fence
+	told     map[domain.ServerID]signature
+	crashes  []suspects.Report
+	nodes    int
+	storeBad bool
+	// nudge wakes the owner's loop.
+	nudge chan struct{}
+}
+
+// New returns a node that does nothing until Run.
+func New(o Options) *Node {
+	n := &Node{Options: o, nudge: make(chan struct{}, 1)}
+	n.lease.TimeToLive, n.lease.Settle = o.TimeToLive, o.Settle
+	n.Hub.Reported = n.reported
+	n.Hub.Joined = n.joined
+	return n
+}
+
+// Run works until ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	for _, loop := range []func(context.Context){n.followConfiguration, n.followServers, n.keepMembership, n.own, n.keepLink} {
+		g.Go(func() error {
+			loop(ctx)
+			return nil
+		})
+	}
+	return g.Wait()
+}
+
+// Ready tells whether this node can serve requests.
+func (n *Node) Ready() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.config != nil && n.listed && !n.leaving
+}
+
+// Leave makes the node not ready.
+func (n *Node) Leave() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.leaving = true
+}
+
+// Nodes is how many nodes there are, as far as this one knows; 0 if it does not.
+func (n *Node) Nodes() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.nodes
+}
+
+// Crashed passes on what this node saw of a content that crashed a server.
+func (n *Node) Crashed(r suspects.Report) {
+	n.mu.Lock()
+	n.crashes = append(n.crashes, r)
+	n.mu.Unlock()
+}
+
+// publish makes a new view of what the node knows. The caller holds mu.
+func (n *Node) publish(now time.Time) {
+	v := &dispatch.View{Config: n.config, Servers: map[domain.ServiceName][]*fleet.Server{}}
+	for _, s := range n.directory.Usable(now) {
+		s = n.withOverlay(s)
+		v.Servers[s.Service] = append(v.Servers[s.Service], s)
+	}
+	n.Views.Publish(v)
+}
+
+// withOverlay returns the server with what the owner says of it, if that is as
+// new as its registration.
+func (n *Node) withOverlay(s *fleet.Server) *fleet.Server {
+	o, ok := n.overlay[s.ID]
+	if !ok || o.Born != s.Holdings.Born || o.Older(&s.Holdings) {
+		return s
+	}
+	c := *s
+	c.Holdings = o
+	if len(o.InMemory) == 0 && len(o.OnDisk) == 0 {
+		c.Holdings.InMemory, c.Holdings.OnDisk = s.Holdings.InMemory, s.Holdings.OnDisk
+	}
+	return &c
+}
+
+// storeAnswered notes whether the store answered, with one line for each change.
+// The caller holds mu.
+func (n *Node) storeAnswered(now time.Time, call string, err error) {
+	if err != nil {
+		n.directory.Trouble(now)
+	}
+	if (err != nil) == n.storeBad {
+		return
+	}
+	n.storeBad = err != nil
+	if n.storeBad {
+		n.Logger.Warn().Str("Event", "StoreLost").Str("Call", call).Err(err).Msg("the platform's store does not answer")
+		return
+	}
+	n.Logger.Info().Str("Event", "StoreRegained").Str("Call", call).Msg("the platform's store answers again")
+}
+
+// pause waits, or returns false where ctx has ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/fleet/configuration.go
@@ -0,0 +1,154 @@
+// Package fleet is what a node knows of the users' platform: the operator's
+// configuration and the backend servers. It has no input, output or clock.
+package fleet
+
+import (
+	"strings"
+	"time"
+
+	"github.com/parsleylug/parsleylug/domain"
+)
+
+//go:generate go run golang.org/x/tools/cmd/stringer@v0.52.0 -type=Kind,State -output=names_string.go
+
+// Version numbers the operator's configurations; a larger one is newer.
+type Version int64
+
+// RouteName names a route of one configuration.
+type RouteName string
+
+// Kind says what may be repeated of a request.
+type Kind int
+
+// The kinds. The zero Kind is the one that allows the least.
+const (
+	// NonIdempotent requests run once at most.
+	NonIdempotent Kind = iota
+	// Idempotent requests may run again.
+	Idempotent
+	// Streaming requests are answered by events. They run once at most, unless
+	// their route is resumable.
+	Streaming
+)
+
+// Target is a service that gets a share of a route's requests.
+type Target struct {
+	Service domain.ServiceName
+	// Weight is relative to the other targets of the route; it is positive.
+	Weight int
+}
+
+// Route leads requests of a host and path to a service.
+type Route struct {
+	Name RouteName
+	Host string
+	// PathPrefix begins and ends with a slash.
+	PathPrefix string
+	Kind       Kind
+	// Timeout is the longest that a caller is kept waiting for its whole answer.
+	Timeout time.Duration
+	// Goal is the time to the answer, or to a stream's first event.
+	Goal time.Duration
+	// GapGoal is the longest pause between events; zero where there are none.
+	GapGoal time.Duration
+	// Priority ranks routes, 0 first.
+	Priority int
+	// Targets is not empty.
+	Targets []Target
+	// MaxAttempts is how many backend servers may run one request, at least 1.
+	MaxAttempts int
+	// Resumable streams may go on at another backend server.
+	Resumable bool
+}
+
+// Repeatable tells whether a request may be sent again after it may have run.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
+}
+
+// Target returns the service for a request; random is in [0,1).
+func (r *Route) Target(random float64) domain.ServiceName {
+	total := 0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	left := random * float64(total)
+	for _, t := range r.Targets {
+		left -= float64(t.Weight)
+		if left < 0 {
+			return t.Service
+		}
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+// Model is one base model that an engine may load.
+type Model struct {
+	Name   domain.ModelName
+	Memory domain.Bytes
+	// FromStore, FromDisk and FromMemory are how long a load takes by where the
+	// checkpoint lies.
+	FromStore, FromDisk, FromMemory time.Duration
+	AdapterMemory                   domain.Bytes
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	Slots int
+	// Memory holds models and adapters together.
+	Memory domain.Bytes
+	// AdapterPlaces is how many adapters one backend server holds.
+	AdapterPlaces int
+	// LoadsPerSecond bounds the loads from the weight store over all servers.
+	LoadsPerSecond float64
+	Models         map[domain.ModelName]Model
+}
+
+// Service is a group of backend servers that serve the same.
+type Service struct {
+	Name domain.ServiceName
+	// MaxConnections bounds the connections to one server from all nodes.
+	MaxConnections int
+	// Engine is nil for plain services.
+	Engine *Engine
+}
+
+// ClientLimits bound what a caller may send and how long it may take.
+type ClientLimits struct {
+	HeaderBytes, BodyBytes int64
+	HeaderTimeout          time.Duration
+	IdleTimeout            time.Duration
+}
+
+// Configuration is one version of what the operator wrote. It is not changed
+// after it was decoded.
+type Configuration struct {
+	Version  Version
+	Routes   []Route
+	Services map[domain.ServiceName]Service
+	Limits   ClientLimits
+	byHost   map[string][]*Route
+}
+
+// Index prepares Match. It must be called once, before the first Match.
+func (c *Configuration) Index() {
+	c.byHost = make(map[string][]*Route, len(c.Routes))
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		c.byHost[r.Host] = append(c.byHost[r.Host], r)
+	}
+}
+
+// Match returns the route with the longest prefix of path on a host, or nil.
+func (c *Configuration) Match(host, path string) *Route {
+	var best *Route
+	for _, r := range c.byHost[host] {
+		if !strings.HasPrefix(path, r.PathPrefix) {
+			continue
+		}
+		if best == nil || len(r.PathPrefix) > len(best.PathPrefix) {
+			best = r
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/fleet/server.go
@@ -0,0 +1,85 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/parsleylug/parsleylug/domain"
+)
+
+// State is what a backend server says of its own availability.
+type State int
+
+// The states. The zero State takes no new work.
+const (
+	Draining State = iota
+	Ready
+)
+
+// Held is a model that a backend server has loaded.
+type Held struct {
+	Model domain.ModelName
+	// Adapters are loaded; Coming ones are on their way.
+	Adapters, Coming []domain.AdapterName
+}
+
+// Has tells whether an adapter is loaded. The empty adapter always is.
+func (h Held) Has(a domain.AdapterName) bool {
+	return a == "" || slices.Contains(h.Adapters, a)
+}
+
+// Holdings is what an engine holds at one moment of its life.
+type Holdings struct {
+	// Born is the start of the process in Unix milliseconds. A server that starts
+	// again under its id holds nothing.
+	Born int64
+	// Sequence counts the orders accepted since Born.
+	Sequence uint64
+	// Busy means that an order is being carried out.
+	Busy   bool
+	Models []Held
+	// InMemory and OnDisk are the checkpoints that need no load from the weight
+	// store.
+	InMemory, OnDisk []domain.ModelName
+}
+
+// Find returns the entry of a loaded model.
+func (h *Holdings) Find(m domain.ModelName) (Held, bool) {
+	for _, e := range h.Models {
+		if e.Model == m {
+			return e, true
+		}
+	}
+	return Held{}, false
+}
+
+// Older tells whether h was certainly seen before o was.
+func (h *Holdings) Older(o *Holdings) bool {
+	if h.Born != o.Born {
+		return h.Born < o.Born
+	}
+	return h.Sequence < o.Sequence
+}
+
+// Server is one backend server as it registered itself.
+type Server struct {
+	ID      domain.ServerID
+	Service domain.ServiceName
+	// Address is IP:PORT.
+	Address string
+	Zone    domain.Zone
+	Slots   int
+	State   State
+	// ColdLeft is how much longer it is slow after its start.
+	ColdLeft time.Duration
+	Holdings Holdings
+}
+
+// Change is a new state of one server's registration.
+type Change struct {
+	ID domain.ServerID
+	// Offset orders the changes of one server.
+	Offset domain.Offset
+	// Server is nil where the registration is gone or cannot be used.
+	Server *Server
+}
--- /dev/null
+++ b/hub/message.go
@@ -0,0 +1,183 @@
+// Package hub speaks between the nodes and the owner of a shard of backend
+// servers, over WebSocket with CBOR: nodes tell what their requests need, the
+// owner tells what the servers hold.
+package hub
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/fleet"
+	"github.com/parsleylug/parsleylug/placement"
+	"github.com/parsleylug/parsleylug/suspects"
+)
+
+// maximumMessage bounds one message in bytes.
+const maximumMessage = 4 << 20
+
+// Report is what a node tells the owner.
+type Report struct {
+	Node domain.NodeID
+	// Demands that are left out are as before.
+	Demands  []placement.Demand
+	Suspects []suspects.Report
+}
+
+// Update is what the owner tells a node.
+type Update struct {
+	// Servers that are left out are as before.
+	Servers  []Server
+	Suspects []suspects.Report
+	// Nodes is how many nodes the owner is linked to, itself included.
+	Nodes int
+}
+
+// Server is what one server holds.
+type Server struct {
+	ID       domain.ServerID
+	Holdings fleet.Holdings
+}
+
+type wireReport struct {
+	Node     string
+	Demands  []wireDemand
+	Suspects []wireSuspect
+}
+
+type wireDemand struct {
+	_                         struct{} `cbor:",toarray"`
+	Service, Model, Adapter   string
+	Waiting, Running, Arrived int
+}
+
+type wireSuspect struct {
+	_            struct{} `cbor:",toarray"`
+	Content      []byte
+	Crashes      int
+	Server       string
+	Alone, Begun bool
+}
+
+type wireUpdate struct {
+	Servers  []wireServer
+	Suspects []wireSuspect
+	Nodes    int
+}
+
+type wireServer struct {
+	_                struct{} `cbor:",toarray"`
+	ID               string
+	Born             int64
+	Sequence         uint64
+	Busy             bool
+	Models           []wireHeld
+	InMemory, OnDisk []string
+}
+
+type wireHeld struct {
+	_        struct{} `cbor:",toarray"`
+	Model    string
+	Adapters []string
+}
+
+func encodeReport(r Report) ([]byte, error) {
+	w := wireReport{Node: string(r.Node), Suspects: encodeSuspects(r.Suspects)}
+	for _, d := range r.Demands {
+		w.Demands = append(w.Demands, wireDemand{
+			Service: string(d.Service), Model: string(d.Model), Adapter: string(d.Adapter),
+			Waiting: d.Waiting, Running: d.Running, Arrived: d.Arrived,
+		})
+	}
+	data, err := cbor.Marshal(w)
+	return data, errors.WithStack(err)
+}
+
+func decodeReport(data []byte) (Report, error) {
+	var w wireReport
+	if err := cbor.Unmarshal(data, &w); err != nil {
+		return Report{}, errors.Wrap(err, "decode a node's report")
+	}
+	r := Report{Node: domain.NodeID(w.Node)}
+	for _, d := range w.Demands {
+		r.Demands = append(r.Demands, placement.Demand{
+			Key:     placement.Key{Service: domain.ServiceName(d.Service), Model: domain.ModelName(d.Model), Adapter: domain.AdapterName(d.Adapter)},
+			Waiting: d.Waiting, Running: d.Running, Arrived: d.Arrived,
+		})
+	}
+	var err error
+	r.Suspects, err = decodeSuspects(w.Suspects)
+	return r, err
+}
+
+func encodeUpdate(u Update) ([]byte, error) {
+	w := wireUpdate{Nodes: u.Nodes, Suspects: encodeSuspects(u.Suspects)}
+	for _, s := range u.Servers {
+		h := s.Holdings
+		ws := wireServer{ID: string(s.ID), Born: h.Born, Sequence: h.Sequence, Busy: h.Busy, InMemory: texts(h.InMemory), OnDisk: texts(h.OnDisk)}
+		for _, m := range h.Models {
+			ws.Models = append(ws.Models, wireHeld{Model: string(m.Model), Adapters: texts(m.Adapters)})
+		}
+		w.Servers = append(w.Servers, ws)
+	}
+	data, err := cbor.Marshal(w)
+	return data, errors.WithStack(err)
+}
+
+func decodeUpdate(data []byte) (Update, error) {
+	var w wireUpdate
+	if err := cbor.Unmarshal(data, &w); err != nil {
+		return Update{}, errors.Wrap(err, "decode the owner's update")
+	}
+	u := Update{Nodes: w.Nodes}
+	for _, s := range w.Servers {
+		h := fleet.Holdings{
+			Born: s.Born, Sequence: s.Sequence, Busy: s.Busy,
+			InMemory: names[domain.ModelName](s.InMemory), OnDisk: names[domain.ModelName](s.OnDisk),
+		}
+		for _, m := range s.Models {
+			h.Models = append(h.Models, fleet.Held{Model: domain.ModelName(m.Model), Adapters: names[domain.AdapterName](m.Adapters)})
+		}
+		u.Servers = append(u.Servers, Server{ID: domain.ServerID(s.ID), Holdings: h})
+	}
+	var err error
+	u.Suspects, err = decodeSuspects(w.Suspects)
+	return u, err
+}
+
+func encodeSuspects(list []suspects.Report) []wireSuspect {
+	var w []wireSuspect
+	for _, r := range list {
+		w = append(w, wireSuspect{Content: r.Content[:], Crashes: r.Crashes, Server: string(r.Server), Alone: r.Alone, Begun: r.Begun})
+	}
+	return w
+}
+
+func decodeSuspects(w []wireSuspect) ([]suspects.Report, error) {
+	var list []suspects.Report
+	for _, s := range w {
+		r := suspects.Report{Crashes: s.Crashes, Server: domain.ServerID(s.Server), Alone: s.Alone, Begun: s.Begun}
+		if len(s.Content) != len(r.Content) {
+			return nil, errors.Errorf("a content of %d bytes", len(s.Content))
+		}
+		copy(r.Content[:], s.Content)
+		list = append(list, r)
+	}
+	return list, nil
+}
+
+func texts[T ~string](list []T) []string {
+	out := make([]string, len(list))
+	for i, n := range list {
+		out[i] = string(n)
+	}
+	return out
+}
+
+func names[T ~string](list []string) []T {
+	out := make([]T, len(list))
+	for i, n := range list {
+		out[i] = T(n)
+	}
+	return out
+}
--- a/node/candidates.go
+++ b/node/candidates.go
@@ -7,7 +7,7 @@
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fold"
 	"github.com/parsleylug/parsleylug/peer"
-	"github.com/parsleylug/parsleylug/platform"
+	"github.com/parsleylug/parsleylug/vmlist"
 )
 
 // candidate is a server that may load a model.
@@ -31,7 +31,7 @@
 // held, room without an eviction, the asker's region, few permits, much memory.
 func (h *Home) candidates(w peer.Wake) []candidate {
 	now := time.Now()
-	vms := h.deps.Directory.OfKind(platform.Engine)
+	vms := h.deps.Directory.OfKind(vmlist.Engine)
 	var out []candidate
 	h.deps.Agreement.View(func(s *fold.State) {
 		size := s.PermitSize(w.Model)
--- a/node/capacity_test.go
+++ b/node/capacity_test.go
@@ -11,7 +11,7 @@
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fold"
 	"github.com/parsleylug/parsleylug/peer"
-	"github.com/parsleylug/parsleylug/platform"
+	"github.com/parsleylug/parsleylug/vmlist"
 )
 
 // Planned sizes.
@@ -30,9 +30,9 @@
 func (m *plannedMesh) Members() []peer.Member { return m.members }
 
 // plannedList lists the planned number of engines and nodes.
-type plannedList struct{ vms []platform.VM }
+type plannedList struct{ vms []vmlist.VM }
 
-func (l plannedList) List(context.Context) ([]platform.VM, error) { return l.vms, nil }
+func (l plannedList) List(context.Context) ([]vmlist.VM, error) { return l.vms, nil }
 
 // BenchmarkCapacityOwnershipStep measures one look of one node over all servers,
 // each with a live owner.
@@ -43,12 +43,12 @@
 	for i := range plannedNodes {
 		r := domain.Region(fmt.Sprintf("region-%d", i%plannedRegions))
 		m.members = append(m.members, peer.Member{Node: domain.NodeID(fmt.Sprintf("node-%03d", i)), Region: r})
-		l.vms = append(l.vms, platform.VM{ID: fmt.Sprintf("node-%03d", i), Kind: platform.Entry, Region: r})
+		l.vms = append(l.vms, vmlist.VM{ID: fmt.Sprintf("node-%03d", i), Kind: vmlist.Entry, Region: r})
 	}
 	for i := range plannedServers {
 		id := fmt.Sprintf("engine-%04d", i)
 		r := domain.Region(fmt.Sprintf("region-%d", i%plannedRegions))
-		l.vms = append(l.vms, platform.VM{ID: id, Kind: platform.Engine, Address: id, Region: r, Memory: 64})
+		l.vms = append(l.vms, vmlist.VM{ID: id, Kind: vmlist.Engine, Address: id, Region: r, Memory: 64})
 		owner := m.members[1+i%(plannedNodes-1)].Node
 		leases = append(leases, fold.LeaseTaken{Server: domain.ServerID(id), Owner: owner, Facts: fold.ServerFacts{Region: r, Memory: 64}})
 	}
--- a/node/directory.go
+++ b/node/directory.go
@@ -9,7 +9,7 @@
 
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/peer"
-	"github.com/parsleylug/parsleylug/platform"
+	"github.com/parsleylug/parsleylug/vmlist"
 )
 
 // directoryInterval is how often the platform's list is read.
@@ -21,7 +21,7 @@
 	mu sync.RWMutex
 	// known is false until the first answer came.
 	known bool
-	vms   map[string]platform.VM
+	vms   map[string]vmlist.VM
 	// addresses are those of every VM that was ever listed since the start.
 	addresses map[string]string
 }
@@ -49,7 +49,7 @@
 	if err != nil {
 		return
 	}
-	m := make(map[string]platform.VM, len(vms))
+	m := make(map[string]vmlist.VM, len(vms))
 	for _, v := range vms {
 		m[v.ID] = v
 	}
@@ -73,11 +73,11 @@
 }
 
 // Server returns the VM of a backend server.
-func (d *Directory) Server(s domain.ServerID) (platform.VM, bool) {
+func (d *Directory) Server(s domain.ServerID) (vmlist.VM, bool) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	v, ok := d.vms[string(s)]
-	return v, ok && v.Kind != platform.Entry
+	return v, ok && v.Kind != vmlist.Entry
 }
 
 // Address returns where a backend server is or last was. A server that the list
@@ -98,10 +98,10 @@
 }
 
 // OfKind returns the VMs of a kind, sorted by ID.
-func (d *Directory) OfKind(k platform.VMKind) []platform.VM {
+func (d *Directory) OfKind(k vmlist.VMKind) []vmlist.VM {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	var out []platform.VM
+	var out []vmlist.VM
 	for _, id := range slices.Sorted(maps.Keys(d.vms)) {
 		if d.vms[id].Kind == k {
 			out = append(out, d.vms[id])
@@ -113,7 +113,7 @@
 // Seeds returns the entry VMs as members, which is what the mesh starts from.
 func (d *Directory) Seeds() []peer.Member {
 	var out []peer.Member
-	for _, v := range d.OfKind(platform.Entry) {
+	for _, v := range d.OfKind(vmlist.Entry) {
 		out = append(out, peer.Member{
 			Node:         domain.NodeID(v.ID),
 			Address:      v.Address,
--- a/node/fake_test.go
+++ b/node/fake_test.go
@@ -14,8 +14,8 @@
 	"github.com/parsleylug/parsleylug/engine"
 	"github.com/parsleylug/parsleylug/fold"
 	"github.com/parsleylug/parsleylug/peer"
-	"github.com/parsleylug/parsleylug/platform"
 	"github.com/parsleylug/parsleylug/verdict"
+	"github.com/parsleylug/parsleylug/vmlist"
 )
 
 // fakeLog is the decision stream: one list of batches that nodes fold.
@@ -153,7 +153,7 @@
 
 // fakeEngine is a model engine that counts what the outside world sees.
 type fakeEngine struct {
-	vm       platform.VM
+	vm       vmlist.VM
 	fence    domain.Fence
 	replicas map[domain.ModelName]engine.Replica
 	most     domain.Bytes
@@ -211,15 +211,15 @@
 }
 
 // List implements VMLister.
-func (s *fakeSystem) List(context.Context) ([]platform.VM, error) {
+func (s *fakeSystem) List(context.Context) ([]vmlist.VM, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []platform.VM
+	var out []vmlist.VM
 	for _, e := range s.engines {
 		out = append(out, e.vm)
 	}
 	for _, n := range s.nodes {
-		out = append(out, platform.VM{ID: string(n.deps.node()), Kind: platform.Entry, Region: n.deps.Self.Region})
+		out = append(out, vmlist.VM{ID: string(n.deps.node()), Kind: vmlist.Entry, Region: n.deps.Self.Region})
 	}
 	return out, nil
 }
@@ -313,8 +313,8 @@
 	for i := range o.engines {
 		id := "engine-" + string(rune('a'+i))
 		s.engines[id] = &fakeEngine{
-			vm: platform.VM{
-				ID: id, Kind: platform.Engine, Address: id, Memory: o.memory,
+			vm: vmlist.VM{
+				ID: id, Kind: vmlist.Engine, Address: id, Memory: o.memory,
 				ChecksFences: o.checks == nil || o.checks(i), Region: fakeRegions[i%len(fakeRegions)],
 			},
 			replicas: make(map[domain.ModelName]engine.Replica),
--- a/node/node.go
+++ b/node/node.go
@@ -22,11 +22,11 @@
 	"github.com/parsleylug/parsleylug/fold"
 	"github.com/parsleylug/parsleylug/objective"
 	"github.com/parsleylug/parsleylug/peer"
-	"github.com/parsleylug/parsleylug/platform"
 	"github.com/parsleylug/parsleylug/platformlog"
 	"github.com/parsleylug/parsleylug/relay"
 	"github.com/parsleylug/parsleylug/rendezvous"
 	"github.com/parsleylug/parsleylug/service"
+	"github.com/parsleylug/parsleylug/vmlist"
 	"github.com/parsleylug/parsleylug/waking"
 )
 
@@ -86,7 +86,7 @@
 	deps      *Deps
 	replica   *platformlog.Replica
 	mesh      *peer.Mesh
-	list      *platform.VMList
+	list      *vmlist.VMList
 	ownership *Ownership
 	claims    *Claims
 	home      *Home
@@ -112,7 +112,7 @@
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
-	n := &Node{options: o, list: &platform.VMList{URL: o.VMListURL}, started: time.Now(),
+	n := &Node{options: o, list: &vmlist.VMList{URL: o.VMListURL}, started: time.Now(),
 		log: &platformlog.Client{URL: o.LogURL}, recorder: &objective.Recorder{}, journal: &decisions.Journal{},
 	}
 	self := peer.Member{
@@ -333,8 +333,8 @@
 	t := time.NewTicker(announceInterval)
 	defer t.Stop()
 	for {
-		v := platform.VM{
-			ID: string(n.options.Node), Kind: platform.Entry, Address: n.deps.Self.Address, AdminAddress: n.deps.Self.AdminAddress,
+		v := vmlist.VM{
+			ID: string(n.options.Node), Kind: vmlist.Entry, Address: n.deps.Self.Address, AdminAddress: n.deps.Self.AdminAddress,
 			Region: n.options.Region, Zone: n.options.Zone, Leaving: n.stopping.Load(),
 		}
 		if err := n.list.Announce(ctx, v); err != nil && ctx.Err() == nil {
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -10,9 +10,9 @@
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fold"
 	"github.com/parsleylug/parsleylug/peer"
-	"github.com/parsleylug/parsleylug/platform"
 	"github.com/parsleylug/parsleylug/rendezvous"
 	"github.com/parsleylug/parsleylug/verdict"
+	"github.com/parsleylug/parsleylug/vmlist"
 )
 
 const (
@@ -129,7 +129,7 @@
 	serving := o.deps.serving()
 	regions := make(map[domain.Region][]domain.NodeID)
 	var out []fold.Record
-	for _, v := range o.deps.Directory.OfKind(platform.Engine) {
+	for _, v := range o.deps.Directory.OfKind(vmlist.Engine) {
 		l, held := leases[domain.ServerID(v.ID)]
 		if held && l.Owner == o.deps.node() {
 			continue
@@ -151,7 +151,7 @@
 // wanted returns the lease record that this node should propose for a server that
 // it does not own. A live holder keeps its lease while the view of the members is
 // young, so that a changed view moves nothing by itself.
-func (o *Ownership) wanted(v platform.VM, l fold.Lease, alive bool, members []domain.NodeID) (fold.Record, bool) {
+func (o *Ownership) wanted(v vmlist.VM, l fold.Lease, alive bool, members []domain.NodeID) (fold.Record, bool) {
 	s := domain.ServerID(v.ID)
 	first, ok := rendezvous.First("server/"+v.ID, members)
 	if !ok || first != o.deps.node() || alive && !o.mayTakeFromAlive(l) {
--- a/node/placer.go
+++ b/node/placer.go
@@ -10,10 +10,10 @@
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fold"
 	"github.com/parsleylug/parsleylug/peer"
-	"github.com/parsleylug/parsleylug/platform"
 	"github.com/parsleylug/parsleylug/rendezvous"
 	"github.com/parsleylug/parsleylug/routing"
 	"github.com/parsleylug/parsleylug/verdict"
+	"github.com/parsleylug/parsleylug/vmlist"
 )
 
 const (
@@ -179,13 +179,13 @@
 }
 
 // configured reads the model and which VMs the operators drain.
-func (p *Placer) configured(m domain.ModelName) (model configuration.Model, drained func(platform.VM) bool) {
+func (p *Placer) configured(m domain.ModelName) (model configuration.Model, drained func(vmlist.VM) bool) {
 	var drains []configuration.Drain
 	p.deps.Agreement.View(func(s *fold.State) {
 		model, _ = s.Model(m)
 		drains = s.Drains()
 	})
-	return model, func(v platform.VM) bool {
+	return model, func(v vmlist.VM) bool {
 		return slices.ContainsFunc(drains, func(d configuration.Drain) bool {
 			return d.Server == domain.ServerID(v.ID) && d.Server != "" || d.Zone == v.Zone && d.Zone != ""
 		})
@@ -196,7 +196,7 @@
 func (p *Placer) Service(n domain.ServiceName) []routing.Replica {
 	_, drained := p.configured("")
 	var out []routing.Replica
-	for _, v := range p.deps.Directory.OfKind(platform.Service) {
+	for _, v := range p.deps.Directory.OfKind(vmlist.Service) {
 		if v.ServiceName != n || v.Leaving || drained(v) {
 			continue
 		}
--- a/node/ports.go
+++ b/node/ports.go
@@ -9,7 +9,7 @@
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fold"
 	"github.com/parsleylug/parsleylug/peer"
-	"github.com/parsleylug/parsleylug/platform"
+	"github.com/parsleylug/parsleylug/vmlist"
 )
 
 // Agreement is this node's copy of the agreed state. *platformlog.Replica
@@ -32,7 +32,7 @@
 	Alive(n domain.NodeID) bool
 }
 
-// VMLister reads the platform's list. *platform.VMList implements it.
+// VMLister reads the platform's list. *vmlist.VMList implements it.
 type VMLister interface {
-	List(ctx context.Context) ([]platform.VM, error)
+	List(ctx context.Context) ([]vmlist.VM, error)
 }
--- a/node/system.go
+++ b/node/system.go
@@ -13,11 +13,11 @@
 	"github.com/parsleylug/parsleylug/objective"
 	"github.com/parsleylug/parsleylug/operator"
 	"github.com/parsleylug/parsleylug/peer"
-	"github.com/parsleylug/parsleylug/platform"
 	"github.com/parsleylug/parsleylug/platformlog"
 	"github.com/parsleylug/parsleylug/reports"
 	"github.com/parsleylug/parsleylug/suspects"
 	"github.com/parsleylug/parsleylug/verdict"
+	"github.com/parsleylug/parsleylug/vmlist"
 )
 
 // System is what the administration API sees of the node. It implements
@@ -148,7 +148,7 @@
 	for _, v := range out.Servers {
 		leased[v.Server] = true
 	}
-	for _, k := range []platform.VMKind{platform.Engine, platform.Service} {
+	for _, k := range []vmlist.VMKind{vmlist.Engine, vmlist.Service} {
 		for _, v := range s.node.deps.Directory.OfKind(k) {
 			id := domain.ServerID(v.ID)
 			if leased[id] {
--- /dev/null
+++ b/placement/account.go
@@ -0,0 +1,312 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/fleet"
+)
+
+// Operation is what an order does.
+type Operation int
+
+// The operations.
+const (
+	Load Operation = iota
+	Unload
+)
+
+// Order is one order to a model engine.
+type Order struct {
+	Server fleet.Server
+	Operation
+	Model   domain.ModelName
+	Adapter domain.AdapterName
+	// Expected is the sequence that the server must be at.
+	Expected uint64
+	// Reason says in a few words what it is for.
+	Reason string
+	// tier is where the checkpoint of a load lies.
+	tier Tier
+}
+
+// Outcome is what became of an order.
+type Outcome int
+
+// The outcomes. The zero Outcome means that nobody can tell.
+const (
+	// Unknown orders may have been accepted, or may be later.
+	Unknown Outcome = iota
+	// Accepted orders are being carried out.
+	Accepted
+	// Unneeded orders asked for what holds already.
+	Unneeded
+	// Conflicted orders met another one, or another sequence.
+	Conflicted
+	// Fenced orders came from a holder that another has replaced.
+	Fenced
+	// Rejected orders will never be carried out.
+	Rejected
+)
+
+// Tier is where a checkpoint lies for a server.
+type Tier int
+
+// The tiers, the slowest first.
+const (
+	Store Tier = iota
+	Disk
+	Memory
+)
+
+const (
+	// doubtTime is how long after it was sent an order without an answer may still
+	// be carried out.
+	doubtTime = 13 * time.Second
+	// reportDelay is how old a server's report may be.
+	reportDelay = 200 * time.Millisecond
+	// pollInterval is how often a server is asked whether its order is done.
+	pollInterval = 120 * time.Millisecond
+	// adapterTime is how long an adapter takes to load.
+	adapterTime = 25 * time.Millisecond
+	// adaptersInTransit is how many adapters may be on their way to one server.
+	adaptersInTransit = 4
+	// reservationTime is how long room may take to be made.
+	reservationTime = 6 * time.Second
+)
+
+// doubt is an order that may still be carried out.
+type doubt struct {
+	order Order
+	until time.Time
+}
+
+// account is what the owner knows of one model engine and what it has ordered
+// there.
+type account struct {
+	server   fleet.Server
+	holdings fleet.Holdings
+	// known is true once the server itself was asked since this node became owner.
+	known bool
+	// ordering is true while an order is on its way.
+	ordering bool
+	// work is the model order that the server carries out, if any.
+	work *Order
+	// began and ends bound the work; ends is an estimate.
+	began, ends time.Time
+	// ask is when the server is to be asked next; zero for not at all.
+	ask    time.Time
+	asking bool
+	doubts []doubt
+	// coming holds adapters that were ordered and when they are expected.
+	coming map[Key]time.Time
+	// reserved is the model for which room is being made here, if any.
+	reserved domain.ModelName
+	// reservedUntil is when the reservation ends by itself.
+	reservedUntil time.Time
+	// orderedAt is when the latest order was accepted.
+	orderedAt time.Time
+}
+
+// observe takes in holdings that were read at a time.
+func (a *account) observe(now, read time.Time, h fleet.Holdings, direct bool) {
+	if h.Born != a.holdings.Born {
+		if h.Born < a.holdings.Born {
+			return
+		}
+		a.reset()
+	} else if h.Sequence < a.holdings.Sequence {
+		return
+	}
+	stale := h.Sequence == a.holdings.Sequence && read.Sub(a.orderedAt) < reportDelay && !a.orderedAt.IsZero()
+	a.settleDoubts(now, h)
+	if stale {
+		return
+	}
+	if direct {
+		a.known = true
+	}
+	if len(h.InMemory) == 0 && len(h.OnDisk) == 0 {
+		h.InMemory, h.OnDisk = a.holdings.InMemory, a.holdings.OnDisk
+	}
+	if !direct && a.known {
+		// A registration may be older than what the owner has read since.
+		a.noticed(now, h)
+		return
+	}
+	a.holdings = h
+	a.keepComing(now)
+	if a.work != nil && !h.Busy {
+		a.work = nil
+	}
+	if h.Busy && a.work == nil && a.ask.IsZero() {
+		a.ask = now.Add(pollInterval)
+	}
+}
+
+// noticed takes in a registration beside what the owner knows better: only an
+// order that was accepted without the owner's knowledge shows there first.
+func (a *account) noticed(now time.Time, h fleet.Holdings) {
+	a.holdings.InMemory, a.holdings.OnDisk = h.InMemory, h.OnDisk
+	if h.Sequence > a.holdings.Sequence {
+		a.known, a.ask = false, now
+	}
+}
+
+// reset forgets what belonged to an earlier life of the server.
+func (a *account) reset() {
+	a.known, a.work, a.doubts, a.coming, a.reserved = false, nil, nil, nil, ""
+	a.orderedAt = time.Time{}
+	a.holdings = fleet.Holdings{InMemory: a.holdings.InMemory, OnDisk: a.holdings.OnDisk}
+}
+
+// settleDoubts drops the doubts that a newer sequence or time has settled: an
+// order is carried out only at the sequence that it expects.
+func (a *account) settleDoubts(now time.Time, h fleet.Holdings) {
+	a.doubts = slices.DeleteFunc(a.doubts, func(d doubt) bool {
+		return h.Sequence > d.order.Expected || now.After(d.until)
+	})
+}
+
+// keepComing adds the adapters that were ordered but are not yet in a report.
+func (a *account) keepComing(now time.Time) {
+	for k, at := range a.coming {
+		held, ok := a.holdings.Find(k.Model)
+		if !ok || held.Has(k.Adapter) || now.Sub(at) > time.Second {
+			delete(a.coming, k)
+			continue
+		}
+		a.addAdapter(k.Model, k.Adapter)
+	}
+}
+
+func (a *account) addAdapter(m domain.ModelName, n domain.AdapterName) {
+	for i := range a.holdings.Models {
+		held := &a.holdings.Models[i]
+		if held.Model == m && !slices.Contains(held.Adapters, n) {
+			// The old array may have been handed out.
+			held.Adapters = append(slices.Clone(held.Adapters), n)
+		}
+	}
+}
+
+func (a *account) dropAdapter(m domain.ModelName, n domain.AdapterName) {
+	a.holdings.Models = slices.Clone(a.holdings.Models)
+	for i := range a.holdings.Models {
+		held := &a.holdings.Models[i]
+		if held.Model == m {
+			held.Adapters = slices.DeleteFunc(slices.Clone(held.Adapters), func(o domain.AdapterName) bool { return o == n })
+		}
+	}
+}
+
+func (a *account) dropModel(m domain.ModelName) {
+	a.holdings.Models = slices.DeleteFunc(slices.Clone(a.holdings.Models), func(h fleet.Held) bool { return h.Model == m })
+}
+
+// finish takes in what became of an order that was sent at a time.
+func (a *account) finish(now, sent time.Time, o Order, out Outcome, takes time.Duration) {
+	a.ordering = false
+	switch out {
+	case Accepted:
+		a.accepted(now, o, takes)
+	case Unneeded:
+		a.ask = now.Add(reportDelay)
+	case Conflicted:
+		a.known, a.ask = false, now.Add(pollInterval)
+	case Unknown:
+		a.doubts = append(a.doubts, doubt{order: o, until: sent.Add(doubtTime)})
+		a.known, a.ask = false, now.Add(reportDelay)
+	case Fenced, Rejected:
+		a.known, a.ask = false, now.Add(time.Second)
+	}
+}
+
+func (a *account) accepted(now time.Time, o Order, takes time.Duration) {
+	a.holdings.Sequence = o.Expected + 1
+	a.orderedAt = now
+	a.settleDoubts(now, a.holdings)
+	switch {
+	case o.Adapter != "" && o.Operation == Load:
+		k := Key{Service: o.Server.Service, Model: o.Model, Adapter: o.Adapter}
+		if a.coming == nil {
+			a.coming = map[Key]time.Time{}
+		}
+		a.coming[k] = now.Add(adapterTime)
+		a.addAdapter(o.Model, o.Adapter)
+	case o.Adapter != "":
+		a.dropAdapter(o.Model, o.Adapter)
+	default:
+		if o.Operation == Unload {
+			a.dropModel(o.Model)
+		}
+		a.work, a.began, a.ends = &o, now, now.Add(takes)
+		a.holdings.Busy = true
+		a.ask = now.Add(max(takes-reportDelay, pollInterval))
+	}
+}
+
+// ready tells whether a model order may be given now.
+func (a *account) ready() bool {
+	return a.known && !a.ordering && a.work == nil && !a.holdings.Busy && len(a.doubts) == 0
+}
+
+// tier returns from where a model would be loaded.
+func (a *account) tier(m domain.ModelName) Tier {
+	switch {
+	case slices.Contains(a.holdings.InMemory, m):
+		return Memory
+	case slices.Contains(a.holdings.OnDisk, m):
+		return Disk
+	}
+	return Store
+}
+
+// free returns the memory that is left beside what is loaded, what may come and
+// the places for adapters.
+func (a *account) free(e *fleet.Engine) domain.Bytes {
+	left := e.Memory - adapterReserve(e)
+	for _, h := range a.holdings.Models {
+		left -= e.Models[h.Model].Memory
+	}
+	for _, d := range a.doubts {
+		if d.order.Operation == Load && d.order.Adapter == "" {
+			left -= e.Models[d.order.Model].Memory
+		}
+	}
+	return left
+}
+
+// adapterReserve is the memory that a full set of adapters takes.
+func adapterReserve(e *fleet.Engine) domain.Bytes {
+	var largest domain.Bytes
+	for _, m := range e.Models {
+		largest = max(largest, m.AdapterMemory)
+	}
+	return largest * domain.Bytes(e.AdapterPlaces)
+}
+
+// adapterPlaces returns how many places for adapters are taken.
+func (a *account) adapterPlaces() int {
+	n := 0
+	for _, h := range a.holdings.Models {
+		n += len(h.Adapters)
+		for _, c := range h.Coming {
+			if !slices.Contains(h.Adapters, c) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func takes(m fleet.Model, t Tier) time.Duration {
+	switch t {
+	case Memory:
+		return m.FromMemory
+	case Disk:
+		return m.FromDisk
+	}
+	return m.FromStore
+}
--- /dev/null
+++ b/placement/demand.go
@@ -0,0 +1,139 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"github.com/parsleylug/parsleylug/domain"
+)
+
+const (
+	// rateMemory is the time constant of the request rates.
+	rateMemory = 8 * time.Second
+	// silentNode is after how long a node's demand is dropped.
+	silentNode = 3 * time.Second
+)
+
+// Key names what a request needs at a model engine.
+type Key struct {
+	Service domain.ServiceName
+	Model   domain.ModelName
+	// Adapter is empty where the base model is asked for.
+	Adapter domain.AdapterName
+}
+
+// base returns the key of the base model.
+func (k Key) base() Key {
+	k.Adapter = ""
+	return k
+}
+
+// Demand is what one node needs of one key.
+type Demand struct {
+	Key
+	// Waiting requests have no backend server yet; Running ones have.
+	Waiting, Running int
+	// Arrived counts the requests since the node's last report.
+	Arrived int
+}
+
+// interest is the demand for one key over all nodes.
+type interest struct {
+	waiting, running int
+	// since is when requests began to wait; zero while none does.
+	since time.Time
+	// rate is in requests a second, as of at.
+	rate float64
+	at   time.Time
+	// used is when a request last arrived or ran.
+	used time.Time
+}
+
+func (i *interest) rateAt(now time.Time) float64 {
+	return i.rate * math.Exp(-now.Sub(i.at).Seconds()/rateMemory.Seconds())
+}
+
+// demands adds up what the nodes need. The zero demands are ready for use.
+type demands struct {
+	nodes  map[domain.NodeID]nodeDemand
+	totals map[Key]*interest
+}
+
+type nodeDemand struct {
+	at   time.Time
+	keys map[Key]Demand
+}
+
+// report takes in what changed at a node. A key that a report leaves out is as
+// before.
+func (d *demands) report(now time.Time, n domain.NodeID, changed []Demand) {
+	if d.nodes == nil {
+		d.nodes = map[domain.NodeID]nodeDemand{}
+		d.totals = map[Key]*interest{}
+	}
+	node, ok := d.nodes[n]
+	if !ok {
+		node.keys = map[Key]Demand{}
+	}
+	node.at = now
+	d.nodes[n] = node
+	for _, c := range changed {
+		before := node.keys[c.Key]
+		d.add(now, c.Key, c.Waiting-before.Waiting, c.Running-before.Running, c.Arrived)
+		if c.Adapter != "" {
+			d.add(now, c.base(), 0, c.Running-before.Running, c.Arrived)
+		}
+		if c.Waiting == 0 && c.Running == 0 {
+			delete(node.keys, c.Key)
+			continue
+		}
+		node.keys[c.Key] = c
+	}
+}
+
+func (d *demands) add(now time.Time, k Key, waiting, running, arrived int) {
+	t := d.totals[k]
+	if t == nil {
+		t = &interest{at: now}
+		d.totals[k] = t
+	}
+	t.waiting += waiting
+	t.running += running
+	if arrived > 0 {
+		t.rate = t.rateAt(now) + float64(arrived)/rateMemory.Seconds()
+		t.at = now
+	}
+	if arrived > 0 || t.running > 0 || t.waiting > 0 {
+		t.used = now
+	}
+	switch {
+	case t.waiting == 0:
+		t.since = time.Time{}
+	case t.since.IsZero():
+		t.since = now
+	}
+}
+
+// expire drops what nodes said that have been silent.
+func (d *demands) expire(now time.Time) {
+	for n, node := range d.nodes {
+		if now.Sub(node.at) <= silentNode {
+			continue
+		}
+		for k, before := range node.keys {
+			d.add(now, k, -before.Waiting, -before.Running, 0)
+			if k.Adapter != "" {
+				d.add(now, k.base(), 0, -before.Running, 0)
+			}
+		}
+		delete(d.nodes, n)
+	}
+}
+
+// of returns the demand for a key; it is never nil.
+func (d *demands) of(k Key) *interest {
+	if t := d.totals[k]; t != nil {
+		return t
+	}
+	return &interest{}
+}
--- /dev/null
+++ b/retries/window.go
@@ -0,0 +1,55 @@
+package retries
+
+import "time"
+
+// windowParts is into how many parts a window is cut; its counts are as old as
+// one part at most.
+const windowParts = 10
+
+// Window bounds what one node sends beyond the first attempts, over a sliding
+// window of time. The zero Window allows nothing. It is not safe for concurrent
+// use.
+type Window struct {
+	// Length is the length of the window.
+	Length time.Duration
+	// Ratio is the share of the requests in the window that may be sent again.
+	Ratio float64
+	// Reserve may be sent again beside that.
+	Reserve float64
+
+	parts [windowParts]windowPart
+}
+
+type windowPart struct {
+	number          int64
+	requests, extra int
+}
+
+func (w *Window) part(now time.Time) *windowPart {
+	number := now.UnixNano() / max(1, int64(w.Length)/windowParts)
+	p := &w.parts[int(number%windowParts)]
+	if p.number != number {
+		*p = windowPart{number: number}
+	}
+	return p
+}
+
+// Request counts a first attempt.
+func (w *Window) Request(now time.Time) { w.part(now).requests++ }
+
+// Spend counts a further attempt where the budget has room for it.
+func (w *Window) Spend(now time.Time) bool {
+	current := w.part(now)
+	requests, extra := 0, 0
+	for _, p := range w.parts {
+		if p.number > current.number-windowParts && p.number <= current.number {
+			requests += p.requests
+			extra += p.extra
+		}
+	}
+	if float64(extra+1) > w.Ratio*float64(requests)+w.Reserve {
+		return false
+	}
+	current.extra++
+	return true
+}
--- a/standin/group_test.go
+++ b/standin/group_test.go
@@ -14,8 +14,8 @@
 
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/engine"
-	"github.com/parsleylug/parsleylug/platform"
 	"github.com/parsleylug/parsleylug/service"
+	"github.com/parsleylug/parsleylug/vmlist"
 )
 
 // quick are options whose times are short enough for tests.
@@ -163,8 +163,8 @@
 
 func TestAnnouncedVMIsListed(t *testing.T) {
 	g := start(t, quick())
-	list := platform.VMList{URL: g.VMListURL}
-	v := platform.VM{ID: "n1", Kind: platform.Entry, Address: "127.0.0.1:1", Region: "brisbane", Zone: "brisbane-a"}
+	list := vmlist.VMList{URL: g.VMListURL}
+	v := vmlist.VM{ID: "n1", Kind: vmlist.Entry, Address: "127.0.0.1:1", Region: "brisbane", Zone: "brisbane-a"}
 	if err := list.Announce(t.Context(), v); err != nil {
 		t.Fatal(err)
 	}
--- a/platform/vm.go
+++ b/vmlist/vm.go
@@ -1,6 +1,6 @@
-// Package platform speaks to what the platform gives: the list of VMs and the
-// weight store. Package platformlog speaks to its log.
-package platform
+// Package vmlist speaks to what the platform gives: the list of VMs and the
+// weight store. Package vmlistlog speaks to its log.
+package vmlist
 
 import "github.com/parsleylug/parsleylug/domain"
 
--- a/platform/vmlist.go
+++ b/vmlist/vmlist.go
@@ -1,4 +1,4 @@
-package platform
+package vmlist
 
 import (
 	"bytes"
