--- a/entry/link.go
+++ b/entry/link.go
@@ -18,8 +18,8 @@
 	// gatherTime is how long a report waits for more requests that begin to wait.
 	gatherTime = 5 * time.Millisecond
 	// relinkPause is the wait before the owner is looked up again.
-	relinkPause = 500 * time.Millisecond
-	// updateSilence is after how long without an update the link is given up.
+	relinkPause = 350 * time.Millisecond
+	// ownedShard is the one shard that there is.
 	ownedShard lease.Shard = 0
 )
 
--- a/entry/node.go
+++ b/entry/node.go
@@ -98,6 +98,7 @@
 	n.lease.TimeToLive, n.lease.Settle = o.TimeToLive, o.Settle
 	n.Hub.Reported = n.reported
 	n.Hub.Joined = n.joined
+	n.Hub.Accepts = n.accepts
 	return n
 }
 
@@ -151,11 +152,11 @@
 	n.Views.Publish(v)
 }
 
-// withOverlay returns the server with what the owner says of it, if that is as
-// new as its registration.
+// withOverlay returns the server with what the owner says of it, if that is about
+// the same life of the server.
 func (n *Node) withOverlay(s *fleet.Server) *fleet.Server {
 	o, ok := n.overlay[s.ID]
-	if !ok || o.Born != s.Holdings.Born || o.Older(&s.Holdings) {
+	if !ok || o.Born != s.Holdings.Born {
 		return s
 	}
 	c := *s
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -92,8 +92,12 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
-	fence, valid := n.lease.Valid(n.Uptime.Now())
+	uptime := n.Uptime.Now()
+	fence, valid := n.lease.Valid(uptime)
 	n.changeOwner(now, fence, valid)
+	if !n.lease.Held(uptime) {
+		n.Hub.Close()
+	}
 	if !valid {
 		return false
 	}
@@ -117,19 +121,16 @@
 	if fence == n.fence {
 		return
 	}
-	began := n.fence == 0 || fence != 0
 	n.fence = fence
 	if fence == 0 {
 		n.Logger.Info().Str("Event", "OwnershipLost").Msg("this node no longer owns the model engines")
-		n.Hub.Close()
+		n.planner.End()
 		n.told, n.overlay = nil, nil
 		return
 	}
-	if began {
-		n.Logger.Info().Str("Event", "OwnershipBegun").Uint64("Fence", uint64(fence)).Msg("this node owns the model engines")
-		n.planner.Begin(now)
-		n.planner.Demanded(now, n.Name, n.Demand.All(now))
-	}
+	n.Logger.Info().Str("Event", "OwnershipBegun").Uint64("Fence", uint64(fence)).Msg("this node owns the model engines")
+	n.planner.Begin(now)
+	n.planner.Demanded(now, n.Name, n.Demand.All(now))
 }
 
 func (n *Node) ask(ctx context.Context, s fleet.Server) {
@@ -138,6 +139,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.planner.Reported(time.Now(), asked, s.ID, h, err)
+	n.Logger.Debug().Str("Event", "Reported").Str("Server", string(s.ID)).Uint64("Sequence", h.Sequence).Int64("Born", h.Born).Bool("Busy", h.Busy).AnErr("Cause", err).Msg("a server has reported")
 	if err != nil {
 		n.Logger.Debug().Str("Event", "ReportFailed").Str("Server", string(s.ID)).Err(err).Msg("a server did not report")
 	}
@@ -204,7 +206,7 @@
 func (n *Node) reported(r hub.Report) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.fence == 0 {
+	if !n.lease.Held(n.Uptime.Now()) {
 		return
 	}
 	n.planner.Demanded(time.Now(), r.Node, r.Demands)
@@ -215,6 +217,13 @@
 	n.wake()
 }
 
+// accepts tells whether other nodes may link to this one as the owner.
+func (n *Node) accepts() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.lease.Held(n.Uptime.Now())
+}
+
 // joined returns everything a node must know that has just linked.
 func (n *Node) joined() hub.Update {
 	n.mu.Lock()
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -85,8 +85,7 @@
 
 func differs(a, b *Server) bool {
 	return a.State != b.State || a.Address != b.Address || a.Service != b.Service ||
-		a.Holdings.Born != b.Holdings.Born || a.Holdings.Sequence != b.Holdings.Sequence ||
-		len(a.Holdings.Models) != len(b.Holdings.Models)
+		a.Holdings.Born != b.Holdings.Born || len(a.Holdings.Models) != len(b.Holdings.Models)
 }
 
 // Replace takes in a listing of every registration, read when the log ended at
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -33,7 +33,7 @@
 	// Born is the start of the process in Unix milliseconds. A server that starts
 	// again under its id holds nothing.
 	Born int64
-	// Sequence counts the orders accepted since Born.
+	// Sequence counts the orders accepted since Born; 0 where it is not known.
 	Sequence uint64
 	// Busy means that an order is being carried out.
 	Busy   bool
@@ -53,14 +53,6 @@
 	return Held{}, false
 }
 
-// Older tells whether h was certainly seen before o was.
-func (h *Holdings) Older(o *Holdings) bool {
-	if h.Born != o.Born {
-		return h.Born < o.Born
-	}
-	return h.Sequence < o.Sequence
-}
-
 // Server is one backend server as it registered itself.
 type Server struct {
 	ID      domain.ServerID
--- a/hub/link.go
+++ b/hub/link.go
@@ -26,6 +26,8 @@
 type Hub struct {
 	// Reported is called for each report.
 	Reported func(Report)
+	// Accepts tells whether this node is the owner now.
+	Accepts func() bool
 	// Joined returns everything that a node that has just linked must know.
 	Joined func() Update
 
@@ -47,6 +49,10 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Hub) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !s.Accepts() {
+		http.Error(w, "this node is not the owner", http.StatusServiceUnavailable)
+		return
+	}
 	c, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
 	if err != nil {
 		// Accept has answered the request.
--- a/placement/account.go
+++ b/placement/account.go
@@ -89,8 +89,8 @@
 	holdings fleet.Holdings
 	// known is true once the server itself was asked since this node became owner.
 	known bool
-	// ordering is true while an order is on its way.
-	ordering bool
+	// pending is the order that is on its way, if any.
+	pending *Order
 	// work is the model order that the server carries out, if any.
 	work *Order
 	// began and ends bound the work; ends is an estimate.
@@ -111,12 +111,17 @@
 
 // observe takes in holdings that were read at a time.
 func (a *account) observe(now, read time.Time, h fleet.Holdings, direct bool) {
-	if h.Born != a.holdings.Born {
-		if h.Born < a.holdings.Born {
-			return
-		}
-		a.reset()
-	} else if h.Sequence < a.holdings.Sequence {
+	if h.Born < a.holdings.Born {
+		return
+	}
+	if h.Born > a.holdings.Born {
+		a.reset(now)
+	}
+	if !direct {
+		a.registered(h)
+		return
+	}
+	if h.Sequence < a.holdings.Sequence {
 		return
 	}
 	stale := h.Sequence == a.holdings.Sequence && read.Sub(a.orderedAt) < reportDelay && !a.orderedAt.IsZero()
@@ -124,17 +129,10 @@
 	if stale {
 		return
 	}
-	if direct {
-		a.known = true
-	}
+	a.known = true
 	if len(h.InMemory) == 0 && len(h.OnDisk) == 0 {
 		h.InMemory, h.OnDisk = a.holdings.InMemory, a.holdings.OnDisk
 	}
-	if !direct && a.known {
-		// A registration may be older than what the owner has read since.
-		a.noticed(now, h)
-		return
-	}
 	a.holdings = h
 	a.keepComing(now)
 	if a.work != nil && !h.Busy {
@@ -145,19 +143,25 @@
 	}
 }
 
-// noticed takes in a registration beside what the owner knows better: only an
-// order that was accepted without the owner's knowledge shows there first.
-func (a *account) noticed(now time.Time, h fleet.Holdings) {
-	a.holdings.InMemory, a.holdings.OnDisk = h.InMemory, h.OnDisk
-	if h.Sequence > a.holdings.Sequence {
-		a.known, a.ask = false, now
+// registered takes in a registration. What the server reported itself is newer.
+func (a *account) registered(h fleet.Holdings) {
+	if a.known {
+		a.holdings.InMemory, a.holdings.OnDisk = h.InMemory, h.OnDisk
+		return
+	}
+	sequence := a.holdings.Sequence
+	if h.Born == a.holdings.Born {
+		h.Busy = a.holdings.Busy
 	}
+	a.holdings = h
+	a.holdings.Sequence = sequence
 }
 
 // reset forgets what belonged to an earlier life of the server.
-func (a *account) reset() {
+func (a *account) reset(now time.Time) {
 	a.known, a.work, a.doubts, a.coming, a.reserved = false, nil, nil, nil, ""
 	a.orderedAt = time.Time{}
+	a.ask = now
 	a.holdings = fleet.Holdings{InMemory: a.holdings.InMemory, OnDisk: a.holdings.OnDisk}
 }
 
@@ -207,7 +211,7 @@
 
 // finish takes in what became of an order that was sent at a time.
 func (a *account) finish(now, sent time.Time, o Order, out Outcome, takes time.Duration) {
-	a.ordering = false
+	a.pending = nil
 	switch out {
 	case Accepted:
 		a.accepted(now, o, takes)
@@ -249,7 +253,7 @@
 
 // ready tells whether a model order may be given now.
 func (a *account) ready() bool {
-	return a.known && !a.ordering && a.work == nil && !a.holdings.Busy && len(a.doubts) == 0
+	return a.known && a.pending == nil && a.work == nil && !a.holdings.Busy && len(a.doubts) == 0
 }
 
 // tier returns from where a model would be loaded.
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -36,12 +36,15 @@
 func (p *Planner) Begin(now time.Time) {
 	p.started = now
 	for _, a := range p.accounts {
-		a.known, a.ordering, a.work = false, false, nil
+		a.known, a.pending, a.work = false, nil, nil
 		a.ask = now
 	}
 	p.store.reset()
 }
 
+// End ends a term as owner: what the nodes need is told to the next one.
+func (p *Planner) End() { p.demands = demands{} }
+
 // Demanded takes in what a node needs.
 func (p *Planner) Demanded(now time.Time, n domain.NodeID, changed []Demand) {
 	p.demands.report(now, n, changed)
@@ -160,8 +163,8 @@
 	p.store.expire(now)
 	var orders []Order
 	give := func(a *account, o Order) {
-		a.ordering = true
 		o.Server, o.Expected = a.server, a.holdings.Sequence
+		a.pending = &o
 		orders = append(orders, o)
 	}
 	p.repeatDoubtful(give)
@@ -182,7 +185,7 @@
 // accepted the old one can no longer be: both expect the same sequence.
 func (p *Planner) repeatDoubtful(give giver) {
 	for _, a := range p.accounts {
-		if len(a.doubts) == 0 || !a.known || a.ordering || a.holdings.Busy {
+		if len(a.doubts) == 0 || !a.known || a.pending != nil || a.holdings.Busy {
 			continue
 		}
 		o := a.doubts[0].order
@@ -278,6 +281,9 @@
 		if a.work != nil && a.work.Operation == Load {
 			n[Key{Service: a.server.Service, Model: a.work.Model}]++
 		}
+		if o := a.pending; o != nil && o.Operation == Load {
+			n[Key{Service: a.server.Service, Model: o.Model, Adapter: o.Adapter}]++
+		}
 		if a.reserved != "" {
 			n[Key{Service: a.server.Service, Model: a.reserved}]++
 		}
@@ -294,7 +300,7 @@
 func (p *Planner) Snapshot() map[domain.ServerID]fleet.Holdings {
 	held := make(map[domain.ServerID]fleet.Holdings, len(p.accounts))
 	for id, a := range p.accounts {
-		if a.known || a.work != nil || a.ordering {
+		if a.known || a.work != nil || a.pending != nil {
 			held[id] = a.holdings
 		}
 	}
