--- a/commands/front.go
+++ b/commands/front.go
@@ -41,6 +41,8 @@
 	// leaveNotice is how long a stopping node still takes connections, so that the
 	// platform has seen that it is not ready.
 	leaveNotice = 2500 * time.Millisecond
+	// waitNotice is how long requests of a stopping node may still wait for a model.
+	waitNotice = 3 * time.Second
 	// leaveMargin is the part of the grace time that is left for the exit.
 	leaveMargin = 500 * time.Millisecond
 	// budgetShare is the part of the shared budget for repeated sendings that the
@@ -89,7 +91,8 @@
 	node     *entry.Node
 	http     *platform.Front
 	metrics  *entry.Metrics
-	stopping atomic.Bool
+	// cutOff ends the requests that still run.
+	cutOff context.CancelFunc
 }
 
 func newFront(s platform.Settings, logger zerolog.Logger) (*front, error) {
@@ -150,7 +153,10 @@
 	defer cancel()
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	caller := f.http.Server(platform.ServerLimits{Header: headerTime, Idle: idleTime, HeaderBytes: headerBytes})
+	requests, cutOff := context.WithCancel(context.Background())
+	defer cutOff()
+	f.cutOff = cutOff
+	caller := f.http.Server(requests, platform.ServerLimits{Header: headerTime, Idle: idleTime, HeaderBytes: headerBytes})
 	links := &http.Server{Handler: &f.node.Hub, ReadHeaderTimeout: headerTime}
 	ready := &http.Server{Handler: platform.Ready(f.node.Ready), ReadHeaderTimeout: headerTime}
 	metrics := &http.Server{Handler: f.metrics.Handler(), ReadHeaderTimeout: headerTime}
@@ -214,10 +220,16 @@
 	f.logger.Info().Str("Event", "Stopping").Int("Running", f.http.Dispatcher.Running()).Msg("the node stops")
 	f.node.Leave()
 	f.http.Leaving.Store(true)
+	f.http.Dispatcher.Leave(began.Add(waitNotice))
 	time.Sleep(leaveNotice)
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(f.settings.Grace-leaveMargin))
 	defer cancel()
-	err := platform.Shutdown(ctx, caller)
+	err := caller.Shutdown(ctx)
+	if err != nil {
+		// What still runs gets its final answer before the process ends.
+		f.cutOff()
+		time.Sleep(leaveMargin / 2)
+	}
 	f.logger.Info().Str("Event", "Stopped").Int("Running", f.http.Dispatcher.Running()).AnErr("Cause", err).Msg("the node has stopped")
 }
 
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -72,6 +73,10 @@
 	Options
 	chooser chooser
 
+	// leaving is until when requests may wait once this node stops, in Unix
+	// nanoseconds; 0 while it does not.
+	leaving atomic.Int64
+
 	mu       sync.Mutex
 	budgets  map[domain.ServiceName]*retries.Window
 	suspects suspects.List
@@ -85,6 +90,13 @@
 // Running is how many attempts of this node are under way.
 func (d *Dispatcher) Running() int { return d.chooser.running() }
 
+// Leave ends the waiting of requests at a time, since this node stops. Their
+// callers then go to other nodes.
+func (d *Dispatcher) Leave(until time.Time) {
+	d.leaving.Store(until.UnixNano())
+	d.Views.Refresh()
+}
+
 // Learn takes in what other nodes saw of contents that crash servers.
 func (d *Dispatcher) Learn(reports []suspects.Report) {
 	d.mu.Lock()
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -15,14 +15,15 @@
 func (s *session) pick(ctx context.Context) (*fleet.Server, *verdict.Error) {
 	began := time.Now()
 	waiting := false
+	s.resumeBy = began.Add(streamSilence)
 	defer func() {
 		if waiting {
 			s.d.Demand.stopWaiting(s.r.key())
 			s.waited += time.Since(began)
 		}
 	}()
-	limit := s.waitLimit()
 	for {
+		limit := s.waitLimit()
 		view := s.d.Views.Get()
 		now := time.Now()
 		candidates := s.candidates(view)
@@ -51,18 +52,25 @@
 // waitLimit is until when the request may wait for a server.
 func (s *session) waitLimit() time.Time {
 	limit := s.r.Deadline.Add(-leastLeft)
+	if leaving := s.d.leaving.Load(); leaving != 0 {
+		limit = earlier(limit, time.Unix(0, leaving))
+	}
 	if s.r.Route.Kind != fleet.Streaming {
 		return limit
 	}
 	patience := max(shortestPatience, patienceGoals*s.r.Route.Goal, patienceGaps*s.r.Route.GapGoal)
 	left := s.r.Arrived.Add(patience - patienceMargin)
 	if s.begun {
-		left = time.Now().Add(streamSilence)
+		left = s.resumeBy
 	}
-	if left.Before(limit) {
-		return left
+	return earlier(left, limit)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
 	}
-	return limit
+	return b
 }
 
 // await waits for a newer view. Where servers hold the model but refused, they
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -28,7 +28,9 @@
 	// begun is set once the head of the answer is with the caller.
 	begun bool
 	last  EventID
-	first time.Time
+	// resumeBy is until when a stream that broke off may wait for a server.
+	resumeBy time.Time
+	first    time.Time
 	// waited is how long the request waited for a model.
 	waited time.Duration
 	server domain.ServerID
@@ -269,11 +271,7 @@
 	for {
 		event, err := a.Events.Next()
 		if stderrors.Is(err, io.EOF) {
-			if err := s.caller.Event(nil); err != nil {
-				return Left, verdict.Doubt(verdict.Unknown, "the caller has left", err), true
-			}
-			s.d.Attempted("Answered")
-			return Served, nil, true
+			return s.streamEnded(a)
 		}
 		if err != nil {
 			return s.broken(server, err)
@@ -284,14 +282,7 @@
 		if event.ID != 0 && event.ID <= s.last {
 			continue
 		}
-		if !s.begun {
-			s.begun = true
-			s.first = time.Now()
-			if err := s.caller.Begin(a); err != nil {
-				return Left, verdict.Doubt(verdict.Unknown, "the caller has left", err), true
-			}
-		}
-		if err := s.caller.Event(event.Raw); err != nil {
+		if err := s.pass(a, event.Raw); err != nil {
 			return Left, verdict.Doubt(verdict.Unknown, "the caller has left", err), true
 		}
 		if event.ID != 0 {
@@ -300,6 +291,29 @@
 	}
 }
 
+// pass hands bytes of a stream to the caller, after the head of the answer where
+// that is not there yet.
+func (s *session) pass(a *Answer, raw []byte) error {
+	if !s.begun {
+		s.begun = true
+		s.first = time.Now()
+		if err := s.caller.Begin(a); err != nil {
+			return err
+		}
+	}
+	return s.caller.Event(raw)
+}
+
+// streamEnded ends the answer as complete. A stream of which the caller had every
+// event already still needs its head.
+func (s *session) streamEnded(a *Answer) (Outcome, *verdict.Error, bool) {
+	if err := s.pass(a, nil); err != nil {
+		return Left, verdict.Doubt(verdict.Unknown, "the caller has left", err), true
+	}
+	s.d.Attempted("Answered")
+	return Served, nil, true
+}
+
 func (s *session) broken(server *fleet.Server, err error) (Outcome, *verdict.Error, bool) {
 	s.avoid[server.ID] = true
 	s.d.Attempted("BrokenOff")
--- /dev/null
+++ b/dispatch/session_test.go
@@ -0,0 +1,360 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/fleet"
+	"github.com/parsleylug/parsleylug/retries"
+	"github.com/parsleylug/parsleylug/suspects"
+	"github.com/parsleylug/parsleylug/verdict"
+)
+
+// sending is one sending that a fakeBackend saw.
+type sending struct {
+	server domain.ServerID
+	a      Attempt
+}
+
+// fakeBackend answers each sending by the next of its answers; the last one is
+// repeated.
+type fakeBackend struct {
+	mu      sync.Mutex
+	answers []func(ctx context.Context) (*Answer, error)
+	sent    []sending
+	reach   error
+}
+
+func (b *fakeBackend) Send(ctx context.Context, s *fleet.Server, _ *Request, a Attempt) (*Answer, error) {
+	b.mu.Lock()
+	i := min(len(b.sent), len(b.answers)-1)
+	b.sent = append(b.sent, sending{server: s.ID, a: a})
+	b.mu.Unlock()
+	return b.answers[i](ctx)
+}
+
+func (b *fakeBackend) Reach(context.Context, *fleet.Server) error { return b.reach }
+
+// fakeEvents gives events, then err.
+type fakeEvents struct {
+	events []Event
+	err    error
+	delay  time.Duration
+	ctx    context.Context
+}
+
+func (e *fakeEvents) Next() (Event, error) {
+	if len(e.events) == 0 {
+		if e.err == nil {
+			<-e.ctx.Done()
+			return Event{}, e.ctx.Err()
+		}
+		return Event{}, e.err
+	}
+	time.Sleep(e.delay)
+	next := e.events[0]
+	e.events = e.events[1:]
+	return next, nil
+}
+
+func (e *fakeEvents) Close() {}
+
+func stream(err error, ids ...EventID) func(context.Context) (*Answer, error) {
+	return func(ctx context.Context) (*Answer, error) {
+		e := &fakeEvents{err: err, ctx: ctx}
+		for _, id := range ids {
+			e.events = append(e.events, Event{ID: id, Raw: []byte{byte('0' + id)}})
+		}
+		return &Answer{Status: 200, Genuine: true, Events: e}, nil
+	}
+}
+
+func whole(status int, body string) func(context.Context) (*Answer, error) {
+	return func(context.Context) (*Answer, error) {
+		return &Answer{Status: status, Genuine: true, Body: io.NopCloser(bytes.NewBufferString(body))}, nil
+	}
+}
+
+func refused(r Refusal) func(context.Context) (*Answer, error) {
+	return func(context.Context) (*Answer, error) {
+		return &Answer{Status: 503, Refusal: r, Body: io.NopCloser(&bytes.Buffer{})}, nil
+	}
+}
+
+func fails(v verdict.Verdict) func(context.Context) (*Answer, error) {
+	return func(context.Context) (*Answer, error) {
+		e := verdict.Doubt(verdict.BackendFailed, "no answer", errors.New("reset"))
+		e.Verdict = v
+		return nil, e
+	}
+}
+
+func silent(ctx context.Context) (*Answer, error) {
+	<-ctx.Done()
+	return nil, verdict.Doubt(verdict.BackendFailed, "no answer", ctx.Err())
+}
+
+// fakeCaller keeps what it gets.
+type fakeCaller struct {
+	begun, complete, aborted bool
+	status                   int
+	body                     []byte
+	refusal                  *verdict.Error
+}
+
+func (c *fakeCaller) Whole(a *Answer, body []byte) error {
+	c.begun, c.complete, c.status, c.body = true, true, a.Status, body
+	return nil
+}
+
+func (c *fakeCaller) Begin(a *Answer) error {
+	c.begun, c.status = true, a.Status
+	return nil
+}
+
+func (c *fakeCaller) Event(raw []byte) error {
+	c.complete = raw == nil
+	c.body = append(c.body, raw...)
+	return nil
+}
+
+func (c *fakeCaller) Refuse(e *verdict.Error) { c.refusal = e }
+func (c *fakeCaller) Abort()                  { c.aborted = true }
+
+type noCounters struct{}
+
+func (noCounters) Ended(fleet.Kind, Outcome, time.Duration) {}
+func (noCounters) Attempted(string)                         {}
+
+// testDispatcher has two plain servers and two engines, "a" of which holds model
+// "m".
+func testDispatcher(b Backend) *Dispatcher {
+	d := New(Options{
+		Zone: "z", Views: &Views{}, Demand: &Demand{}, Backend: b, Logger: zerolog.Nop(), Counters: noCounters{},
+		Budget: func() *retries.Window { return &retries.Window{Length: 10 * time.Second, Reserve: 5} },
+	})
+	d.Views.Publish(testView(true))
+	return d
+}
+
+func testView(loaded bool) *View {
+	engine := &fleet.Engine{Slots: 4, Memory: 100, AdapterPlaces: 2, Models: map[domain.ModelName]fleet.Model{
+		"m":    {Name: "m", Memory: 10, FromStore: 6 * time.Second, FromDisk: time.Second, FromMemory: 500 * time.Millisecond},
+		"cold": {Name: "cold", Memory: 10, FromStore: 6 * time.Second, FromDisk: time.Second, FromMemory: 500 * time.Millisecond},
+	}}
+	c := &fleet.Configuration{Services: map[domain.ServiceName]fleet.Service{"engines": {Name: "engines", Engine: engine}, "plain": {Name: "plain"}}}
+	h := fleet.Holdings{}
+	if loaded {
+		h.Models = []fleet.Held{{Model: "m"}}
+	}
+	return &View{Config: c, Servers: map[domain.ServiceName][]*fleet.Server{
+		"plain":   {{ID: "p1", Service: "plain", Slots: 2, Zone: "z"}, {ID: "p2", Service: "plain", Slots: 2, Zone: "z"}},
+		"engines": {{ID: "a", Service: "engines", Slots: 4, Zone: "z", Holdings: h}, {ID: "b", Service: "engines", Slots: 4, Zone: "z", Holdings: h}},
+	}}
+}
+
+func streamRequest() *Request {
+	return &Request{
+		ID: "1", Service: "engines", Model: "m", Arrived: time.Now(), Deadline: time.Now().Add(15 * time.Second),
+		Route: &fleet.Route{Name: "r", Kind: fleet.Streaming, Goal: 600 * time.Millisecond, MaxAttempts: 2, Resumable: true},
+	}
+}
+
+func plainRequest(k fleet.Kind) *Request {
+	return &Request{
+		ID: "1", Service: "plain", Arrived: time.Now(), Deadline: time.Now().Add(time.Second),
+		Route: &fleet.Route{Name: "r", Kind: k, Goal: 100 * time.Millisecond, MaxAttempts: 2},
+	}
+}
+
+func serve(t *testing.T, r func() *Request, answers ...func(context.Context) (*Answer, error)) (Outcome, *fakeCaller, *fakeBackend) {
+	t.Helper()
+	b := &fakeBackend{answers: answers}
+	c := &fakeCaller{}
+	var o Outcome
+	synctest.Test(t, func(t *testing.T) {
+		d := testDispatcher(b)
+		o = d.Serve(t.Context(), r(), c)
+		synctest.Wait()
+		time.Sleep(time.Second)
+	})
+	return o, c, b
+}
+
+func TestEmptyRestOfStreamHasHead(t *testing.T) {
+	request := func() *Request {
+		r := streamRequest()
+		r.LastEvent = 3
+		return r
+	}
+	o, c, _ := serve(t, request, stream(io.EOF, 1, 2, 3))
+	if got, want := [3]bool{o == Served, c.begun, c.complete}, [3]bool{true, true, true}; got != want {
+		t.Errorf("served, begun, complete: got %v, want %v", got, want)
+	}
+}
+
+func TestStreamResumesElsewhere(t *testing.T) {
+	o, c, b := serve(t, streamRequest, stream(errors.New("reset"), 1, 2), stream(io.EOF, 1, 2, 3))
+	if got, want := string(c.body), "123"; o != Served || got != want {
+		t.Errorf("got %v with %q, want %q", o, got, want)
+	}
+	if got, want := b.sent[1].a.After, EventID(2); got != want || b.sent[0].server == b.sent[1].server {
+		t.Errorf("the second sending goes on after %d at %s, want %d at another server than %s", got, b.sent[1].server, want, b.sent[0].server)
+	}
+}
+
+func TestStreamThatCannotResumeIsBrokenOff(t *testing.T) {
+	request := func() *Request {
+		r := streamRequest()
+		r.Route.Resumable = false
+		return r
+	}
+	o, c, b := serve(t, request, stream(errors.New("reset"), 1))
+	if o != Broken || !c.aborted || c.complete || len(b.sent) != 1 {
+		t.Errorf("got %v, aborted %v, complete %v after %d sendings, want a broken answer after one", o, c.aborted, c.complete, len(b.sent))
+	}
+}
+
+func TestCommandIsSentOnce(t *testing.T) {
+	command := func() *Request { return plainRequest(fleet.NonIdempotent) }
+	o, c, b := serve(t, command, fails(verdict.MayHaveRun))
+	if got, want := len(b.sent), 1; got != want || o != Failed {
+		t.Errorf("got %d sendings and %v, want %d", got, o, want)
+	}
+	if got, want := c.refusal.Verdict, verdict.MayHaveRun; got != want {
+		t.Errorf("verdict: got %v, want %v", got, want)
+	}
+}
+
+func TestCommandGoesOnWhereItDidNotRun(t *testing.T) {
+	command := func() *Request { return plainRequest(fleet.NonIdempotent) }
+	for _, first := range []func(context.Context) (*Answer, error){fails(verdict.NotRun), refused(Full), refused(Elsewhere)} {
+		o, c, b := serve(t, command, first, whole(200, "done"))
+		if got, want := string(c.body), "done"; o != Served || got != want {
+			t.Errorf("got %v with %q after %d sendings, want %q", o, got, len(b.sent), want)
+		}
+	}
+}
+
+func TestRefusalAfterDoubtPromisesNothing(t *testing.T) {
+	lookup := func() *Request { return plainRequest(fleet.Idempotent) }
+	_, c, _ := serve(t, lookup, fails(verdict.MayHaveRun), refused(Full))
+	if got, want := c.refusal.Verdict, verdict.MayHaveRun; got != want {
+		t.Errorf("verdict: got %v, want %v", got, want)
+	}
+}
+
+func TestServersOwnFailureIsPassedOn(t *testing.T) {
+	lookup := func() *Request { return plainRequest(fleet.Idempotent) }
+	o, c, b := serve(t, lookup, whole(500, "broken"))
+	if got, want := c.status, 500; got != want || o != FailedThere || len(b.sent) != 2 {
+		t.Errorf("got status %d and %v after %d sendings, want %d after 2", got, o, len(b.sent), want)
+	}
+}
+
+func TestSpoiltAnswerIsNotPassedOn(t *testing.T) {
+	command := func() *Request { return plainRequest(fleet.NonIdempotent) }
+	spoilt := func(context.Context) (*Answer, error) {
+		return &Answer{Status: 200, Body: io.NopCloser(bytes.NewBufferString("other"))}, nil
+	}
+	_, c, _ := serve(t, command, spoilt)
+	if c.begun || c.refusal == nil || c.refusal.Verdict == verdict.NotRun {
+		t.Errorf("got an answer %v and refusal %v, want a refusal that promises nothing", c.begun, c.refusal)
+	}
+}
+
+func TestSilentServerIsLeft(t *testing.T) {
+	o, c, b := serve(t, streamRequest, silent, stream(io.EOF, 1))
+	if got, want := string(c.body), "1"; o != Served || got != want || len(b.sent) != 2 {
+		t.Errorf("got %v with %q after %d sendings, want %q after 2", o, got, len(b.sent), want)
+	}
+}
+
+func TestWaitsForModel(t *testing.T) {
+	b := &fakeBackend{answers: []func(context.Context) (*Answer, error){stream(io.EOF, 1)}}
+	c := &fakeCaller{}
+	synctest.Test(t, func(t *testing.T) {
+		d := testDispatcher(b)
+		d.Views.Publish(testView(false))
+		r := streamRequest()
+		r.Route.Goal = 4 * time.Second
+		go func() {
+			time.Sleep(5 * time.Second)
+			d.Views.Publish(testView(true))
+		}()
+		if got, want := d.Serve(t.Context(), r, c), Served; got != want {
+			t.Errorf("got %v, want %v", got, want)
+		}
+		if got, want := time.Since(r.Arrived), 5*time.Second; got != want {
+			t.Errorf("took %v, want %v", got, want)
+		}
+	})
+}
+
+func TestColdModelBeyondPatienceIsRefusedAtOnce(t *testing.T) {
+	b := &fakeBackend{}
+	c := &fakeCaller{}
+	synctest.Test(t, func(t *testing.T) {
+		d := testDispatcher(b)
+		d.Views.Publish(testView(false))
+		r := streamRequest()
+		if got, want := d.Serve(t.Context(), r, c), Refused; got != want {
+			t.Errorf("got %v, want %v", got, want)
+		}
+		if got, want := time.Since(r.Arrived), time.Duration(0); got != want {
+			t.Errorf("refused after %v, want %v", got, want)
+		}
+		if got, limit := c.refusal.RetryAfter, 5*time.Second; got <= 0 || got >= limit {
+			t.Errorf("Retry-After: got %v, want less than a third of the time left, %v", got, limit)
+		}
+	})
+}
+
+func TestLeavingNodeEndsWaiting(t *testing.T) {
+	b := &fakeBackend{}
+	c := &fakeCaller{}
+	synctest.Test(t, func(t *testing.T) {
+		d := testDispatcher(b)
+		d.Views.Publish(testView(false))
+		r := streamRequest()
+		r.Route.Goal = 4 * time.Second
+		go func() {
+			time.Sleep(time.Second)
+			d.Leave(time.Now().Add(2 * time.Second))
+		}()
+		if got, want := d.Serve(t.Context(), r, c), Refused; got != want {
+			t.Errorf("got %v, want %v", got, want)
+		}
+		if got, limit := time.Since(r.Arrived), 3*time.Second; got > limit {
+			t.Errorf("refused after %v, want %v at most", got, limit)
+		}
+		if got, want := c.refusal.Verdict, verdict.NotRun; got != want {
+			t.Errorf("verdict: got %v, want %v", got, want)
+		}
+	})
+}
+
+func TestContentThatCrashedServersIsRefused(t *testing.T) {
+	b := &fakeBackend{answers: []func(context.Context) (*Answer, error){fails(verdict.MayHaveRun)}, reach: errors.New("refused")}
+	synctest.Test(t, func(t *testing.T) {
+		d := testDispatcher(b)
+		for range 6 {
+			r := plainRequest(fleet.NonIdempotent)
+			r.Content = suspects.Content{1}
+			d.Serve(t.Context(), r, &fakeCaller{})
+			time.Sleep(time.Second)
+		}
+	})
+	if got, limit := len(b.sent), 3; got > limit {
+		t.Errorf("sent %d times, want %d at most", got, limit)
+	}
+}
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -49,6 +49,12 @@
 	close(old.Changed)
 }
 
+// Refresh wakes those who wait for a newer view.
+func (v *Views) Refresh() {
+	same := *v.Get()
+	v.Publish(&same)
+}
+
 // Find returns the usable server with an id, or nil.
 func (v *View) Find(service domain.ServiceName, id domain.ServerID) *fleet.Server {
 	for _, s := range v.Servers[service] {
