Notice lost answers of the store, go on behind fences, and share the retry budget by all nodes

Now the wait is 2.2 s and ends when the store is back, the budget is shared among 12 at least, pauses double, and a server that lacks something is left out and asked for a report. Owners go on giving orders while the store cannot be reached where engines check fences.

--- a/commands/front.go
+++ b/commands/front.go
@@ -47,8 +47,9 @@
 	leaveMargin = 500 * time.Millisecond
 	// budgetShare is the part of the shared budget for repeated sendings that the
 	// nodes use.
-	budgetShare = 0.85
-	// assumedNodes is taken where the number of nodes is not known.
+	budgetShare = 0.8
+	// assumedNodes is the least number of nodes among which the budget is shared:
+	// some may not be known.
 	assumedNodes = 12
 )
 
@@ -113,6 +114,7 @@
 		ServersEvery: s.DrainBound / registrationReads,
 		TimeToLive:   max(s.MinimumMembership, s.Lease*5/6),
 		Settle:       settleTime,
+		Fenced:       s.FencesChecked,
 	})
 	dispatcher := dispatch.New(dispatch.Options{
 		Zone: s.Zone, Regions: s.Regions,
@@ -120,6 +122,7 @@
 		Backend: backend, Logger: logger,
 		Budget:   f.budget,
 		Crashed:  f.node.Crashed,
+		Doubt:    f.node.Doubt,
 		Counters: f.metrics,
 	})
 	f.node.Learn = dispatcher.Learn
@@ -127,17 +130,11 @@
 	return f, nil
 }
 
-// budget returns this node's share of what may be sent beyond first attempts.
-func (f *front) budget() *retries.Window {
-	nodes := f.node.Nodes()
-	if nodes == 0 {
-		nodes = assumedNodes
-	}
-	return &retries.Window{
-		Length:  f.settings.RetryWindow,
-		Ratio:   f.settings.RetryRatio * budgetShare,
-		Reserve: budgetShare * float64(f.settings.RetryReserve) / float64(nodes),
-	}
+// budget sets this node's share of what may be sent beyond first attempts.
+func (f *front) budget(w *retries.Window) {
+	w.Length = f.settings.RetryWindow
+	w.Ratio = f.settings.RetryRatio * budgetShare
+	w.Reserve = budgetShare * float64(f.settings.RetryReserve) / float64(max(f.node.Nodes(), assumedNodes))
 }
 
 // hubAddress returns the address that a node's name begins with.
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -6,6 +6,7 @@
 
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fleet"
+	"github.com/parsleylug/parsleylug/placement"
 	"github.com/parsleylug/parsleylug/retries"
 )
 
@@ -28,6 +29,8 @@
 	delayMemory = 3 * time.Second
 	// delayShare is the weight of the newest answer's delay.
 	delayShare = 0.3
+	// lackMemory is how long a server counts as without what it did not have.
+	lackMemory = 700 * time.Millisecond
 	// prefixesKept bounds the prompt beginnings remembered for one server.
 	prefixesKept = 256
 )
@@ -43,6 +46,8 @@
 	delayed time.Time
 	// prefixes are prompt beginnings that were sent there.
 	prefixes map[string]time.Time
+	// lacks holds what the server did not have when it was asked, and when.
+	lacks map[placement.Key]time.Time
 }
 
 // chooser picks servers by expected delay. The zero chooser is ready for use.
@@ -140,6 +145,30 @@
 	return cost
 }
 
+// lacking notes that a server did not have what it is said to hold.
+func (c *chooser) lacking(now time.Time, id domain.ServerID, k placement.Key) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.of(id)
+	if l.lacks == nil {
+		l.lacks = map[placement.Key]time.Time{}
+	}
+	l.lacks[k] = now
+}
+
+// lacks tells whether a server lately did not have something.
+func (c *chooser) lacks(now time.Time, id domain.ServerID, k placement.Key) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.of(id)
+	at, ok := l.lacks[k]
+	if ok && now.Sub(at) >= lackMemory {
+		delete(l.lacks, k)
+		return false
+	}
+	return ok
+}
+
 // done takes a request off a server's count.
 func (c *chooser) done(id domain.ServerID) {
 	c.mu.Lock()
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -31,8 +31,13 @@
 	// retryShare is the part of what is left that a caller may be told to wait; it
 	// keeps to less than a third.
 	retryShare = 0.3
-	// turnedAwayPause is the wait after each server has refused for want of room.
-	turnedAwayPause = 60 * time.Millisecond
+	// turnedAwayPause is the wait after every server has refused the request; it
+	// doubles each time up to longestTurnedAway.
+	turnedAwayPause   = 60 * time.Millisecond
+	longestTurnedAway = 800 * time.Millisecond
+	// lookAgain is how often a waiting request looks for a server though nothing is
+	// known to have changed.
+	lookAgain = 500 * time.Millisecond
 	// silenceGoals is after how many goals a repeatable request is taken to another
 	// server where nothing was heard.
 	silenceGoals = 3
@@ -40,7 +45,8 @@
 	shortestSilence = 400 * time.Millisecond
 	// streamSilence is the gap after which a repeatable stream is taken elsewhere.
 	streamSilence = 1200 * time.Millisecond
-	// waitLeast is the shortest load for which a request may have to wait.
+	// crashCheckDelay is how long after a break a server is asked whether it still
+	// takes connections, crashCheckTime how long it may take to.
 	crashCheckDelay = 40 * time.Millisecond
 	crashCheckTime  = 400 * time.Millisecond
 )
@@ -53,10 +59,12 @@
 	Demand  *Demand
 	Backend Backend
 	Logger  zerolog.Logger
-	// Budget returns a new budget for one service.
-	Budget func() *retries.Window
+	// Budget sets the bounds of a budget for one service, as of now.
+	Budget func(*retries.Window)
 	// Crashed is told of contents that were running when a server crashed.
 	Crashed func(suspects.Report)
+	// Doubt is told of servers that lack what they are said to hold.
+	Doubt func(domain.ServerID)
 	Counters
 }
 
@@ -114,9 +122,10 @@
 func (d *Dispatcher) budget(s domain.ServiceName) *retries.Window {
 	b := d.budgets[s]
 	if b == nil {
-		b = d.Budget()
+		b = &retries.Window{}
 		d.budgets[s] = b
 	}
+	d.Budget(b)
 	return b
 }
 
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -26,7 +26,7 @@
 		limit := s.waitLimit()
 		view := s.d.Views.Get()
 		now := time.Now()
-		candidates := s.candidates(view)
+		candidates := s.candidates(now, view)
 		fresh := slices.ContainsFunc(candidates, func(c *fleet.Server) bool { return !s.avoid[c.ID] })
 		if fresh || len(candidates) > 0 && s.sends == 0 {
 			p := place{zone: s.d.Zone, regions: s.d.Regions}
@@ -76,35 +76,41 @@
 // await waits for a newer view. Where servers hold the model but refused, they
 // are tried again after a pause.
 func (s *session) await(ctx context.Context, view *View, limit time.Time, refused bool) *verdict.Error {
-	wait := time.Until(limit)
+	wait, changed := min(time.Until(limit), lookAgain), view.Changed
 	if refused {
-		wait = min(wait, turnedAwayPause)
+		wait = min(wait, s.turnedAwayWait)
+		s.turnedAwayWait = min(2*s.turnedAwayWait, longestTurnedAway)
+		// A newer view does not make room there.
+		changed = nil
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 		return refusal(time.Now(), s.r, verdict.DeadlinePassed, "the time for the request is over", 0)
-	case <-view.Changed:
+	case <-changed:
 		return nil
 	case <-timer.C:
 	}
-	if refused && time.Now().Before(limit) {
+	if refused {
 		clear(s.avoid)
+	}
+	if time.Now().Before(limit) {
 		return nil
 	}
 	return refusal(time.Now(), s.r, verdict.DeadlineTooShort, "the model was not loaded in time", time.Second)
 }
 
 // candidates are the servers that hold what the request needs.
-func (s *session) candidates(view *View) []*fleet.Server {
+func (s *session) candidates(now time.Time, view *View) []*fleet.Server {
 	servers := view.Servers[s.r.Service]
 	if s.r.Model == "" {
 		return servers
 	}
 	list := make([]*fleet.Server, 0, len(servers))
 	for _, c := range servers {
-		if held, ok := c.Holdings.Find(s.r.Model); ok && held.Has(s.r.Adapter) {
+		held, ok := c.Holdings.Find(s.r.Model)
+		if ok && held.Has(s.r.Adapter) && !s.d.chooser.lacks(now, c.ID, s.r.key()) {
 			list = append(list, c)
 		}
 	}
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -34,6 +34,8 @@
 	// waited is how long the request waited for a model.
 	waited time.Duration
 	server domain.ServerID
+	// turnedAwayWait is the next wait after every server has refused.
+	turnedAwayWait time.Duration
 	// failure is the server's own failure that is passed on if nothing better comes.
 	failure     *Answer
 	failureBody []byte
@@ -41,7 +43,7 @@
 
 // Serve handles one request to its end. Its context ends when the caller leaves.
 func (d *Dispatcher) Serve(ctx context.Context, r *Request, c Caller) Outcome {
-	s := &session{d: d, r: r, caller: c, avoid: map[domain.ServerID]bool{}, last: r.LastEvent}
+	s := &session{d: d, r: r, caller: c, avoid: map[domain.ServerID]bool{}, last: r.LastEvent, turnedAwayWait: turnedAwayPause}
 	d.Demand.arrived(r.key())
 	d.countRequest(r.Service)
 	bounded, cancel := context.WithDeadline(ctx, r.Deadline)
@@ -51,14 +53,18 @@
 		outcome = Left
 	}
 	s.log(outcome, err)
-	first := time.Duration(0)
-	if !s.first.IsZero() {
-		first = s.first.Sub(r.Arrived)
-	}
-	d.Ended(r.Route.Kind, outcome, first)
+	d.Ended(r.Route.Kind, outcome, s.firstAfter())
 	return outcome
 }
 
+// firstAfter is the time to the first part of the answer, or 0 without one.
+func (s *session) firstAfter() time.Duration {
+	if s.first.IsZero() {
+		return 0
+	}
+	return s.first.Sub(s.r.Arrived)
+}
+
 // run tries until the request has an answer or cannot have one.
 func (s *session) run(ctx context.Context) (Outcome, *verdict.Error) {
 	if s.d.standing(s.r.Content) == suspects.Refused {
@@ -217,6 +223,12 @@
 	if a.Refusal == Full {
 		s.d.chooser.full(time.Now(), server)
 	}
+	if a.Refusal == Elsewhere {
+		s.d.chooser.lacking(time.Now(), server.ID, s.r.key())
+		if s.d.Doubt != nil {
+			s.d.Doubt(server.ID)
+		}
+	}
 	return 0, verdict.Refuse(verdict.NoCapacity, "the server did not run the request"), false
 }
 
@@ -331,7 +343,7 @@
 	line = line.Str("Event", "RequestEnded").Str("Request", string(s.r.ID)).Stringer("Outcome", o).
 		Str("Route", string(s.r.Route.Name)).Str("Service", string(s.r.Service)).Str("Model", string(s.r.Model)).
 		Str("Adapter", string(s.r.Adapter)).Str("Server", string(s.server)).Int("Sends", s.sends).Int("Runs", s.runs).
-		Int64("WaitedMs", s.waited.Milliseconds()).Int64("TookMs", time.Since(s.r.Arrived).Milliseconds()).
+		Int64("WaitedMs", s.waited.Milliseconds()).Int64("FirstMs", s.firstAfter().Milliseconds()).Int64("TookMs", time.Since(s.r.Arrived).Milliseconds()).
 		Int64("LastEvent", int64(s.last))
 	if e != nil {
 		line = line.Stringer("Verdict", e.Verdict).Stringer("Reason", e.Reason).Int64("RetryAfterMs", e.RetryAfter.Milliseconds()).Err(e.Cause)
--- a/dispatch/session_test.go
+++ b/dispatch/session_test.go
@@ -140,7 +140,7 @@
 func testDispatcher(b Backend) *Dispatcher {
 	d := New(Options{
 		Zone: "z", Views: &Views{}, Demand: &Demand{}, Backend: b, Logger: zerolog.Nop(), Counters: noCounters{},
-		Budget: func() *retries.Window { return &retries.Window{Length: 10 * time.Second, Reserve: 5} },
+		Budget: func(w *retries.Window) { w.Length, w.Reserve = 10*time.Second, 5 },
 	})
 	d.Views.Publish(testView(true))
 	return d
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// configurationWait is how long one call waits for a new configuration.
-	configurationWait = 6 * time.Second
+	// configurationWait is how long one call waits for a new configuration. A call
+	// whose answer is lost is noticed after that and the store's timeout.
+	configurationWait = 2200 * time.Millisecond
 	// firstPause and longestPause bound the wait after a failed call.
 	firstPause   = 100 * time.Millisecond
 	longestPause = 800 * time.Millisecond
@@ -24,15 +25,18 @@
 	var cursor domain.Offset
 	wait := firstPause
 	for ctx.Err() == nil {
-		c, next, err := n.Feed.Configuration(ctx, cursor, configurationWait)
-		if ctx.Err() != nil {
-			return
+		call, cancel := n.untilBack(ctx)
+		c, next, err := n.Feed.Configuration(call, cursor, configurationWait)
+		again := call.Err() != nil
+		cancel()
+		if again {
+			continue
 		}
 		n.mu.Lock()
 		n.storeAnswered(time.Now(), "Configuration", err)
 		n.mu.Unlock()
 		if err != nil {
-			pause(ctx, wait)
+			n.pauseUntilBack(ctx, wait)
 			wait = min(2*wait, longestPause)
 			continue
 		}
--- a/entry/link.go
+++ b/entry/link.go
@@ -31,10 +31,9 @@
 			continue
 		}
 		if err := n.link(ctx); err != nil && ctx.Err() == nil {
-			n.Logger.Info().Str("Event", "OwnerLinkLost").Err(err).Msg("there is no link to the owner")
+			n.Logger.Debug().Str("Event", "OwnerNotLinked").Err(err).Msg("there is no link to the owner")
 		}
-		n.dropOverlay()
-		pause(ctx, relinkPause)
+		n.pauseUntilBack(ctx, relinkPause)
 	}
 }
 
@@ -69,6 +68,7 @@
 		return err
 	}
 	defer l.Close()
+	defer n.dropOverlay()
 	n.Logger.Info().Str("Event", "OwnerLinked").Str("Owner", string(owner)).Msg("linked to the owner")
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -79,6 +79,7 @@
 	for {
 		u, err := l.Receive(ctx)
 		if err != nil {
+			n.Logger.Info().Str("Event", "OwnerLinkLost").Str("Owner", string(owner)).Err(err).Msg("the link to the owner is lost")
 			return err
 		}
 		n.updated(u)
@@ -93,11 +94,11 @@
 	idle := time.Now()
 	for {
 		n.mu.Lock()
-		crashes := n.crashes
-		n.crashes = nil
+		r := hub.Report{Node: n.Name, Demands: demands, Suspects: n.crashes, Doubted: n.doubted}
+		n.crashes, n.doubted = nil, nil
 		n.mu.Unlock()
-		if len(demands) > 0 || len(crashes) > 0 || time.Since(idle) > time.Second {
-			if err := l.Send(ctx, hub.Report{Node: n.Name, Demands: demands, Suspects: crashes}); err != nil {
+		if len(demands) > 0 || len(r.Suspects) > 0 || len(r.Doubted) > 0 || time.Since(idle) > time.Second {
+			if err := l.Send(ctx, r); err != nil {
 				return
 			}
 			idle = time.Now()
--- a/entry/node.go
+++ b/entry/node.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -62,6 +63,8 @@
 	TimeToLive time.Duration
 	// Settle is how long a new owner waits before its first order.
 	Settle time.Duration
+	// Fenced tells that the engines refuse orders with an old fence.
+	Fenced bool
 }
 
 // Node is one node. New makes one.
@@ -83,19 +86,23 @@
 	planner placement.Planner
 	lease   lease.Lease
 	// fence is the one under which this node is the owner; 0 while it is not.
-	fence    domain.Fence
-	told     map[domain.ServerID]signature
-	crashes  []suspects.Report
+	fence   domain.Fence
+	told    map[domain.ServerID]signature
+	crashes []suspects.Report
+	// doubted are servers that lack what they are said to hold.
+	doubted  []domain.ServerID
 	nodes    int
 	storeBad bool
+	// storeBack is closed when the store answers again after a failure.
+	storeBack chan struct{}
 	// nudge wakes the owner's loop.
 	nudge chan struct{}
 }
 
 // New returns a node that does nothing until Run.
 func New(o Options) *Node {
-	n := &Node{Options: o, nudge: make(chan struct{}, 1)}
-	n.lease.TimeToLive, n.lease.Settle = o.TimeToLive, o.Settle
+	n := &Node{Options: o, nudge: make(chan struct{}, 1), storeBack: make(chan struct{})}
+	n.lease.TimeToLive, n.lease.Settle, n.lease.Fenced = o.TimeToLive, o.Settle, o.Fenced
 	n.Hub.Reported = n.reported
 	n.Hub.Joined = n.joined
 	n.Hub.Accepts = n.accepts
@@ -142,6 +149,19 @@
 	n.mu.Unlock()
 }
 
+// Doubt has the owner ask a server what it holds.
+func (n *Node) Doubt(id domain.ServerID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.fence != 0 {
+		n.planner.Recheck(time.Now(), id)
+		return
+	}
+	if !slices.Contains(n.doubted, id) {
+		n.doubted = append(n.doubted, id)
+	}
+}
+
 // publish makes a new view of what the node knows. The caller holds mu.
 func (n *Node) publish(now time.Time) {
 	v := &dispatch.View{Config: n.config, Servers: map[domain.ServiceName][]*fleet.Server{}}
@@ -181,9 +201,44 @@
 		n.Logger.Warn().Str("Event", "StoreLost").Str("Call", call).Err(err).Msg("the platform's store does not answer")
 		return
 	}
+	close(n.storeBack)
+	n.storeBack = make(chan struct{})
 	n.Logger.Info().Str("Event", "StoreRegained").Str("Call", call).Msg("the platform's store answers again")
 }
 
+// back returns a channel that is closed when the store next answers again.
+func (n *Node) back() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.storeBack
+}
+
+// pauseUntilBack waits, but no longer than until the store answers again.
+func (n *Node) pauseUntilBack(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-n.back():
+	case <-t.C:
+	}
+}
+
+// untilBack returns a context that also ends when the store answers again after
+// a failure: a call that was sent before may never be answered.
+func (n *Node) untilBack(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	back := n.back()
+	go func() {
+		select {
+		case <-ctx.Done():
+		case <-back:
+			cancel()
+		}
+	}()
+	return ctx, cancel
+}
+
 // pause waits, or returns false where ctx has ended.
 func pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -55,8 +55,14 @@
 		n.storeAnswered(time.Now(), "Join", err)
 		if err == nil {
 			n.lease.Granted(sent, grant)
+		} else {
+			n.lease.Unreached(n.Uptime.Now())
 		}
 		n.mu.Unlock()
+		if err != nil {
+			n.pauseUntilBack(ctx, firstPause)
+			continue
+		}
 		pause(ctx, n.TimeToLive/membershipParts)
 	}
 	leave, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
@@ -210,6 +216,9 @@
 		return
 	}
 	n.planner.Demanded(time.Now(), r.Node, r.Demands)
+	for _, id := range r.Doubted {
+		n.planner.Recheck(time.Now(), id)
+	}
 	n.crashes = append(n.crashes, r.Suspects...)
 	if len(r.Suspects) > 0 && n.Learn != nil {
 		n.Learn(r.Suspects)
--- a/hub/message.go
+++ b/hub/message.go
@@ -22,6 +22,8 @@
 	// Demands that are left out are as before.
 	Demands  []placement.Demand
 	Suspects []suspects.Report
+	// Doubted servers lack what they are said to hold.
+	Doubted []domain.ServerID
 }
 
 // Update is what the owner tells a node.
@@ -43,6 +45,7 @@
 	Node     string
 	Demands  []wireDemand
 	Suspects []wireSuspect
+	Doubted  []string
 }
 
 type wireDemand struct {
@@ -82,7 +85,7 @@
 }
 
 func encodeReport(r Report) ([]byte, error) {
-	w := wireReport{Node: string(r.Node), Suspects: encodeSuspects(r.Suspects)}
+	w := wireReport{Node: string(r.Node), Suspects: encodeSuspects(r.Suspects), Doubted: texts(r.Doubted)}
 	for _, d := range r.Demands {
 		w.Demands = append(w.Demands, wireDemand{
 			Service: string(d.Service), Model: string(d.Model), Adapter: string(d.Adapter),
@@ -98,7 +101,7 @@
 	if err := cbor.Unmarshal(data, &w); err != nil {
 		return Report{}, errors.Wrap(err, "decode a node's report")
 	}
-	r := Report{Node: domain.NodeID(w.Node)}
+	r := Report{Node: domain.NodeID(w.Node), Doubted: names[domain.ServerID](w.Doubted)}
 	for _, d := range w.Demands {
 		r.Demands = append(r.Demands, placement.Demand{
 			Key:     placement.Key{Service: domain.ServiceName(d.Service), Model: domain.ModelName(d.Model), Adapter: domain.AdapterName(d.Adapter)},
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -38,6 +38,10 @@
 	// Settle is how long a new holder waits until its first order, so that no two
 	// holders give orders within that time.
 	Settle time.Duration
+	// Fenced tells that the servers refuse orders with an old fence. A holder that
+	// cannot reach the store may then go on: once there is another one, the servers
+	// say so.
+	Fenced bool
 
 	generation Generation
 	held       bool
@@ -65,6 +69,15 @@
 	l.until = sent + l.TimeToLive - l.TimeToLive/margin
 }
 
+// Unreached notes that a call to renew got no answer. Only a holder that has run
+// all the while may go on: after a suspension the hold is gone until it is granted
+// again.
+func (l *Lease) Unreached(now time.Duration) {
+	if l.Fenced && l.held && now < l.until {
+		l.until = now + l.TimeToLive - l.TimeToLive/margin
+	}
+}
+
 // Rejected drops the hold after a server refused its fence.
 func (l *Lease) Rejected() { l.held = false }
 
--- a/placement/account.go
+++ b/placement/account.go
@@ -72,6 +72,8 @@
 	adapterTime = 25 * time.Millisecond
 	// adaptersInTransit is how many adapters may be on their way to one server.
 	adaptersInTransit = 4
+	// recheckInterval bounds the reports that doubts of nodes cause.
+	recheckInterval = 300 * time.Millisecond
 	// reservationTime is how long room may take to be made.
 	reservationTime = 6 * time.Second
 )
@@ -98,7 +100,9 @@
 	// ask is when the server is to be asked next; zero for not at all.
 	ask    time.Time
 	asking bool
-	doubts []doubt
+	// rechecked is when a node last doubted what the server is said to hold.
+	rechecked time.Time
+	doubts    []doubt
 	// coming holds adapters that were ordered and when they are expected.
 	coming map[Key]time.Time
 	// reserved is the model for which room is being made here, if any.
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -101,6 +101,18 @@
 	}
 }
 
+// Recheck has a server asked what it holds, since it lacked something.
+func (p *Planner) Recheck(now time.Time, id domain.ServerID) {
+	a := p.accounts[id]
+	if a == nil || a.pending != nil || now.Sub(a.rechecked) < recheckInterval {
+		return
+	}
+	a.rechecked = now
+	if a.ask.IsZero() {
+		a.ask = now
+	}
+}
+
 // Asks returns the servers that are to be asked for a report now.
 func (p *Planner) Asks(now time.Time) []fleet.Server {
 	var asks []fleet.Server
