--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -11,8 +11,11 @@
 )
 
 const (
-	// crowdingCost is what a full set of slots costs a request.
-	crowdingCost = 150 * time.Millisecond
+	// crowdingCost is what a full set of slots costs a request, and neighbourCost
+	// the least that each other request at the server costs it: its prompt is read
+	// between the tokens of the others.
+	crowdingCost  = 150 * time.Millisecond
+	neighbourCost = 8 * time.Millisecond
 	// waitingCost is what each request that waits at a server costs, in slots.
 	waitingCost = 2.0
 	// distantCost is the price of a server in another region, nearCost that of one
@@ -132,7 +135,7 @@
 	if now.Sub(l.reported) < reportMemory {
 		busy += l.others
 	}
-	cost := p.cost(s.Zone) + time.Duration(busy/float64(max(1, s.Slots))*float64(crowdingCost))
+	cost := p.cost(s.Zone) + time.Duration(busy*float64(max(neighbourCost, crowdingCost/time.Duration(max(1, s.Slots)))))
 	if s.ColdLeft > 0 {
 		cost += coldCost
 	}
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -31,6 +31,9 @@
 	// resumeBy is until when a stream that broke off may wait for a server.
 	resumeBy time.Time
 	first    time.Time
+	// latest is when the caller last got an event, gap the longest time between two.
+	latest time.Time
+	gap    time.Duration
 	// waited is how long the request waited for a model.
 	waited time.Duration
 	server domain.ServerID
@@ -313,6 +316,11 @@
 			return err
 		}
 	}
+	now := time.Now()
+	if !s.latest.IsZero() {
+		s.gap = max(s.gap, now.Sub(s.latest))
+	}
+	s.latest = now
 	return s.caller.Event(raw)
 }
 
@@ -343,7 +351,7 @@
 	line = line.Str("Event", "RequestEnded").Str("Request", string(s.r.ID)).Stringer("Outcome", o).
 		Str("Route", string(s.r.Route.Name)).Str("Service", string(s.r.Service)).Str("Model", string(s.r.Model)).
 		Str("Adapter", string(s.r.Adapter)).Str("Server", string(s.server)).Int("Sends", s.sends).Int("Runs", s.runs).
-		Int64("WaitedMs", s.waited.Milliseconds()).Int64("FirstMs", s.firstAfter().Milliseconds()).Int64("TookMs", time.Since(s.r.Arrived).Milliseconds()).
+		Int64("WaitedMs", s.waited.Milliseconds()).Int64("FirstMs", s.firstAfter().Milliseconds()).Int64("GapMs", s.gap.Milliseconds()).Int64("TookMs", time.Since(s.r.Arrived).Milliseconds()).
 		Int64("LastEvent", int64(s.last))
 	if e != nil {
 		line = line.Stringer("Verdict", e.Verdict).Stringer("Reason", e.Reason).Int64("RetryAfterMs", e.RetryAfter.Milliseconds()).Err(e.Cause)
