Add a replica where answers are late, and keep swaps off crowded servers

Cause: pauses over 250 ms follow the number of requests at a server (1% of streams below 8, 56% at 24 to 40).

--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -34,6 +34,9 @@
 	// latest is when the caller last got an event, gap the longest time between two.
 	latest time.Time
 	gap    time.Duration
+	// sent is when the latest sending began; late is set once its answer was late.
+	sent time.Time
+	late bool
 	// waited is how long the request waited for a model.
 	waited time.Duration
 	server domain.ServerID
@@ -144,6 +147,7 @@
 // final answer.
 func (s *session) attempt(ctx context.Context, server *fleet.Server) (Outcome, *verdict.Error, bool) {
 	sent := time.Now()
+	s.sent = sent
 	s.server = server.ID
 	s.sends++
 	k := s.r.key()
@@ -309,21 +313,35 @@
 // pass hands bytes of a stream to the caller, after the head of the answer where
 // that is not there yet.
 func (s *session) pass(a *Answer, raw []byte) error {
+	now := time.Now()
 	if !s.begun {
 		s.begun = true
-		s.first = time.Now()
+		s.first = now
 		if err := s.caller.Begin(a); err != nil {
 			return err
 		}
 	}
-	now := time.Now()
 	if !s.latest.IsZero() {
 		s.gap = max(s.gap, now.Sub(s.latest))
 	}
 	s.latest = now
+	s.noteLate(now)
 	return s.caller.Event(raw)
 }
 
+// noteLate tells the owner once of an answer whose server is too crowded for the
+// route's goals.
+func (s *session) noteLate(now time.Time) {
+	goal := s.r.Route.Goal
+	slow := goal > 0 && now.Sub(s.sent) > goal && s.first.Equal(now)
+	paused := s.r.Route.GapGoal > 0 && s.gap > s.r.Route.GapGoal
+	if s.late || !slow && !paused {
+		return
+	}
+	s.late = true
+	s.d.Demand.late(s.r.key())
+}
+
 // streamEnded ends the answer as complete. A stream of which the caller had every
 // event already still needs its head.
 func (s *session) streamEnded(a *Answer) (Outcome, *verdict.Error, bool) {
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -22,7 +22,7 @@
 }
 
 type count struct {
-	waiting, running, arrived int
+	waiting, running, arrived, late int
 	// returning are the times until which refused requests are expected back.
 	returning []time.Time
 }
@@ -62,6 +62,9 @@
 
 func (d *Demand) arrived(k placement.Key) { d.change(k, func(c *count) { c.arrived++ }) }
 
+// late counts an answer that a crowded server gave late.
+func (d *Demand) late(k placement.Key) { d.change(k, func(c *count) { c.late++ }) }
+
 // wait counts a request that has no server yet.
 func (d *Demand) wait(k placement.Key) {
 	d.change(k, func(c *count) { c.waiting++ })
@@ -102,8 +105,8 @@
 		if !all && !d.changed[k] && before == len(c.returning) {
 			continue
 		}
-		list = append(list, placement.Demand{Key: k, Waiting: c.waiting + len(c.returning), Running: c.running, Arrived: c.arrived})
-		c.arrived = 0
+		list = append(list, placement.Demand{Key: k, Waiting: c.waiting + len(c.returning), Running: c.running, Arrived: c.arrived, Late: c.late})
+		c.arrived, c.late = 0, 0
 		if c.waiting == 0 && c.running == 0 && len(c.returning) == 0 {
 			delete(d.keys, k)
 		}
--- a/hub/message.go
+++ b/hub/message.go
@@ -49,9 +49,9 @@
 }
 
 type wireDemand struct {
-	_                         struct{} `cbor:",toarray"`
-	Service, Model, Adapter   string
-	Waiting, Running, Arrived int
+	_                               struct{} `cbor:",toarray"`
+	Service, Model, Adapter         string
+	Waiting, Running, Arrived, Late int
 }
 
 type wireSuspect struct {
@@ -89,7 +89,7 @@
 	for _, d := range r.Demands {
 		w.Demands = append(w.Demands, wireDemand{
 			Service: string(d.Service), Model: string(d.Model), Adapter: string(d.Adapter),
-			Waiting: d.Waiting, Running: d.Running, Arrived: d.Arrived,
+			Waiting: d.Waiting, Running: d.Running, Arrived: d.Arrived, Late: d.Late,
 		})
 	}
 	data, err := cbor.Marshal(w)
@@ -105,7 +105,7 @@
 	for _, d := range w.Demands {
 		r.Demands = append(r.Demands, placement.Demand{
 			Key:     placement.Key{Service: domain.ServiceName(d.Service), Model: domain.ModelName(d.Model), Adapter: domain.AdapterName(d.Adapter)},
-			Waiting: d.Waiting, Running: d.Running, Arrived: d.Arrived,
+			Waiting: d.Waiting, Running: d.Running, Arrived: d.Arrived, Late: d.Late,
 		})
 	}
 	var err error
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -10,6 +10,10 @@
 const (
 	// rateMemory is the time constant of the request rates.
 	rateMemory = 8 * time.Second
+	// lateMemory is the time constant of the rate of late answers.
+	lateMemory = 2 * time.Second
+	// lateShare of a model's requests answered late asks for another replica.
+	lateShare = 0.1
 	// silentNode is after how long a node's demand is dropped.
 	silentNode = 3 * time.Second
 )
@@ -33,8 +37,9 @@
 	Key
 	// Waiting requests have no backend server yet; Running ones have.
 	Waiting, Running int
-	// Arrived counts the requests since the node's last report.
-	Arrived int
+	// Arrived counts the requests since the node's last report, Late those of them
+	// that a crowded server answered late or with long pauses.
+	Arrived, Late int
 }
 
 // interest is the demand for one key over all nodes.
@@ -45,6 +50,11 @@
 	// rate is in requests a second, as of at.
 	rate float64
 	at   time.Time
+	// late is the rate of late answers, as of lateAt.
+	late   float64
+	lateAt time.Time
+	// spread is when another replica was last wanted for late answers.
+	spread time.Time
 	// used is when a request last arrived or ran.
 	used time.Time
 }
@@ -53,6 +63,15 @@
 	return i.rate * math.Exp(-now.Sub(i.at).Seconds()/rateMemory.Seconds())
 }
 
+func (i *interest) lateRateAt(now time.Time) float64 {
+	return i.late * math.Exp(-now.Sub(i.lateAt).Seconds()/lateMemory.Seconds())
+}
+
+// crowded tells whether the replicas there are serve too many requests late.
+func (i *interest) crowded(now time.Time) bool {
+	return i.lateRateAt(now) > lateShare*max(i.rateAt(now), 1)
+}
+
 // demands adds up what the nodes need. The zero demands are ready for use.
 type demands struct {
 	nodes  map[domain.NodeID]nodeDemand
@@ -80,6 +99,7 @@
 	for _, c := range changed {
 		before := node.keys[c.Key]
 		d.add(now, c.Key, c.Waiting-before.Waiting, c.Running-before.Running, c.Arrived)
+		d.late(now, c.base(), c.Late)
 		if c.Adapter != "" {
 			d.add(now, c.base(), 0, c.Running-before.Running, c.Arrived)
 		}
@@ -114,6 +134,15 @@
 	}
 }
 
+func (d *demands) late(now time.Time, k Key, n int) {
+	t := d.totals[k]
+	if n == 0 || t == nil {
+		return
+	}
+	t.late = t.lateRateAt(now) + float64(n)/lateMemory.Seconds()
+	t.lateAt = now
+}
+
 // expire drops what nodes said that have been silent.
 func (d *demands) expire(now time.Time) {
 	for n, node := range d.nodes {
--- a/placement/place.go
+++ b/placement/place.go
@@ -21,6 +21,10 @@
 	// aheadCost is the highest price of evictions at which a model is loaded ahead
 	// of callers.
 	aheadCost = 2.5
+	// crowdCost is the price, in seconds, of a server that runs as much as a replica
+	// should: its requests and those of the new model slow each other down, and no
+	// adapter can be loaded there meanwhile.
+	crowdCost = 1.5
 	// adapterQuiet is how long an adapter stays after its last request before
 	// another may take its place.
 	adapterQuiet = 500 * time.Millisecond
@@ -115,7 +119,7 @@
 		if !ok || n.ahead && cost > aheadCost {
 			continue
 		}
-		cost += takes(m, t).Seconds()
+		cost += takes(m, t).Seconds() + p.crowd(a, e)*crowdCost
 		if !found || cost < best.cost || cost == best.cost && a.server.ID < best.account.server.ID {
 			best = plan{account: a, victims: victims, tier: t, cost: cost}
 			found = true
@@ -124,6 +128,16 @@
 	return best, found
 }
 
+// crowd estimates how busy a server is, as a share of what a replica should run.
+func (p *Planner) crowd(a *account, e *fleet.Engine) float64 {
+	running := 0.0
+	for _, h := range a.holdings.Models {
+		k := Key{Service: a.server.Service, Model: h.Model}
+		running += float64(p.demands.of(k).running) / float64(max(1, p.loaded(k)))
+	}
+	return running / float64(runningPerReplica(e.Slots))
+}
+
 // victim is a replica that may be dropped.
 type victim struct {
 	model  domain.ModelName
@@ -170,14 +184,13 @@
 	copies := p.loaded(k)
 	v := victim{model: m, memory: e.Models[m].Memory, used: i.used}
 	rate := i.rateAt(now)
-	busy := i.running + i.waiting
 	switch {
 	case copies <= 1:
 		v.cost = 0.05 + rate*lastCopyCost
-		if busy > 0 {
+		if i.running+i.waiting > 0 {
 			v.cost += runningCost + 10*float64(i.waiting)
 		}
-	case (busy+runningPerReplica(e.Slots)-1)/runningPerReplica(e.Slots) >= copies:
+	case i.crowded(now) || p.wanted(i, e) >= copies:
 		v.cost = runningCost + rate*lastCopyCost/float64(copies)
 	default:
 		v.cost = rate * spareCopyCost / float64(copies)
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -239,7 +239,7 @@
 			}
 			continue
 		}
-		if p.wanted(i, e) > copies[k] {
+		if p.wanted(i, e) > copies[k] || p.spreads(now, k, i, copies[k]) {
 			list = append(list, n)
 		}
 	}
@@ -272,6 +272,20 @@
 	return (busy + runningPerReplica(e.Slots) - 1) / runningPerReplica(e.Slots)
 }
 
+// spreads tells whether a model needs one more replica since its requests are
+// answered late. It waits until the latest one has taken its share.
+func (p *Planner) spreads(now time.Time, k Key, i *interest, copies int) bool {
+	if copies == 0 || copies > p.loaded(k) || !i.crowded(now) || now.Sub(i.spread) < spreadInterval {
+		return false
+	}
+	i.spread = now
+	return true
+}
+
+// spreadInterval is the least time between two replicas that are added for late
+// answers.
+const spreadInterval = 700 * time.Millisecond
+
 // runningPerReplica is how many requests a replica runs at once before another
 // replica of the model is loaded: a full batch makes each token slow.
 func runningPerReplica(slots int) int {
