Load right after a model that runs nothing was dropped

Cause: each swap on a server waited 0.3 s for a report that the old model is gone (cold callers of a disk load waited 1.9 s, 0.35 s of it so).

--- a/placement/account.go
+++ b/placement/account.go
@@ -72,6 +72,8 @@
 	adapterTime = 25 * time.Millisecond
 	// adaptersInTransit is how many adapters may be on their way to one server.
 	adaptersInTransit = 4
+	// unloadTime is how long a server takes to drop a model that runs nothing.
+	unloadTime = 60 * time.Millisecond
 	// recheckInterval bounds the reports that doubts of nodes cause.
 	recheckInterval = 300 * time.Millisecond
 	// reservationTime is how long room may take to be made.
@@ -220,7 +222,7 @@
 	case Accepted:
 		a.accepted(now, o, takes)
 	case Unneeded:
-		a.ask = now.Add(reportDelay)
+		a.unneeded(now, o)
 	case Conflicted:
 		a.known, a.ask = false, now.Add(pollInterval)
 	case Unknown:
@@ -231,6 +233,20 @@
 	}
 }
 
+// unneeded takes in that an order asked for what holds already: the report that
+// it was based on was old.
+func (a *account) unneeded(now time.Time, o Order) {
+	a.ask = now.Add(reportDelay)
+	switch {
+	case o.Operation == Load:
+		a.known = false
+	case o.Adapter != "":
+		a.dropAdapter(o.Model, o.Adapter)
+	default:
+		a.dropModel(o.Model)
+	}
+}
+
 func (a *account) accepted(now time.Time, o Order, takes time.Duration) {
 	a.holdings.Sequence = o.Expected + 1
 	a.orderedAt = now
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -145,7 +145,7 @@
 
 func (p *Planner) estimate(o Order) time.Duration {
 	if o.Operation == Unload {
-		return pollInterval
+		return unloadTime
 	}
 	return takes(p.model(o.Server.Service, o.Model), o.tier)
 }
@@ -179,6 +179,7 @@
 		a.pending = &o
 		orders = append(orders, o)
 	}
+	p.assumeUnloaded(now)
 	p.repeatDoubtful(give)
 	p.continueReserved(now, give)
 	for _, n := range p.needs(now) {
@@ -191,6 +192,21 @@
 	return orders
 }
 
+// assumeUnloaded takes idle models as dropped after unloadTime, without a report.
+// A server that is not done yet refuses the next order.
+func (p *Planner) assumeUnloaded(now time.Time) {
+	for _, a := range p.accounts {
+		if a.work == nil || a.work.Operation != Unload || a.asking || now.Before(a.ends) {
+			continue
+		}
+		i := p.demands.of(Key{Service: a.server.Service, Model: a.work.Model})
+		if i.running > 0 {
+			continue
+		}
+		a.work, a.holdings.Busy, a.ask = nil, false, time.Time{}
+	}
+}
+
 type giver func(*account, Order)
 
 // repeatDoubtful gives an order again whose answer was lost. If the new one is
