--- a/placement/account.go
+++ b/placement/account.go
@@ -179,6 +179,15 @@
 	})
 }
 
+// arrived drops the adapters from those that are coming whose time is over.
+func (a *account) arrived(now time.Time) {
+	for k, at := range a.coming {
+		if now.After(at) {
+			delete(a.coming, k)
+		}
+	}
+}
+
 // keepComing adds the adapters that were ordered but are not yet in a report.
 func (a *account) keepComing(now time.Time) {
 	for k, at := range a.coming {
--- a/placement/place.go
+++ b/placement/place.go
@@ -21,6 +21,9 @@
 	// aheadCost is the highest price of evictions at which a model is loaded ahead
 	// of callers.
 	aheadCost = 2.5
+	// aheadServers is how many servers there must be for each load from the weight
+	// store before one is made ahead of callers: it keeps its server from others.
+	aheadServers = 4
 	// crowdCost is the price, in seconds, of a server that runs as much as a replica
 	// should: its requests and those of the new model slow each other down, and no
 	// adapter can be loaded there meanwhile.
@@ -112,7 +115,7 @@
 			continue
 		}
 		t := a.tier(m.Name)
-		if t == Store && !p.store.room() {
+		if t == Store && !p.store.room() || n.ahead && !p.roomAhead() {
 			continue
 		}
 		victims, cost, ok := p.victims(now, a, e, m.Memory-a.free(e), n)
@@ -211,11 +214,16 @@
 	return n
 }
 
+// roomAhead tells whether a load ahead of callers may begin.
+func (p *Planner) roomAhead() bool {
+	return p.store.room() && len(p.store.running) < len(p.accounts)/aheadServers
+}
+
 // ahead lists models that no server has a checkpoint of, to be loaded while the
 // weight store has nothing else to do: their first callers then wait for a disk
 // at most.
 func (p *Planner) ahead(copies map[Key]int) []need {
-	if !p.store.room() {
+	if !p.roomAhead() {
 		return nil
 	}
 	at := map[Key]bool{}
@@ -227,12 +235,12 @@
 		}
 	}
 	var list []need
-	for _, s := range p.config.Services {
+	for name, s := range p.config.Services {
 		if s.Engine == nil {
 			continue
 		}
 		for _, m := range s.Engine.Models {
-			k := Key{Service: s.Name, Model: m.Name}
+			k := Key{Service: name, Model: m.Name}
 			if copies[k] == 0 && !at[k] {
 				list = append(list, need{key: k, ahead: true})
 			}
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -179,6 +179,9 @@
 		a.pending = &o
 		orders = append(orders, o)
 	}
+	for _, a := range p.accounts {
+		a.arrived(now)
+	}
 	p.assumeUnloaded(now)
 	p.repeatDoubtful(give)
 	p.continueReserved(now, give)
--- /dev/null
+++ b/retries/window_test.go
@@ -0,0 +1,36 @@
+package retries
+
+import (
+	"testing"
+	"time"
+)
+
+func TestWindowBoundsEachSpan(t *testing.T) {
+	w := Window{Length: 10 * time.Second, Ratio: 0.2, Reserve: 3}
+	now := time.Unix(1_000_000, 0)
+	spent := 0
+	for range 100 {
+		w.Request(now)
+	}
+	for range 100 {
+		if w.Spend(now) {
+			spent++
+		}
+	}
+	if got, want := spent, 23; got != want {
+		t.Errorf("spent: got %d, want %d", got, want)
+	}
+	if w.Spend(now.Add(8 * time.Second)) {
+		t.Error("spent again within the window")
+	}
+	if !w.Spend(now.Add(11 * time.Second)) {
+		t.Error("the reserve is not back after the window")
+	}
+}
+
+func TestZeroWindowAllowsNothing(t *testing.T) {
+	var w Window
+	if w.Spend(time.Unix(1_000_000, 0)) {
+		t.Error("a zero window allowed a sending")
+	}
+}
