--- /dev/null
+++ b/entry/node_test.go
@@ -0,0 +1,301 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/fleet"
+	"github.com/parsleylug/parsleylug/hub"
+	"github.com/parsleylug/parsleylug/lease"
+	"github.com/parsleylug/parsleylug/placement"
+)
+
+// fakePlatform is a store and one engine. Its fields are guarded by mu.
+type fakePlatform struct {
+	mu sync.Mutex
+	// down makes every call of the store fail, silent lets it hang.
+	down, silent bool
+	version      fleet.Version
+	shards       []lease.Shard
+	generation   lease.Generation
+	fenced       bool
+	orders       []placement.Order
+	fences       []domain.Fence
+	held         fleet.Holdings
+	left         bool
+}
+
+var errDown = errors.New("the store is down")
+
+// reach returns an error where the store cannot be reached.
+func (p *fakePlatform) reach(ctx context.Context) error {
+	p.mu.Lock()
+	down, silent := p.down, p.silent
+	p.mu.Unlock()
+	if silent {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(3700 * time.Millisecond):
+			return errDown
+		}
+	}
+	if down {
+		return errDown
+	}
+	return nil
+}
+
+func (p *fakePlatform) Configuration(ctx context.Context, after domain.Offset, wait time.Duration) (*fleet.Configuration, domain.Offset, error) {
+	if err := p.reach(ctx); err != nil {
+		return nil, after, err
+	}
+	for end := time.Now().Add(wait); ; {
+		p.mu.Lock()
+		version := p.version
+		p.mu.Unlock()
+		if domain.Offset(version) > after {
+			return testConfiguration(version), domain.Offset(version), nil
+		}
+		if !time.Now().Before(end) || !pause(ctx, 50*time.Millisecond) {
+			return nil, after, ctx.Err()
+		}
+	}
+}
+
+func testConfiguration(v fleet.Version) *fleet.Configuration {
+	e := &fleet.Engine{Slots: 8, Memory: 100, AdapterPlaces: 2, Models: map[domain.ModelName]fleet.Model{
+		"m": {Name: "m", Memory: 10, FromStore: 2 * time.Second, FromDisk: time.Second, FromMemory: time.Second},
+	}}
+	return &fleet.Configuration{Version: v, Services: map[domain.ServiceName]fleet.Service{"s": {Name: "s", Engine: e}}}
+}
+
+func (p *fakePlatform) Servers(ctx context.Context, after domain.Offset) ([]fleet.Change, bool, domain.Offset, error) {
+	if err := p.reach(ctx); err != nil {
+		return nil, false, after, err
+	}
+	if after > 0 {
+		return nil, false, after, nil
+	}
+	s := &fleet.Server{ID: "i", Service: "s", Slots: 8, State: fleet.Ready, Holdings: fleet.Holdings{Born: 1, OnDisk: []domain.ModelName{"m"}}}
+	return []fleet.Change{{ID: "i", Offset: 1, Server: s}}, true, 2, nil
+}
+
+func (p *fakePlatform) Join(ctx context.Context, _ lease.Generation, _ time.Duration) (lease.Grant, error) {
+	if err := p.reach(ctx); err != nil {
+		return lease.Grant{}, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return lease.Grant{Generation: p.generation, Shards: p.shards}, nil
+}
+
+func (p *fakePlatform) Leave(context.Context) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.left = true
+	return nil
+}
+
+func (p *fakePlatform) Owners(context.Context) (map[lease.Shard]domain.NodeID, error) {
+	return nil, errDown
+}
+
+func (p *fakePlatform) Report(context.Context, fleet.Server) (fleet.Holdings, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.held, nil
+}
+
+func (p *fakePlatform) Order(_ context.Context, o placement.Order, f domain.Fence) (placement.Outcome, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.fenced {
+		return placement.Fenced, errors.New("a newer fence was seen")
+	}
+	p.orders = append(p.orders, o)
+	p.fences = append(p.fences, f)
+	p.held.Sequence++
+	p.held.Models = append([]fleet.Held{}, fleet.Held{Model: o.Model})
+	return placement.Accepted, nil
+}
+
+func (p *fakePlatform) set(f func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f()
+}
+
+func (p *fakePlatform) ordered() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.orders)
+}
+
+// clock counts all time since its start.
+type clock struct {
+	start     time.Time
+	suspended time.Duration
+}
+
+func (c *clock) Now() time.Duration { return time.Since(c.start) + c.suspended }
+
+// run starts a node on p and calls f; the node stops when f returns.
+func run(t *testing.T, fenced bool, f func(n *Node, p *fakePlatform, c *clock)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		p := &fakePlatform{version: 1, generation: 4, shards: []lease.Shard{0}, held: fleet.Holdings{Born: 1, OnDisk: []domain.ModelName{"m"}}}
+		c := &clock{start: time.Now()}
+		n := New(Options{
+			Name: "n", Feed: p, Group: p, Engines: p, Uptime: c, Logger: zerolog.Nop(),
+			ServersEvery: 800 * time.Millisecond, TimeToLive: 2500 * time.Millisecond, Settle: 500 * time.Millisecond, Fenced: fenced,
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- n.Run(ctx) }()
+		f(n, p, c)
+		cancel()
+		<-done
+		synctest.Wait()
+		if !p.left {
+			t.Error("the node did not leave the group")
+		}
+	})
+}
+
+// want has a request wait for model m.
+func want(n *Node) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.planner.Demanded(time.Now(), "other", []placement.Demand{{Key: placement.Key{Service: "s", Model: "m"}, Waiting: 1, Arrived: 1}})
+}
+
+func TestOwnerLoadsWhatIsWanted(t *testing.T) {
+	run(t, true, func(n *Node, p *fakePlatform, _ *clock) {
+		time.Sleep(2 * time.Second)
+		if !n.Ready() {
+			t.Error("not ready")
+		}
+		want(n)
+		time.Sleep(2 * time.Second)
+		if got, want := p.ordered(), 1; got != want || p.fences[0] != 4 {
+			t.Errorf("orders: got %d under %v, want %d under fence 4", got, p.fences, want)
+		}
+		if _, ok := n.Views.Get().Servers["s"][0].Holdings.Find("m"); !ok {
+			t.Error("the view does not show the model")
+		}
+	})
+}
+
+func TestNodeWithoutTheShardGivesNoOrder(t *testing.T) {
+	run(t, true, func(n *Node, p *fakePlatform, _ *clock) {
+		p.set(func() { p.shards = nil })
+		time.Sleep(2 * time.Second)
+		want(n)
+		time.Sleep(2 * time.Second)
+		if got, want := p.ordered(), 0; got != want {
+			t.Errorf("orders: got %d, want %d", got, want)
+		}
+	})
+}
+
+func TestOwnerStopsInTimeWhereFencesAreIgnored(t *testing.T) {
+	run(t, false, func(n *Node, p *fakePlatform, _ *clock) {
+		time.Sleep(2 * time.Second)
+		p.set(func() { p.down = true })
+		time.Sleep(2500 * time.Millisecond)
+		want(n)
+		time.Sleep(2 * time.Second)
+		if got, want := p.ordered(), 0; got != want {
+			t.Errorf("orders after the lease: got %d, want %d", got, want)
+		}
+	})
+}
+
+func TestOwnerGoesOnBehindFencesWhileTheStoreIsAway(t *testing.T) {
+	run(t, true, func(n *Node, p *fakePlatform, _ *clock) {
+		time.Sleep(2 * time.Second)
+		p.set(func() { p.down = true })
+		time.Sleep(8 * time.Second)
+		want(n)
+		time.Sleep(2 * time.Second)
+		if got, want := p.ordered(), 1; got != want {
+			t.Errorf("orders: got %d, want %d", got, want)
+		}
+	})
+}
+
+func TestSuspendedOwnerGivesNoOrderBeforeItIsGrantedAgain(t *testing.T) {
+	run(t, true, func(n *Node, p *fakePlatform, c *clock) {
+		time.Sleep(2 * time.Second)
+		p.set(func() { p.down = true })
+		n.mu.Lock()
+		c.suspended = 6 * time.Second
+		n.mu.Unlock()
+		want(n)
+		time.Sleep(2 * time.Second)
+		if got, want := p.ordered(), 0; got != want {
+			t.Errorf("orders: got %d, want %d", got, want)
+		}
+	})
+}
+
+func TestFencedOwnerStops(t *testing.T) {
+	run(t, true, func(n *Node, p *fakePlatform, _ *clock) {
+		time.Sleep(2 * time.Second)
+		p.set(func() { p.fenced, p.shards = true, nil })
+		want(n)
+		time.Sleep(2 * time.Second)
+		if n.accepts() {
+			t.Error("still takes links as the owner")
+		}
+	})
+}
+
+// A call that waits for a configuration is lost in a store that falls silent; the
+// configuration written meanwhile must be in force soon after the store's return.
+func TestConfigurationIsFoundAfterSilence(t *testing.T) {
+	run(t, true, func(n *Node, p *fakePlatform, _ *clock) {
+		time.Sleep(2 * time.Second)
+		p.set(func() { p.silent = true })
+		time.Sleep(8 * time.Second)
+		p.set(func() { p.silent, p.version = false, 2 })
+		time.Sleep(4 * time.Second)
+		if got, want := n.Views.Get().Config.Version, fleet.Version(2); got != want {
+			t.Errorf("version: got %d, want %d", got, want)
+		}
+	})
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	run(t, true, func(n *Node, p *fakePlatform, _ *clock) {
+		time.Sleep(time.Second)
+		n.configure(testConfiguration(7))
+		n.configure(testConfiguration(3))
+		if got, want := n.Views.Get().Config.Version, fleet.Version(7); got != want {
+			t.Errorf("version: got %d, want %d", got, want)
+		}
+	})
+}
+
+func TestOwnersWordGoesBeforeRegistration(t *testing.T) {
+	run(t, true, func(n *Node, p *fakePlatform, _ *clock) {
+		p.set(func() { p.shards = nil })
+		time.Sleep(3 * time.Second)
+		n.updated(hub.Update{Servers: []hub.Server{{ID: "i", Holdings: fleet.Holdings{Born: 1, Models: []fleet.Held{{Model: "m"}}}}}})
+		if _, ok := n.Views.Get().Servers["s"][0].Holdings.Find("m"); !ok {
+			t.Error("the view does not show what the owner says")
+		}
+		n.updated(hub.Update{Servers: []hub.Server{{ID: "i", Holdings: fleet.Holdings{Born: 0, Models: []fleet.Held{{Model: "m"}}}}}})
+		if _, ok := n.Views.Get().Servers["s"][0].Holdings.Find("m"); ok {
+			t.Error("the view shows what the server held before its restart")
+		}
+	})
+}
--- /dev/null
+++ b/hub/hub_test.go
@@ -0,0 +1,118 @@
+package hub
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/fleet"
+	"github.com/parsleylug/parsleylug/placement"
+	"github.com/parsleylug/parsleylug/suspects"
+)
+
+var testReport = Report{
+	Node:     "n",
+	Demands:  []placement.Demand{{Key: placement.Key{Service: "s", Model: "m", Adapter: "a"}, Waiting: 1, Running: 2, Arrived: 3, Late: 4}},
+	Suspects: []suspects.Report{{Content: suspects.Content{1, 2}, Crashes: 2, Server: "i", Begun: true}},
+	Doubted:  []domain.ServerID{"i"},
+}
+
+var testUpdate = Update{
+	Nodes: 3,
+	Servers: []Server{{ID: "i", Holdings: fleet.Holdings{
+		Born: 5, Sequence: 6, Busy: true, InMemory: []domain.ModelName{"m"}, OnDisk: []domain.ModelName{"n"},
+		Models: []fleet.Held{{Model: "m", Adapters: []domain.AdapterName{"a"}}},
+	}}},
+}
+
+func TestMessagesSurviveTheWire(t *testing.T) {
+	data, err := encodeReport(testReport)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := decodeReport(data)
+	if err != nil || !reflect.DeepEqual(got, testReport) {
+		t.Errorf("got %+v and %v, want %+v", got, err, testReport)
+	}
+	data, err = encodeUpdate(testUpdate)
+	if err != nil {
+		t.Fatal(err)
+	}
+	u, err := decodeUpdate(data)
+	if err != nil || !reflect.DeepEqual(u, testUpdate) {
+		t.Errorf("got %+v and %v, want %+v", u, err, testUpdate)
+	}
+}
+
+func FuzzMessages(f *testing.F) {
+	report, _ := encodeReport(testReport)
+	update, _ := encodeUpdate(testUpdate)
+	f.Add(report)
+	f.Add(update)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_, _ = decodeReport(data)
+		_, _ = decodeUpdate(data)
+	})
+}
+
+// testHub returns a hub, its address, and the reports that it gets.
+func testHub(t *testing.T) (*Hub, string, chan Report, *atomic.Bool) {
+	t.Helper()
+	reports := make(chan Report, 9)
+	var owner atomic.Bool
+	owner.Store(true)
+	h := &Hub{
+		Reported: func(r Report) { reports <- r },
+		Accepts:  owner.Load,
+		Joined:   func() Update { return testUpdate },
+	}
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	t.Cleanup(h.Close)
+	return h, strings.TrimPrefix(s.URL, "http://"), reports, &owner
+}
+
+func TestLinkCarriesBothWays(t *testing.T) {
+	h, address, reports, _ := testHub(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	l, err := Dial(ctx, &net.Dialer{}, address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	if got, err := l.Receive(ctx); err != nil || !reflect.DeepEqual(got, testUpdate) {
+		t.Errorf("first update: got %+v and %v, want %+v", got, err, testUpdate)
+	}
+	if err := l.Send(ctx, testReport); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-reports; !reflect.DeepEqual(got, testReport) {
+		t.Errorf("got %+v, want %+v", got, testReport)
+	}
+	if err := h.Broadcast(Update{Nodes: 9}); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := l.Receive(ctx); err != nil || got.Nodes != 9 {
+		t.Errorf("got %+v and %v, want 9 nodes", got, err)
+	}
+	h.Close()
+	if _, err := l.Receive(ctx); err == nil {
+		t.Error("the link outlived the hub")
+	}
+}
+
+func TestNodeThatIsNotTheOwnerTakesNoLinks(t *testing.T) {
+	_, address, _, owner := testHub(t)
+	owner.Store(false)
+	if l, err := Dial(t.Context(), &net.Dialer{}, address); err == nil {
+		l.Close()
+		t.Error("linked to a node that is not the owner")
+	}
+}
