--- a/commands/front.go
+++ b/commands/front.go
@@ -78,11 +78,7 @@
 	}
 	out := newBoundedWriter(d.Out, c.LinesPerSecond)
 	logger := zerolog.New(out).Level(level).With().Timestamp().Str("Node", s.Node).Logger()
-	f, err := newFront(s, logger)
-	if err != nil {
-		return err
-	}
-	return f.run(path, net.JoinHostPort(s.IP, strconv.Itoa(c.MetricsPort)))
+	return newFront(s, logger).run(path, net.JoinHostPort(s.IP, strconv.Itoa(c.MetricsPort)))
 }
 
 // front is one running node.
@@ -96,7 +92,7 @@
 	cutOff context.CancelFunc
 }
 
-func newFront(s platform.Settings, logger zerolog.Logger) (*front, error) {
+func newFront(s platform.Settings, logger zerolog.Logger) *front {
 	address := net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort))
 	name := fmt.Sprintf("%s/%x", address, time.Now().UnixNano())
 	store := platform.NewStore(s.StoreAddress)
@@ -127,7 +123,7 @@
 	})
 	f.node.Learn = dispatcher.Learn
 	f.http = &platform.Front{Dispatcher: dispatcher, Views: &f.node.Views}
-	return f, nil
+	return f
 }
 
 // budget sets this node's share of what may be sent beyond first attempts.
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -89,24 +89,22 @@
 		if done {
 			return outcome, e
 		}
-		if e := s.mayGoOn(ctx, e); e != nil {
+		if !s.mayGoOn(ctx, e) {
 			return s.giveUp(ctx, e)
 		}
 	}
 }
 
-// mayGoOn returns nil where the request may be sent again after a failure.
-func (s *session) mayGoOn(ctx context.Context, e *verdict.Error) *verdict.Error {
+// mayGoOn tells whether the request may be sent again after a failure.
+func (s *session) mayGoOn(ctx context.Context, e *verdict.Error) bool {
 	if ctx.Err() != nil || e.Verdict == verdict.NotRun {
-		return nil
+		// Where the time is over, the search for a server says so.
+		return true
 	}
 	if !s.r.Route.Repeatable() || s.runs >= s.r.Route.MaxAttempts {
-		return e
+		return false
 	}
-	if s.d.standing(s.r.Content) != suspects.Clean {
-		return e
-	}
-	return nil
+	return s.d.standing(s.r.Content) == suspects.Clean
 }
 
 // giveUp ends a request that gets no answer. Where a run cannot be ruled out it
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -121,10 +121,10 @@
 		if e.server == nil || e.left {
 			continue
 		}
-		if !e.removed.IsZero() && !(lapsed && now.Sub(later(e.removed, d.troubled)) < returnTime) {
-			continue
+		mayReturn := lapsed && now.Sub(later(e.removed, d.troubled)) < returnTime
+		if e.removed.IsZero() || mayReturn {
+			servers = append(servers, e.server)
 		}
-		servers = append(servers, e.server)
 	}
 	return servers
 }
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -22,10 +22,6 @@
 	accounts map[domain.ServerID]*account
 	demands  demands
 	store    storePace
-	// planned is when Orders last looked at everything.
-	planned time.Time
-	// started is when this node became owner.
-	started time.Time
 }
 
 // Configure sets the configuration in force.
@@ -34,7 +30,6 @@
 // Begin starts a term as owner: what earlier owners ordered is unknown until the
 // servers were asked.
 func (p *Planner) Begin(now time.Time) {
-	p.started = now
 	for _, a := range p.accounts {
 		a.known, a.pending, a.work = false, nil, nil
 		a.ask = now
