Leave a silent server in time for the goal, and fail over in less time

Now a repeatable request leaves after half its goal (or three usual delays of that server), and a silent server goes last for three seconds.

--- a/commands/front.go
+++ b/commands/front.go
@@ -36,6 +36,9 @@
 	headerTime  = 10 * time.Second
 	idleTime    = 2 * time.Minute
 	headerBytes = 64 << 10
+	// membershipShare of the time between two holders' orders is the time-to-live of
+	// a silent member.
+	membershipShare = 0.6
 	// settleTime is how long a new owner waits before its first order.
 	settleTime = 600 * time.Millisecond
 	// leaveNotice is how long a stopping node still takes connections, so that the
@@ -108,7 +111,7 @@
 		HubAddress:   hubAddress,
 		Logger:       logger,
 		ServersEvery: s.DrainBound / registrationReads,
-		TimeToLive:   max(s.MinimumMembership, s.Lease*5/6),
+		TimeToLive:   max(s.MinimumMembership, time.Duration(membershipShare*float64(s.Lease))),
 		Settle:       settleTime,
 		Fenced:       s.FencesChecked,
 	})
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -32,6 +32,8 @@
 	delayMemory = 3 * time.Second
 	// delayShare is the weight of the newest answer's delay.
 	delayShare = 0.3
+	// silentDelay is taken for a server that did not answer at all.
+	silentDelay = 2 * time.Second
 	// lackMemory is how long a server counts as without what it did not have.
 	lackMemory = 700 * time.Millisecond
 	// prefixesKept bounds the prompt beginnings remembered for one server.
@@ -198,6 +200,27 @@
 	}
 }
 
+// silent notes that a server did not answer a request at all: others go first for
+// a while.
+func (c *chooser) silent(now time.Time, id domain.ServerID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.breakers.Failed(now, id, false)
+	l := c.of(id)
+	l.delay, l.delayed = silentDelay, now
+}
+
+// delay is a server's usual time to an answer, 0 where it is not known.
+func (c *chooser) delay(now time.Time, id domain.ServerID) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.of(id)
+	if now.Sub(l.delayed) > delayMemory || l.delay == silentDelay {
+		return 0
+	}
+	return l.delay
+}
+
 // failed counts a failure of a server.
 func (c *chooser) failed(now time.Time, id domain.ServerID, unreached bool) {
 	c.mu.Lock()
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -38,11 +38,15 @@
 	// lookAgain is how often a waiting request looks for a server though nothing is
 	// known to have changed.
 	lookAgain = 500 * time.Millisecond
-	// silenceGoals is after how many goals a repeatable request is taken to another
-	// server where nothing was heard.
-	silenceGoals = 3
-	// shortestSilence bounds that from below.
-	shortestSilence = 400 * time.Millisecond
+	// silenceShare is the part of its goal after which a repeatable request is taken
+	// to another server where nothing was heard, so that it can still be in time.
+	silenceShare = 0.5
+	// silenceDelays scales the server's usual time to an answer to a lower bound of
+	// that, silenceGoals the goal to an upper one.
+	silenceDelays = 3
+	silenceGoals  = 3
+	// shortestSilence bounds it from below.
+	shortestSilence = 200 * time.Millisecond
 	// streamSilence is the gap after which a repeatable stream is taken elsewhere.
 	streamSilence = 1200 * time.Millisecond
 	// crashCheckDelay is how long after a break a server is asked whether it still
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -156,12 +156,17 @@
 	}()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silence := s.watchSilence(cancel)
+	silence := s.watchSilence(server, cancel)
 	defer silence.Stop()
 	answer, err := s.d.Backend.Send(ctx, server, s.r, Attempt{Left: s.r.Deadline.Sub(sent), After: s.last, Priority: s.r.Route.Priority})
 	if err != nil {
 		return s.unanswered(ctx, server, verdict.Of(err))
 	}
+	if !silence.Stop() {
+		// The attempt was cut just as its answer came.
+		discard(answer)
+		return s.unanswered(ctx, server, verdict.Doubt(verdict.BackendFailed, "the server was silent for too long", nil))
+	}
 	if answer.Refusal != NotRefused {
 		discard(answer)
 		return s.turnedAway(server, answer)
@@ -181,14 +186,16 @@
 
 // watchSilence cuts an attempt that nothing is heard of, where the request may
 // be sent to another server instead.
-func (s *session) watchSilence(cancel context.CancelFunc) *time.Timer {
-	limit := max(silenceGoals*s.r.Route.Goal, shortestSilence)
-	if s.begun {
-		limit = streamSilence
-	}
+func (s *session) watchSilence(server *fleet.Server, cancel context.CancelFunc) *time.Timer {
 	if !s.r.Route.Repeatable() || s.runs+1 >= s.r.Route.MaxAttempts {
-		limit = time.Until(s.r.Deadline) + time.Second
+		return time.AfterFunc(time.Until(s.r.Deadline)+time.Second, cancel)
 	}
+	if s.begun {
+		return time.AfterFunc(streamSilence, cancel)
+	}
+	goal := s.r.Route.Goal
+	usual := silenceDelays * s.d.chooser.delay(time.Now(), server.ID)
+	limit := max(min(max(time.Duration(silenceShare*float64(goal)), usual), silenceGoals*goal), shortestSilence)
 	return time.AfterFunc(limit, cancel)
 }
 
@@ -214,7 +221,7 @@
 	s.ran = true
 	s.runs++
 	s.d.Attempted("Unanswered")
-	s.d.chooser.failed(time.Now(), server.ID, false)
+	s.d.chooser.silent(time.Now(), server.ID)
 	if ctx.Err() == nil {
 		go s.d.checkCrash(server, s.r.Content, s.begun)
 	}
@@ -285,6 +292,9 @@
 func (s *session) stream(server *fleet.Server, a *Answer, silence *time.Timer) (Outcome, *verdict.Error, bool) {
 	defer a.Events.Close()
 	repeatable := s.r.Route.Repeatable() && s.runs < s.r.Route.MaxAttempts
+	if repeatable {
+		silence.Reset(streamSilence)
+	}
 	for {
 		event, err := a.Events.Next()
 		if stderrors.Is(err, io.EOF) {
--- a/dispatch/session_test.go
+++ b/dispatch/session_test.go
@@ -279,6 +279,18 @@
 	}
 }
 
+// The answer of a slow server comes at the moment at which it is given up.
+func TestAnswerThatCrossesTheCutIsNotBegun(t *testing.T) {
+	late := func(ctx context.Context) (*Answer, error) {
+		<-ctx.Done()
+		return stream(nil, 1)(ctx)
+	}
+	o, c, _ := serve(t, streamRequest, late, refused(Full))
+	if got, want := o, Failed; got != want || c.begun {
+		t.Errorf("got %v, begun %v, want %v without a beginning", got, c.begun, want)
+	}
+}
+
 func TestWaitsForModel(t *testing.T) {
 	b := &fakeBackend{answers: []func(context.Context) (*Answer, error){stream(io.EOF, 1)}}
 	c := &fakeCaller{}
