--- a/commands/execute.go
+++ b/commands/execute.go
@@ -32,6 +32,7 @@
 type root struct {
 	Serve   ServeCommand   `cmd:"" help:"Run one node. Without settings it brings its own stand-ins on loopback."`
 	Front   FrontCommand   `cmd:"" help:"Run one node on the users' platform, by its settings file."`
+	Explain ExplainCommand `cmd:"" help:"Tell from the nodes' logs what became of one request."`
 	Standin StandinCommand `cmd:"" help:"Run the stand-ins for the platform and the backend servers."`
 	Replay  ReplayCommand  `cmd:"" help:"Replay recorded traces and print each difference."`
 
--- a/commands/front.go
+++ b/commands/front.go
@@ -80,6 +80,7 @@
 		return &UsageError{Err: err}
 	}
 	out := newBoundedWriter(d.Out, c.LinesPerSecond)
+	zerolog.TimeFieldFormat = time.RFC3339Nano
 	logger := zerolog.New(out).Level(level).With().Timestamp().Str("Node", s.Node).Logger()
 	return newFront(s, logger).run(path, net.JoinHostPort(s.IP, strconv.Itoa(c.MetricsPort)))
 }
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -93,7 +93,7 @@
 // choose returns the best of the candidates and counts a request in flight
 // there, or nil where there is none. Servers in avoid are taken only if there is
 // no other; servers that keep failing are left out unless all do.
-func (c *chooser) choose(now time.Time, p place, candidates []*fleet.Server, prefix string, avoid map[domain.ServerID]bool) *fleet.Server {
+func (c *chooser) choose(now time.Time, p place, candidates []*fleet.Server, prefix string, avoid map[domain.ServerID]bool) (*fleet.Server, choice) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var best *fleet.Server
@@ -113,12 +113,13 @@
 		}
 	}
 	if best == nil {
-		return nil
+		return nil, choice{}
 	}
 	l := c.of(best.ID)
+	chosen := choice{candidates: len(candidates), inFlight: l.inFlight, others: l.others, age: min(now.Sub(l.reported), time.Hour)}
 	l.inFlight++
 	l.remember(now, prefix)
-	return best
+	return best, chosen
 }
 
 func (l *load) remember(now time.Time, prefix string) {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -24,6 +24,9 @@
 	// patienceMargin is how long before its caller leaves a waiting request is
 	// refused.
 	patienceMargin = 150 * time.Millisecond
+	// resumeMargin is how long before its caller leaves a stream that broke off is
+	// given up: the server must still bring an event.
+	resumeMargin = 400 * time.Millisecond
 	// leastLeft is the least time in which a backend server can answer.
 	leastLeft = 5 * time.Millisecond
 	// retryMinimum is the shortest Retry-After.
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -15,7 +15,7 @@
 func (s *session) pick(ctx context.Context) (*fleet.Server, *verdict.Error) {
 	began := time.Now()
 	waiting := false
-	s.resumeBy = began.Add(streamSilence)
+	s.resumeBy = began.Add(s.patience() - resumeMargin)
 	defer func() {
 		if waiting {
 			s.d.Demand.stopWaiting(s.r.key())
@@ -30,7 +30,9 @@
 		fresh := slices.ContainsFunc(candidates, func(c *fleet.Server) bool { return !s.avoid[c.ID] })
 		if fresh || len(candidates) > 0 && s.sends == 0 {
 			p := place{zone: s.d.Zone, regions: s.d.Regions}
-			return s.d.chooser.choose(now, p, candidates, s.r.Prefix, s.avoid), nil
+			server, chosen := s.d.chooser.choose(now, p, candidates, s.r.Prefix, s.avoid)
+			s.chosen = chosen
+			return server, nil
 		}
 		expected, e := s.expect(view, candidates)
 		if e != nil {
@@ -41,6 +43,7 @@
 		}
 		if !waiting {
 			waiting = true
+			s.logWaiting(view, expected, limit)
 			s.d.Demand.wait(s.r.key())
 		}
 		if e := s.await(ctx, view, limit, len(candidates) > 0); e != nil {
@@ -58,14 +61,18 @@
 	if s.r.Route.Kind != fleet.Streaming {
 		return limit
 	}
-	patience := max(shortestPatience, patienceGoals*s.r.Route.Goal, patienceGaps*s.r.Route.GapGoal)
-	left := s.r.Arrived.Add(patience - patienceMargin)
+	left := s.r.Arrived.Add(s.patience() - patienceMargin)
 	if s.begun {
 		left = s.resumeBy
 	}
 	return earlier(left, limit)
 }
 
+// patience is after how long without an event the caller of a stream leaves.
+func (s *session) patience() time.Duration {
+	return max(shortestPatience, patienceGoals*s.r.Route.Goal, patienceGaps*s.r.Route.GapGoal)
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -4,6 +4,7 @@
 	"context"
 	stderrors "errors"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/parsleylug/parsleylug/domain"
@@ -21,6 +22,8 @@
 	runs int
 	// sends counts the sendings.
 	sends int
+	// prepaid is set where the budget has already been asked for the next sending.
+	prepaid atomic.Bool
 	// avoid holds the servers that failed or refused this request.
 	avoid map[domain.ServerID]bool
 	// ran is set once the request may have run.
@@ -40,6 +43,9 @@
 	// waited is how long the request waited for a model.
 	waited time.Duration
 	server domain.ServerID
+	// chosen is what the latest choice was based on, result what became of it.
+	chosen choice
+	result string
 	// turnedAwayWait is the next wait after every server has refused.
 	turnedAwayWait time.Duration
 	// failure is the server's own failure that is passed on if nothing better comes.
@@ -81,7 +87,7 @@
 		if e != nil {
 			return s.giveUp(ctx, e)
 		}
-		if s.sends > 0 && !s.d.mayRepeat(s.r.Service) {
+		if s.sends > 0 && !s.prepaid.Swap(false) && !s.d.mayRepeat(s.r.Service) {
 			s.d.chooser.done(server.ID)
 			return s.giveUp(ctx, refusal(time.Now(), s.r, verdict.NoCapacity, "the budget for repeated sendings is used up", time.Second))
 		}
@@ -150,7 +156,10 @@
 	s.sends++
 	k := s.r.key()
 	s.d.Demand.run(k, 1)
+	s.result = "Cut"
+	chosen := s.chosen
 	defer func() {
+		s.logAttempt(server, chosen, sent, s.result)
 		s.d.chooser.done(server.ID)
 		s.d.Demand.run(k, -1)
 	}()
@@ -162,7 +171,7 @@
 	if err != nil {
 		return s.unanswered(ctx, server, verdict.Of(err))
 	}
-	if !silence.Stop() {
+	if !silence.Stop() && ctx.Err() != nil {
 		// The attempt was cut just as its answer came.
 		discard(answer)
 		return s.unanswered(ctx, server, verdict.Doubt(verdict.BackendFailed, "the server was silent for too long", nil))
@@ -190,13 +199,26 @@
 	if !s.r.Route.Repeatable() || s.runs+1 >= s.r.Route.MaxAttempts {
 		return time.AfterFunc(time.Until(s.r.Deadline)+time.Second, cancel)
 	}
+	cut := func() {
+		// Without a repeat to follow, a late answer is better than none.
+		if s.d.mayRepeat(s.r.Service) {
+			s.prepaid.Store(true)
+			cancel()
+		}
+	}
 	if s.begun {
-		return time.AfterFunc(streamSilence, cancel)
+		return time.AfterFunc(streamSilence, cut)
 	}
 	goal := s.r.Route.Goal
 	usual := silenceDelays * s.d.chooser.delay(time.Now(), server.ID)
 	limit := max(min(max(time.Duration(silenceShare*float64(goal)), usual), silenceGoals*goal), shortestSilence)
-	return time.AfterFunc(limit, cancel)
+	return time.AfterFunc(limit, cut)
+}
+
+// attempted notes what became of the sending at hand.
+func (s *session) attempted(result string) {
+	s.result = result
+	s.d.Attempted(result)
 }
 
 func discard(a *Answer) {
@@ -212,7 +234,7 @@
 func (s *session) unanswered(ctx context.Context, server *fleet.Server, e *verdict.Error) (Outcome, *verdict.Error, bool) {
 	s.avoid[server.ID] = true
 	if e.Verdict == verdict.NotRun {
-		s.d.Attempted("Unreached")
+		s.attempted("Unreached")
 		if ctx.Err() == nil {
 			s.d.chooser.failed(time.Now(), server.ID, true)
 		}
@@ -220,7 +242,7 @@
 	}
 	s.ran = true
 	s.runs++
-	s.d.Attempted("Unanswered")
+	s.attempted("Unanswered")
 	s.d.chooser.silent(time.Now(), server.ID)
 	if ctx.Err() == nil {
 		go s.d.checkCrash(server, s.r.Content, s.begun)
@@ -231,7 +253,7 @@
 // turnedAway deals with a server that did not run the request.
 func (s *session) turnedAway(server *fleet.Server, a *Answer) (Outcome, *verdict.Error, bool) {
 	s.avoid[server.ID] = true
-	s.d.Attempted(a.Refusal.String())
+	s.attempted(a.Refusal.String())
 	if a.Refusal == Full {
 		s.d.chooser.full(time.Now(), server)
 	}
@@ -246,7 +268,7 @@
 
 func (s *session) spoilt(server *fleet.Server) (Outcome, *verdict.Error, bool) {
 	s.avoid[server.ID] = true
-	s.d.Attempted("Spoilt")
+	s.attempted("Spoilt")
 	s.d.chooser.failed(time.Now(), server.ID, false)
 	return 0, verdict.Doubt(verdict.BackendFailed, "the server's answer cannot be used", nil), false
 }
@@ -257,14 +279,14 @@
 	_ = a.Body.Close()
 	if err != nil {
 		s.avoid[server.ID] = true
-		s.d.Attempted("CutShort")
+		s.attempted("CutShort")
 		s.d.chooser.failed(time.Now(), server.ID, false)
 		return 0, verdict.Doubt(verdict.BackendFailed, "the server's answer is incomplete", err), false
 	}
 	if !a.Success() {
 		return s.failedThere(server, a, body)
 	}
-	s.d.Attempted("Answered")
+	s.attempted("Answered")
 	s.first = time.Now()
 	if s.begun {
 		// A stream that was begun cannot go on with an answer that is none.
@@ -279,7 +301,7 @@
 // failedThere keeps the server's own failure and lets another server try.
 func (s *session) failedThere(server *fleet.Server, a *Answer, body []byte) (Outcome, *verdict.Error, bool) {
 	s.avoid[server.ID] = true
-	s.d.Attempted("FailedThere")
+	s.attempted("FailedThere")
 	e := verdict.Doubt(verdict.BackendFailed, "the server failed the request", nil)
 	if s.begun {
 		return 0, e, false
@@ -356,33 +378,14 @@
 	if err := s.pass(a, nil); err != nil {
 		return Left, verdict.Doubt(verdict.Unknown, "the caller has left", err), true
 	}
-	s.d.Attempted("Answered")
+	s.attempted("Answered")
 	return Served, nil, true
 }
 
 func (s *session) broken(server *fleet.Server, err error) (Outcome, *verdict.Error, bool) {
 	s.avoid[server.ID] = true
-	s.d.Attempted("BrokenOff")
+	s.attempted("BrokenOff")
 	s.d.chooser.failed(time.Now(), server.ID, false)
 	go s.d.checkCrash(server, s.r.Content, s.begun)
 	return 0, verdict.Doubt(verdict.StreamBroken, "the stream broke off", err), false
 }
-
-// log writes the one line that tells how a request ended.
-func (s *session) log(o Outcome, e *verdict.Error) {
-	line := s.d.Logger.Info()
-	if o == Served {
-		line = s.d.Logger.Debug()
-	}
-	line = line.Str("Event", "RequestEnded").Str("Request", string(s.r.ID)).Stringer("Outcome", o).
-		Str("Route", string(s.r.Route.Name)).Str("Service", string(s.r.Service)).Str("Model", string(s.r.Model)).
-		Str("Adapter", string(s.r.Adapter)).Str("Server", string(s.server)).Int("Sends", s.sends).Int("Runs", s.runs).
-		Int64("WaitedMs", s.waited.Milliseconds()).Int64("FirstMs", s.firstAfter().Milliseconds()).Int64("GapMs", s.gap.Milliseconds()).Int64("TookMs", time.Since(s.r.Arrived).Milliseconds()).
-		Int64("LastEvent", int64(s.last))
-	if e != nil {
-		line = line.Stringer("Verdict", e.Verdict).Stringer("Reason", e.Reason).Int64("RetryAfterMs", e.RetryAfter.Milliseconds()).Err(e.Cause)
-		line.Msg(e.Message)
-		return
-	}
-	line.Msg("the caller has its answer")
-}
--- a/dispatch/session_test.go
+++ b/dispatch/session_test.go
@@ -291,6 +291,26 @@
 	}
 }
 
+func TestSilentServerIsNotLeftWithoutABudget(t *testing.T) {
+	slow := func(ctx context.Context) (*Answer, error) {
+		select {
+		case <-ctx.Done():
+			return nil, verdict.Doubt(verdict.BackendFailed, "cut", ctx.Err())
+		case <-time.After(time.Second):
+			return stream(io.EOF, 1)(ctx)
+		}
+	}
+	b := &fakeBackend{answers: []func(context.Context) (*Answer, error){slow}}
+	c := &fakeCaller{}
+	synctest.Test(t, func(t *testing.T) {
+		d := testDispatcher(b)
+		d.Budget = func(w *retries.Window) { w.Length = time.Second }
+		if got, want := d.Serve(t.Context(), streamRequest(), c), Served; got != want || len(b.sent) != 1 {
+			t.Errorf("got %v after %d sendings, want %v after 1", got, len(b.sent), want)
+		}
+	})
+}
+
 func TestWaitsForModel(t *testing.T) {
 	b := &fakeBackend{answers: []func(context.Context) (*Answer, error){stream(io.EOF, 1)}}
 	c := &fakeCaller{}
