--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"github.com/parsleylug/parsleylug/fleet"
 	"github.com/parsleylug/parsleylug/verdict"
 )
@@ -19,27 +17,23 @@
 	age      time.Duration
 }
 
-func (s *session) line(event string) *zerolog.Event {
-	return s.d.Logger.Info().Str("Event", event).Str("Request", string(s.r.ID))
-}
-
 // logAttempt tells what became of one sending, and why it went there.
 func (s *session) logAttempt(server *fleet.Server, c choice, sent time.Time, result string) {
-	s.line("Attempt").Str("Server", string(server.ID)).Str("Zone", string(server.Zone)).Str("Result", result).
+	s.d.Logger.Info().Str("Event", "Attempt").Str("Request", string(s.r.ID)).Str("Server", string(server.ID)).Str("Zone", string(server.Zone)).Str("Result", result).
 		Int("Number", s.sends).Int("Candidates", c.candidates).Int("InFlight", c.inFlight).Float64("Others", c.others).
 		Int64("OthersAgeMs", c.age.Milliseconds()).Int64("TookMs", time.Since(sent).Milliseconds()).Msg("")
 }
 
 // logWaiting tells that the request waits, and for how long it expects to.
 func (s *session) logWaiting(view *View, expected time.Duration, limit time.Time) {
-	s.line("Waiting").Str("Model", string(s.r.Model)).Str("Adapter", string(s.r.Adapter)).Int("Servers", len(view.Servers[s.r.Service])).
+	s.d.Logger.Info().Str("Event", "Waiting").Str("Request", string(s.r.ID)).Str("Model", string(s.r.Model)).Str("Adapter", string(s.r.Adapter)).Int("Servers", len(view.Servers[s.r.Service])).
 		Int64("ExpectedMs", expected.Milliseconds()).Int64("AtMostMs", time.Until(limit).Milliseconds()).
 		Int64("Version", int64(view.Config.Version)).Msg("no server holds what the request needs")
 }
 
 // log tells how the request ended.
 func (s *session) log(o Outcome, e *verdict.Error) {
-	line := s.line("RequestEnded").Stringer("Outcome", o).
+	line := s.d.Logger.Info().Str("Event", "RequestEnded").Str("Request", string(s.r.ID)).Stringer("Outcome", o).
 		Str("Route", string(s.r.Route.Name)).Str("Service", string(s.r.Service)).Str("Model", string(s.r.Model)).
 		Str("Adapter", string(s.r.Adapter)).Str("Server", string(s.server)).Int("Sends", s.sends).Int("Runs", s.runs).
 		Int64("WaitedMs", s.waited.Milliseconds()).Int64("FirstMs", s.firstAfter().Milliseconds()).
