--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -21,7 +21,7 @@
 func (s *session) logAttempt(server *fleet.Server, c choice, sent time.Time, result string) {
 	s.d.Logger.Info().Str("Event", "Attempt").Str("Request", string(s.r.ID)).Str("Server", string(server.ID)).Str("Zone", string(server.Zone)).Str("Result", result).
 		Int("Number", s.sends).Int("Candidates", c.candidates).Int("InFlight", c.inFlight).Float64("Others", c.others).
-		Int64("OthersAgeMs", c.age.Milliseconds()).Int64("TookMs", time.Since(sent).Milliseconds()).Msg("")
+		Int64("OthersAgeMs", c.age.Milliseconds()).Int64("TookMs", time.Since(sent).Milliseconds()).Msg("a sending has ended")
 }
 
 // logWaiting tells that the request waits, and for how long it expects to.
@@ -39,10 +39,11 @@
 		Int64("WaitedMs", s.waited.Milliseconds()).Int64("FirstMs", s.firstAfter().Milliseconds()).
 		Int64("GoalMs", s.r.Route.Goal.Milliseconds()).Int64("GapMs", s.gap.Milliseconds()).
 		Int64("TookMs", time.Since(s.r.Arrived).Milliseconds()).Int64("LastEvent", int64(s.last))
-	if e == nil {
-		line.Msg("the caller has its answer")
-		return
+	message := "the caller has its answer"
+	if e != nil {
+		message = e.Message
+		line = line.Stringer("Verdict", e.Verdict).Stringer("Reason", e.Reason).Int64("RetryAfterMs", e.RetryAfter.Milliseconds()).
+			AnErr("Cause", e.Cause)
 	}
-	line.Stringer("Verdict", e.Verdict).Stringer("Reason", e.Reason).Int64("RetryAfterMs", e.RetryAfter.Milliseconds()).
-		AnErr("Cause", e.Cause).Msg(e.Message)
+	line.Msg(message)
 }
