--- a/commands/front.go
+++ b/commands/front.go
@@ -38,7 +38,7 @@
 	headerBytes = 64 << 10
 	// membershipShare of the time between two holders' orders is the time-to-live of
 	// a silent member.
-	membershipShare = 0.6
+	membershipShare = 0.83
 	// settleTime is how long a new owner waits before its first order.
 	settleTime = 600 * time.Millisecond
 	// leaveNotice is how long a stopping node still takes connections, so that the
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -142,6 +142,13 @@
 	d.budget(s).Request(time.Now())
 }
 
+// mayHedge tells whether a request may leave a server that may still answer.
+func (d *Dispatcher) mayHedge(s domain.ServiceName) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.budget(s).SpendHedge(time.Now())
+}
+
 func (d *Dispatcher) mayRepeat(s domain.ServiceName) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -201,7 +201,7 @@
 	}
 	cut := func() {
 		// Without a repeat to follow, a late answer is better than none.
-		if s.d.mayRepeat(s.r.Service) {
+		if s.d.mayHedge(s.r.Service) {
 			s.prepaid.Store(true)
 			cancel()
 		}
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -13,6 +13,10 @@
 const (
 	// planInterval is how often the owner looks for orders to give.
 	planInterval = 30 * time.Millisecond
+	// leastPlanGap is the least time between two plans, planShare what each linked
+	// node adds to it.
+	leastPlanGap = 4 * time.Millisecond
+	planShare    = 300 * time.Microsecond
 	// idleInterval is how often a node looks whether it has become the owner.
 	idleInterval = 200 * time.Millisecond
 	// updateShare is how much each linked node adds to the time between two updates,
@@ -28,14 +32,14 @@
 
 // signature tells whether a server's holdings have changed.
 type signature struct {
-	born                     int64
-	sequence                 uint64
-	busy                     bool
-	models, adapters, atHand int
+	born             int64
+	sequence         uint64
+	busy             bool
+	models, adapters int
 }
 
 func sign(h fleet.Holdings) signature {
-	s := signature{born: h.Born, sequence: h.Sequence, busy: h.Busy, models: len(h.Models), atHand: len(h.InMemory) + len(h.OnDisk)}
+	s := signature{born: h.Born, sequence: h.Sequence, busy: h.Busy, models: len(h.Models)}
 	for _, m := range h.Models {
 		s.adapters += len(m.Adapters)
 	}
@@ -83,6 +87,8 @@
 		if n.plan(ctx) {
 			interval = planInterval
 			urgent = n.Demand.Urgent()
+			// News gathers for a moment: many nodes report, and a plan covers them all.
+			pause(ctx, leastPlanGap+time.Duration(n.Hub.Nodes())*planShare)
 		}
 		t := time.NewTimer(interval)
 		select {
--- a/hub/message.go
+++ b/hub/message.go
@@ -35,9 +35,11 @@
 	Nodes int
 }
 
-// Server is what one server holds.
+// Server is what one server has loaded.
 type Server struct {
-	ID       domain.ServerID
+	ID domain.ServerID
+	// Holdings come without the checkpoints at hand: nodes know these from the
+	// registration, and they are most of the bytes.
 	Holdings fleet.Holdings
 }
 
@@ -69,13 +71,12 @@
 }
 
 type wireServer struct {
-	_                struct{} `cbor:",toarray"`
-	ID               string
-	Born             int64
-	Sequence         uint64
-	Busy             bool
-	Models           []wireHeld
-	InMemory, OnDisk []string
+	_        struct{} `cbor:",toarray"`
+	ID       string
+	Born     int64
+	Sequence uint64
+	Busy     bool
+	Models   []wireHeld
 }
 
 type wireHeld struct {
@@ -117,7 +118,7 @@
 	w := wireUpdate{Nodes: u.Nodes, Suspects: encodeSuspects(u.Suspects)}
 	for _, s := range u.Servers {
 		h := s.Holdings
-		ws := wireServer{ID: string(s.ID), Born: h.Born, Sequence: h.Sequence, Busy: h.Busy, InMemory: texts(h.InMemory), OnDisk: texts(h.OnDisk)}
+		ws := wireServer{ID: string(s.ID), Born: h.Born, Sequence: h.Sequence, Busy: h.Busy}
 		for _, m := range h.Models {
 			ws.Models = append(ws.Models, wireHeld{Model: string(m.Model), Adapters: texts(m.Adapters)})
 		}
@@ -134,10 +135,7 @@
 	}
 	u := Update{Nodes: w.Nodes}
 	for _, s := range w.Servers {
-		h := fleet.Holdings{
-			Born: s.Born, Sequence: s.Sequence, Busy: s.Busy,
-			InMemory: names[domain.ModelName](s.InMemory), OnDisk: names[domain.ModelName](s.OnDisk),
-		}
+		h := fleet.Holdings{Born: s.Born, Sequence: s.Sequence, Busy: s.Busy}
 		for _, m := range s.Models {
 			h.Models = append(h.Models, fleet.Held{Model: domain.ModelName(m.Model), Adapters: names[domain.AdapterName](m.Adapters)})
 		}
--- a/retries/window.go
+++ b/retries/window.go
@@ -6,6 +6,9 @@
 // one part at most.
 const windowParts = 10
 
+// hedgeShare is the part of the budget that hedges may use.
+const hedgeShare = 0.5
+
 // Window bounds what one node sends beyond the first attempts, over a sliding
 // window of time. The zero Window allows nothing. It is not safe for concurrent
 // use.
@@ -38,7 +41,13 @@
 func (w *Window) Request(now time.Time) { w.part(now).requests++ }
 
 // Spend counts a further attempt where the budget has room for it.
-func (w *Window) Spend(now time.Time) bool {
+func (w *Window) Spend(now time.Time) bool { return w.spend(now, 1) }
+
+// SpendHedge counts a further attempt in place of one that may still be answered.
+// It leaves half of the budget to work that failed.
+func (w *Window) SpendHedge(now time.Time) bool { return w.spend(now, hedgeShare) }
+
+func (w *Window) spend(now time.Time, share float64) bool {
 	current := w.part(now)
 	requests, extra := 0, 0
 	for _, p := range w.parts {
@@ -47,7 +56,7 @@
 			extra += p.extra
 		}
 	}
-	if float64(extra+1) > w.Ratio*float64(requests)+w.Reserve {
+	if float64(extra+1) > share*(w.Ratio*float64(requests)+w.Reserve) {
 		return false
 	}
 	current.extra++
--- a/retries/window_test.go
+++ b/retries/window_test.go
@@ -28,6 +28,25 @@
 	}
 }
 
+func TestHedgesLeaveHalfOfTheBudget(t *testing.T) {
+	w := Window{Length: 10 * time.Second, Reserve: 8}
+	now := time.Unix(1_000_000, 0)
+	hedges, others := 0, 0
+	for range 20 {
+		if w.SpendHedge(now) {
+			hedges++
+		}
+	}
+	for range 20 {
+		if w.Spend(now) {
+			others++
+		}
+	}
+	if got, want := [2]int{hedges, others}, [2]int{4, 4}; got != want {
+		t.Errorf("hedges and others: got %v, want %v", got, want)
+	}
+}
+
 func TestZeroWindowAllowsNothing(t *testing.T) {
 	var w Window
 	if w.Spend(time.Unix(1_000_000, 0)) {
