Share the retry budget only among nodes that have been counted

Now a node takes a hundredth until it is told, an owner tells no count for its first four seconds, and counts only grow.

--- a/commands/front.go
+++ b/commands/front.go
@@ -54,6 +54,8 @@
 	// assumedNodes is the least number of nodes among which the budget is shared:
 	// some may not be known.
 	assumedNodes = 12
+	// unknownNodes is taken until the owner has told how many there are.
+	unknownNodes = 100
 )
 
 // FrontCommand runs one node on the users' platform.
@@ -134,7 +136,11 @@
 func (f *front) budget(w *retries.Window) {
 	w.Length = f.settings.RetryWindow
 	w.Ratio = f.settings.RetryRatio * budgetShare
-	w.Reserve = budgetShare * float64(f.settings.RetryReserve) / float64(max(f.node.Nodes(), assumedNodes))
+	nodes := f.node.Nodes()
+	if nodes == 0 {
+		nodes = unknownNodes
+	}
+	w.Reserve = budgetShare * float64(f.settings.RetryReserve) / float64(max(nodes, assumedNodes))
 }
 
 // hubAddress returns the address that a node's name begins with.
--- a/entry/link.go
+++ b/entry/link.go
@@ -138,7 +138,7 @@
 		overlay[s.ID] = s.Holdings
 	}
 	n.overlay = overlay
-	n.nodes = u.Nodes
+	n.nodes = max(n.nodes, u.Nodes)
 	if len(u.Suspects) > 0 && n.Learn != nil {
 		n.Learn(u.Suspects)
 	}
--- a/entry/node.go
+++ b/entry/node.go
@@ -87,7 +87,9 @@
 	lease   lease.Lease
 	// fence is the one under which this node is the owner; 0 while it is not.
 	fence domain.Fence
-	told  map[domain.ServerID]signature
+	// ownedSince is when the present term as owner began.
+	ownedSince time.Time
+	told       map[domain.ServerID]signature
 	// toldAt is when the nodes were last told.
 	toldAt  time.Time
 	crashes []suspects.Report
--- a/entry/node_test.go
+++ b/entry/node_test.go
@@ -299,3 +299,22 @@
 		}
 	})
 }
+
+// After a change of owner the links come back one by one: a count of the first few
+// would hand each node too large a share of the retry budget.
+func TestNodesAreCountedOnceTheyHaveLinked(t *testing.T) {
+	run(t, true, func(n *Node, _ *fakePlatform, _ *clock) {
+		time.Sleep(2 * time.Second)
+		if got, want := n.Nodes(), 0; got != want {
+			t.Errorf("nodes while they link: got %d, want %d for unknown", got, want)
+		}
+		time.Sleep(4 * time.Second)
+		if got, want := n.Nodes(), 1; got != want {
+			t.Errorf("nodes: got %d, want %d", got, want)
+		}
+		n.updated(hub.Update{Nodes: 5})
+		if got, want := n.Nodes(), 1; got != want {
+			t.Errorf("an owner took another's count: got %d, want %d", got, want)
+		}
+	})
+}
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -26,6 +26,8 @@
 	leaveTimeout = time.Second
 	// membershipParts is how many renewals fit into a time-to-live.
 	membershipParts = 4
+	// gatheringTime is how long the nodes may take to link to a new owner.
+	gatheringTime = 4 * time.Second
 	// nodeSelf counts the owner itself among the nodes.
 	nodeSelf = 1
 )
@@ -147,6 +149,7 @@
 		return
 	}
 	n.Logger.Info().Str("Event", "OwnershipBegun").Uint64("Fence", uint64(fence)).Msg("this node owns the model engines")
+	n.ownedSince = now
 	n.planner.Begin(now)
 	n.planner.Demanded(now, n.Name, n.Demand.All(now))
 }
@@ -194,8 +197,8 @@
 	if n.told == nil {
 		n.told = map[domain.ServerID]signature{}
 	}
-	u := hub.Update{Nodes: n.Hub.Nodes() + nodeSelf, Suspects: n.crashes}
-	n.nodes = u.Nodes
+	u := hub.Update{Nodes: n.countNodes(now), Suspects: n.crashes}
+	n.nodes = max(n.nodes, u.Nodes)
 	n.crashes = nil
 	for id, h := range held {
 		s := sign(h)
@@ -238,6 +241,15 @@
 	n.wake()
 }
 
+// countNodes is how many nodes there are, 0 while they may not all have linked
+// yet. The caller holds mu.
+func (n *Node) countNodes(now time.Time) int {
+	if n.fence == 0 || now.Sub(n.ownedSince) < gatheringTime {
+		return 0
+	}
+	return n.Hub.Nodes() + nodeSelf
+}
+
 // accepts tells whether other nodes may link to this one as the owner.
 func (n *Node) accepts() bool {
 	n.mu.Lock()
@@ -249,7 +261,7 @@
 func (n *Node) joined() hub.Update {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	u := hub.Update{Nodes: n.Hub.Nodes() + nodeSelf}
+	u := hub.Update{Nodes: n.countNodes(time.Now())}
 	for id, h := range n.planner.Snapshot() {
 		u.Servers = append(u.Servers, hub.Server{ID: id, Holdings: h})
 	}
