Keep the weight store's pace over its window, also across owners

TestLoadsFromTheStoreKeepThePace fails on the code before. Settings and fields that nothing read are gone.

--- a/commands/front.go
+++ b/commands/front.go
@@ -117,6 +117,7 @@
 		TimeToLive:   max(s.MinimumMembership, time.Duration(membershipShare*float64(s.Lease))),
 		Settle:       settleTime,
 		Fenced:       s.FencesChecked,
+		LoadWindow:   s.LoadWindow,
 	})
 	dispatcher := dispatch.New(dispatch.Options{
 		Zone: s.Zone, Regions: s.Regions,
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -96,10 +96,8 @@
 
 // Event is one event of a stream, with the bytes that carry it.
 type Event struct {
-	ID EventID
-	// Last marks the end of the stream.
-	Last bool
-	Raw  []byte
+	ID  EventID
+	Raw []byte
 }
 
 // Events reads a stream. Next returns io.EOF after a whole stream and another
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -54,13 +54,3 @@
 	same := *v.Get()
 	v.Publish(&same)
 }
-
-// Find returns the usable server with an id, or nil.
-func (v *View) Find(service domain.ServiceName, id domain.ServerID) *fleet.Server {
-	for _, s := range v.Servers[service] {
-		if s.ID == id {
-			return s
-		}
-	}
-	return nil
-}
--- a/entry/node.go
+++ b/entry/node.go
@@ -63,6 +63,8 @@
 	TimeToLive time.Duration
 	// Settle is how long a new owner waits before its first order.
 	Settle time.Duration
+	// LoadWindow is the span over which the weight store's pace holds.
+	LoadWindow time.Duration
 	// Fenced tells that the engines refuse orders with an old fence.
 	Fenced bool
 }
@@ -107,6 +109,7 @@
 func New(o Options) *Node {
 	n := &Node{Options: o, nudge: make(chan struct{}, 1), storeBack: make(chan struct{})}
 	n.lease.TimeToLive, n.lease.Settle, n.lease.Fenced = o.TimeToLive, o.Settle, o.Fenced
+	n.planner.LoadWindow = o.LoadWindow
 	n.Hub.Reported = n.reported
 	n.Hub.Joined = n.joined
 	n.Hub.Accepts = n.accepts
--- a/placement/pace.go
+++ b/placement/pace.go
@@ -12,6 +12,12 @@
 	// firstConcurrency is how many loads from the weight store run at once before
 	// any was measured.
 	firstConcurrency = 4
+	// ownShare is the part of the weight store's pace that an owner uses, firstShare
+	// that in its first window, when loads of its predecessor may still count.
+	ownShare   = 0.9
+	firstShare = 0.15
+	// defaultWindow is taken where no window is set.
+	defaultWindow = 5 * time.Second
 	// slowLoad is the ratio of measured to stated time above which the weight store
 	// is taken to be shared by too many loads.
 	slowLoad = 1.25
@@ -27,15 +33,22 @@
 	began  time.Time
 }
 
-// storePace bounds the loads from the weight store that run at once. Beyond a
-// number that the platform does not tell, each load takes longer in proportion,
-// so that more at once serve nobody sooner. The zero storePace is ready for use.
+// storePace bounds the loads from the weight store: how many run at once, since
+// beyond a number that the platform does not tell each takes longer in proportion,
+// and how many begin within a window. The zero storePace is ready for use.
 type storePace struct {
 	running []storeLoad
 	limit   int
+	// starts are when the loads of the last window began.
+	starts []time.Time
+	// termBegan is when this node became owner: what its predecessor began is not
+	// known.
+	termBegan time.Time
 }
 
-func (s *storePace) reset() { s.running = nil }
+func (s *storePace) reset(now time.Time) {
+	s.running, s.starts, s.termBegan = nil, nil, now
+}
 
 func (s *storePace) allowed() int {
 	if s.limit == 0 {
@@ -44,11 +57,22 @@
 	return s.limit
 }
 
-// room tells whether a load may begin. A load for callers may go beyond the
-// limit by one, so that it need not wait for loads ahead of callers.
-func (s *storePace) room() bool { return len(s.running) < s.allowed() }
+// room tells whether a load may begin at now, where the weight store allows rate
+// loads a second over a window.
+func (s *storePace) room(now time.Time, rate float64, window time.Duration) bool {
+	if len(s.running) >= s.allowed() {
+		return false
+	}
+	share := ownShare
+	if now.Sub(s.termBegan) < window {
+		share = firstShare
+	}
+	s.starts = slices.DeleteFunc(s.starts, func(t time.Time) bool { return now.Sub(t) > window })
+	return len(s.starts) < max(1, int(share*rate*window.Seconds()))
+}
 
 func (s *storePace) started(now time.Time, o domain.ServerID, m domain.ModelName) {
+	s.starts = append(s.starts, now)
 	s.running = append(s.running, storeLoad{server: o, model: m, began: now})
 }
 
--- a/placement/place.go
+++ b/placement/place.go
@@ -91,7 +91,7 @@
 			continue
 		}
 		t := a.tier(m.Name)
-		if t == Store && !p.store.room() {
+		if t == Store && !p.room(now, e) {
 			continue
 		}
 		k := Key{Service: a.server.Service, Model: m.Name}
@@ -115,7 +115,7 @@
 			continue
 		}
 		t := a.tier(m.Name)
-		if t == Store && !p.store.room() || n.ahead && !p.roomAhead() {
+		if t == Store && !p.room(now, e) || n.ahead && !p.roomAhead(now, e) {
 			continue
 		}
 		victims, cost, ok := p.victims(now, a, e, m.Memory-a.free(e), n)
@@ -216,18 +216,24 @@
 
 func (p *Planner) loaded(k Key) int { return p.replicas[k] }
 
+// room tells whether a load from the weight store may begin.
+func (p *Planner) room(now time.Time, e *fleet.Engine) bool {
+	window := p.LoadWindow
+	if window <= 0 {
+		window = defaultWindow
+	}
+	return p.store.room(now, e.LoadsPerSecond, window)
+}
+
 // roomAhead tells whether a load ahead of callers may begin.
-func (p *Planner) roomAhead() bool {
-	return p.store.room() && len(p.store.running) < len(p.accounts)/aheadServers
+func (p *Planner) roomAhead(now time.Time, e *fleet.Engine) bool {
+	return p.room(now, e) && len(p.store.running) < len(p.accounts)/aheadServers
 }
 
 // ahead lists models that no server has a checkpoint of, to be loaded while the
 // weight store has nothing else to do: their first callers then wait for a disk
 // at most.
-func (p *Planner) ahead(copies map[Key]int) []need {
-	if !p.roomAhead() {
-		return nil
-	}
+func (p *Planner) ahead(now time.Time, copies map[Key]int) []need {
 	at := map[Key]bool{}
 	for _, a := range p.accounts {
 		for _, names := range [][]domain.ModelName{a.holdings.InMemory, a.holdings.OnDisk} {
@@ -238,7 +244,7 @@
 	}
 	var list []need
 	for name, s := range p.config.Services {
-		if s.Engine == nil {
+		if s.Engine == nil || !p.roomAhead(now, s.Engine) {
 			continue
 		}
 		for _, m := range s.Engine.Models {
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -18,6 +18,10 @@
 // Planner keeps the accounts of the shard's model engines. The zero Planner is
 // ready for use. It is not safe for concurrent use.
 type Planner struct {
+	// LoadWindow is the span over which the weight store's pace holds; five seconds
+	// where it is zero.
+	LoadWindow time.Duration
+
 	config   *fleet.Configuration
 	accounts map[domain.ServerID]*account
 	demands  demands
@@ -36,7 +40,7 @@
 		a.known, a.pending, a.work = false, nil, nil
 		a.ask = now
 	}
-	p.store.reset()
+	p.store.reset(now)
 }
 
 // End ends a term as owner: what the nodes need is told to the next one.
@@ -267,7 +271,7 @@
 			a.since.Compare(b.since),
 			cmp.Compare(a.key.Model, b.key.Model), cmp.Compare(a.key.Adapter, b.key.Adapter))
 	})
-	return append(list, p.ahead(copies)...)
+	return append(list, p.ahead(now, copies)...)
 }
 
 func boolCompare(a, b bool) int {
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -33,7 +33,7 @@
 // engine has the checkpoints of all but the last ten on its disk.
 func newWorld(t *testing.T, n int) *world {
 	t.Helper()
-	e := &fleet.Engine{Slots: 64, Memory: 200 * gigabyte, AdapterPlaces: 2, Models: map[domain.ModelName]fleet.Model{}}
+	e := &fleet.Engine{Slots: 64, Memory: 200 * gigabyte, AdapterPlaces: 2, LoadsPerSecond: 4.5, Models: map[domain.ModelName]fleet.Model{}}
 	var disk []domain.ModelName
 	for i := range 100 {
 		name := domain.ModelName(fmt.Sprintf("m%d", i))
@@ -242,6 +242,36 @@
 	}
 }
 
+// A weight store that loads in no time but allows one load a second.
+func TestLoadsFromTheStoreKeepThePace(t *testing.T) {
+	var s storePace
+	const window = 5 * time.Second
+	began := []time.Time{}
+	s.reset(start)
+	for now := start; now.Sub(start) < time.Minute; now = now.Add(50 * time.Millisecond) {
+		if s.room(now, 1, window) {
+			o := Order{Operation: Load, tier: Store}
+			s.started(now, o.Server.ID, o.Model)
+			s.cancelled(o)
+			began = append(began, now)
+		}
+	}
+	for i := range began {
+		n := 0
+		for _, b := range began[i:] {
+			if b.Sub(began[i]) <= window {
+				n++
+			}
+		}
+		if limit := 5; n > limit {
+			t.Fatalf("%d loads within %v, want %d at most", n, window, limit)
+		}
+	}
+	if got, want := len(began), 45; got < want {
+		t.Errorf("loads in a minute: got %d, want %d at least", got, want)
+	}
+}
+
 func TestOrderWithoutAnswerStaysInDoubt(t *testing.T) {
 	w := newWorld(t, 1)
 	w.answered = func(Order) Outcome { return Unknown }
