Read the store only for what the owner saw change there

Change: the owner tells linked nodes up to where it saw changes; others read only then, every 8 s, or when the owner has been silent for 1.6 intervals. Calls that wait for a configuration wait 20 s and end early where the owner has read a newer one. First reads that find nothing pause longer each time. What the owner said of servers stands after its link is lost until the next read.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -12,21 +12,25 @@
 	// configurationWait is how long one call waits for a new configuration. A call
 	// whose answer is lost is noticed after that and the store's timeout.
 	configurationWait = 2200 * time.Millisecond
+	// informedWait is the same while the owner tells of each change.
+	informedWait = 20 * time.Second
 	// firstPause and longestPause bound the wait after a failed call.
 	firstPause   = 100 * time.Millisecond
 	longestPause = 800 * time.Millisecond
-	// startInterval is how often the store is asked before the first answer that
-	// can be used.
-	startInterval = 150 * time.Millisecond
+	// startInterval is the pause before the store is asked again where its first
+	// answers cannot be used; it grows to longestStartInterval.
+	startInterval        = 150 * time.Millisecond
+	longestStartInterval = time.Second
 )
 
 // followConfiguration keeps the newest configuration in force.
 func (n *Node) followConfiguration(ctx context.Context) {
 	var cursor domain.Offset
-	wait := firstPause
+	wait, start := firstPause, startInterval
 	for ctx.Err() == nil {
 		call, cancel := n.untilBack(ctx)
-		c, next, err := n.Feed.Configuration(call, cursor, configurationWait)
+		go n.watchNews(call, cancel, cursor)
+		c, next, err := n.Feed.Configuration(call, cursor, n.configurationWaits())
 		again := call.Err() != nil
 		cancel()
 		if again {
@@ -43,9 +47,10 @@
 		wait = firstPause
 		cursor = next
 		if c != nil {
-			n.configure(c)
+			n.configure(c, next)
 		} else if !n.configured() {
-			pause(ctx, startInterval)
+			pause(ctx, start)
+			start = longer(start)
 		}
 	}
 }
@@ -56,39 +61,80 @@
 	return n.config != nil
 }
 
-func (n *Node) configure(c *fleet.Configuration) {
+// configure puts a configuration in force that was read up to an offset.
+func (n *Node) configure(c *fleet.Configuration, end domain.Offset) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.config != nil && c.Version <= n.config.Version {
 		return
 	}
 	n.config = c
+	n.configurationEnd = end
+	n.spread()
 	n.planner.Configure(c)
 	n.publish(time.Now())
 	n.Logger.Info().Str("Event", "ConfigurationInForce").Int64("Version", int64(c.Version)).Int("Routes", len(c.Routes)).
 		Int("Services", len(c.Services)).Msg("a configuration is in force")
 }
 
-// followServers keeps the directory of backend servers.
+// followServers keeps the directory of backend servers. While the owner tells of
+// changes, the store is read only for these.
 func (n *Node) followServers(ctx context.Context) {
 	var cursor domain.Offset
+	var last time.Time
+	start := startInterval
 	for ctx.Err() == nil {
-		changes, whole, next, err := n.Feed.Servers(ctx, cursor)
-		if ctx.Err() != nil {
-			return
-		}
+		changed := n.newsChanged()
 		interval := n.ServersEvery
-		if err == nil {
-			cursor = next
-		}
-		n.learn(changes, whole, next, err)
-		if err == nil && !n.hasServers() {
-			interval = startInterval
+		if n.unread(time.Now(), cursor, last) {
+			changes, whole, next, err := n.Feed.Servers(ctx, cursor)
+			if ctx.Err() != nil {
+				return
+			}
+			if err == nil {
+				cursor, last = next, time.Now()
+			}
+			n.learn(changes, whole, next, err)
+			if err == nil && !n.hasServers() {
+				interval = start
+				start = longer(start)
+			}
+		} else {
+			n.review()
 		}
-		n.pauseUntilBack(ctx, interval)
+		n.awaitNews(ctx, interval, changed)
 	}
 }
 
+// awaitNews waits, but no longer than until the owner tells of a change or the
+// store answers again.
+func (n *Node) awaitNews(ctx context.Context, d time.Duration, changed <-chan struct{}) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-n.back():
+	case <-changed:
+	case <-t.C:
+	}
+}
+
+// review publishes what changes with time alone: a server whose registration went
+// is usable no longer after a while.
+func (n *Node) review() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	if n.directory.Settled(now) {
+		return
+	}
+	n.planner.Servers(now, n.directory.Usable(now))
+	n.publish(now)
+}
+
+// longer is the next pause of a node that has nothing yet.
+func longer(d time.Duration) time.Duration { return min(d*3/2, longestStartInterval) }
+
 func (n *Node) hasServers() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -112,6 +158,13 @@
 	} else {
 		changed = n.directory.Apply(now, changes)
 	}
+	if len(changed) > 0 {
+		n.registrationsEnd = end
+	}
+	n.spread()
+	if n.overlayLost && n.fence == 0 {
+		n.overlay, n.overlayLost = nil, false
+	}
 	usable := n.directory.Usable(now)
 	n.listed = n.listed || len(usable) > 0
 	n.planner.Servers(now, usable)
--- a/entry/link.go
+++ b/entry/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/pkg/errors"
@@ -51,14 +52,15 @@
 	return n.lease.Held(n.Uptime.Now())
 }
 
-func (n *Node) dropOverlay() {
+// unlinked notes that the owner says nothing more. What it said of the servers
+// stands until the registrations are read.
+func (n *Node) unlinked() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.fence != 0 {
-		return
-	}
-	n.overlay = nil
-	n.publish(time.Now())
+	n.news.at = time.Time{}
+	n.overlayLost = true
+	close(n.news.changed)
+	n.news.changed = make(chan struct{})
 }
 
 // link looks the owner up and works with it until the link breaks. It tells
@@ -77,7 +79,7 @@
 		return false, err
 	}
 	defer l.Close()
-	defer n.dropOverlay()
+	defer n.unlinked()
 	n.Logger.Info().Str("Event", "OwnerLinked").Str("Owner", string(owner)).Msg("linked to the owner")
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -130,10 +132,16 @@
 	if n.fence != 0 {
 		return
 	}
+	now := time.Now()
+	n.heard(now, u.News)
+	if len(u.Servers) == 0 && len(u.Suspects) == 0 && u.Nodes <= n.nodes {
+		return
+	}
 	overlay := make(map[domain.ServerID]fleet.Holdings, len(n.overlay)+len(u.Servers))
-	for id, h := range n.overlay {
-		overlay[id] = h
+	if !n.overlayLost {
+		maps.Copy(overlay, n.overlay)
 	}
+	n.overlayLost = false
 	for _, s := range u.Servers {
 		overlay[s.ID] = s.Holdings
 	}
@@ -142,5 +150,5 @@
 	if len(u.Suspects) > 0 && n.Learn != nil {
 		n.Learn(u.Suspects)
 	}
-	n.publish(time.Now())
+	n.publish(now)
 }
--- /dev/null
+++ b/entry/news.go
@@ -0,0 +1,113 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/hub"
+)
+
+const (
+	// newsLife is how many intervals between the owner's reads may pass before its
+	// word on the store counts as old.
+	newsLife = 1.6
+	// newsGrace is how long a call that waits at the store may take to return what
+	// the owner has read already.
+	newsGrace = 250 * time.Millisecond
+	// newsLook is how often a node that waits at the store looks at the news.
+	newsLook = 500 * time.Millisecond
+	// longestUnread is after how long the registrations are read though the owner
+	// saw no change: the store keeps its history only for a while.
+	longestUnread = 8 * time.Second
+)
+
+// news is what the owner says of the store, so that the other nodes read there
+// only what has changed.
+type news struct {
+	// at is when it was said; zero where it never was.
+	at time.Time
+	// hub.News holds the offsets up to which the owner saw changes.
+	hub.News
+	// changed is closed when an offset rises.
+	changed chan struct{}
+}
+
+// heard takes in the owner's word. The caller holds mu.
+func (n *Node) heard(now time.Time, w hub.News) {
+	if w == (hub.News{}) {
+		return
+	}
+	n.news.at = now
+	if w == n.news.News {
+		return
+	}
+	n.news.News = w
+	close(n.news.changed)
+	n.news.changed = make(chan struct{})
+}
+
+// informed tells whether the owner's word on the store is fresh. The caller holds
+// mu.
+func (n *Node) informed(now time.Time) bool {
+	return !n.news.at.IsZero() && float64(now.Sub(n.news.at)) < newsLife*float64(n.ServersEvery)
+}
+
+// unread tells whether the registrations should be read, when they were last read
+// up to an offset at a time.
+func (n *Node) unread(now time.Time, cursor domain.Offset, last time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.fence != 0 || !n.informed(now) || !n.listed || cursor < n.news.Registrations || now.Sub(last) >= longestUnread
+}
+
+// configurationWaits is how long a call may wait for a configuration.
+func (n *Node) configurationWaits() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.informed(time.Now()) && n.config != nil {
+		return informedWait
+	}
+	return configurationWait
+}
+
+// newsChanged returns a channel that is closed when the owner has seen a change.
+func (n *Node) newsChanged() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.news.changed
+}
+
+// watchNews ends a call for a configuration after cursor that may have lost its
+// answer: the owner has read a newer one, or no longer says anything.
+func (n *Node) watchNews(ctx context.Context, cancel context.CancelFunc, cursor domain.Offset) {
+	began := time.Now()
+	for pause(ctx, newsLook) {
+		n.mu.Lock()
+		now := time.Now()
+		missed := n.news.Configuration > cursor && now.Sub(n.news.at) >= newsGrace
+		forsaken := !n.informed(now) && now.Sub(began) > configurationWait
+		n.mu.Unlock()
+		if missed || forsaken {
+			cancel()
+			return
+		}
+	}
+}
+
+// newsOfStore is what this node, as the owner, says of the store. The caller
+// holds mu.
+func (n *Node) newsOfStore() hub.News {
+	return hub.News{Configuration: n.configurationEnd, Registrations: n.registrationsEnd}
+}
+
+// spread tells the other nodes what this node read in the store, if it is the
+// owner. The caller holds mu.
+func (n *Node) spread() {
+	if n.fence == 0 {
+		return
+	}
+	if err := n.Hub.Broadcast(hub.Update{News: n.newsOfStore()}); err != nil {
+		n.Logger.Error().Str("Event", "NewsFailed").Err(err).Msg("news of the store cannot be encoded")
+	}
+}
--- a/entry/node.go
+++ b/entry/node.go
@@ -84,9 +84,15 @@
 	listed    bool
 	leaving   bool
 	// overlay is what the owner says of the servers, newer than registrations.
-	overlay map[domain.ServerID]fleet.Holdings
-	planner placement.Planner
-	lease   lease.Lease
+	// After the link is lost it stands until the registrations are read again.
+	overlay     map[domain.ServerID]fleet.Holdings
+	overlayLost bool
+	news        news
+	// configurationEnd and registrationsEnd are up to where this node read the store
+	// when it last saw a change there.
+	configurationEnd, registrationsEnd domain.Offset
+	planner                            placement.Planner
+	lease                              lease.Lease
 	// fence is the one under which this node is the owner; 0 while it is not.
 	fence domain.Fence
 	// ownedSince is when the present term as owner began.
@@ -108,6 +114,7 @@
 // New returns a node that does nothing until Run.
 func New(o Options) *Node {
 	n := &Node{Options: o, nudge: make(chan struct{}, 1), storeBack: make(chan struct{})}
+	n.news.changed = make(chan struct{})
 	n.lease.TimeToLive, n.lease.Settle, n.lease.Fenced = o.TimeToLive, o.Settle, o.Fenced
 	n.planner.LoadWindow = o.LoadWindow
 	n.Hub.Reported = n.reported
--- a/entry/node_test.go
+++ b/entry/node_test.go
@@ -30,6 +30,16 @@
 	fences       []domain.Fence
 	held         fleet.Holdings
 	left         bool
+	// serverReads and configurationReads count calls that reached the store.
+	serverReads, configurationReads int
+	// draining and drained are the state of the engine's registration and the offset
+	// at which it changed.
+	draining bool
+	// gone drops the registration instead.
+	gone    bool
+	drained domain.Offset
+	// lostWaits makes calls that wait for a configuration wait in vain.
+	lostWaits bool
 }
 
 var errDown = errors.New("the store is down")
@@ -57,9 +67,13 @@
 	if err := p.reach(ctx); err != nil {
 		return nil, after, err
 	}
+	p.set(func() { p.configurationReads++ })
 	for end := time.Now().Add(wait); ; {
 		p.mu.Lock()
 		version := p.version
+		if p.lostWaits {
+			end = time.Now().Add(wait)
+		}
 		p.mu.Unlock()
 		if domain.Offset(version) > after {
 			return testConfiguration(version), domain.Offset(version), nil
@@ -81,6 +95,16 @@
 	if err := p.reach(ctx); err != nil {
 		return nil, false, after, err
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.serverReads++
+	if p.gone && after > 0 && after < p.drained {
+		return []fleet.Change{{ID: "i", Offset: p.drained}}, false, p.drained + 1, nil
+	}
+	if p.draining && after > 0 && after < p.drained {
+		s := &fleet.Server{ID: "i", Service: "s", Slots: 8, State: fleet.Draining, Holdings: fleet.Holdings{Born: 1}}
+		return []fleet.Change{{ID: "i", Offset: p.drained, Server: s}}, false, p.drained + 1, nil
+	}
 	if after > 0 {
 		return nil, false, after, nil
 	}
@@ -277,8 +301,8 @@
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	run(t, true, func(n *Node, p *fakePlatform, _ *clock) {
 		time.Sleep(time.Second)
-		n.configure(testConfiguration(7))
-		n.configure(testConfiguration(3))
+		n.configure(testConfiguration(7), 7)
+		n.configure(testConfiguration(3), 8)
 		if got, want := n.Views.Get().Config.Version, fleet.Version(7); got != want {
 			t.Errorf("version: got %d, want %d", got, want)
 		}
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -83,9 +83,11 @@
 	return changed
 }
 
+// differs tells whether a registration says more than an earlier one for those who
+// learn from the owner what the server has loaded.
 func differs(a, b *Server) bool {
 	return a.State != b.State || a.Address != b.Address || a.Service != b.Service ||
-		a.Holdings.Born != b.Holdings.Born || len(a.Holdings.Models) != len(b.Holdings.Models)
+		a.Holdings.Born != b.Holdings.Born || (a.ColdLeft > 0) != (b.ColdLeft > 0)
 }
 
 // Replace takes in a listing of every registration, read when the log ended at
@@ -129,6 +131,16 @@
 	return servers
 }
 
+// Settled tells that what is usable does not change with time alone.
+func (d *Directory) Settled(now time.Time) bool {
+	for _, e := range d.entries {
+		if !e.removed.IsZero() && now.Sub(later(e.removed, d.troubled)) < 2*returnTime {
+			return false
+		}
+	}
+	return true
+}
+
 // lapsed tells whether recent removals are explained by an outage of the store
 // rather than by servers that left.
 func (d *Directory) lapsed(now time.Time) bool {
--- a/hub/message.go
+++ b/hub/message.go
@@ -33,6 +33,15 @@
 	Suspects []suspects.Report
 	// Nodes is how many nodes the owner is linked to, itself included.
 	Nodes int
+	// News is what the owner saw in the platform's store; zero where it says nothing
+	// of it.
+	News News
+}
+
+// News tells up to where changes were seen in the platform's store. What comes
+// later there changes nothing for the nodes.
+type News struct {
+	Configuration, Registrations domain.Offset
 }
 
 // Server is what one server has loaded.
@@ -68,6 +77,12 @@
 	Servers  []wireServer
 	Suspects []wireSuspect
 	Nodes    int
+	News     wireNews
+}
+
+type wireNews struct {
+	_                            struct{} `cbor:",toarray"`
+	Configuration, Registrations uint64
 }
 
 type wireServer struct {
@@ -115,7 +130,8 @@
 }
 
 func encodeUpdate(u Update) ([]byte, error) {
-	w := wireUpdate{Nodes: u.Nodes, Suspects: encodeSuspects(u.Suspects)}
+	news := wireNews{Configuration: uint64(u.News.Configuration), Registrations: uint64(u.News.Registrations)}
+	w := wireUpdate{Nodes: u.Nodes, News: news, Suspects: encodeSuspects(u.Suspects)}
 	for _, s := range u.Servers {
 		h := s.Holdings
 		ws := wireServer{ID: string(s.ID), Born: h.Born, Sequence: h.Sequence, Busy: h.Busy}
@@ -134,6 +150,7 @@
 		return Update{}, errors.Wrap(err, "decode the owner's update")
 	}
 	u := Update{Nodes: w.Nodes}
+	u.News = News{Configuration: domain.Offset(w.News.Configuration), Registrations: domain.Offset(w.News.Registrations)}
 	for _, s := range w.Servers {
 		h := fleet.Holdings{Born: s.Born, Sequence: s.Sequence, Busy: s.Busy}
 		for _, m := range s.Models {
