Never wait for whoever reads the log, and tell refused callers different times

Cause: lines were written to standard output by whoever logged them: a reader that stands still would have stopped requests. And callers that were refused in one moment were all told the same Retry-After. Change: lines go through the queue of the logging library, which overwrites the oldest; what is left out is counted as before. A Retry-After is spread over 30%.

--- a/commands/front.go
+++ b/commands/front.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -12,7 +11,6 @@
 	"runtime/debug"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -81,7 +79,8 @@
 	if err != nil {
 		return &UsageError{Err: err}
 	}
-	out := newBoundedWriter(d.Out, c.LinesPerSecond)
+	out := newLogWriter(d.Out, c.LinesPerSecond)
+	defer out.close()
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	logger := zerolog.New(out).Level(level).With().Timestamp().Str("Node", s.Node).Logger()
 	return newFront(s, logger).run(path, net.JoinHostPort(s.IP, strconv.Itoa(c.MetricsPort)))
@@ -236,32 +235,3 @@
 	}
 	f.logger.Info().Str("Event", "Stopped").Int("Running", f.http.Dispatcher.Running()).AnErr("Cause", err).Msg("the node has stopped")
 }
-
-// boundedWriter passes on so many lines a second and counts the others.
-type boundedWriter struct {
-	out     io.Writer
-	limit   int
-	second  atomic.Int64
-	written atomic.Int64
-	dropped atomic.Int64
-}
-
-func newBoundedWriter(out io.Writer, limit int) *boundedWriter {
-	return &boundedWriter{out: out, limit: limit}
-}
-
-// Write implements io.Writer for one line.
-func (b *boundedWriter) Write(line []byte) (int, error) {
-	second := time.Now().Unix()
-	if b.second.Swap(second) != second {
-		b.written.Store(0)
-		if n := b.dropped.Swap(0); n > 0 {
-			_, _ = fmt.Fprintf(b.out, "{\"level\":\"warn\",\"Event\":\"LinesDropped\",\"Lines\":%d}\n", n)
-		}
-	}
-	if b.written.Add(1) > int64(b.limit) {
-		b.dropped.Add(1)
-		return len(line), nil
-	}
-	return b.out.Write(line)
-}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,6 +35,8 @@
 	// retryShare is the part of what is left that a caller may be told to wait; it
 	// keeps to less than a third.
 	retryShare = 0.3
+	// retrySpread is the part of a Retry-After over which callers are spread.
+	retrySpread = 0.3
 	// turnedAwayPause is the wait after every server has refused the request; it
 	// doubles each time up to longestTurnedAway.
 	turnedAwayPause   = 60 * time.Millisecond
@@ -197,7 +200,10 @@
 )
 
 // refusal is a verdict with a Retry-After that fits what the caller has left.
+// Callers that are refused together are told different times, so that they do not
+// come back together.
 func refusal(now time.Time, r *Request, reason verdict.Reason, message string, wait time.Duration) *verdict.Error {
 	left := time.Duration(retryShare * float64(r.Deadline.Sub(now)))
-	return verdict.Refuse(reason, message).After(max(min(wait, left), min(retryMinimum, left), 0))
+	longest := max(min(wait, left), min(retryMinimum, left), 0)
+	return verdict.Refuse(reason, message).After(longest - time.Duration(retrySpread*rand.Float64()*float64(longest)))
 }
