--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -32,6 +33,9 @@
 	delayMemory = 3 * time.Second
 	// delayShare is the weight of the newest answer's delay.
 	delayShare = 0.3
+	// spreadCost is the range of the random price by which nodes that know nothing of
+	// each other's requests spread over servers that look alike.
+	spreadCost = 8 * time.Millisecond
 	// silentDelay is taken for a server that did not answer at all.
 	silentDelay = 2 * time.Second
 	// lackMemory is how long a server counts as without what it did not have.
@@ -107,8 +111,8 @@
 		if c.breakers.Ejected(now, s.ID) {
 			rank++
 		}
-		cost := c.cost(now, p, s, prefix)
-		if best == nil || rank < bestRank || rank == bestRank && (cost < bestCost || cost == bestCost && s.ID < best.ID) {
+		cost := c.cost(now, p, s, prefix) + rand.N(spreadCost)
+		if best == nil || rank < bestRank || rank == bestRank && cost < bestCost {
 			best, bestCost, bestRank = s, cost, rank
 		}
 	}
