Do not prefer servers of which nothing is known, and count calls to the store

Cause: a server's own delay was added to its price for three seconds, so that servers that had just answered as usual looked worse than ones never used, in other regions too, at the price of new connections and bytes between regions. Change: an unknown server is taken to be as slow as the known ones on average.

--- a/commands/front.go
+++ b/commands/front.go
@@ -103,6 +103,7 @@
 	store := platform.NewStore(s.StoreAddress)
 	backend := platform.NewBackend(name)
 	f := &front{settings: s, logger: logger, metrics: entry.NewMetrics()}
+	store.Counters = f.metrics
 	f.node = entry.New(entry.Options{
 		Name:         domain.NodeID(name),
 		Feed:         &platform.Feed{Store: store, Logger: logger},
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -103,6 +103,7 @@
 	var best *fleet.Server
 	var bestCost time.Duration
 	bestRank := 0
+	usual := c.usualDelay(now, candidates)
 	for _, s := range candidates {
 		rank := 0
 		if avoid[s.ID] {
@@ -111,7 +112,7 @@
 		if c.breakers.Ejected(now, s.ID) {
 			rank++
 		}
-		cost := c.cost(now, p, s, prefix) + rand.N(spreadCost)
+		cost := c.cost(now, p, s, prefix, usual) + rand.N(spreadCost)
 		if best == nil || rank < bestRank || rank == bestRank && cost < bestCost {
 			best, bestCost, bestRank = s, cost, rank
 		}
@@ -136,7 +137,23 @@
 	l.prefixes[prefix] = now
 }
 
-func (c *chooser) cost(now time.Time, p place, s *fleet.Server, prefix string) time.Duration {
+// usualDelay is the mean time to an answer of those servers of which it is known
+// lately. The caller holds mu.
+func (c *chooser) usualDelay(now time.Time, candidates []*fleet.Server) time.Duration {
+	var sum time.Duration
+	known := 0
+	for _, s := range candidates {
+		if l := c.of(s.ID); l.delay != silentDelay && now.Sub(l.delayed) < delayMemory {
+			sum += l.delay
+			known++
+		}
+	}
+	return sum / time.Duration(max(1, known))
+}
+
+// cost is the price of a server. Usual is the delay that is taken for a server that
+// did not answer lately: not to know one is no reason to prefer it.
+func (c *chooser) cost(now time.Time, p place, s *fleet.Server, prefix string, usual time.Duration) time.Duration {
 	l := c.of(s.ID)
 	busy := float64(l.inFlight)
 	if now.Sub(l.reported) < reportMemory {
@@ -146,9 +163,8 @@
 	if s.ColdLeft > 0 {
 		cost += coldCost
 	}
-	if age := now.Sub(l.delayed); age < delayMemory {
-		cost += time.Duration(float64(l.delay) * (1 - float64(age)/float64(delayMemory)) / 2)
-	}
+	fresh := max(0, 1-float64(now.Sub(l.delayed))/float64(delayMemory))
+	cost += time.Duration(fresh*float64(l.delay)+(1-fresh)*float64(usual)) / 2
 	if _, ok := l.prefixes[prefix]; ok && prefix != "" {
 		cost -= prefixGain
 	}
--- a/dispatch/choose_test.go
+++ b/dispatch/choose_test.go
@@ -36,3 +36,23 @@
 		t.Errorf("servers used: got %d, want %d", got, want)
 	}
 }
+
+// A node knows that the server beside it answers as fast as usual, and nothing of
+// those in other regions: these are not better.
+func TestUnknownServersAreNotPreferred(t *testing.T) {
+	now := time.Now()
+	near := &fleet.Server{ID: "near", Service: "engines", Slots: 12, Zone: "z"}
+	list := []*fleet.Server{near}
+	for i := range 4 {
+		list = append(list, &fleet.Server{ID: domain.ServerID(fmt.Sprint("far", i)), Service: "engines", Slots: 12, Zone: "y"})
+	}
+	c := &chooser{}
+	c.answered(now, near.ID, 120*time.Millisecond, Load{})
+	for range 20 {
+		s, _ := c.choose(now.Add(time.Second), place{zone: "z", regions: map[domain.Zone]domain.Region{"z": "r", "y": "q"}}, list, "", nil)
+		c.done(s.ID)
+		if s != near {
+			t.Fatalf("got server %s in another region, want the one that is near", s.ID)
+		}
+	}
+}
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -223,6 +223,13 @@
 	s.d.Attempted(result)
 }
 
+// passOver notes a sending that brought no answer to pass on: other servers come
+// first from now on.
+func (s *session) passOver(server *fleet.Server, result string) {
+	s.avoid[server.ID] = true
+	s.attempted(result)
+}
+
 func discard(a *Answer) {
 	if a.Events != nil {
 		a.Events.Close()
@@ -234,9 +241,8 @@
 
 // unanswered deals with a sending that brought no answer.
 func (s *session) unanswered(ctx context.Context, server *fleet.Server, e *verdict.Error) (Outcome, *verdict.Error, bool) {
-	s.avoid[server.ID] = true
 	if e.Verdict == verdict.NotRun {
-		s.attempted("Unreached")
+		s.passOver(server, "Unreached")
 		if ctx.Err() == nil {
 			s.d.chooser.failed(time.Now(), server.ID, true)
 		}
@@ -244,7 +250,7 @@
 	}
 	s.ran = true
 	s.runs++
-	s.attempted("Unanswered")
+	s.passOver(server, "Unanswered")
 	s.d.chooser.silent(time.Now(), server.ID)
 	if ctx.Err() == nil {
 		go s.d.checkCrash(server, s.r.Content, s.begun)
@@ -254,8 +260,7 @@
 
 // turnedAway deals with a server that did not run the request.
 func (s *session) turnedAway(server *fleet.Server, a *Answer) (Outcome, *verdict.Error, bool) {
-	s.avoid[server.ID] = true
-	s.attempted(a.Refusal.String())
+	s.passOver(server, a.Refusal.String())
 	if a.Refusal == Full {
 		s.d.chooser.full(time.Now(), server)
 	}
@@ -269,8 +274,7 @@
 }
 
 func (s *session) spoilt(server *fleet.Server) (Outcome, *verdict.Error, bool) {
-	s.avoid[server.ID] = true
-	s.attempted("Spoilt")
+	s.passOver(server, "Spoilt")
 	s.d.chooser.failed(time.Now(), server.ID, false)
 	return 0, verdict.Doubt(verdict.BackendFailed, "the server's answer cannot be used", nil), false
 }
@@ -280,8 +284,7 @@
 	body, err := io.ReadAll(a.Body)
 	_ = a.Body.Close()
 	if err != nil {
-		s.avoid[server.ID] = true
-		s.attempted("CutShort")
+		s.passOver(server, "CutShort")
 		s.d.chooser.failed(time.Now(), server.ID, false)
 		return 0, verdict.Doubt(verdict.BackendFailed, "the server's answer is incomplete", err), false
 	}
@@ -302,8 +305,7 @@
 
 // failedThere keeps the server's own failure and lets another server try.
 func (s *session) failedThere(server *fleet.Server, a *Answer, body []byte) (Outcome, *verdict.Error, bool) {
-	s.avoid[server.ID] = true
-	s.attempted("FailedThere")
+	s.passOver(server, "FailedThere")
 	e := verdict.Doubt(verdict.BackendFailed, "the server failed the request", nil)
 	if s.begun {
 		return 0, e, false
@@ -385,8 +387,7 @@
 }
 
 func (s *session) broken(server *fleet.Server, err error) (Outcome, *verdict.Error, bool) {
-	s.avoid[server.ID] = true
-	s.attempted("BrokenOff")
+	s.passOver(server, "BrokenOff")
 	s.d.chooser.failed(time.Now(), server.ID, false)
 	go s.d.checkCrash(server, s.r.Content, s.begun)
 	return 0, verdict.Doubt(verdict.StreamBroken, "the stream broke off", err), false
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -46,3 +48,10 @@
 func (m *Metrics) Attempted(result string) {
 	m.scope.Tagged(map[string]string{"result": result}).Counter("attempts").Inc(1)
 }
+
+// StoreCalled implements platform.StoreCounters.
+func (m *Metrics) StoreCalled(path string, succeeded bool, answer int) {
+	s := m.scope.Tagged(map[string]string{"call": strings.TrimPrefix(path, "/-/"), "succeeded": strconv.FormatBool(succeeded)})
+	s.Counter("store_calls").Inc(1)
+	s.Counter("store_answer_bytes").Inc(int64(answer))
+}
--- /dev/null
+++ b/entry/metrics_test.go
@@ -0,0 +1,38 @@
+package entry
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/parsleylug/parsleylug/dispatch"
+	"github.com/parsleylug/parsleylug/fleet"
+)
+
+func TestMetricsAreServedAsText(t *testing.T) {
+	m := NewMetrics()
+	m.Ended(fleet.Streaming, dispatch.Served, 30*time.Millisecond)
+	m.Attempted("Answered")
+	m.StoreCalled("/-/log-read", true, 1200)
+	m.StoreCalled("/-/log-read", false, 0)
+	text := ""
+	for end := time.Now().Add(2 * metricsInterval); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		w := httptest.NewRecorder()
+		m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+		if text = w.Body.String(); strings.Contains(text, "} 1200") {
+			break
+		}
+	}
+	for _, want := range []string{
+		`parsleylug_requests{kind="Streaming",outcome="Served"} 1`,
+		`parsleylug_attempts{result="Answered"} 1`,
+		`parsleylug_store_calls{call="log-read",succeeded="true"} 1`,
+		`parsleylug_store_calls{call="log-read",succeeded="false"} 1`,
+		`parsleylug_store_answer_bytes{call="log-read",succeeded="true"} 1200`,
+	} {
+		if !strings.Contains(text, want) {
+			t.Errorf("got metrics without %s:\n%s", want, text)
+		}
+	}
+}
