--- a/commands/explain.go
+++ b/commands/explain.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -39,6 +40,12 @@
 	return s
 }
 
+// orders tells whether the line is about an order for a model itself or for an
+// adapter of it.
+func (l logLine) orders(model, adapter string) bool {
+	return model != "" && l.text("Event") == "Ordered" && l.text("Model") == model && (l.text("Adapter") == "" || l.text("Adapter") == adapter)
+}
+
 // Run prints the request's lines in order, with the orders for its model.
 func (c *ExplainCommand) Run(d *Deps) error {
 	lines, err := c.read(d)
@@ -49,13 +56,13 @@
 	if len(mine) == 0 {
 		return &UsageError{Err: errors.Errorf("no line of the logs is about request %s", c.Request)}
 	}
-	model := ""
+	model, adapter := "", ""
 	for _, l := range mine {
-		model = max(model, l.text("Model"))
+		model, adapter = max(model, l.text("Model")), max(adapter, l.text("Adapter"))
 	}
 	first, last := mine[0].at.Add(-beforeRequest), mine[len(mine)-1].at
 	for _, l := range lines {
-		order := model != "" && l.text("Event") == "Ordered" && l.text("Model") == model && !l.at.Before(first) && !l.at.After(last)
+		order := l.orders(model, adapter) && !l.at.Before(first) && !l.at.After(last)
 		if l.text("Request") != c.Request && !order {
 			continue
 		}
@@ -119,6 +126,9 @@
 		if value == "" {
 			continue
 		}
+		if number, ok := value.(float64); ok {
+			value = strconv.FormatFloat(number, 'f', -1, 64)
+		}
 		fields = append(fields, fmt.Sprintf("%s=%v", name, value))
 	}
 	slices.Sort(fields)
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -58,7 +58,7 @@
 	host        = "soak.example"
 	leavingPart = 0.06
 	// movingPart of the attempts is a caller's last at its node.
-	movingPart  = 0.03
+	movingPart  = 0.15
 	callerPause = 50 * time.Millisecond
 )
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -23,8 +23,8 @@
 
 // regressions are seeds that failed once.
 var regressions = []uint64{
-	// Callers never moved, so that none came back to a node that had restarted.
-	34, 52,
+	// Callers moved never, or too rarely, so that none came back to a node in time.
+	34, 52, 123,
 }
 
 func TestMain(m *testing.M) {
