--- a/entry/news_test.go
+++ b/entry/news_test.go
@@ -17,6 +17,17 @@
 	}
 }
 
+// runInformed calls f with a node that another node tells of the store.
+func runInformed(t *testing.T, f func(n *Node, p *fakePlatform)) {
+	t.Helper()
+	run(t, true, func(n *Node, p *fakePlatform, _ *clock) {
+		p.set(func() { p.shards = nil })
+		time.Sleep(3 * time.Second)
+		tellFor(n, hub.News{Configuration: 1, Registrations: 2, Read: true}, 4*time.Second)
+		f(n, p)
+	})
+}
+
 // counts returns how often a node has read registrations and configurations.
 func counts(p *fakePlatform) (servers, configurations int) {
 	p.mu.Lock()
