--- a/entry/news_test.go
+++ b/entry/news_test.go
@@ -36,10 +36,7 @@
 }
 
 func TestInformedNodeReadsOnlyWhatHasChanged(t *testing.T) {
-	run(t, true, func(n *Node, p *fakePlatform, _ *clock) {
-		p.set(func() { p.shards = nil })
-		time.Sleep(3 * time.Second)
-		tellFor(n, hub.News{Configuration: 1, Registrations: 2, Read: true}, 4*time.Second)
+	runInformed(t, func(n *Node, p *fakePlatform) {
 		servers, configurations := counts(p)
 		tellFor(n, hub.News{Configuration: 1, Registrations: 2, Read: true}, 30*time.Second)
 		s, c := counts(p)
@@ -53,10 +50,7 @@
 }
 
 func TestInformedNodeReadsAtOnceWhatHasChanged(t *testing.T) {
-	run(t, true, func(n *Node, p *fakePlatform, _ *clock) {
-		p.set(func() { p.shards = nil })
-		time.Sleep(3 * time.Second)
-		tellFor(n, hub.News{Configuration: 1, Registrations: 2, Read: true}, 4*time.Second)
+	runInformed(t, func(n *Node, p *fakePlatform) {
 		p.set(func() { p.draining, p.drained = true, 50 })
 		n.updated(hub.Update{News: hub.News{Configuration: 1, Registrations: 51, Read: true}})
 		time.Sleep(50 * time.Millisecond)
@@ -69,10 +63,7 @@
 // The owner is cut off or frozen without a word: its link stays, but it says
 // nothing more.
 func TestNodeReadsItselfWhenTheOwnerFallsSilent(t *testing.T) {
-	run(t, true, func(n *Node, p *fakePlatform, _ *clock) {
-		p.set(func() { p.shards = nil })
-		time.Sleep(3 * time.Second)
-		tellFor(n, hub.News{Configuration: 1, Registrations: 2, Read: true}, 4*time.Second)
+	runInformed(t, func(n *Node, p *fakePlatform) {
 		p.set(func() { p.draining, p.drained, p.version = true, 50, 2 })
 		time.Sleep(1400 * time.Millisecond)
 		if got, want := len(n.Views.Get().Servers["s"]), 0; got != want {
@@ -88,10 +79,7 @@
 // The owner has lost the store but not its links, and goes on telling what the
 // servers hold.
 func TestNodeReadsItselfWhenTheOwnerHasLostTheStore(t *testing.T) {
-	run(t, true, func(n *Node, p *fakePlatform, _ *clock) {
-		p.set(func() { p.shards = nil })
-		time.Sleep(3 * time.Second)
-		tellFor(n, hub.News{Configuration: 1, Registrations: 2, Read: true}, 4*time.Second)
+	runInformed(t, func(n *Node, p *fakePlatform) {
 		p.set(func() { p.draining, p.drained = true, 50 })
 		for i := range 28 {
 			held := hub.Server{ID: "i", Holdings: fleet.Holdings{Born: 1, Sequence: uint64(i)}}
@@ -107,10 +95,7 @@
 // The answer to a call that waits for a configuration is lost; the owner's word
 // brings it.
 func TestLostConfigurationIsFoundByTheOwnersWord(t *testing.T) {
-	run(t, true, func(n *Node, p *fakePlatform, _ *clock) {
-		p.set(func() { p.shards = nil })
-		time.Sleep(3 * time.Second)
-		tellFor(n, hub.News{Configuration: 1, Registrations: 2, Read: true}, 4*time.Second)
+	runInformed(t, func(n *Node, p *fakePlatform) {
 		p.set(func() { p.lostWaits = true })
 		tellFor(n, hub.News{Configuration: 1, Registrations: 2, Read: true}, 22*time.Second)
 		p.set(func() { p.version, p.lostWaits = 2, false })
@@ -123,10 +108,7 @@
 
 // The same while the owner has much to tell and configurations come in a storm.
 func TestLostConfigurationIsFoundWhileTheOwnerTellsOften(t *testing.T) {
-	run(t, true, func(n *Node, p *fakePlatform, _ *clock) {
-		p.set(func() { p.shards = nil })
-		time.Sleep(3 * time.Second)
-		tellFor(n, hub.News{Configuration: 1, Registrations: 2, Read: true}, 4*time.Second)
+	runInformed(t, func(n *Node, p *fakePlatform) {
 		p.set(func() { p.lostWaits = true })
 		tellFor(n, hub.News{Configuration: 1, Registrations: 2, Read: true}, 22*time.Second)
 		for v := range 20 {
@@ -141,10 +123,7 @@
 }
 
 func TestServerThatWentIsDroppedWithoutAnotherRead(t *testing.T) {
-	run(t, true, func(n *Node, p *fakePlatform, _ *clock) {
-		p.set(func() { p.shards = nil })
-		time.Sleep(3 * time.Second)
-		tellFor(n, hub.News{Configuration: 1, Registrations: 2, Read: true}, 2*time.Second)
+	runInformed(t, func(n *Node, p *fakePlatform) {
 		p.set(func() { p.gone, p.drained = true, 50 })
 		tellFor(n, hub.News{Configuration: 1, Registrations: 51, Read: true}, 5*time.Second)
 		if got, want := len(n.Views.Get().Servers["s"]), 0; got != want {
