--- a/caller/poison_test.go
+++ b/caller/poison_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/engine"
+	"github.com/parsleylug/parsleylug/pause"
 	"github.com/parsleylug/parsleylug/peer"
 	"github.com/parsleylug/parsleylug/routing"
 	"github.com/parsleylug/parsleylug/suspects"
@@ -74,7 +75,7 @@
 		if len(found) > 0 {
 			return found, nil
 		}
-		sleep(ctx, wakeTime/10)
+		pause.For(ctx, wakeTime/10, nil)
 		if ctx.Err() != nil {
 			return nil, verdict.Refuse(verdict.NoCapacity, "no replica in time")
 		}
--- a/caller/services.go
+++ b/caller/services.go
@@ -13,6 +13,7 @@
 	"github.com/parsleylug/parsleylug/configuration"
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fold"
+	"github.com/parsleylug/parsleylug/pause"
 	"github.com/parsleylug/parsleylug/retries"
 	"github.com/parsleylug/parsleylug/routing"
 	"github.com/parsleylug/parsleylug/service"
@@ -140,7 +141,7 @@
 		if !again {
 			return Outcome{}, serviceFailure(ctx, err, mayHaveRun)
 		}
-		sleep(ctx, retries.Backoff(try, rand.Float64()))
+		pause.For(ctx, retries.Backoff(try, rand.Float64()), nil)
 	}
 }
 
@@ -175,15 +176,6 @@
 	return Outcome{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body}, r.Server, nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func commandKey(c *serviceCall) fold.CommandKey {
 	return hashParts([]byte(c.team.Name), []byte(c.service.Name), []byte(c.request.Key))
 }
--- a/commands/explain.go
+++ b/commands/explain.go
@@ -30,9 +30,8 @@
 
 // logLine is one line of a node's log. Text before the JSON object is kept off.
 type logLine struct {
-	raw    map[string]any
-	at     time.Time
-	number int
+	raw map[string]any
+	at  time.Time
 }
 
 func (l logLine) text(name string) string {
@@ -101,7 +100,7 @@
 		if i < 0 {
 			continue
 		}
-		l := logLine{number: len(lines)}
+		var l logLine
 		if json.Unmarshal([]byte(scan.Text()[i:]), &l.raw) != nil {
 			// Output of other programs may stand between the lines.
 			continue
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -137,13 +137,18 @@
 	l.prefixes[prefix] = now
 }
 
+// known tells whether the server has lately answered, so that its delay is one.
+func (l *load) known(now time.Time) bool {
+	return l.delay != silentDelay && now.Sub(l.delayed) < delayMemory
+}
+
 // usualDelay is the mean time to an answer of those servers of which it is known
 // lately. The caller holds mu.
 func (c *chooser) usualDelay(now time.Time, candidates []*fleet.Server) time.Duration {
 	var sum time.Duration
 	known := 0
 	for _, s := range candidates {
-		if l := c.of(s.ID); l.delay != silentDelay && now.Sub(l.delayed) < delayMemory {
+		if l := c.of(s.ID); l.known(now) {
 			sum += l.delay
 			known++
 		}
@@ -236,7 +241,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	l := c.of(id)
-	if now.Sub(l.delayed) > delayMemory || l.delay == silentDelay {
+	if !l.known(now) {
 		return 0
 	}
 	return l.delay
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -147,14 +147,10 @@
 	}
 	expected := model.FromStore
 	for _, c := range servers {
-		switch {
-		case holds(c, s.r):
+		if _, held := c.Holdings.Find(s.r.Model); held {
 			return 0, nil
-		case slices.Contains(c.Holdings.InMemory, s.r.Model):
-			expected = min(expected, model.FromMemory)
-		case slices.Contains(c.Holdings.OnDisk, s.r.Model):
-			expected = min(expected, model.FromDisk)
 		}
+		expected = min(expected, model.LoadTime(c.Holdings.Tier(s.r.Model)))
 	}
 	if s.waited > 0 || time.Since(s.r.Arrived) > time.Second {
 		// The load has probably begun.
@@ -162,8 +158,3 @@
 	}
 	return expected, nil
 }
-
-func holds(c *fleet.Server, r *Request) bool {
-	_, ok := c.Holdings.Find(r.Model)
-	return ok
-}
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -6,6 +6,7 @@
 
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fleet"
+	"github.com/parsleylug/parsleylug/pause"
 )
 
 const (
@@ -49,7 +50,7 @@
 		if c != nil {
 			n.configure(c, next)
 		} else if !n.configured() {
-			pause(ctx, start)
+			pause.For(ctx, start, nil)
 			start = longer(start)
 		}
 	}
@@ -100,9 +101,7 @@
 				start = longer(start)
 			}
 		} else {
-			n.review()
-			// The store is to be read as soon as the owner's word is old.
-			interval = min(interval, n.newsLeft(time.Now()))
+			interval = min(interval, n.review())
 		}
 		n.awaitNews(ctx, interval, changed)
 	}
@@ -122,16 +121,25 @@
 }
 
 // review publishes what changes with time alone: a server whose registration went
-// is usable no longer after a while.
-func (n *Node) review() {
+// is usable no longer after a while. It returns how soon the owner's word is old and
+// the store is to be read.
+func (n *Node) review() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
-	if n.directory.Settled(now) {
-		return
+	if !n.directory.Settled(now) {
+		n.useServers(now)
 	}
-	n.planner.Servers(now, n.directory.Usable(now))
-	n.publish(now)
+	return n.newsLeft(now)
+}
+
+// useServers has the planner and the views go by the servers that are usable now,
+// and returns how many these are. The caller holds mu.
+func (n *Node) useServers(now time.Time) int {
+	usable := n.directory.Usable(now)
+	n.planner.Servers(now, usable)
+	n.publishServers(usable)
+	return len(usable)
 }
 
 // longer is the next pause of a node that has nothing yet.
@@ -150,8 +158,7 @@
 	now := time.Now()
 	n.storeAnswered(now, "Servers", err)
 	if err != nil {
-		n.planner.Servers(now, n.directory.Usable(now))
-		n.publish(now)
+		n.useServers(now)
 		return
 	}
 	var changed []domain.ServerID
@@ -167,12 +174,10 @@
 	if n.overlayLost && n.fence == 0 {
 		n.overlay, n.overlayLost = nil, false
 	}
-	usable := n.directory.Usable(now)
-	n.listed = n.listed || len(usable) > 0
-	n.planner.Servers(now, usable)
-	n.publish(now)
+	usable := n.useServers(now)
+	n.listed = n.listed || usable > 0
 	for _, id := range changed {
-		n.Logger.Debug().Str("Event", "ServerChanged").Str("Server", string(id)).Int("Usable", len(usable)).Msg("a registration changed")
+		n.Logger.Debug().Str("Event", "ServerChanged").Str("Server", string(id)).Int("Usable", usable).Msg("a registration changed")
 	}
 	n.wake()
 }
--- a/entry/link.go
+++ b/entry/link.go
@@ -11,6 +11,7 @@
 	"github.com/parsleylug/parsleylug/fleet"
 	"github.com/parsleylug/parsleylug/hub"
 	"github.com/parsleylug/parsleylug/lease"
+	"github.com/parsleylug/parsleylug/pause"
 )
 
 const (
@@ -31,7 +32,7 @@
 	wait := relinkPause
 	for ctx.Err() == nil {
 		if n.owns() {
-			pause(ctx, relinkPause)
+			pause.For(ctx, relinkPause, nil)
 			continue
 		}
 		linked, err := n.link(ctx)
@@ -59,8 +60,7 @@
 	defer n.mu.Unlock()
 	n.news.at = time.Time{}
 	n.overlayLost = true
-	close(n.news.changed)
-	n.news.changed = make(chan struct{})
+	n.news.renew()
 }
 
 // link looks the owner up and works with it until the link breaks. It tells
@@ -118,7 +118,7 @@
 		case <-ctx.Done():
 			return
 		case <-n.Demand.Urgent():
-			pause(ctx, gatherTime)
+			pause.For(ctx, gatherTime, nil)
 		case <-ticker.C:
 		}
 		demands = n.Demand.Take(time.Now())
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -50,8 +49,8 @@
 }
 
 // StoreCalled implements platform.StoreCounters.
-func (m *Metrics) StoreCalled(path string, succeeded bool, answer int) {
-	s := m.scope.Tagged(map[string]string{"call": strings.TrimPrefix(path, "/-/"), "succeeded": strconv.FormatBool(succeeded)})
+func (m *Metrics) StoreCalled(call string, succeeded bool, answer int) {
+	s := m.scope.Tagged(map[string]string{"call": call, "succeeded": strconv.FormatBool(succeeded)})
 	s.Counter("store_calls").Inc(1)
 	s.Counter("store_answer_bytes").Inc(int64(answer))
 }
--- a/entry/metrics_test.go
+++ b/entry/metrics_test.go
@@ -14,8 +14,8 @@
 	m := NewMetrics()
 	m.Ended(fleet.Streaming, dispatch.Served, 30*time.Millisecond)
 	m.Attempted("Answered")
-	m.StoreCalled("/-/log-read", true, 1200)
-	m.StoreCalled("/-/log-read", false, 0)
+	m.StoreCalled("read", true, 1200)
+	m.StoreCalled("read", false, 0)
 	text := ""
 	for end := time.Now().Add(2 * metricsInterval); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		w := httptest.NewRecorder()
@@ -27,9 +27,9 @@
 	for _, want := range []string{
 		`parsleylug_requests{kind="Streaming",outcome="Served"} 1`,
 		`parsleylug_attempts{result="Answered"} 1`,
-		`parsleylug_store_calls{call="log-read",succeeded="true"} 1`,
-		`parsleylug_store_calls{call="log-read",succeeded="false"} 1`,
-		`parsleylug_store_answer_bytes{call="log-read",succeeded="true"} 1200`,
+		`parsleylug_store_calls{call="read",succeeded="true"} 1`,
+		`parsleylug_store_calls{call="read",succeeded="false"} 1`,
+		`parsleylug_store_answer_bytes{call="read",succeeded="true"} 1200`,
 	} {
 		if !strings.Contains(text, want) {
 			t.Errorf("got metrics without %s:\n%s", want, text)
--- a/entry/news.go
+++ b/entry/news.go
@@ -6,6 +6,7 @@
 
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/hub"
+	"github.com/parsleylug/parsleylug/pause"
 )
 
 const (
@@ -44,27 +45,28 @@
 		return
 	}
 	n.news.News = w
-	close(n.news.changed)
-	n.news.changed = make(chan struct{})
+	n.news.renew()
 }
 
-// informed tells whether the owner's word on the store is fresh. The caller holds
-// mu.
-func (n *Node) informed(now time.Time) bool {
-	return !n.news.at.IsZero() && float64(now.Sub(n.news.at)) < newsLife*float64(n.ServersEvery)
+// renew wakes those who wait for a change.
+func (w *news) renew() {
+	close(w.changed)
+	w.changed = make(chan struct{})
 }
 
 // newsLeft is how long the owner's word on the store still counts; 0 where it does
-// not.
+// not. The caller holds mu.
 func (n *Node) newsLeft(now time.Time) time.Duration {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if !n.informed(now) {
+	if n.news.at.IsZero() {
 		return 0
 	}
-	return time.Duration(newsLife*float64(n.ServersEvery)) - now.Sub(n.news.at)
+	return max(0, time.Duration(newsLife*float64(n.ServersEvery))-now.Sub(n.news.at))
 }
 
+// informed tells whether the owner's word on the store is fresh. The caller holds
+// mu.
+func (n *Node) informed(now time.Time) bool { return n.newsLeft(now) > 0 }
+
 // unread tells whether the registrations should be read, when they were last read
 // up to an offset at a time.
 func (n *Node) unread(now time.Time, cursor domain.Offset, last time.Time) bool {
@@ -95,7 +97,7 @@
 func (n *Node) watchNews(ctx context.Context, cancel context.CancelFunc, cursor domain.Offset) {
 	began := time.Now()
 	behind := false
-	for pause(ctx, newsLook) {
+	for pause.For(ctx, newsLook, nil) {
 		n.mu.Lock()
 		now := time.Now()
 		missed := n.news.Configuration > cursor
--- a/entry/node.go
+++ b/entry/node.go
@@ -19,6 +19,7 @@
 	"github.com/parsleylug/parsleylug/fleet"
 	"github.com/parsleylug/parsleylug/hub"
 	"github.com/parsleylug/parsleylug/lease"
+	"github.com/parsleylug/parsleylug/pause"
 	"github.com/parsleylug/parsleylug/placement"
 	"github.com/parsleylug/parsleylug/suspects"
 )
@@ -115,6 +116,7 @@
 func New(o Options) *Node {
 	n := &Node{Options: o, nudge: make(chan struct{}, 1), storeBack: make(chan struct{})}
 	n.news.changed = make(chan struct{})
+	n.lease.Shard = ownedShard
 	n.lease.TimeToLive, n.lease.Settle, n.lease.Fenced = o.TimeToLive, o.Settle, o.Fenced
 	n.planner.LoadWindow = o.LoadWindow
 	n.Hub.Reported = n.reported
@@ -177,9 +179,11 @@
 }
 
 // publish makes a new view of what the node knows. The caller holds mu.
-func (n *Node) publish(now time.Time) {
+func (n *Node) publish(now time.Time) { n.publishServers(n.directory.Usable(now)) }
+
+func (n *Node) publishServers(usable []*fleet.Server) {
 	v := &dispatch.View{Config: n.config, Servers: map[domain.ServiceName][]*fleet.Server{}}
-	for _, s := range n.directory.Usable(now) {
+	for _, s := range usable {
 		s = n.withOverlay(s)
 		v.Servers[s.Service] = append(v.Servers[s.Service], s)
 	}
@@ -229,13 +233,7 @@
 
 // pauseUntilBack waits, but no longer than until the store answers again.
 func (n *Node) pauseUntilBack(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-n.back():
-	case <-t.C:
-	}
+	pause.For(ctx, d, n.back())
 }
 
 // untilBack returns a context that also ends when the store answers again after
@@ -252,15 +250,3 @@
 	}()
 	return ctx, cancel
 }
-
-// pause waits, or returns false where ctx has ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/entry/node_test.go
+++ b/entry/node_test.go
@@ -14,6 +14,7 @@
 	"github.com/parsleylug/parsleylug/fleet"
 	"github.com/parsleylug/parsleylug/hub"
 	"github.com/parsleylug/parsleylug/lease"
+	"github.com/parsleylug/parsleylug/pause"
 	"github.com/parsleylug/parsleylug/placement"
 )
 
@@ -77,7 +78,7 @@
 		if domain.Offset(version) > after && !lost {
 			return testConfiguration(version), domain.Offset(version), nil
 		}
-		if !time.Now().Before(end) || !pause(ctx, 50*time.Millisecond) {
+		if !time.Now().Before(end) || !pause.For(ctx, 50*time.Millisecond, nil) {
 			return nil, after, ctx.Err()
 		}
 	}
@@ -193,20 +194,31 @@
 	})
 }
 
-// want has a request wait for model m.
-func want(n *Node) {
+// wantModel has a request wait for model m.
+func wantModel(n *Node) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.planner.Demanded(time.Now(), "other", []placement.Demand{{Key: placement.Key{Service: "s", Model: "m"}, Waiting: 1, Arrived: 1}})
 }
 
+// expectOrders has a request wait for model m and checks how many orders there are
+// two seconds later.
+func expectOrders(t *testing.T, n *Node, p *fakePlatform, want int, what string) {
+	t.Helper()
+	wantModel(n)
+	time.Sleep(2 * time.Second)
+	if got := p.ordered(); got != want {
+		t.Errorf("%s: got %d, want %d", what, got, want)
+	}
+}
+
 func TestOwnerLoadsWhatIsWanted(t *testing.T) {
 	run(t, true, func(n *Node, p *fakePlatform, _ *clock) {
 		time.Sleep(2 * time.Second)
 		if !n.Ready() {
 			t.Error("not ready")
 		}
-		want(n)
+		wantModel(n)
 		time.Sleep(2 * time.Second)
 		if got, want := p.ordered(), 1; got != want || p.fences[0] != 4 {
 			t.Errorf("orders: got %d under %v, want %d under fence 4", got, p.fences, want)
@@ -221,11 +233,7 @@
 	run(t, true, func(n *Node, p *fakePlatform, _ *clock) {
 		p.set(func() { p.shards = nil })
 		time.Sleep(2 * time.Second)
-		want(n)
-		time.Sleep(2 * time.Second)
-		if got, want := p.ordered(), 0; got != want {
-			t.Errorf("orders: got %d, want %d", got, want)
-		}
+		expectOrders(t, n, p, 0, "orders")
 	})
 }
 
@@ -234,11 +242,7 @@
 		time.Sleep(2 * time.Second)
 		p.set(func() { p.down = true })
 		time.Sleep(2500 * time.Millisecond)
-		want(n)
-		time.Sleep(2 * time.Second)
-		if got, want := p.ordered(), 0; got != want {
-			t.Errorf("orders after the lease: got %d, want %d", got, want)
-		}
+		expectOrders(t, n, p, 0, "orders after the lease")
 	})
 }
 
@@ -247,11 +251,7 @@
 		time.Sleep(2 * time.Second)
 		p.set(func() { p.down = true })
 		time.Sleep(8 * time.Second)
-		want(n)
-		time.Sleep(2 * time.Second)
-		if got, want := p.ordered(), 1; got != want {
-			t.Errorf("orders: got %d, want %d", got, want)
-		}
+		expectOrders(t, n, p, 1, "orders")
 	})
 }
 
@@ -262,11 +262,7 @@
 		n.mu.Lock()
 		c.suspended = 6 * time.Second
 		n.mu.Unlock()
-		want(n)
-		time.Sleep(2 * time.Second)
-		if got, want := p.ordered(), 0; got != want {
-			t.Errorf("orders: got %d, want %d", got, want)
-		}
+		expectOrders(t, n, p, 0, "orders")
 	})
 }
 
@@ -274,7 +270,7 @@
 	run(t, true, func(n *Node, p *fakePlatform, _ *clock) {
 		time.Sleep(2 * time.Second)
 		p.set(func() { p.fenced, p.shards = true, nil })
-		want(n)
+		wantModel(n)
 		time.Sleep(2 * time.Second)
 		if n.accepts() {
 			t.Error("still takes links as the owner")
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -7,6 +7,7 @@
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fleet"
 	"github.com/parsleylug/parsleylug/hub"
+	"github.com/parsleylug/parsleylug/pause"
 	"github.com/parsleylug/parsleylug/placement"
 )
 
@@ -72,7 +73,7 @@
 			n.pauseUntilBack(ctx, n.TimeToLive/membershipParts)
 			continue
 		}
-		pause(ctx, n.TimeToLive/membershipParts)
+		pause.For(ctx, n.TimeToLive/membershipParts, nil)
 	}
 	leave, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
 	defer cancel()
@@ -90,7 +91,7 @@
 			interval = planInterval
 			urgent = n.Demand.Urgent()
 			// News gathers for a moment: many nodes report, and a plan covers them all.
-			pause(ctx, leastPlanGap+time.Duration(n.Hub.Nodes())*planShare)
+			pause.For(ctx, leastPlanGap+time.Duration(n.Hub.Nodes())*planShare, nil)
 		}
 		t := time.NewTimer(interval)
 		select {
@@ -160,9 +161,10 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.planner.Reported(time.Now(), asked, s.ID, h, err)
-	n.Logger.Debug().Str("Event", "Reported").Str("Server", string(s.ID)).Uint64("Sequence", h.Sequence).Int64("Born", h.Born).Bool("Busy", h.Busy).AnErr("Cause", err).Msg("a server has reported")
 	if err != nil {
 		n.Logger.Debug().Str("Event", "ReportFailed").Str("Server", string(s.ID)).Err(err).Msg("a server did not report")
+	} else {
+		n.Logger.Debug().Str("Event", "Reported").Str("Server", string(s.ID)).Uint64("Sequence", h.Sequence).Int64("Born", h.Born).Bool("Busy", h.Busy).Msg("a server has reported")
 	}
 	n.wake()
 }
--- a/fleet/configuration.go
+++ b/fleet/configuration.go
@@ -9,7 +9,7 @@
 	"github.com/parsleylug/parsleylug/domain"
 )
 
-//go:generate go run golang.org/x/tools/cmd/stringer@v0.52.0 -type=Kind,State -output=names_string.go
+//go:generate go run golang.org/x/tools/cmd/stringer@v0.52.0 -type=Kind,State,Tier -output=names_string.go
 
 // Version numbers the operator's configurations; a larger one is newer.
 type Version int64
@@ -92,6 +92,17 @@
 	AdapterMemory                   domain.Bytes
 }
 
+// LoadTime is how long a load takes from a tier.
+func (m Model) LoadTime(t Tier) time.Duration {
+	switch t {
+	case InMemory:
+		return m.FromMemory
+	case OnDisk:
+		return m.FromDisk
+	}
+	return m.FromStore
+}
+
 // Engine describes the model engines of a service.
 type Engine struct {
 	Slots int
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -53,6 +53,27 @@
 	return Held{}, false
 }
 
+// Tier is where a checkpoint lies for a server.
+type Tier int
+
+// The tiers, the slowest first.
+const (
+	InStore Tier = iota
+	OnDisk
+	InMemory
+)
+
+// Tier returns from where a model would be loaded.
+func (h *Holdings) Tier(m domain.ModelName) Tier {
+	switch {
+	case slices.Contains(h.InMemory, m):
+		return InMemory
+	case slices.Contains(h.OnDisk, m):
+		return OnDisk
+	}
+	return InStore
+}
+
 // Server is one backend server as it registered itself.
 type Server struct {
 	ID      domain.ServerID
--- a/hub/message.go
+++ b/hub/message.go
@@ -104,7 +104,7 @@
 }
 
 func encodeReport(r Report) ([]byte, error) {
-	w := wireReport{Node: string(r.Node), Suspects: encodeSuspects(r.Suspects), Doubted: texts(r.Doubted)}
+	w := wireReport{Node: string(r.Node), Suspects: encodeSuspects(r.Suspects), Doubted: domain.Texts(r.Doubted)}
 	for _, d := range r.Demands {
 		w.Demands = append(w.Demands, wireDemand{
 			Service: string(d.Service), Model: string(d.Model), Adapter: string(d.Adapter),
@@ -120,7 +120,7 @@
 	if err := cbor.Unmarshal(data, &w); err != nil {
 		return Report{}, errors.Wrap(err, "decode a node's report")
 	}
-	r := Report{Node: domain.NodeID(w.Node), Doubted: names[domain.ServerID](w.Doubted)}
+	r := Report{Node: domain.NodeID(w.Node), Doubted: domain.Names[domain.ServerID](w.Doubted)}
 	for _, d := range w.Demands {
 		r.Demands = append(r.Demands, placement.Demand{
 			Key:     placement.Key{Service: domain.ServiceName(d.Service), Model: domain.ModelName(d.Model), Adapter: domain.AdapterName(d.Adapter)},
@@ -139,7 +139,7 @@
 		h := s.Holdings
 		ws := wireServer{ID: string(s.ID), Born: h.Born, Sequence: h.Sequence, Busy: h.Busy}
 		for _, m := range h.Models {
-			ws.Models = append(ws.Models, wireHeld{Model: string(m.Model), Adapters: texts(m.Adapters)})
+			ws.Models = append(ws.Models, wireHeld{Model: string(m.Model), Adapters: domain.Texts(m.Adapters)})
 		}
 		w.Servers = append(w.Servers, ws)
 	}
@@ -157,7 +157,7 @@
 	for _, s := range w.Servers {
 		h := fleet.Holdings{Born: s.Born, Sequence: s.Sequence, Busy: s.Busy}
 		for _, m := range s.Models {
-			h.Models = append(h.Models, fleet.Held{Model: domain.ModelName(m.Model), Adapters: names[domain.AdapterName](m.Adapters)})
+			h.Models = append(h.Models, fleet.Held{Model: domain.ModelName(m.Model), Adapters: domain.Names[domain.AdapterName](m.Adapters)})
 		}
 		u.Servers = append(u.Servers, Server{ID: domain.ServerID(s.ID), Holdings: h})
 	}
@@ -186,19 +186,3 @@
 	}
 	return list, nil
 }
-
-func texts[T ~string](list []T) []string {
-	out := make([]string, len(list))
-	for i, n := range list {
-		out[i] = string(n)
-	}
-	return out
-}
-
-func names[T ~string](list []string) []T {
-	out := make([]T, len(list))
-	for i, n := range list {
-		out[i] = T(n)
-	}
-	return out
-}
--- a/node/placer.go
+++ b/node/placer.go
@@ -9,6 +9,7 @@
 	"github.com/parsleylug/parsleylug/configuration"
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fold"
+	"github.com/parsleylug/parsleylug/pause"
 	"github.com/parsleylug/parsleylug/peer"
 	"github.com/parsleylug/parsleylug/rendezvous"
 	"github.com/parsleylug/parsleylug/routing"
@@ -58,8 +59,8 @@
 			}
 			return out, nil
 		}
-		if err := pause(ctx, homeRetry); err != nil {
-			return nil, err
+		if !pause.For(ctx, homeRetry, nil) {
+			return nil, verdict.Refuse(verdict.DeadlinePassed, "the request ended while it waited for a replica")
 		}
 	}
 }
@@ -73,15 +74,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return verdict.Refuse(verdict.DeadlinePassed, "the request ended while it waited for a replica")
-	case <-time.After(d):
-		return nil
-	}
-}
-
 // ask sends a Wake to the home; where the home cannot be reached, to the next.
 func (p *Placer) ask(ctx context.Context, n caller.Need, within time.Duration) (peer.Replicas, error) {
 	w := peer.Wake{
--- a/node/stop.go
+++ b/node/stop.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/parsleylug/parsleylug/pause"
 )
 
 const (
@@ -31,7 +33,7 @@
 	if err := n.mesh.Leave(ctx); err != nil {
 		n.options.Logger.Warn().Err(err).Str("Event", "LeaveNotTold").Msg("some peers learn of the stop from the platform's list")
 	}
-	sleep(ctx, n.options.DrainGrace)
+	pause.For(ctx, n.options.DrainGrace, nil)
 	n.refusing.Store(true)
 	n.await(ctx, func() bool { return n.callers.InFlight() == 0 })
 	cut := n.callers.InFlight()
@@ -81,10 +83,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/operator/change.go
+++ b/operator/change.go
@@ -10,6 +10,7 @@
 	"github.com/parsleylug/parsleylug/configuration"
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fold"
+	"github.com/parsleylug/parsleylug/pause"
 	"github.com/parsleylug/parsleylug/verdict"
 )
 
@@ -159,30 +160,18 @@
 			from = max(from, s.Offset+1)
 		}
 		full := err == nil && len(stored) == historyPage
-		if !full && !sleep(ctx, nodesPollInterval) {
+		if !full && !pause.For(ctx, nodesPollInterval, nil) {
 			return 0, false
 		}
 	}
 }
 
-// sleep waits for d and tells whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // follow waits until the fold has the outcome of every record.
 func (a *API) follow(ctx context.Context, records []configuration.Record, first domain.Offset, o options) (Change, error) {
 	ctx, cancel := context.WithTimeout(ctx, outcomeTimeout)
 	defer cancel()
 	last := first + domain.Offset(len(records)) - 1
-	for !a.folded(last) && sleep(ctx, pollInterval) {
+	for !a.folded(last) && pause.For(ctx, pollInterval, nil) {
 	}
 	change := Change{Results: a.results(records, first)}
 	if o.wait {
@@ -255,7 +244,7 @@
 		for _, at := range applied {
 			behind = behind || at < o
 		}
-		if !behind || !sleep(ctx, nodesPollInterval) {
+		if !behind || !pause.For(ctx, nodesPollInterval, nil) {
 			return nodeVersions(applied)
 		}
 	}
--- a/placement/account.go
+++ b/placement/account.go
@@ -28,7 +28,7 @@
 	// Reason says in a few words what it is for.
 	Reason string
 	// tier is where the checkpoint of a load lies.
-	tier Tier
+	tier fleet.Tier
 }
 
 // Outcome is what became of an order.
@@ -50,16 +50,6 @@
 	Rejected
 )
 
-// Tier is where a checkpoint lies for a server.
-type Tier int
-
-// The tiers, the slowest first.
-const (
-	Store Tier = iota
-	Disk
-	Memory
-)
-
 const (
 	// doubtTime is how long after it was sent an order without an answer may still
 	// be carried out.
@@ -285,17 +275,6 @@
 	return a.known && a.pending == nil && a.work == nil && !a.holdings.Busy && len(a.doubts) == 0
 }
 
-// tier returns from where a model would be loaded.
-func (a *account) tier(m domain.ModelName) Tier {
-	switch {
-	case slices.Contains(a.holdings.InMemory, m):
-		return Memory
-	case slices.Contains(a.holdings.OnDisk, m):
-		return Disk
-	}
-	return Store
-}
-
 // free returns the memory that is left beside what is loaded, what may come and
 // the places for adapters.
 func (a *account) free(e *fleet.Engine) domain.Bytes {
@@ -324,13 +303,3 @@
 	}
 	return n
 }
-
-func takes(m fleet.Model, t Tier) time.Duration {
-	switch t {
-	case Memory:
-		return m.FromMemory
-	case Disk:
-		return m.FromDisk
-	}
-	return m.FromStore
-}
--- a/placement/pace.go
+++ b/placement/pace.go
@@ -82,7 +82,7 @@
 
 // finished takes in how long a load took, and learns how many run at full speed.
 func (s *storePace) finished(_ time.Time, o Order, took time.Duration, m fleet.Model) {
-	if o.Operation != Load || o.Adapter != "" || o.tier != Store {
+	if o.Operation != Load || o.Adapter != "" || o.tier != fleet.InStore {
 		return
 	}
 	atOnce := len(s.running)
--- a/placement/place.go
+++ b/placement/place.go
@@ -37,7 +37,7 @@
 type plan struct {
 	account *account
 	victims []domain.ModelName
-	tier    Tier
+	tier    fleet.Tier
 	// cost is in seconds.
 	cost float64
 }
@@ -65,7 +65,7 @@
 		return
 	}
 	a.reserved = ""
-	if best.tier == Store {
+	if best.tier == fleet.InStore {
 		p.store.started(now, a.server.ID, m.Name)
 	}
 	give(a, Order{Operation: Load, Model: m.Name, tier: best.tier})
@@ -90,8 +90,8 @@
 			a.reserved = ""
 			continue
 		}
-		t := a.tier(m.Name)
-		if t == Store && !p.room(now, e) {
+		t := a.holdings.Tier(m.Name)
+		if t == fleet.InStore && !p.room(now, e) {
 			continue
 		}
 		k := Key{Service: a.server.Service, Model: m.Name}
@@ -114,15 +114,15 @@
 		if _, held := a.holdings.Find(m.Name); held {
 			continue
 		}
-		t := a.tier(m.Name)
-		if t == Store && !p.room(now, e) || n.ahead && !p.roomAhead(now, e) {
+		t := a.holdings.Tier(m.Name)
+		if t == fleet.InStore && !p.room(now, e) || n.ahead && !p.roomAhead(now, e) {
 			continue
 		}
 		victims, cost, ok := p.victims(now, a, e, m.Memory-a.free(e), n)
 		if !ok || n.ahead && cost > aheadCost {
 			continue
 		}
-		cost += takes(m, t).Seconds() + p.crowd(a, e)*crowdCost
+		cost += m.LoadTime(t).Seconds() + p.crowd(a, e)*crowdCost
 		if !found || cost < best.cost || cost == best.cost && a.server.ID < best.account.server.ID {
 			best = plan{account: a, victims: victims, tier: t, cost: cost}
 			found = true
@@ -201,7 +201,7 @@
 	return v
 }
 
-// countReplicas counts the loaded replicas for the plan at hand.
+// countReplicas counts the loaded models and adapters for the plan at hand.
 func (p *Planner) countReplicas() {
 	if p.replicas == nil {
 		p.replicas = map[Key]int{}
@@ -209,7 +209,11 @@
 	clear(p.replicas)
 	for _, a := range p.accounts {
 		for _, h := range a.holdings.Models {
-			p.replicas[Key{Service: a.server.Service, Model: h.Model}]++
+			k := Key{Service: a.server.Service, Model: h.Model}
+			p.replicas[k]++
+			for _, k.Adapter = range h.Adapters {
+				p.replicas[k]++
+			}
 		}
 	}
 }
@@ -234,22 +238,15 @@
 // weight store has nothing else to do: their first callers then wait for a disk
 // at most.
 func (p *Planner) ahead(now time.Time, copies map[Key]int) []need {
-	at := map[Key]bool{}
-	for _, a := range p.accounts {
-		for _, names := range [][]domain.ModelName{a.holdings.InMemory, a.holdings.OnDisk} {
-			for _, m := range names {
-				at[Key{Service: a.server.Service, Model: m}] = true
-			}
-		}
-	}
 	var list []need
 	for name, s := range p.config.Services {
 		if s.Engine == nil || !p.roomAhead(now, s.Engine) {
 			continue
 		}
+		at := p.atHand(name)
 		for _, m := range s.Engine.Models {
 			k := Key{Service: name, Model: m.Name}
-			if copies[k] == 0 && !at[k] {
+			if copies[k] == 0 && !at[m.Name] {
 				list = append(list, need{key: k, ahead: true})
 			}
 		}
@@ -258,6 +255,22 @@
 	return list
 }
 
+// atHand returns the models of a service of which some server has a checkpoint.
+func (p *Planner) atHand(s domain.ServiceName) map[domain.ModelName]bool {
+	at := map[domain.ModelName]bool{}
+	for _, a := range p.accounts {
+		if a.server.Service != s {
+			continue
+		}
+		for _, names := range [][]domain.ModelName{a.holdings.InMemory, a.holdings.OnDisk} {
+			for _, m := range names {
+				at[m] = true
+			}
+		}
+	}
+	return at
+}
+
 // placeAdapter orders the next step towards an adapter on one of the servers
 // that hold its model.
 func (p *Planner) placeAdapter(now time.Time, n need, give giver) {
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -13,7 +14,7 @@
 	"github.com/parsleylug/parsleylug/fleet"
 )
 
-//go:generate go run golang.org/x/tools/cmd/stringer@v0.52.0 -type=Operation,Outcome,Tier -output=names_string.go
+//go:generate go run golang.org/x/tools/cmd/stringer@v0.52.0 -type=Operation,Outcome -output=names_string.go
 
 // Planner keeps the accounts of the shard's model engines. The zero Planner is
 // ready for use. It is not safe for concurrent use.
@@ -25,7 +26,7 @@
 	config   *fleet.Configuration
 	accounts map[domain.ServerID]*account
 	demands  demands
-	// replicas counts the loaded replicas of each model, as of the plan at hand.
+	// replicas counts where each model and adapter is loaded, as of the plan at hand.
 	replicas map[Key]int
 	store    storePace
 }
@@ -133,7 +134,7 @@
 	if a == nil {
 		return
 	}
-	fromStore := o.Operation == Load && o.Adapter == "" && o.tier == Store
+	fromStore := o.Operation == Load && o.Adapter == "" && o.tier == fleet.InStore
 	if fromStore && out != Accepted && out != Unknown {
 		p.store.cancelled(o)
 	}
@@ -148,7 +149,7 @@
 	if o.Operation == Unload {
 		return unloadTime
 	}
-	return takes(p.model(o.Server.Service, o.Model), o.tier)
+	return p.model(o.Server.Service, o.Model).LoadTime(o.tier)
 }
 
 func (p *Planner) engine(s domain.ServiceName) *fleet.Engine {
@@ -315,16 +316,8 @@
 
 // copies counts the replicas of each key that are loaded or on their way.
 func (p *Planner) copies() map[Key]int {
-	n := map[Key]int{}
+	n := maps.Clone(p.replicas)
 	for _, a := range p.accounts {
-		for _, h := range a.holdings.Models {
-			k := Key{Service: a.server.Service, Model: h.Model}
-			n[k]++
-			for _, ad := range h.Adapters {
-				k.Adapter = ad
-				n[k]++
-			}
-		}
 		if a.work != nil && a.work.Operation == Load {
 			n[Key{Service: a.server.Service, Model: a.work.Model}]++
 		}
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -150,7 +150,7 @@
 	}
 	w.loads++
 	took := time.Second
-	if o.tier == Store {
+	if o.tier == fleet.InStore {
 		took = 6 * time.Second
 	}
 	w.busy[id] = w.now.Add(took)
@@ -250,7 +250,7 @@
 	s.reset(start)
 	for now := start; now.Sub(start) < time.Minute; now = now.Add(50 * time.Millisecond) {
 		if s.room(now, 1, window) {
-			o := Order{Operation: Load, tier: Store}
+			o := Order{Operation: Load, tier: fleet.InStore}
 			s.started(now, o.Server.ID, o.Model)
 			s.cancelled(o)
 			began = append(began, now)
--- a/platformlog/appender.go
+++ b/platformlog/appender.go
@@ -11,6 +11,7 @@
 
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fold"
+	"github.com/parsleylug/parsleylug/pause"
 	"github.com/parsleylug/parsleylug/verdict"
 )
 
@@ -164,7 +165,7 @@
 		if a.replica.Ready() {
 			break
 		}
-		if !sleep(ctx, ReadWait, changed) {
+		if !pause.For(ctx, ReadWait, changed) {
 			return false
 		}
 	}
@@ -261,7 +262,7 @@
 			a.putBack(batch, taken)
 		}
 		a.replica.options.Logger.Warn().Str("Event", "AppendFailed").Err(err).Bool("MayBeAppended", maybe).Msg("append failed")
-		sleep(ctx, b.next(), a.resolved)
+		pause.For(ctx, b.next(), a.resolved)
 		if !maybe {
 			return
 		}
--- a/platformlog/backoff.go
+++ b/platformlog/backoff.go
@@ -1,7 +1,6 @@
 package platformlog
 
 import (
-	"context"
 	"math/rand/v2"
 	"time"
 )
@@ -23,17 +22,3 @@
 
 // reset starts again after a success.
 func (b *backoff) reset() { b.last = 0 }
-
-// sleep waits for d, until ctx ends or until wake has something; it tells whether
-// ctx goes on.
-func sleep(ctx context.Context, d time.Duration, wake <-chan struct{}) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-wake:
-	case <-timer.C:
-	}
-	return ctx.Err() == nil
-}
--- a/platformlog/configure.go
+++ b/platformlog/configure.go
@@ -8,6 +8,7 @@
 
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fold"
+	"github.com/parsleylug/parsleylug/pause"
 	"github.com/parsleylug/parsleylug/verdict"
 )
 
@@ -35,7 +36,7 @@
 		if FailureOf(err) != NotAppended {
 			return r.findConfiguration(ctx, next, raw, err)
 		}
-		if !sleep(ctx, b.next(), nil) {
+		if !pause.For(ctx, b.next(), nil) {
 			return 0, &verdict.Error{Verdict: verdict.NotRun, Reason: verdict.LogUnavailable, Message: "the log took no record in time", Cause: err}
 		}
 	}
@@ -63,7 +64,7 @@
 	for ctx.Err() == nil {
 		page, err := r.read(ctx, fold.ConfigurationStream, from, importRecords, ReadWait)
 		if err != nil {
-			sleep(ctx, b.next(), nil)
+			pause.For(ctx, b.next(), nil)
 			continue
 		}
 		for _, e := range page.Records {
--- a/platformlog/fakelog_test.go
+++ b/platformlog/fakelog_test.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/pause"
 )
 
 // fakeLog is a log in memory with faults.
@@ -69,7 +70,7 @@
 	l.mu.Lock()
 	delay := l.delay
 	l.mu.Unlock()
-	if delay > 0 && !sleep(ctx, delay, nil) {
+	if delay > 0 && !pause.For(ctx, delay, nil) {
 		return ctx.Err()
 	}
 	return nil
@@ -111,7 +112,7 @@
 	empty := from >= l.stream(stream).next()
 	l.mu.Unlock()
 	if empty && wait > 0 {
-		sleep(ctx, wait, grown)
+		pause.For(ctx, wait, grown)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/platformlog/follower.go
+++ b/platformlog/follower.go
@@ -8,6 +8,7 @@
 
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fold"
+	"github.com/parsleylug/parsleylug/pause"
 )
 
 // follow reads the decision stream until ctx ends.
@@ -17,12 +18,12 @@
 		more, err := r.readOnce(ctx)
 		if err != nil {
 			r.readFailed(ctx, err)
-			sleep(ctx, b.next(), nil)
+			pause.For(ctx, b.next(), nil)
 			continue
 		}
 		b.reset()
 		if !more && !r.relay() {
-			sleep(ctx, IdleRead, r.kick)
+			pause.For(ctx, IdleRead, r.kick)
 		}
 	}
 	return ctx.Err()
--- a/platformlog/http_test.go
+++ b/platformlog/http_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fold"
+	"github.com/parsleylug/parsleylug/pause"
 	"github.com/parsleylug/parsleylug/standin"
 )
 
@@ -66,7 +67,7 @@
 		if r.configurationOffset() >= at {
 			return
 		}
-		if !sleep(ctx, time.Second, changed) {
+		if !pause.For(ctx, time.Second, changed) {
 			t.Fatalf("configuration %d is not in force", at)
 		}
 	}
--- a/platformlog/importer.go
+++ b/platformlog/importer.go
@@ -8,6 +8,7 @@
 
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fold"
+	"github.com/parsleylug/parsleylug/pause"
 )
 
 const (
@@ -34,11 +35,11 @@
 	var b backoff
 	for ctx.Err() == nil {
 		if !r.Ready() {
-			sleep(ctx, ReadWait, r.Changed())
+			pause.For(ctx, ReadWait, r.Changed())
 			continue
 		}
 		if err := r.importOnce(ctx); err != nil {
-			sleep(ctx, b.next(), nil)
+			pause.For(ctx, b.next(), nil)
 			continue
 		}
 		b.reset()
@@ -52,7 +53,7 @@
 func (r *Replica) awaitImport(ctx context.Context) {
 	end := time.Now().Add(IdleRead)
 	for !r.relay() && r.importDelay() > 0 && time.Now().Before(end) && ctx.Err() == nil {
-		sleep(ctx, roleInterval, nil)
+		pause.For(ctx, roleInterval, nil)
 	}
 }
 
@@ -116,7 +117,7 @@
 		if left <= 0 {
 			break
 		}
-		if !sleep(ctx, left, changed) {
+		if !pause.For(ctx, left, changed) {
 			return ctx.Err()
 		}
 	}
--- a/platformlog/snapshot.go
+++ b/platformlog/snapshot.go
@@ -6,6 +6,7 @@
 
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fold"
+	"github.com/parsleylug/parsleylug/pause"
 )
 
 const (
@@ -60,8 +61,8 @@
 // snapshotLoop writes a snapshot where one is due and nobody before this node in
 // rank has written it.
 func (r *Replica) snapshotLoop(ctx context.Context) error {
-	for sleep(ctx, snapshotCheck, nil) {
-		if !r.snapshotDue() || !sleep(ctx, r.importDelay(), nil) || !r.snapshotDue() {
+	for pause.For(ctx, snapshotCheck, nil) {
+		if !r.snapshotDue() || !pause.For(ctx, r.importDelay(), nil) || !r.snapshotDue() {
 			continue
 		}
 		if err := r.writeSnapshot(ctx); err != nil && ctx.Err() == nil {
--- a/standin/adapter.go
+++ b/standin/adapter.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync/atomic"
 	"time"
+
+	"github.com/parsleylug/parsleylug/pause"
 )
 
 const (
@@ -23,7 +25,7 @@
 	inFlight := s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	crowding := max(1, float64(inFlight)/adapterFullSpeed)
-	return sleep(ctx, time.Duration(float64(s.timeOf(name))*crowding))
+	return pause.For(ctx, time.Duration(float64(s.timeOf(name))*crowding), nil)
 }
 
 // timeOf is how long an adapter takes at full speed.
--- a/standin/booking.go
+++ b/standin/booking.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/pause"
 )
 
 // listedBookings is how many of the latest bookings GET /bookings returns.
@@ -90,14 +91,14 @@
 	s.observer.commandRan(key)
 	b := s.ledger.book(key)
 	faults := s.currentFaults()
-	if !sleep(ctx, faults.delay) || s.chance.hit(faults.loseAnswers) {
+	if !pause.For(ctx, faults.delay, nil) || s.chance.hit(faults.loseAnswers) {
 		breakOff()
 	}
 	answer(w, http.StatusCreated, b)
 }
 
 func (s *bookingService) serveList(w http.ResponseWriter, r *http.Request) {
-	if !s.pause.wait(r.Context()) || !sleep(r.Context(), s.currentFaults().delay) {
+	if !s.pause.wait(r.Context()) || !pause.For(r.Context(), s.currentFaults().delay, nil) {
 		breakOff()
 	}
 	s.observer.ran(r.Header.Get("X-Request-Id"))
--- a/standin/eventstream.go
+++ b/standin/eventstream.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"net/http"
 	"time"
+
+	"github.com/parsleylug/parsleylug/pause"
 )
 
 type wireToken struct {
@@ -54,11 +56,11 @@
 // for a silent connection.
 func (s *eventStream) work(ctx context.Context, d time.Duration) bool {
 	for ; d > commentInterval; d -= commentInterval {
-		if !sleep(ctx, commentInterval) || !s.comment() {
+		if !pause.For(ctx, commentInterval, nil) || !s.comment() {
 			return false
 		}
 	}
-	return sleep(ctx, d)
+	return pause.For(ctx, d, nil)
 }
 
 func (s *eventStream) comment() bool { return s.write(": waiting\n\n") }
--- a/standin/gate.go
+++ b/standin/gate.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 )
 
 // gate holds goroutines back while it is shut. The zero gate is open.
@@ -39,18 +38,3 @@
 		return false
 	}
 }
-
-// sleep waits for d; false means that ctx ended before.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/standin/load.go
+++ b/standin/load.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/parsleylug/parsleylug/pause"
 )
 
 // loadModel loads a model, or waits for a load that runs already.
@@ -89,9 +91,9 @@
 	full := time.Duration(float64(e.options.LoadTime) * float64(size) / float64(loadTimeBytes))
 	switch {
 	case inMemory:
-		return sleep(l.ctx, full/memoryCacheShare)
+		return pause.For(l.ctx, full/memoryCacheShare, nil)
 	case onDisk:
-		return sleep(l.ctx, full/diskCacheShare)
+		return pause.For(l.ctx, full/diskCacheShare, nil)
 	}
 	if err := e.download(l.ctx, p.model, size); err != nil {
 		return false
--- a/standin/loghttp.go
+++ b/standin/loghttp.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/parsleylug/parsleylug/pause"
 )
 
 const (
@@ -77,7 +79,7 @@
 		return
 	}
 	// A slow log appends even where the writer has gone.
-	_ = sleep(context.WithoutCancel(r.Context()), faults.delay)
+	_ = pause.For(context.WithoutCancel(r.Context()), faults.delay, nil)
 	first, next := l.append(r.PathValue("stream"), records)
 	l.appends.Add(1)
 	if l.chance.hit(faults.loseAnswers) {
@@ -93,7 +95,7 @@
 		return
 	}
 	faults, _ := l.current()
-	if !sleep(r.Context(), faults.delay) {
+	if !pause.For(r.Context(), faults.delay, nil) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), q.wait)
--- a/standin/order.go
+++ b/standin/order.go
@@ -6,6 +6,8 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+
+	"github.com/parsleylug/parsleylug/pause"
 )
 
 type wireOrder struct {
@@ -98,7 +100,7 @@
 // carryOut does an order once the engine looks at it: late where it is paused or
 // told to leave orders lying.
 func (e *modelEngine) carryOut(l *life, o wireOrder, result chan<- wireOrderAnswer) {
-	if !sleep(l.ctx, e.currentFaults().ignoreOrders) || !e.pause.wait(l.ctx) {
+	if !pause.For(l.ctx, e.currentFaults().ignoreOrders, nil) || !e.pause.wait(l.ctx) {
 		return
 	}
 	a := e.execute(l, o)
--- a/standin/weightstore.go
+++ b/standin/weightstore.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/pause"
 )
 
 const (
@@ -63,7 +64,7 @@
 		speed := s.speed()
 		step := min(transferStep, time.Duration(float64(left)/speed)+1)
 		before := time.Now()
-		if !sleep(ctx, step) {
+		if !pause.For(ctx, step, nil) {
 			return false
 		}
 		left -= time.Duration(float64(time.Since(before)) * speed)
