Log and count what a node knows of the configuration, and why a read of it ended

ConfigurationInForce now says how long its read waited, arrived and took to apply, how many bytes it had, from which offset it was read, what the owner had announced and for how long the node was behind. New: ConfigurationAnnounced (owner), ConfigurationReadEnded (a read without a result, and why), ConfigurationBehind (after 1 s, 2 s, 4 s), and the metrics configuration_version, configuration_read_offset, configuration_behind_seconds and configuration_reads by result. The new package transfer holds how far a call has come.

--- a/commands/front.go
+++ b/commands/front.go
@@ -120,6 +120,7 @@
 		Dialer:                platform.Dialer(time.Second),
 		HubAddress:            hubAddress,
 		Logger:                logger,
+		Counters:              f.metrics,
 		RegistrationsInterval: s.DrainBound / registrationReadsPerDrain,
 		TimeToLive:            max(s.MinimumMemberTTL, time.Duration(memberTTLShare*float64(s.LeaseBound))),
 		FirstOrderDelay:       firstOrderDelay,
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -6,7 +6,6 @@
 
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fleet"
-	"github.com/parsleylug/parsleylug/pause"
 )
 
 const (
@@ -25,61 +24,6 @@
 	maximumStartupInterval = time.Second
 )
 
-// followConfiguration polls the store for new configurations and applies them.
-func (n *Node) followConfiguration(ctx context.Context) {
-	var cursor domain.Offset
-	retryPause, startupPause := minimumRetryPause, startupInterval
-	for ctx.Err() == nil {
-		callCtx, cancel := n.cancelOnRecovery(ctx)
-		go n.cancelLostPoll(callCtx, cancel, cursor)
-		c, next, err := n.Feed.Configuration(callCtx, cursor, n.configurationPollWait())
-		cancelled := callCtx.Err() != nil
-		cancel()
-		if cancelled {
-			continue
-		}
-		n.mu.Lock()
-		n.recordStoreResult(time.Now(), "Configuration", err)
-		n.mu.Unlock()
-		if err != nil {
-			n.pauseUntilRecovery(ctx, retryPause)
-			retryPause = min(2*retryPause, maximumRetryPause)
-			continue
-		}
-		retryPause = minimumRetryPause
-		cursor = next
-		if c != nil {
-			n.applyConfiguration(c, next)
-		} else if !n.hasConfiguration() {
-			pause.For(ctx, startupPause, nil)
-			startupPause = nextStartupInterval(startupPause)
-		}
-	}
-}
-
-func (n *Node) hasConfiguration() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.config != nil
-}
-
-// applyConfiguration applies a configuration if it is newer than the current one.
-// The offset is the store's cursor after the read that returned it.
-func (n *Node) applyConfiguration(c *fleet.Configuration, offset domain.Offset) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.config != nil && c.Version <= n.config.Version {
-		return
-	}
-	n.config = c
-	n.configurationOffset = offset
-	n.broadcastStoreUpdate(false)
-	n.planner.Configure(c)
-	n.publishView(time.Now())
-	n.Logger.Info().Str("Event", "ConfigurationInForce").Int64("Version", int64(c.Version)).Int("Routes", len(c.Routes)).
-		Int("Services", len(c.Services)).Msg("applied a new configuration")
-}
-
 // followServers keeps the directory of backend servers current. While the owner
 // sends store updates, this node reads the registrations only after a change and
 // at least every maximumReadGap.
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4/prometheus"
 
 	"github.com/parsleylug/parsleylug/dispatch"
+	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fleet"
 )
 
@@ -55,3 +56,19 @@
 	s.Counter("store_calls").Inc(1)
 	s.Counter("store_answer_bytes").Inc(int64(responseBytes))
 }
+
+// SetConfiguration implements Counters.
+func (m *Metrics) SetConfiguration(v fleet.Version, offset domain.Offset) {
+	m.scope.Gauge("configuration_version").Update(float64(v))
+	m.scope.Gauge("configuration_read_offset").Update(float64(offset))
+}
+
+// SetConfigurationBehind implements Counters.
+func (m *Metrics) SetConfigurationBehind(d time.Duration) {
+	m.scope.Gauge("configuration_behind_seconds").Update(d.Seconds())
+}
+
+// CountConfigurationRead implements Counters.
+func (m *Metrics) CountConfigurationRead(result string) {
+	m.scope.Tagged(map[string]string{"result": result}).Counter("configuration_reads").Inc(1)
+}
--- a/entry/news.go
+++ b/entry/news.go
@@ -1,12 +1,10 @@
 package entry
 
 import (
-	"context"
 	"time"
 
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/hub"
-	"github.com/parsleylug/parsleylug/pause"
 )
 
 const (
@@ -49,6 +47,7 @@
 		return
 	}
 	n.storeUpdates.StoreUpdate = u
+	n.updateBehind(now)
 	n.storeUpdates.notify()
 }
 
@@ -79,17 +78,6 @@
 	return n.fence != 0 || !n.hasFreshStoreUpdate(now) || !n.serversSeen || cursor < n.storeUpdates.RegistrationsOffset || now.Sub(lastRead) >= maximumReadGap
 }
 
-// configurationPollWait returns how long the next poll lets the store wait for a
-// new configuration.
-func (n *Node) configurationPollWait() time.Duration {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.hasFreshStoreUpdate(time.Now()) && n.config != nil {
-		return longPollWait
-	}
-	return pollWait
-}
-
 // storeUpdateChange returns a channel that is closed when a store update shows a
 // change or the link to the owner is lost.
 func (n *Node) storeUpdateChange() <-chan struct{} {
@@ -98,27 +86,6 @@
 	return n.storeUpdates.changed
 }
 
-// cancelLostPoll cancels a poll for configurations after cursor if its response
-// may be lost. This is so if the owner's store updates show a newer configuration
-// at two checks in a row, or if no store update is fresh and the poll has lasted
-// longer than pollWait. It returns when ctx, the context of the poll, ends.
-func (n *Node) cancelLostPoll(ctx context.Context, cancel context.CancelFunc, cursor domain.Offset) {
-	start := time.Now()
-	wasBehind := false
-	for pause.For(ctx, pollCheckInterval, nil) {
-		n.mu.Lock()
-		now := time.Now()
-		isBehind := n.storeUpdates.ConfigurationOffset > cursor
-		timedOut := !n.hasFreshStoreUpdate(now) && now.Sub(start) > pollWait
-		n.mu.Unlock()
-		if isBehind && wasBehind || timedOut {
-			cancel()
-			return
-		}
-		wasBehind = isBehind
-	}
-}
-
 // broadcastStoreUpdate sends the other nodes the offsets of the last changes that
 // this node has seen in the store, if it is the owner. The parameter
 // registrationsRead is true if this node has just read the registrations. The
@@ -128,6 +95,11 @@
 		return
 	}
 	u := hub.Update{Store: hub.StoreUpdate{ConfigurationOffset: n.configurationOffset, RegistrationsOffset: n.registrationsOffset, RegistrationsRead: registrationsRead}}
+	if u.Store.ConfigurationOffset != n.announcedOffset {
+		n.announcedOffset = u.Store.ConfigurationOffset
+		n.Logger.Info().Str("Event", "ConfigurationAnnounced").Uint64("Offset", uint64(n.announcedOffset)).Int("Links", n.Hub.LinkCount()).
+			Msg("announced a configuration to the linked nodes")
+	}
 	if err := n.Hub.Broadcast(u); err != nil {
 		n.Logger.Error().Str("Event", "NewsFailed").Err(err).Msg("failed to encode a store update for the other nodes")
 	}
--- a/entry/node.go
+++ b/entry/node.go
@@ -26,12 +26,13 @@
 	"github.com/parsleylug/parsleylug/pause"
 	"github.com/parsleylug/parsleylug/placement"
 	"github.com/parsleylug/parsleylug/suspects"
+	"github.com/parsleylug/parsleylug/transfer"
 )
 
 // Feed reads the configuration, written by the operator, and the registrations of
 // the backend servers from the platform's store.
 type Feed interface {
-	Configuration(ctx context.Context, after domain.Offset, wait time.Duration) (*fleet.Configuration, domain.Offset, error)
+	Configuration(ctx context.Context, after domain.Offset, wait time.Duration, p *transfer.Progress) (*fleet.Configuration, domain.Offset, error)
 	Servers(ctx context.Context, after domain.Offset) (changes []fleet.Change, complete bool, next domain.Offset, err error)
 }
 
@@ -52,6 +53,18 @@
 // Uptime is a monotonic clock that also advances while the VM is suspended.
 type Uptime interface{ Now() time.Duration }
 
+// Counters receives measurements of the configuration that a node holds.
+type Counters interface {
+	// SetConfiguration is called with the version in force and the store's cursor after
+	// the read that returned it.
+	SetConfiguration(v fleet.Version, offset domain.Offset)
+	// SetConfigurationBehind is called with the time for which the owner has known a
+	// newer configuration; 0 if it knows none.
+	SetConfigurationBehind(d time.Duration)
+	// CountConfigurationRead counts a read that has ended by its result.
+	CountConfigurationRead(result string)
+}
+
 // Options configures a Node.
 type Options struct {
 	// Name identifies this run of the node. It contains the address of the node's
@@ -66,6 +79,8 @@
 	// HubAddress extracts the address of a node's hub from the node's name.
 	HubAddress func(domain.NodeID) string
 	Logger     zerolog.Logger
+	// Counters may be nil.
+	Counters Counters
 	// RegistrationsInterval is the interval between reads of the registrations.
 	RegistrationsInterval time.Duration
 	// TimeToLive is how long the group keeps a member that does not renew.
@@ -111,8 +126,18 @@
 	// current configuration. registrationsOffset is the cursor after the last
 	// read that changed the directory.
 	configurationOffset, registrationsOffset domain.Offset
-	planner                                  placement.Planner
-	lease                                    lease.Lease
+	// configurationCursor is the offset up to which this node has read the
+	// configurations.
+	configurationCursor domain.Offset
+	// behindSince is since when the owner has announced a configuration that this node
+	// has not read; zero if there is none. The next line about it is due behindLogGap
+	// after behindSince.
+	behindSince  time.Time
+	behindLogGap time.Duration
+	// announcedOffset is the configuration that this node announced last as the owner.
+	announcedOffset domain.Offset
+	planner         placement.Planner
+	lease           lease.Lease
 	// fence is the fencing token under which this node is the owner; 0 while it is
 	// not.
 	fence domain.Fence
@@ -274,14 +299,14 @@
 // cancelOnRecovery returns a context for a call to the store. It is also
 // cancelled when the store recovers from a failure, because a call sent before
 // the recovery may never get a response.
-func (n *Node) cancelOnRecovery(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
+func (n *Node) cancelOnRecovery(ctx context.Context) (context.Context, context.CancelCauseFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
 	recovered := n.storeRecovery()
 	go func() {
 		select {
 		case <-ctx.Done():
 		case <-recovered:
-			cancel()
+			cancel(errStoreRecovered)
 		}
 	}()
 	return ctx, cancel
--- a/entry/node_test.go
+++ b/entry/node_test.go
@@ -16,6 +16,7 @@
 	"github.com/parsleylug/parsleylug/lease"
 	"github.com/parsleylug/parsleylug/pause"
 	"github.com/parsleylug/parsleylug/placement"
+	"github.com/parsleylug/parsleylug/transfer"
 )
 
 // fakePlatform simulates the platform's store and the one engine that is
@@ -68,7 +69,7 @@
 	return nil
 }
 
-func (p *fakePlatform) Configuration(ctx context.Context, after domain.Offset, wait time.Duration) (*fleet.Configuration, domain.Offset, error) {
+func (p *fakePlatform) Configuration(ctx context.Context, after domain.Offset, wait time.Duration, _ *transfer.Progress) (*fleet.Configuration, domain.Offset, error) {
 	if err := p.call(ctx); err != nil {
 		return nil, after, err
 	}
@@ -303,8 +304,8 @@
 func TestOlderConfigurationIsIgnored(t *testing.T) {
 	run(t, true, func(n *Node, p *fakePlatform, _ *clock) {
 		time.Sleep(time.Second)
-		n.applyConfiguration(testConfiguration(7), 7)
-		n.applyConfiguration(testConfiguration(3), 8)
+		n.applyConfigurationRead(testConfiguration(7), 7, transfer.State{})
+		n.applyConfigurationRead(testConfiguration(3), 8, transfer.State{})
 		if got, want := n.Views.Get().Config.Version, fleet.Version(7); got != want {
 			t.Errorf("version: got %d, want %d", got, want)
 		}
