--- a/entry/node_test.go
+++ b/entry/node_test.go
@@ -46,6 +46,12 @@
 	// While losePolls is set, the responses to all pending polls for a
 	// configuration are lost.
 	losePolls bool
+	// transferTime is how long the response with a configuration takes to arrive after
+	// it has begun; transfers counts the ones that began.
+	transferTime time.Duration
+	transfers    int
+	// While refuseRegistrations is set, the store refuses to list the registrations.
+	refuseRegistrations bool
 }
 
 var errStore = errors.New("the store is down")
@@ -69,11 +75,12 @@
 	return nil
 }
 
-func (p *fakePlatform) Configuration(ctx context.Context, after domain.Offset, wait time.Duration, _ *transfer.Progress) (*fleet.Configuration, domain.Offset, error) {
+func (p *fakePlatform) Configuration(ctx context.Context, after domain.Offset, wait time.Duration, progress *transfer.Progress) (*fleet.Configuration, domain.Offset, error) {
 	if err := p.call(ctx); err != nil {
 		return nil, after, err
 	}
 	p.update(func() { p.configurationReads++ })
+	progress.RecordSent()
 	lost := false
 	for end := time.Now().Add(wait); ; {
 		p.mu.Lock()
@@ -81,6 +88,9 @@
 		lost = lost || p.losePolls
 		p.mu.Unlock()
 		if domain.Offset(version) > after && !lost {
+			if err := p.transfer(ctx, progress); err != nil {
+				return nil, after, err
+			}
 			return testConfiguration(version), domain.Offset(version), nil
 		}
 		if !time.Now().Before(end) || !pause.For(ctx, 50*time.Millisecond, nil) {
@@ -89,6 +99,22 @@
 	}
 }
 
+// transfer simulates the arrival of a response: a byte each 50 ms for transferTime.
+func (p *fakePlatform) transfer(ctx context.Context, progress *transfer.Progress) error {
+	p.mu.Lock()
+	d := p.transferTime
+	p.transfers++
+	p.mu.Unlock()
+	progress.RecordBegun()
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		if !pause.For(ctx, 50*time.Millisecond, nil) {
+			return ctx.Err()
+		}
+		progress.RecordBytes(1)
+	}
+	return nil
+}
+
 func testConfiguration(v fleet.Version) *fleet.Configuration {
 	e := &fleet.Engine{Slots: 8, Memory: 100, AdapterSlots: 2, Models: map[domain.ModelName]fleet.Model{
 		"m": {Name: "m", Memory: 10, StoreLoadTime: 2 * time.Second, DiskLoadTime: time.Second, MemoryLoadTime: time.Second},
@@ -103,6 +129,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.registrationReads++
+	if p.refuseRegistrations {
+		return nil, false, after, errStore
+	}
 	if p.removedAtChange && after > 0 && after < p.changeOffset {
 		return []fleet.Change{{ID: "i", Offset: p.changeOffset}}, false, p.changeOffset + 1, nil
 	}
