End a call to the store when its response stops, not while it arrives

Callers saw: routes that had been added refused with 404 and requests run by the old service, on nodes with slow links, long after the bound (CONFIG, DENIED).

Cause: one timeout, 1.5 s beside the wait, bounded a call with its whole body. A configuration that takes longer to arrive was thrown away and begun again; a node that starts (the list of keys, without a wait) could never read it.

--- a/transfer/progress.go
+++ b/transfer/progress.go
@@ -1,6 +1,7 @@
-// Package transfer records how far an HTTP call has come: when its response began, how many
-// bytes have arrived and when the last one did. The clients of the platform's store and log
-// write to a Progress, and the packages that wait for a call read it.
+// Package transfer makes HTTP calls with responses that may take long to arrive: it ends a call
+// whose response does not begin or stops arriving, but not one that makes progress. It records
+// in a Progress when the response began, how many bytes have arrived and when the last one did.
+// The clients of the platform's store and log use it. It retries nothing.
 package transfer
 
 import (
