Don't end the transfer of a configuration to start it over

Callers saw (CONFIG, DENIED): on nodes with slow links, routes that had been added refused with 404, and requests run by the old service, in the worst case until the process ended.

Cause: a poll was cancelled and sent again when the owner had announced a newer offset for 250 to 500 ms, when any call to the store succeeded after a failed one, and after its wait when the owner's updates were not fresh, in each case also while the response was arriving. A transfer that takes longer than that never ends. A node that missed a version reads all versions since, so that its next transfer is larger.

Change: a poll that may be lost gets a second read beside it, and the first result counts; nothing is ended before another read has succeeded. A node that knows it is behind reads without a wait, and lists the newest record if it missed more than one. The state of the store is kept by call, so that renewals of the membership are no recovery of reads that the store refuses, and retries have jitter. An announcement never goes back when the owner changes.

--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fleet"
 	"github.com/parsleylug/parsleylug/pause"
@@ -16,46 +15,37 @@
 // behind the owner's configuration; it doubles with each line.
 const behindLogInterval = time.Second
 
-var (
-	errStoreRecovered  = errors.New("the store recovered")
-	errBehindOwner     = errors.New("the owner announced a newer configuration")
-	errNoFreshUpdate   = errors.New("no update of the owner is fresh")
-	errPollNotRequired = errors.New("the poll has ended")
-)
-
-// followConfiguration polls the store for new configurations and applies them.
+// followConfiguration reads new configurations from the store and applies them.
 func (n *Node) followConfiguration(ctx context.Context) {
 	retryPause, startupPause := minimumRetryPause, startupInterval
 	for ctx.Err() == nil {
-		cursor := n.configurationPosition()
-		callCtx, cancel := n.cancelOnRecovery(ctx)
-		go n.cancelLostPoll(callCtx, cancel, cursor)
-		var progress transfer.Progress
-		c, next, err := n.Feed.Configuration(callCtx, cursor, n.configurationPollWait(), &progress)
-		cause := context.Cause(callCtx)
-		cancel(errPollNotRequired)
-		if cause != nil {
-			n.recordConfigurationRead(cursor, &progress, cause)
-			continue
+		r := n.readConfiguration(ctx)
+		if ctx.Err() != nil {
+			return
 		}
-		n.recordConfigurationRead(cursor, &progress, err)
 		n.mu.Lock()
-		n.recordStoreResult(time.Now(), "Configuration", err)
+		n.recordStoreResult(time.Now(), "Configuration", r.err)
 		n.mu.Unlock()
-		if err != nil {
-			n.pauseUntilRecovery(ctx, retryPause)
+		if r.err != nil {
+			n.pauseUntilRecovery(ctx, jitter(retryPause))
 			retryPause = min(2*retryPause, maximumRetryPause)
 			continue
 		}
-		retryPause = minimumRetryPause
-		n.applyConfigurationRead(c, next, progress.State())
-		if c == nil && !n.hasConfiguration() {
+		n.applyConfigurationRead(r.config, r.next, r.progress)
+		if n.needsConfiguration() && r.next <= r.read.cursor {
+			// The store has none yet, or serves an old state.
 			pause.For(ctx, startupPause, nil)
 			startupPause = nextStartupInterval(startupPause)
+			continue
 		}
+		retryPause, startupPause = minimumRetryPause, startupInterval
 	}
 }
 
+// jitter returns a random duration between half of d and d, so that nodes that failed
+// together do not retry together.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2) }
+
 // configurationPosition returns the offset up to which this node has read the
 // configurations.
 func (n *Node) configurationPosition() domain.Offset {
@@ -64,12 +54,18 @@
 	return n.configurationCursor
 }
 
-func (n *Node) hasConfiguration() bool {
+// needsConfiguration reports whether this node has no configuration, or knows of a newer
+// one than it has read.
+func (n *Node) needsConfiguration() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.config != nil
+	return n.config == nil || n.isBehind()
 }
 
+// isBehind reports whether the owner has announced a configuration that this node has not
+// read. The caller holds mu.
+func (n *Node) isBehind() bool { return n.storeUpdates.ConfigurationOffset > n.configurationCursor }
+
 // applyConfigurationRead applies the result of a read of the configurations up to next.
 // The parameter c is nil if the read returned none.
 func (n *Node) applyConfigurationRead(c *fleet.Configuration, next domain.Offset, read transfer.State) {
@@ -111,86 +107,10 @@
 	line.Bool("Owner", n.fence != 0).Msg("applied a new configuration")
 }
 
-// recordConfigurationRead counts a read of the configurations that has ended, and logs one
-// that failed or was cancelled for the given reason. The reason is nil for a success.
-func (n *Node) recordConfigurationRead(cursor domain.Offset, p *transfer.Progress, reason error) {
-	result := configurationReadResult(reason)
-	if n.Counters != nil {
-		n.Counters.CountConfigurationRead(result)
-	}
-	if reason == nil {
-		return
-	}
-	s := p.State()
-	n.mu.Lock()
-	announced := n.storeUpdates.ConfigurationOffset
-	n.mu.Unlock()
-	line := n.Logger.Info().Str("Event", "ConfigurationReadEnded").Str("Result", result).Uint64("From", uint64(cursor)).Uint64("Announced", uint64(announced)).
-		Int64("Bytes", s.Bytes).Int64("WaitMs", s.WaitTime().Milliseconds()).Int64("ReadMs", s.ReadTime().Milliseconds())
-	if !s.SentAt.IsZero() {
-		line = line.Int64("TookMs", time.Since(s.SentAt).Milliseconds())
-	}
-	line.AnErr("Cause", reason).Msg("a read of the configuration ended without a result")
-}
-
-// configurationReadResult names the result of a read that ended for the given reason.
-func configurationReadResult(reason error) string {
-	switch {
-	case reason == nil:
-		return "Read"
-	case errors.Is(reason, errBehindOwner):
-		return "BehindOwner"
-	case errors.Is(reason, errNoFreshUpdate):
-		return "NoFreshUpdate"
-	case errors.Is(reason, errStoreRecovered):
-		return "StoreRecovered"
-	case errors.Is(reason, context.Canceled):
-		return "Stopped"
-	}
-	return "Failed"
-}
-
-// configurationPollWait returns how long the next poll lets the store wait for a
-// new configuration.
-func (n *Node) configurationPollWait() time.Duration {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.hasFreshStoreUpdate(time.Now()) && n.config != nil {
-		return longPollWait
-	}
-	return pollWait
-}
-
-// cancelLostPoll cancels a poll for configurations after cursor if its response
-// may be lost. This is so if the owner's store updates show a newer configuration
-// at two checks in a row, or if no store update is fresh and the poll has lasted
-// longer than pollWait. It returns when ctx, the context of the poll, ends.
-func (n *Node) cancelLostPoll(ctx context.Context, cancel context.CancelCauseFunc, cursor domain.Offset) {
-	start := time.Now()
-	wasBehind := false
-	for pause.For(ctx, pollCheckInterval, nil) {
-		n.mu.Lock()
-		now := time.Now()
-		n.updateBehind(now)
-		isBehind := n.storeUpdates.ConfigurationOffset > cursor
-		timedOut := !n.hasFreshStoreUpdate(now) && now.Sub(start) > pollWait
-		n.mu.Unlock()
-		if isBehind && wasBehind {
-			cancel(errBehindOwner)
-			return
-		}
-		if timedOut {
-			cancel(errNoFreshUpdate)
-			return
-		}
-		wasBehind = isBehind
-	}
-}
-
 // updateBehind records since when the owner has announced a configuration that this node
 // has not read, and logs it at growing intervals. The caller holds mu.
 func (n *Node) updateBehind(now time.Time) {
-	if n.storeUpdates.ConfigurationOffset <= n.configurationCursor {
+	if !n.isBehind() {
 		if !n.behindSince.IsZero() && n.Counters != nil {
 			n.Counters.SetConfigurationBehind(0)
 		}
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -9,12 +9,6 @@
 )
 
 const (
-	// pollWait is how long one poll waits for a new configuration. A lost
-	// response is detected after this time plus the timeout of a call to the
-	// store.
-	pollWait = 2200 * time.Millisecond
-	// longPollWait replaces pollWait while the owner sends store updates.
-	longPollWait = 20 * time.Second
 	// minimumRetryPause and maximumRetryPause bound the backoff after a failed call.
 	minimumRetryPause = 100 * time.Millisecond
 	maximumRetryPause = 800 * time.Millisecond
--- a/entry/news.go
+++ b/entry/news.go
@@ -11,10 +11,6 @@
 	// storeUpdateLifeIntervals is how long a store update stays fresh, as a
 	// multiple of Options.RegistrationsInterval.
 	storeUpdateLifeIntervals = 1.6
-	// pollCheckInterval is how often a pending poll for a configuration is
-	// compared with the owner's store updates. If the poll is behind them at two
-	// checks in a row, its response counts as lost.
-	pollCheckInterval = 250 * time.Millisecond
 	// maximumReadGap is the longest time between two reads of the registrations,
 	// even if the owner reports no change, because the store keeps its history
 	// for a limited time only.
@@ -43,6 +39,8 @@
 		n.storeUpdates.readReportedAt = now
 	}
 	u.RegistrationsRead = false
+	// A new owner may have read less than the one before.
+	u.ConfigurationOffset = max(u.ConfigurationOffset, n.storeUpdates.ConfigurationOffset)
 	if u == n.storeUpdates.StoreUpdate {
 		return
 	}
--- a/entry/node.go
+++ b/entry/node.go
@@ -30,9 +30,11 @@
 )
 
 // Feed reads the configuration, written by the operator, and the registrations of
-// the backend servers from the platform's store.
+// the backend servers from the platform's store. NewestConfiguration returns the newest
+// configuration without those before it, even if it was written before the cursor.
 type Feed interface {
 	Configuration(ctx context.Context, after domain.Offset, wait time.Duration, p *transfer.Progress) (*fleet.Configuration, domain.Offset, error)
+	NewestConfiguration(ctx context.Context, after domain.Offset, p *transfer.Progress) (*fleet.Configuration, domain.Offset, error)
 	Servers(ctx context.Context, after domain.Offset) (changes []fleet.Change, complete bool, next domain.Offset, err error)
 }
 
@@ -156,10 +158,10 @@
 	// nodeCount is the largest node count that this node has received from an owner
 	// or, as the owner, computed; 0 if there was none.
 	nodeCount int
-	// storeDown is set while the last call to the store has failed.
-	storeDown bool
+	// failedCalls holds the names of the calls to the store that failed the last time.
+	failedCalls map[string]bool
 	// storeRecovered is closed, and replaced, when a call to the store succeeds
-	// after a failed one.
+	// after it failed the last time.
 	storeRecovered chan struct{}
 	// planTrigger makes the owner plan before its interval has passed.
 	planTrigger chan struct{}
@@ -167,7 +169,7 @@
 
 // New returns a node that is idle until Run.
 func New(o Options) *Node {
-	n := &Node{Options: o, planTrigger: make(chan struct{}, 1), storeRecovered: make(chan struct{})}
+	n := &Node{Options: o, planTrigger: make(chan struct{}, 1), storeRecovered: make(chan struct{}), failedCalls: map[string]bool{}}
 	n.storeUpdates.changed = make(chan struct{})
 	n.lease.Shard = ownedShard
 	n.lease.TimeToLive, n.lease.FirstOrderDelay, n.lease.ServersCheckFences = o.TimeToLive, o.FirstOrderDelay, o.ServersCheckFences
@@ -265,19 +267,20 @@
 }
 
 // recordStoreResult records whether a call to the store succeeded, and logs each
-// change between failure and success. The caller holds mu.
+// change between failure and success of the call with this name. The caller holds mu.
 func (n *Node) recordStoreResult(now time.Time, call string, err error) {
 	if err != nil {
 		n.directory.RecordStoreFailure(now)
 	}
-	if (err != nil) == n.storeDown {
+	if (err != nil) == n.failedCalls[call] {
 		return
 	}
-	n.storeDown = err != nil
-	if n.storeDown {
+	if err != nil {
+		n.failedCalls[call] = true
 		n.Logger.Warn().Str("Event", "StoreLost").Str("Call", call).Err(err).Msg("the platform's store does not respond")
 		return
 	}
+	delete(n.failedCalls, call)
 	close(n.storeRecovered)
 	n.storeRecovered = make(chan struct{})
 	n.Logger.Info().Str("Event", "StoreRegained").Str("Call", call).Msg("the platform's store responds again")
@@ -295,19 +298,3 @@
 func (n *Node) pauseUntilRecovery(ctx context.Context, d time.Duration) {
 	pause.For(ctx, d, n.storeRecovery())
 }
-
-// cancelOnRecovery returns a context for a call to the store. It is also
-// cancelled when the store recovers from a failure, because a call sent before
-// the recovery may never get a response.
-func (n *Node) cancelOnRecovery(ctx context.Context) (context.Context, context.CancelCauseFunc) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	recovered := n.storeRecovery()
-	go func() {
-		select {
-		case <-ctx.Done():
-		case <-recovered:
-			cancel(errStoreRecovered)
-		}
-	}()
-	return ctx, cancel
-}
--- a/entry/node_test.go
+++ b/entry/node_test.go
@@ -99,6 +99,10 @@
 	}
 }
 
+func (p *fakePlatform) NewestConfiguration(ctx context.Context, _ domain.Offset, progress *transfer.Progress) (*fleet.Configuration, domain.Offset, error) {
+	return p.Configuration(ctx, 0, 0, progress)
+}
+
 // transfer simulates the arrival of a response: a byte each 50 ms for transferTime.
 func (p *fakePlatform) transfer(ctx context.Context, progress *transfer.Progress) error {
 	p.mu.Lock()
