Bound the body of a backend server's response to a request

Change: a body over 8 MiB ends the attempt like one that breaks off: the request may have run (502, or a repeat where that is allowed), and the connection is closed.

--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -7,12 +7,18 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fleet"
 	"github.com/parsleylug/parsleylug/suspects"
 	"github.com/parsleylug/parsleylug/verdict"
 )
 
+// maximumBody limits the body of a response that is not a stream. The whole body is held in
+// memory until it is complete.
+const maximumBody = 8 * domain.Mebibyte
+
 // session handles one request.
 type session struct {
 	dispatcher *Dispatcher
@@ -301,8 +307,11 @@
 
 // handleBody reads and forwards a response that is not a stream.
 func (s *session) handleBody(server *fleet.Server, r *Response) (Outcome, *verdict.Error, bool) {
-	body, err := io.ReadAll(r.Body)
+	body, err := io.ReadAll(io.LimitReader(r.Body, int64(maximumBody)+1))
 	_ = r.Body.Close()
+	if err == nil && len(body) > int(maximumBody) {
+		err = errors.Errorf("the body is longer than %d bytes", maximumBody)
+	}
 	if err != nil {
 		s.recordFailure(server, "CutShort")
 		s.dispatcher.chooser.recordFailure(time.Now(), server.ID, false)
--- a/httponce/endless_test.go
+++ b/httponce/endless_test.go
@@ -4,15 +4,21 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"github.com/parsleylug/parsleylug/dispatch"
+	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/engine"
 	"github.com/parsleylug/parsleylug/fleet"
 	"github.com/parsleylug/parsleylug/placement"
 	"github.com/parsleylug/parsleylug/platform"
+	"github.com/parsleylug/parsleylug/retries"
 	"github.com/parsleylug/parsleylug/service"
 	"github.com/parsleylug/parsleylug/verdict"
 )
@@ -123,6 +129,7 @@
 // backend server is called.
 func TestEndlessResponseIsCutOffWithATruthfulVerdict(t *testing.T) {
 	for name, call := range map[string]func(ctx context.Context, t *testing.T, address string){
+		"request":       callRequest,
 		"engine state":  callEngineState,
 		"order":         callOrder,
 		"chat":          callChat,
@@ -159,6 +166,49 @@
 	}
 }
 
+type noCounters struct{}
+
+func (noCounters) CountRequest(fleet.Kind, dispatch.Outcome, time.Duration) {}
+func (noCounters) CountAttempt(string)                                      {}
+
+// callRequest sends a caller's request through a node of the users' platform.
+func callRequest(ctx context.Context, t *testing.T, address string) {
+	t.Helper()
+	route := fleet.Route{Host: "h", PathPrefix: "/", Kind: fleet.NonIdempotent, Timeout: callDeadline, LatencyGoal: 200 * time.Millisecond, MaxAttempts: 1,
+		Targets: []fleet.Target{{Service: "s", Weight: 1}}}
+	c := &fleet.Configuration{Version: 1, Routes: []fleet.Route{route}, Services: map[domain.ServiceName]fleet.Service{"s": {Name: "s"}}}
+	c.Index()
+	views := &dispatch.Views{}
+	views.Publish(&dispatch.View{Config: c, Servers: map[domain.ServiceName][]*fleet.Server{"s": {{ID: "i", Service: "s", Address: address, Slots: 4}}}})
+	d := dispatch.New(dispatch.Options{
+		Views: views, Demand: &dispatch.DemandCounter{}, Backend: platform.NewBackend("n"), Logger: zerolog.Nop(), Counters: noCounters{},
+		SetBudget: func(*retries.WindowBudget) {},
+	})
+	s := httptest.NewServer(&platform.Frontend{Dispatcher: d, Views: views})
+	t.Cleanup(s.Close)
+	r, err := http.NewRequestWithContext(context.WithoutCancel(ctx), http.MethodPost, s.URL+"/a/", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h"
+	r.Header.Set("X-Parsleylug-Request-Id", "r")
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		// A closed connection promises nothing either.
+		return
+	}
+	_ = response.Body.Close()
+	switch response.StatusCode {
+	case http.StatusBadGateway, http.StatusGatewayTimeout:
+	case http.StatusOK:
+		if !strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
+			t.Error("got a success for a response that never ended")
+		}
+	default:
+		t.Errorf("got status %d, want 502 or 504", response.StatusCode)
+	}
+}
+
 func callEngineState(ctx context.Context, t *testing.T, address string) {
 	t.Helper()
 	_, err := platform.NewBackend("n").QueryEngineState(ctx, fleet.Server{ID: "i", Address: address})
