Name refused, unanswered and broken reads of the configuration apart in the log

A refusal with a body was logged as a transfer that broke off, and a node in a backoff logged several lines at once about being behind. The status of the response is in the line now, and the gap between two such lines is twice the time of the last one.

--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -11,8 +11,8 @@
 	"github.com/parsleylug/parsleylug/transfer"
 )
 
-// behindLogInterval is the first interval between two lines that say that this node is
-// behind the owner's configuration; it doubles with each line.
+// behindLogInterval is how long this node is behind the owner's configuration before it
+// logs this. Each further line comes after twice the time of the one before.
 const behindLogInterval = time.Second
 
 // followConfiguration reads new configurations from the store and applies them.
@@ -127,7 +127,7 @@
 	if behind < n.behindLogGap {
 		return
 	}
-	n.behindLogGap *= 2
+	n.behindLogGap = 2 * behind
 	version := fleet.Version(0)
 	if n.config != nil {
 		version = n.config.Version
--- a/entry/configurationread.go
+++ b/entry/configurationread.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -161,7 +162,7 @@
 	announced := n.storeUpdates.ConfigurationOffset
 	n.mu.Unlock()
 	n.Logger.Info().Str("Event", "ConfigurationReadEnded").Str("Result", result).Bool("Poll", r.read.isPoll).
-		Uint64("From", uint64(r.read.cursor)).Uint64("Announced", uint64(announced)).Int64("Bytes", r.progress.Bytes).
+		Uint64("From", uint64(r.read.cursor)).Uint64("Announced", uint64(announced)).Int("Status", r.progress.Status).Int64("Bytes", r.progress.Bytes).
 		Int64("WaitMs", r.progress.WaitTime().Milliseconds()).Int64("ReadMs", r.progress.ReadTime().Milliseconds()).
 		Int64("TookMs", time.Since(r.read.sentAt).Milliseconds()).AnErr("Cause", r.err).Msg("a read of the configuration ended without a result")
 }
@@ -173,10 +174,10 @@
 		return "Read"
 	case errors.Is(r.err, context.Canceled):
 		return "Cancelled"
-	case r.progress.Bytes > 0:
-		return "BrokenOff"
-	case !r.progress.BegunAt.IsZero():
+	case r.progress.BegunAt.IsZero():
+		return "Unanswered"
+	case r.progress.Status != http.StatusOK:
 		return "Refused"
 	}
-	return "Unanswered"
+	return "BrokenOff"
 }
--- a/entry/node.go
+++ b/entry/node.go
@@ -133,7 +133,7 @@
 	configurationCursor domain.Offset
 	// behindSince is since when the owner has announced a configuration that this node
 	// has not read; zero if there is none. The next line about it is due behindLogGap
-	// after behindSince.
+	// after that.
 	behindSince  time.Time
 	behindLogGap time.Duration
 	// announcedOffset is the configuration that this node announced last as the owner.
--- a/entry/node_test.go
+++ b/entry/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -109,7 +110,7 @@
 	d := p.transferTime
 	p.transfers++
 	p.mu.Unlock()
-	progress.RecordBegun()
+	progress.RecordBegun(http.StatusOK)
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		if !pause.For(ctx, 50*time.Millisecond, nil) {
 			return ctx.Err()
--- a/transfer/call.go
+++ b/transfer/call.go
@@ -44,7 +44,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	responseTimer.Stop()
-	p.RecordBegun()
+	p.RecordBegun(response.StatusCode)
 	stallTimer := time.AfterFunc(l.Stall, func() { cancel(ErrStalled) })
 	defer stallTimer.Stop()
 	body := &bodyReader{body: response.Body, progress: p, extend: func() { stallTimer.Reset(l.Stall) }}
--- a/transfer/progress.go
+++ b/transfer/progress.go
@@ -21,6 +21,8 @@
 	// SentAt is when the call was sent, BegunAt when its response header arrived, and
 	// LastByteAt when a part of the body last arrived.
 	SentAt, BegunAt, LastByteAt time.Time
+	// Status is the HTTP status, or 0 before the response begins.
+	Status int
 	// Bytes is the number of bytes of the body that have arrived.
 	Bytes int64
 }
@@ -44,9 +46,9 @@
 	p.update(func(s *State) { *s = State{SentAt: time.Now(), Bytes: s.Bytes} })
 }
 
-// RecordBegun records that the response header has arrived.
-func (p *Progress) RecordBegun() {
-	p.update(func(s *State) { s.BegunAt = time.Now() })
+// RecordBegun records that a response header with the given HTTP status has arrived.
+func (p *Progress) RecordBegun(status int) {
+	p.update(func(s *State) { s.BegunAt, s.Status = time.Now(), status })
 }
 
 // RecordBytes records that n bytes of the body have arrived.
