Answer 503 for an unknown route while a newer configuration is known

Cause: a node that knows of a newer configuration answered by its old one as if that were the truth. Whether the route exists is not known to it.

Change: it refuses with 503 and a Retry-After of 0.5 s, which is true (nothing ran), until it has read up to the owner's announcement. Requests with a route are served on: to refuse them too would turn an outage of the store for some nodes into one for their callers.

--- a/commands/front.go
+++ b/commands/front.go
@@ -137,7 +137,7 @@
 		Counters:               f.metrics,
 	})
 	f.node.OnCrashReports = dispatcher.ApplyCrashReports
-	f.frontend = &platform.Frontend{Dispatcher: dispatcher, Views: &f.node.Views}
+	f.frontend = &platform.Frontend{Dispatcher: dispatcher, Views: &f.node.Views, IsBehind: f.node.IsConfigurationBehind}
 	return f
 }
 
--- a/entry/node.go
+++ b/entry/node.go
@@ -199,6 +199,14 @@
 	return n.config != nil && n.serversSeen && !n.draining
 }
 
+// IsConfigurationBehind reports whether the owner has announced a configuration that this
+// node has not read.
+func (n *Node) IsConfigurationBehind() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.isBehind()
+}
+
 // Drain makes the node report that it is not ready, for the rest of its run.
 func (n *Node) Drain() {
 	n.mu.Lock()
