Read a slow page of the log to its end, and one that is too long in smaller ones

Cause: a read of a page was ended after 5 s beside its wait, also while it arrived, and read again from its start with as many records; and a response over 64 MiB was cut, could not be decoded, and was read again. A page holds up to 1000 records of up to 512 KiB.

Change: the client ends a call whose response does not begin or stops for 5 s (transfer.Do), and says PageTooLong instead of cutting; the replica then asks for half as many records, down to one, and for one more after each success.

Tests of platformlog, relay and node pass.

--- a/platformlog/client.go
+++ b/platformlog/client.go
@@ -15,7 +15,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -25,10 +24,16 @@
 	"github.com/pkg/errors"
 
 	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/transfer"
 )
 
-// maximumResponseBytes is the largest part of a response body that is read.
-const maximumResponseBytes = 64 << 20
+const (
+	// maximumResponseBytes is the largest response body.
+	maximumResponseBytes = 64 << 20
+	// CallTimeout is the longest time until the response to a call begins, beside the
+	// long-poll wait of a read, and then the longest time without a byte of it.
+	CallTimeout = 5 * time.Second
+)
 
 // Failure is the kind of failure of a call. It says whether an append may have taken
 // effect.
@@ -47,6 +52,9 @@
 	// OutOfRetention means that a read failed because the log no longer has the first
 	// requested record.
 	OutOfRetention
+	// PageTooLong means that a read failed because the requested records are too many for
+	// one response.
+	PageTooLong
 )
 
 // Error is a failed call to the log.
@@ -138,7 +146,7 @@
 	request.GetBody = nil
 	request.Header.Set("Content-Type", "application/json")
 	var appended appendResponse
-	status, err := c.do(request, &appended)
+	status, err := c.do(request, &appended, 0)
 	if err != nil {
 		return 0, &Error{Failure: appendFailure(status, err), Status: status, Cause: err}
 	}
@@ -165,8 +173,9 @@
 }
 
 // Read returns at most limit records of a stream, starting at offset from. If the stream
-// has no record at from yet, the log delays its response by up to wait until it has one. Errors are *Error with
-// Unavailable or OutOfRetention.
+// has no record at from yet, the log delays its response by up to wait until it has one. A read
+// ends when its response does not begin or stops arriving for CallTimeout, not while it
+// arrives. Errors are *Error with Unavailable, OutOfRetention or PageTooLong.
 func (c *Client) Read(ctx context.Context, stream string, from domain.Offset, limit int, wait time.Duration) (Page, error) {
 	query := url.Values{}
 	query.Set("from", strconv.FormatUint(uint64(from), 10))
@@ -177,7 +186,10 @@
 		return Page{}, &Error{Failure: Unavailable, Cause: err}
 	}
 	var result readResponse
-	status, err := c.do(request, &result)
+	status, err := c.do(request, &result, wait)
+	if errors.Is(err, transfer.ErrTooLong) {
+		return Page{}, &Error{Failure: PageTooLong, Status: status, Cause: err}
+	}
 	if status == http.StatusGone {
 		return Page{}, &Error{Failure: OutOfRetention, Status: status,
 			Oldest: domain.Offset(result.Oldest), Next: domain.Offset(result.Next)}
@@ -206,23 +218,20 @@
 }
 
 // do sends a request, decodes the JSON body of status 200 or 410 into result and
-// returns the status, or 0 without a complete response.
-func (c *Client) do(request *http.Request, result any) (int, error) {
+// returns the status, or 0 without a complete response. The log may delay its response by
+// wait.
+func (c *Client) do(request *http.Request, result any, wait time.Duration) (int, error) {
 	client := c.HTTP
 	if client == nil {
 		client = http.DefaultClient
 	}
-	response, err := client.Do(request)
-	if err != nil {
-		return 0, errors.WithStack(err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maximumResponseBytes))
+	limits := transfer.Limits{Response: wait + CallTimeout, Stall: CallTimeout, Bytes: maximumResponseBytes}
+	status, body, err := transfer.Do(client, request, limits, nil)
 	if err != nil {
-		return 0, errors.WithStack(err)
+		return 0, err
 	}
-	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusGone {
-		return response.StatusCode, errors.Errorf("status %s", response.Status)
+	if status != http.StatusOK && status != http.StatusGone {
+		return status, errors.Errorf("status %d", status)
 	}
-	return response.StatusCode, errors.WithStack(json.Unmarshal(body, result))
+	return status, errors.WithStack(json.Unmarshal(body, result))
 }
--- a/platformlog/configure.go
+++ b/platformlog/configure.go
@@ -46,7 +46,7 @@
 // record that is appended.
 func (r *Replica) nextConfigurationOffset(ctx context.Context) (domain.Offset, error) {
 	from := r.configurationOffset() + 1
-	page, err := r.readWithTimeout(ctx, fold.ConfigurationStream, from, 1, 0)
+	page, err := r.readPage(ctx, fold.ConfigurationStream, from, 1, 0)
 	var e *Error
 	if errors.As(err, &e) && e.Failure == OutOfRetention {
 		return max(e.Next, from), nil
@@ -62,7 +62,7 @@
 func (r *Replica) findConfigurationRecord(ctx context.Context, from domain.Offset, raw []byte, cause error) (domain.Offset, error) {
 	var b backoff
 	for ctx.Err() == nil {
-		page, err := r.readWithTimeout(ctx, fold.ConfigurationStream, from, maximumImportRecords, ReadWait)
+		page, err := r.readPage(ctx, fold.ConfigurationStream, from, maximumImportRecords, ReadWait)
 		if err != nil {
 			pause.For(ctx, b.nextDelay(), nil)
 			continue
--- a/platformlog/failure_string.go
+++ b/platformlog/failure_string.go
@@ -12,11 +12,12 @@
 	_ = x[NotAppended-1]
 	_ = x[Unavailable-2]
 	_ = x[OutOfRetention-3]
+	_ = x[PageTooLong-4]
 }
 
-const _Failure_name = "OutcomeUnknownNotAppendedUnavailableOutOfRetention"
+const _Failure_name = "OutcomeUnknownNotAppendedUnavailableOutOfRetentionPageTooLong"
 
-var _Failure_index = [...]uint8{0, 14, 25, 36, 50}
+var _Failure_index = [...]uint8{0, 14, 25, 36, 50, 61}
 
 func (i Failure) String() string {
 	idx := int(i) - 0
--- a/platformlog/follower.go
+++ b/platformlog/follower.go
@@ -35,12 +35,17 @@
 // records from a relay.
 func (r *Replica) readsLog() bool { return r.options.ReadsLog == nil || r.options.ReadsLog() }
 
-// readWithTimeout reads a page within wait plus CallTimeout.
-func (r *Replica) readWithTimeout(ctx context.Context, stream string, from domain.Offset, limit int, wait time.Duration) (Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+CallTimeout)
-	defer cancel()
-	page, err := r.options.Log.Read(ctx, stream, from, limit, wait)
+// readPage reads at most limit records of a stream, and fewer after a page that was too long
+// for a response.
+func (r *Replica) readPage(ctx context.Context, stream string, from domain.Offset, limit int, wait time.Duration) (Page, error) {
+	page, err := r.options.Log.Read(ctx, stream, from, min(limit, r.pageRecords.get()), wait)
 	r.scope.Counter("reads").Inc(1)
+	if err != nil && FailureOf(err) == PageTooLong {
+		r.pageRecords.halve()
+	}
+	if err == nil {
+		r.pageRecords.grow()
+	}
 	return page, err
 }
 
@@ -52,7 +57,7 @@
 		wait = 0
 	}
 	from := r.offset() + 1
-	page, err := r.readWithTimeout(ctx, fold.DecisionStream, from, recordsPerRead, wait)
+	page, err := r.readPage(ctx, fold.DecisionStream, from, recordsPerRead, wait)
 	if err != nil {
 		return false, err
 	}
@@ -130,7 +135,7 @@
 	var newestSnapshot []byte
 	var through domain.Offset
 	for from := oldest; from < next; {
-		page, err := r.readWithTimeout(ctx, fold.DecisionStream, from, recordsPerRead, 0)
+		page, err := r.readPage(ctx, fold.DecisionStream, from, recordsPerRead, 0)
 		if err != nil {
 			return err
 		}
--- a/platformlog/importer.go
+++ b/platformlog/importer.go
@@ -65,7 +65,7 @@
 // next operator records have left the log, it proposes to skip them.
 func (r *Replica) importOnce(ctx context.Context) error {
 	after := r.configurationOffset()
-	page, err := r.readWithTimeout(ctx, fold.ConfigurationStream, after+1, maximumImportRecords, ReadWait)
+	page, err := r.readPage(ctx, fold.ConfigurationStream, after+1, maximumImportRecords, ReadWait)
 	var e *Error
 	if errors.As(err, &e) && e.Failure == OutOfRetention && e.Oldest > after+1 {
 		r.options.Logger.Error().Str("Event", "ConfigurationLost").Uint64("After", uint64(after)).Uint64("Oldest", uint64(e.Oldest)).
--- a/platformlog/replica.go
+++ b/platformlog/replica.go
@@ -19,9 +19,6 @@
 const (
 	// ReadWait is the long-poll wait of a read.
 	ReadWait = time.Second
-	// CallTimeout is the timeout of a call to the log. A read may take its long-poll wait
-	// in addition.
-	CallTimeout = 5 * time.Second
 	// RelayedReadInterval is how often a node reads the log while it gets its records
 	// from a relay.
 	RelayedReadInterval = time.Minute
@@ -38,7 +35,8 @@
 	recordsPerRead = 1000
 )
 
-// Log is the part of the log's client that a Replica uses. *Client implements it.
+// Log is the part of the log's client that a Replica uses. *Client implements it. A Read
+// must end by itself if its response makes no progress.
 type Log interface {
 	Append(ctx context.Context, stream string, records [][]byte) (domain.Offset, error)
 	Read(ctx context.Context, stream string, from domain.Offset, limit int, wait time.Duration) (Page, error)
@@ -110,6 +108,9 @@
 	snapshotOffset domain.Offset
 	snapshotAt     time.Time
 
+	// pageRecords limits the records of a read.
+	pageRecords pageSize
+
 	// lastReadReachedLog is true if the last read of the decision stream reached the log,
 	// and lastAppendReachedLog if the last append to it did.
 	lastReadReachedLog   atomic.Bool
