Keep a link while a long message makes progress on it

Cause: a message had to be written within 2 s, or the link was dropped; the next link begins with the same complete state.

Change: a message over 16 KiB is written in parts, and each part may take 2 s.

TestLinkSurvivesACompleteStateThatTakesLongToSend fails without it (the link breaks after 2.1 s) and passes.

--- a/hub/link.go
+++ b/hub/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,9 +15,11 @@
 const (
 	// Path is the URL path at which the owner accepts links.
 	Path = "/link"
-	// writeTimeout bounds the write of one message. The link is dropped if the
-	// write takes longer.
+	// writeTimeout bounds the write of one part of a message. The link is dropped if
+	// the write takes longer.
 	writeTimeout = 2 * time.Second
+	// writePartBytes is the size of the parts in which a message is written.
+	writePartBytes = 16 << 10
 	dialTimeout  = 1500 * time.Millisecond
 	// updateQueueLength bounds the updates queued for a slow node. When the queue is
 	// full the link is dropped, and the node receives the complete state when it
@@ -118,10 +121,28 @@
 	}
 }
 
+// write writes one message in parts. It fails if the connection takes no part for
+// writeTimeout, but not while it makes progress: the complete state of many servers takes
+// long on a slow link, and a link that is dropped for it starts with the complete state again.
 func write(ctx context.Context, c *websocket.Conn, data []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	return c.Write(ctx, websocket.MessageBinary, data)
+	timer := time.AfterFunc(writeTimeout, cancel)
+	defer timer.Stop()
+	if len(data) <= writePartBytes {
+		return c.Write(ctx, websocket.MessageBinary, data)
+	}
+	w, err := c.Writer(ctx, websocket.MessageBinary)
+	if err != nil {
+		return err
+	}
+	for part := range slices.Chunk(data, writePartBytes) {
+		if _, err := w.Write(part); err != nil {
+			return err
+		}
+		timer.Reset(writeTimeout)
+	}
+	return w.Close()
 }
 
 // Broadcast queues an update for every linked node and drops the links whose queue
@@ -159,9 +180,13 @@
 
 // Dial links to the owner at an address of the form IP:PORT.
 func Dial(ctx context.Context, dialer *net.Dialer, address string) (*Link, error) {
+	return dial(ctx, dialer.DialContext, address)
+}
+
+func dial(ctx context.Context, dialContext func(ctx context.Context, network, address string) (net.Conn, error), address string) (*Link, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}}
+	client := &http.Client{Transport: &http.Transport{DialContext: dialContext, DisableCompression: true}}
 	c, response, err := websocket.Dial(ctx, "ws://"+address+Path, &websocket.DialOptions{HTTPClient: client, CompressionMode: websocket.CompressionDisabled})
 	if response != nil && response.Body != nil {
 		_ = response.Body.Close()
@@ -173,7 +198,7 @@
 	return &Link{conn: c}, nil
 }
 
-// Send sends a report. It fails if the write takes longer than writeTimeout.
+// Send sends a report. It fails if the connection takes nothing for writeTimeout.
 func (l *Link) Send(ctx context.Context, r Report) error {
 	data, err := encodeReport(r)
 	if err != nil {
