Split dispatch/session.go by job, and share the in-memory listener of two tests

session.go had 426 lines for three jobs. The decisions of a request stay there, response.go has what follows from a whole response, stream.go from a stream; functions are moved unchanged. standin.PipeListener serves the tests of a slow store and of a slow link.

--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -3,22 +3,15 @@
 import (
 	"context"
 	stderrors "errors"
-	"io"
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fleet"
 	"github.com/parsleylug/parsleylug/suspects"
 	"github.com/parsleylug/parsleylug/verdict"
 )
 
-// maximumBody limits the body of a response that is not a stream. The whole body is held in
-// memory until it is complete.
-const maximumBody = 8 * domain.Mebibyte
-
 // session handles one request.
 type session struct {
 	dispatcher *Dispatcher
@@ -253,174 +246,3 @@
 	s.avoidedServers[server.ID] = true
 	s.recordResult(result)
 }
-
-// discard closes the body and the events of a response.
-func discard(r *Response) {
-	if r.Events != nil {
-		r.Events.Close()
-	}
-	if r.Body != nil {
-		_ = r.Body.Close()
-	}
-}
-
-// handleNoResponse records an attempt that failed without a response.
-func (s *session) handleNoResponse(ctx context.Context, server *fleet.Server, e *verdict.Error) (Outcome, *verdict.Error, bool) {
-	if e.Verdict == verdict.NotRun {
-		s.recordFailure(server, "Unreached")
-		if ctx.Err() == nil {
-			s.dispatcher.chooser.recordFailure(time.Now(), server.ID, true)
-		}
-		return 0, e, false
-	}
-	s.mayHaveRun = true
-	s.possibleRuns++
-	s.recordFailure(server, "Unanswered")
-	s.dispatcher.chooser.recordNoResponse(time.Now(), server.ID)
-	if ctx.Err() == nil {
-		go s.dispatcher.checkCrash(server, s.request.Content, s.headSent)
-	}
-	return 0, e, false
-}
-
-// handleRefusal records the refusal of a server that did not run the request.
-func (s *session) handleRefusal(server *fleet.Server, r *Response) (Outcome, *verdict.Error, bool) {
-	s.recordFailure(server, r.Refusal.String())
-	if r.Refusal == Full {
-		s.dispatcher.chooser.recordOverload(time.Now(), server)
-	}
-	if r.Refusal == Elsewhere {
-		s.dispatcher.chooser.recordMissing(time.Now(), server.ID, s.request.key())
-		if s.dispatcher.ReportStaleEngineState != nil {
-			s.dispatcher.ReportStaleEngineState(server.ID)
-		}
-	}
-	return 0, verdict.Refuse(verdict.NoCapacity, "the server did not run the request"), false
-}
-
-// handleInvalidResponse records a response that is not verified.
-func (s *session) handleInvalidResponse(server *fleet.Server) (Outcome, *verdict.Error, bool) {
-	s.recordFailure(server, "Spoilt")
-	s.dispatcher.chooser.recordFailure(time.Now(), server.ID, false)
-	return 0, verdict.UnknownOutcome(verdict.BackendFailed, "the server's response could not be verified", nil), false
-}
-
-// handleBody reads and forwards a response that is not a stream.
-func (s *session) handleBody(server *fleet.Server, r *Response) (Outcome, *verdict.Error, bool) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, int64(maximumBody)+1))
-	_ = r.Body.Close()
-	if err == nil && len(body) > int(maximumBody) {
-		err = errors.Errorf("the body is longer than %d bytes", maximumBody)
-	}
-	if err != nil {
-		s.recordFailure(server, "CutShort")
-		s.dispatcher.chooser.recordFailure(time.Now(), server.ID, false)
-		return 0, verdict.UnknownOutcome(verdict.BackendFailed, "the server's response is incomplete", err), false
-	}
-	if !r.IsSuccess() {
-		return s.handleErrorStatus(server, r, body)
-	}
-	s.recordResult("Answered")
-	s.responseStartedAt = time.Now()
-	if s.headSent {
-		// A response that is not a stream cannot continue a stream.
-		return 0, verdict.UnknownOutcome(verdict.StreamBroken, "the server did not resume the stream", nil), false
-	}
-	if err := s.caller.WriteResponse(r, body); err != nil {
-		return Left, verdict.UnknownOutcome(verdict.Unknown, "the caller has left", err), true
-	}
-	return Served, nil, true
-}
-
-// handleErrorStatus stores an error response, which is forwarded if no other attempt
-// succeeds.
-func (s *session) handleErrorStatus(server *fleet.Server, r *Response, body []byte) (Outcome, *verdict.Error, bool) {
-	s.recordFailure(server, "FailedThere")
-	e := verdict.UnknownOutcome(verdict.BackendFailed, "the server returned an error response", nil)
-	if s.headSent {
-		return 0, e, false
-	}
-	s.errorResponse, s.errorBody = r, body
-	return 0, e, false
-}
-
-// forwardStream forwards events to the caller until the stream ends or breaks. It skips
-// events that the caller has already received.
-func (s *session) forwardStream(server *fleet.Server, r *Response, timeout *time.Timer) (Outcome, *verdict.Error, bool) {
-	defer r.Events.Close()
-	isRetryable := s.request.Route.IsRetryable() && s.possibleRuns < s.request.Route.MaxAttempts
-	if isRetryable {
-		timeout.Reset(streamIdleTimeout)
-	}
-	for {
-		event, err := r.Events.Next()
-		if stderrors.Is(err, io.EOF) {
-			return s.finishStream(r)
-		}
-		if err != nil {
-			return s.handleBrokenStream(server, err)
-		}
-		if isRetryable {
-			timeout.Reset(streamIdleTimeout)
-		}
-		if event.ID != 0 && event.ID <= s.lastEvent {
-			continue
-		}
-		if err := s.forward(r, event.Raw); err != nil {
-			return Left, verdict.UnknownOutcome(verdict.Unknown, "the caller has left", err), true
-		}
-		if event.ID != 0 {
-			s.lastEvent = event.ID
-		}
-	}
-}
-
-// forward sends part of a stream to the caller. If the head was not sent yet, forward
-// sends it first. Nil bytes end the stream.
-func (s *session) forward(r *Response, raw []byte) error {
-	now := time.Now()
-	if !s.headSent {
-		s.headSent = true
-		s.responseStartedAt = now
-		if err := s.caller.StartStream(r); err != nil {
-			return err
-		}
-	}
-	if !s.lastWriteAt.IsZero() {
-		s.longestGap = max(s.longestGap, now.Sub(s.lastWriteAt))
-	}
-	s.lastWriteAt = now
-	s.countIfLate(now)
-	return s.caller.WriteEvent(raw)
-}
-
-// countIfLate counts the request as late, at most once, if its stream misses the goals of
-// the route. The owner adds replicas for models with many late responses.
-func (s *session) countIfLate(now time.Time) {
-	goal := s.request.Route.LatencyGoal
-	missesLatencyGoal := goal > 0 && now.Sub(s.attemptStart) > goal && s.responseStartedAt.Equal(now)
-	missesGapGoal := s.request.Route.EventGapGoal > 0 && s.longestGap > s.request.Route.EventGapGoal
-	if s.isCountedLate || !missesLatencyGoal && !missesGapGoal {
-		return
-	}
-	s.isCountedLate = true
-	s.dispatcher.Demand.countLate(s.request.key())
-}
-
-// finishStream ends a complete stream. If the caller had received every event before,
-// forward still has to send the head.
-func (s *session) finishStream(r *Response) (Outcome, *verdict.Error, bool) {
-	if err := s.forward(r, nil); err != nil {
-		return Left, verdict.UnknownOutcome(verdict.Unknown, "the caller has left", err), true
-	}
-	s.recordResult("Answered")
-	return Served, nil, true
-}
-
-// handleBrokenStream records a stream that broke and checks whether its server crashed.
-func (s *session) handleBrokenStream(server *fleet.Server, err error) (Outcome, *verdict.Error, bool) {
-	s.recordFailure(server, "BrokenOff")
-	s.dispatcher.chooser.recordFailure(time.Now(), server.ID, false)
-	go s.dispatcher.checkCrash(server, s.request.Content, s.headSent)
-	return 0, verdict.UnknownOutcome(verdict.StreamBroken, "the stream ended before it was complete", err), false
-}
--- a/hub/link.go
+++ b/hub/link.go
@@ -20,7 +20,7 @@
 	writeTimeout = 2 * time.Second
 	// writePartBytes is the size of the parts in which a message is written.
 	writePartBytes = 16 << 10
-	dialTimeout  = 1500 * time.Millisecond
+	dialTimeout    = 1500 * time.Millisecond
 	// updateQueueLength bounds the updates queued for a slow node. When the queue is
 	// full the link is dropped, and the node receives the complete state when it
 	// links again.
--- a/hub/slowlink_test.go
+++ b/hub/slowlink_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fleet"
+	"github.com/parsleylug/parsleylug/standin"
 )
 
 // slowConn delivers at most 4 KiB each 100 ms.
@@ -21,20 +22,6 @@
 	return c.Conn.Read(buffer[:min(len(buffer), 4<<10)])
 }
 
-type connListener struct{ connections chan net.Conn }
-
-func (l connListener) Accept() (net.Conn, error) {
-	c, ok := <-l.connections
-	if !ok {
-		return nil, net.ErrClosed
-	}
-	return c, nil
-}
-
-func (l connListener) Close() error { return nil }
-
-func (l connListener) Addr() net.Addr { return &net.TCPAddr{} }
-
 // Guards against a node that never links: the complete state took longer to send than one
 // write may take, the link was dropped, and the next one began with the complete state again.
 func TestLinkSurvivesACompleteStateThatTakesLongToSend(t *testing.T) {
@@ -44,14 +31,13 @@
 			state.Servers = append(state.Servers, ServerState{ID: domain.ServerID(fmt.Sprintf("i-%08d", i)), EngineState: fleet.EngineState{StartedAtMs: 5, Models: []fleet.LoadedModel{{Model: "model"}}}})
 		}
 		h := &Hub{OnReport: func(Report) {}, AcceptsLinks: func() bool { return true }, InitialUpdate: func() Update { return state }}
-		l := connListener{make(chan net.Conn)}
+		l := standin.NewPipeListener()
 		server := &http.Server{Handler: h}
 		go func() { _ = server.Serve(l) }()
 		start := time.Now()
-		link, err := dial(t.Context(), func(context.Context, string, string) (net.Conn, error) {
-			near, far := net.Pipe()
-			l.connections <- far
-			return slowConn{near}, nil
+		link, err := dial(t.Context(), func(ctx context.Context, _, _ string) (net.Conn, error) {
+			c, err := l.Dial(ctx)
+			return slowConn{c}, err
 		}, "owner:1")
 		if err != nil {
 			t.Fatal(err)
@@ -68,7 +54,7 @@
 		}
 		link.Close()
 		h.Close()
-		close(l.connections)
+		l.End()
 		_ = server.Close()
 		time.Sleep(10 * time.Second)
 	})
