--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -46,14 +46,6 @@
 // together do not retry together.
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2) }
 
-// configurationPosition returns the offset up to which this node has read the
-// configurations.
-func (n *Node) configurationPosition() domain.Offset {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.configurationCursor
-}
-
 // needsConfiguration reports whether this node has no configuration, or knows of a newer
 // one than it has read.
 func (n *Node) needsConfiguration() bool {
