Log and count what ended a caller's connection, and why an attempt ended

The log could not tell whether a response that was not finished was given up by the node after a silence, by the kernel, by the caller or by a panic. Attempts now log what ended them, the events received and the time since the last one; a request whose caller has no complete response logs what ended its connection, by the first error of that connection; rejections before dispatch and errors of the HTTP servers, among them recovered panics, have lines of their own; two counters. No change of logic.

--- a/commands/front.go
+++ b/commands/front.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log"
 	"net"
 	"net/http"
 	"os"
@@ -101,7 +102,7 @@
 	frontend *platform.Frontend
 	metrics  *entry.Metrics
 	// cancelRequests cancels the callers' requests in flight.
-	cancelRequests context.CancelFunc
+	cancelRequests context.CancelCauseFunc
 }
 
 func newFrontNode(s platform.Settings, logger zerolog.Logger) *frontNode {
@@ -137,7 +138,10 @@
 		Counters:               f.metrics,
 	})
 	f.node.OnCrashReports = dispatcher.ApplyCrashReports
-	f.frontend = &platform.Frontend{Dispatcher: dispatcher, Views: &f.node.Views, IsBehind: f.node.IsConfigurationBehind}
+	f.frontend = &platform.Frontend{
+		Dispatcher: dispatcher, Views: &f.node.Views, IsBehind: f.node.IsConfigurationBehind,
+		Logger: logger, Counters: f.metrics,
+	}
 	return f
 }
 
@@ -166,8 +170,8 @@
 	defer cancel()
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	requestsContext, cancelRequests := context.WithCancel(context.Background())
-	defer cancelRequests()
+	requestsContext, cancelRequests := context.WithCancelCause(context.Background())
+	defer cancelRequests(nil)
 	f.cancelRequests = cancelRequests
 	callerServer := f.frontend.HTTPServer(requestsContext, platform.ServerLimits{ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleConnectionTimeout, HeaderBytes: maximumHeaderBytes})
 	peerServer := &http.Server{Handler: &f.node.Hub, ReadHeaderTimeout: readHeaderTimeout}
@@ -176,15 +180,18 @@
 	for _, l := range []struct {
 		server  *http.Server
 		address string
+		listen  func(context.Context, string) (net.Listener, error)
 	}{
-		{callerServer, f.settings.CallerAddress},
-		{readinessServer, f.settings.ReadyAddress},
-		{peerServer, hubAddress(f.node.Name)},
-		{metricsServer, metricsAddress},
+		{callerServer, f.settings.CallerAddress, platform.ListenForCallers},
+		{readinessServer, f.settings.ReadyAddress, platform.Listen},
+		{peerServer, hubAddress(f.node.Name), platform.Listen},
+		{metricsServer, metricsAddress, platform.Listen},
 	} {
-		if err := f.startServer(ctx, l.server, l.address); err != nil {
-			return err
+		listener, err := l.listen(ctx, l.address)
+		if err != nil {
+			return errors.Wrapf(err, "listen on %s", l.address)
 		}
+		f.startServer(l.server, listener)
 	}
 	f.logger.Info().Str("Event", "Started").Str("CallerAddress", f.settings.CallerAddress).Str("Zone", string(f.settings.Zone)).
 		Bool("FirstStart", f.settings.FirstStart).Msg("node started")
@@ -202,18 +209,15 @@
 	return <-done
 }
 
-func (f *frontNode) startServer(ctx context.Context, s *http.Server, address string) error {
-	l, err := platform.Listen(ctx, address)
-	if err != nil {
-		return errors.Wrapf(err, "listen on %s", address)
-	}
-	s.ErrorLog = nil
+// startServer serves the connections of a listener.
+func (f *frontNode) startServer(s *http.Server, l net.Listener) {
+	address := l.Addr().String()
+	s.ErrorLog = log.New(f.logger.With().Str("Event", "HTTPServerError").Str("Address", address).Logger(), "", 0)
 	go func() {
 		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			f.logger.Error().Str("Event", "ListenerFailed").Str("Address", address).Err(err).Msg("listener failed")
 		}
 	}()
-	return nil
 }
 
 // reload checks the settings file again and logs whether an address changed. The running
@@ -242,7 +246,7 @@
 	err := callerServer.Shutdown(ctx)
 	if err != nil {
 		// The cancelled requests need a moment to send their final response.
-		f.cancelRequests()
+		f.cancelRequests(dispatch.ErrShutdown)
 		time.Sleep(exitMargin / 2)
 	}
 	f.logger.Info().Str("Event", "Stopped").Int("Running", f.frontend.Dispatcher.Running()).AnErr("Cause", err).Msg("node stopped")
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -1,12 +1,41 @@
 package dispatch
 
 import (
+	"context"
+	stderrors "errors"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/parsleylug/parsleylug/fleet"
 	"github.com/parsleylug/parsleylug/verdict"
 )
 
+// ErrShutdown is the cause with which the requests in flight are cancelled when the grace
+// period of a node that shuts down is over.
+var ErrShutdown = errors.New("the node shuts down")
+
+// errSilentServer is the cause with which an attempt is cancelled after a timeout without a
+// response or an event.
+var errSilentServer = errors.New("the server was silent")
+
+// endCause names what ended an attempt or a request with the given context: the backend
+// server if the context was not cancelled.
+func endCause(ctx context.Context) string {
+	cause := context.Cause(ctx)
+	switch {
+	case cause == nil:
+		return "Server"
+	case stderrors.Is(cause, errSilentServer):
+		return "Silence"
+	case stderrors.Is(cause, ErrShutdown):
+		return "Shutdown"
+	case stderrors.Is(cause, context.DeadlineExceeded):
+		return "Deadline"
+	}
+	return "Caller"
+}
+
 // choiceInputs is the data behind the choice of a server, for the log.
 type choiceInputs struct {
 	// candidates is the number of servers among which the choice was made.
@@ -19,11 +48,17 @@
 	loadAge          time.Duration
 }
 
-// logAttempt logs the result of one attempt and the data behind the choice of its server.
-func (s *session) logAttempt(server *fleet.Server, inputs choiceInputs, start time.Time, result string) {
+// logAttempt logs the result of one attempt, what ended it and the data behind the choice of
+// its server.
+func (s *session) logAttempt(server *fleet.Server, inputs choiceInputs, start time.Time, result, endedBy string) {
+	lastReceivedAt := start
+	if !s.lastReceivedAt.IsZero() {
+		lastReceivedAt = s.lastReceivedAt
+	}
 	s.dispatcher.Logger.Info().Str("Event", "Attempt").Str("Request", string(s.request.ID)).Str("Server", string(server.ID)).Str("Zone", string(server.Zone)).Str("Result", result).
 		Int("Number", s.attempts).Int("Candidates", inputs.candidates).Int("InFlight", inputs.attemptsInFlight).Float64("Others", inputs.otherLoad).
-		Int64("OthersAgeMs", inputs.loadAge.Milliseconds()).Int64("TookMs", time.Since(start).Milliseconds()).Msg("an attempt has ended")
+		Int64("OthersAgeMs", inputs.loadAge.Milliseconds()).
+		Str("EndedBy", endedBy).Int("Events", s.receivedEvents).Int64("SilentMs", time.Since(lastReceivedAt).Milliseconds()).Int64("TookMs", time.Since(start).Milliseconds()).Msg("an attempt has ended")
 }
 
 // logWaiting logs that the request waits for a server with its model or adapter, how long
@@ -41,7 +76,7 @@
 		Str("Adapter", string(s.request.Adapter)).Str("Server", string(s.latestServer)).Int("Sends", s.attempts).Int("Runs", s.possibleRuns).
 		Int64("WaitedMs", s.waitTime.Milliseconds()).Int64("FirstMs", s.timeToResponseStart().Milliseconds()).
 		Int64("GoalMs", s.request.Route.LatencyGoal.Milliseconds()).Int64("GapMs", s.longestGap.Milliseconds()).
-		Int64("TookMs", time.Since(s.request.ArrivedAt).Milliseconds()).Int64("LastEvent", int64(s.lastEvent))
+		Int64("TookMs", time.Since(s.request.ArrivedAt).Milliseconds()).Int64("LastEvent", int64(s.lastEvent)).Bool("HeadSent", s.headSent)
 	message := "the caller has its answer"
 	if e != nil {
 		message = e.Message
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -47,6 +47,10 @@
 	// request was counted as late.
 	attemptStart  time.Time
 	isCountedLate bool
+	// lastReceivedAt is when the server of the latest attempt last sent its response head
+	// or an event; zero before. receivedEvents is the number of those events.
+	lastReceivedAt time.Time
+	receivedEvents int
 	// waitTime is the total time for which the request has waited for a server.
 	waitTime time.Duration
 	// latestServer is the server of the latest attempt, choiceInputs the data behind its
@@ -175,20 +179,22 @@
 	k := s.request.key()
 	s.dispatcher.Demand.addRunning(k, 1)
 	s.attemptResult = "Cut"
+	s.lastReceivedAt, s.receivedEvents = time.Time{}, 0
 	inputs := s.choiceInputs
+	ctx, cancel := context.WithCancelCause(ctx)
 	defer func() {
-		s.logAttempt(server, inputs, start, s.attemptResult)
+		s.logAttempt(server, inputs, start, s.attemptResult, endCause(ctx))
+		cancel(nil)
 		s.dispatcher.chooser.release(server.ID)
 		s.dispatcher.Demand.addRunning(k, -1)
 	}()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	timeout := s.startTimeout(server, cancel)
+	timeout := s.startTimeout(server, func() { cancel(errSilentServer) })
 	defer timeout.Stop()
 	response, err := s.dispatcher.Backend.Send(ctx, server, s.request, Attempt{Timeout: s.request.Deadline.Sub(start), LastEvent: s.lastEvent, Priority: s.request.Route.Priority})
 	if err != nil {
 		return s.handleNoResponse(ctx, server, verdict.Of(err))
 	}
+	s.lastReceivedAt = time.Now()
 	if !timeout.Stop() && ctx.Err() != nil {
 		// The timeout expired just as the response arrived.
 		discard(response)
@@ -214,7 +220,7 @@
 // startTimeout starts the timer that cancels an attempt without a response, so that the
 // request can be sent to another server. If the request must not run again, the timer
 // expires only after the deadline.
-func (s *session) startTimeout(server *fleet.Server, cancel context.CancelFunc) *time.Timer {
+func (s *session) startTimeout(server *fleet.Server, cancel func()) *time.Timer {
 	if !s.request.Route.IsRetryable() || s.possibleRuns+1 >= s.request.Route.MaxAttempts {
 		return time.AfterFunc(time.Until(s.request.Deadline)+time.Second, cancel)
 	}
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -25,6 +25,8 @@
 		if err != nil {
 			return s.handleBrokenStream(server, err)
 		}
+		s.lastReceivedAt = time.Now()
+		s.receivedEvents++
 		if isRetryable {
 			timeout.Reset(streamIdleTimeout)
 		}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/parsleylug/parsleylug/dispatch"
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fleet"
+	"github.com/parsleylug/parsleylug/verdict"
 )
 
 // metricsInterval is how often the counts are passed to the reporter.
@@ -50,6 +52,16 @@
 	m.scope.Tagged(map[string]string{"result": result}).Counter("attempts").Inc(1)
 }
 
+// CountRejected implements platform.FrontCounters.
+func (m *Metrics) CountRejected(reason verdict.Reason) {
+	m.scope.Tagged(map[string]string{"reason": reason.String()}).Counter("requests_rejected").Inc(1)
+}
+
+// CountUnfinished implements platform.FrontCounters.
+func (m *Metrics) CountUnfinished(end fmt.Stringer) {
+	m.scope.Tagged(map[string]string{"ended_by": end.String()}).Counter("responses_unfinished").Inc(1)
+}
+
 // CountStoreCall implements platform.StoreCounters.
 func (m *Metrics) CountStoreCall(call string, succeeded bool, responseBytes int) {
 	s := m.scope.Tagged(map[string]string{"call": call, "succeeded": strconv.FormatBool(succeeded)})
