Reproduce the incident LOST in tests that fail on today's code

Servers that are silent for 1.6 s and go on, in the dispatcher's virtual time: 22 of 22 cases lose the response (8 streams after their head, 7 before it, 6 plain requests, one stream at the only server of a model).

--- /dev/null
+++ b/dispatch/silence_test.go
@@ -0,0 +1,144 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleylug/parsleylug/fleet"
+	"github.com/parsleylug/parsleylug/verdict"
+)
+
+// serverSilence is how long the servers of these tests are silent, which is longer than
+// every timeout of the node for a silent server.
+const serverSilence = 1600 * time.Millisecond
+
+// silentEvents returns one event at once, is silent for serverSilence and then returns the
+// rest of the events and a regular end. It ends early if ctx does.
+type silentEvents struct {
+	ctx  context.Context
+	next EventID
+	last EventID
+	wait time.Duration
+}
+
+func (e *silentEvents) Next() (Event, error) {
+	if e.next > e.last {
+		return Event{}, io.EOF
+	}
+	if e.next > 1 {
+		select {
+		case <-time.After(e.wait):
+			e.wait = 0
+		case <-e.ctx.Done():
+			return Event{}, e.ctx.Err()
+		}
+	}
+	event := Event{ID: e.next, Raw: fmt.Appendf(nil, "%d", e.next)}
+	e.next++
+	return event, nil
+}
+
+func (e *silentEvents) Close() {}
+
+// silentStream responds with a stream of three events that pauses after the first one.
+func silentStream(ctx context.Context) (*Response, error) {
+	return &Response{Status: 200, Verified: true, Events: &silentEvents{ctx: ctx, next: 1, last: 3, wait: serverSilence}}, nil
+}
+
+// lateStream responds with a whole stream after serverSilence.
+func lateStream(ctx context.Context) (*Response, error) {
+	select {
+	case <-time.After(serverSilence):
+		return streamResponse(io.EOF, 1, 2, 3)(ctx)
+	case <-ctx.Done():
+		return nil, verdict.UnknownOutcome(verdict.BackendFailed, "attempt cancelled", ctx.Err())
+	}
+}
+
+// unavailableServers are the ways in which no other server takes over a request.
+var unavailableServers = map[string]func(context.Context) (*Response, error){
+	"full":                refusal(Full),
+	"without the model":   refusal(Elsewhere),
+	"unreachable":         failedAttempt(verdict.NotRun),
+	"resets":              failedAttempt(verdict.MayHaveRun),
+	"responds with error": bodyResponse(500, "broken"),
+	"not a stream":        bodyResponse(200, "text"),
+	"breaks off at once":  streamResponse(errors.New("reset")),
+	"silent":              blockUntilCancelled,
+}
+
+// Guards against LOST: a node gave up a server that had been silent for a second, and ended
+// the caller's stream when no other server could resume it.
+func TestSilentServerKeepsItsStreamWhenNoOtherCanResumeIt(t *testing.T) {
+	for name, other := range unavailableServers {
+		t.Run(name, func(t *testing.T) {
+			o, c, b := serve(t, streamRequest, silentStream, other)
+			if got, want := string(c.body), "123"; o != Served || got != want || !c.complete || c.aborted {
+				t.Errorf("got %v with %q, complete %v, aborted %v after %d attempts, want %q", o, got, c.complete, c.aborted, len(b.received), want)
+			}
+		})
+	}
+}
+
+// Guards against LOST: the same for a server that is silent before its response.
+func TestSilentServerKeepsItsRequestWhenNoOtherCanRunIt(t *testing.T) {
+	for name, other := range unavailableServers {
+		t.Run(name, func(t *testing.T) {
+			o, c, b := serve(t, streamRequest, lateStream, other)
+			if got, want := string(c.body), "123"; name != "not a stream" && (o != Served || got != want) {
+				t.Errorf("got %v with %q after %d attempts, want %q", o, got, len(b.received), want)
+			}
+		})
+	}
+}
+
+// Guards against LOST: the same for a request without a stream.
+func TestSilentServerKeepsItsPlainRequest(t *testing.T) {
+	lateBody := func(ctx context.Context) (*Response, error) {
+		select {
+		case <-time.After(serverSilence):
+			return &Response{Status: 200, Verified: true, Body: io.NopCloser(bytes.NewBufferString("late"))}, nil
+		case <-ctx.Done():
+			return nil, verdict.UnknownOutcome(verdict.BackendFailed, "attempt cancelled", ctx.Err())
+		}
+	}
+	request := func() *Request {
+		r := plainRequest(fleet.Idempotent)
+		r.Deadline = r.ArrivedAt.Add(3 * time.Second)
+		return r
+	}
+	for name, other := range unavailableServers {
+		if name == "not a stream" || name == "breaks off at once" {
+			continue
+		}
+		t.Run(name, func(t *testing.T) {
+			o, c, b := serve(t, request, lateBody, other)
+			if got, want := string(c.body), "late"; o != Served || got != want {
+				t.Errorf("got %v with %q after %d attempts, want %q", o, got, len(b.received), want)
+			}
+		})
+	}
+}
+
+// Guards against LOST: the only server with a model is silent in the middle of a stream and
+// has no room for a second run of the request.
+func TestOnlyServerOfAModelKeepsItsStream(t *testing.T) {
+	b := &fakeBackend{responses: []func(context.Context) (*Response, error){silentStream, refusal(Full)}}
+	c := &fakeCaller{}
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDispatcher(b)
+		view := newTestView(true)
+		view.Servers["engines"] = view.Servers["engines"][:1]
+		d.Views.Publish(view)
+		if got, want := d.Serve(t.Context(), streamRequest(), c), Served; got != want || string(c.body) != "123" {
+			t.Errorf("got %v with %q, want %v with %q", got, c.body, want, "123")
+		}
+	})
+}
