Replace the view of the servers under one lock

Cause: Refresh, which a drain calls, and Publish, which a change of the configuration or of the servers calls, each read the newest view, replaced it and closed its channel in separate steps, so that both could close the same channel (panic), and Refresh could put an older view back. Now each is one step under the lock.

--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -42,16 +42,29 @@
 
 // Publish replaces the view and closes the Changed channel of the previous view.
 func (v *Views) Publish(view *View) {
-	view.Changed = make(chan struct{})
-	previous := v.Get()
 	v.mu.Lock()
-	v.view = view
-	v.mu.Unlock()
-	close(previous.Changed)
+	defer v.mu.Unlock()
+	v.replace(view)
 }
 
-// Refresh publishes the same view again, so that waiting requests check their deadlines.
+// Refresh publishes the newest view again, so that waiting requests check their deadlines.
 func (v *Views) Refresh() {
-	view := *v.Get()
-	v.Publish(&view)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	view := View{}
+	if v.view != nil {
+		view = *v.view
+	}
+	v.replace(&view)
+}
+
+// replace replaces the view. The caller holds mu, so that each Changed channel is closed
+// once and no older view replaces a newer one.
+func (v *Views) replace(view *View) {
+	view.Changed = make(chan struct{})
+	previous := v.view
+	v.view = view
+	if previous != nil {
+		close(previous.Changed)
+	}
 }
