Take the urgent channel of the demand under its lock

Cause: a request that starts to wait took or created the channel without the lock, while the goroutine that reports the demand did the same: a data race, and two channels where both create it, so that the owner would not learn of the request until the next report. Evidence: TestUrgentBesideStartWaiting fails with the race detector before; passes now in 20 plays of 1,000.

--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -38,7 +38,8 @@
 	return d.urgentChannel()
 }
 
-// urgentChannel returns the channel that Urgent returns and creates it if needed.
+// urgentChannel returns the channel that Urgent returns and creates it if needed. The
+// caller holds mu.
 func (d *DemandCounter) urgentChannel() chan struct{} {
 	if d.urgent == nil {
 		d.urgent = make(chan struct{}, 1)
@@ -80,6 +81,8 @@
 // Urgent returns.
 func (d *DemandCounter) startWaiting(k placement.ModelKey) {
 	d.update(k, func(c *keyCounts) { c.waiting++ })
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	select {
 	case d.urgentChannel() <- struct{}{}:
 	default:
