Keep the attempt at a silent server while another one is tried beside it

What callers saw: a stream that was closed in the middle, or a 502, though its server was sound and went on after a second. Cause: after 1.2 s without an event, or a share of the goal without a response, the node cancelled the attempt, and with it the only run of the request, before it knew of another server that would take over; if that one refused, failed, had no room in the retry budget or did not exist, nothing was left. Class: silence taken for failure ends a response. Now the silent attempt stays, another one starts beside it, the first that goes on counts and the other is cancelled at that moment. A request has two attempts at most at once, counted toward the attempts of its route and the retry budget as before; without another server the silent one is tried on a further connection. Each attempt receives in a goroutine of its own, so session.go is split: attempt.go (one attempt), hedge.go (attempts beside each other).

--- /dev/null
+++ b/dispatch/attempt.go
@@ -0,0 +1,185 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/fleet"
+	"github.com/parsleylug/parsleylug/verdict"
+)
+
+// maximumBody limits the body of a response that is not a stream. The whole body is held in
+// memory until it is complete.
+const maximumBody = 8 * domain.Mebibyte
+
+// attempt is one sending of the request to one server. Its goroutine only receives; the
+// goroutine of the session alone reads and writes the fields after the start.
+type attempt struct {
+	server *fleet.Server
+	// number counts the attempts of the request, from 1.
+	number    int
+	inputs    choiceInputs
+	startedAt time.Time
+	ctx       context.Context
+	cancel    context.CancelCauseFunc
+	// response is the head of a stream; nil before it has arrived.
+	response *Response
+	// lastReceivedAt is when the server last sent its response head or an event; startedAt
+	// before. events is the number of those events.
+	lastReceivedAt time.Time
+	events         int
+}
+
+// arrivalKind says what an attempt has received.
+type arrivalKind int
+
+const (
+	// noResponse: the attempt ended without a response, for the reason err.
+	noResponse arrivalKind = iota
+	// wholeResponse: a response that is not a stream, or one that is not forwarded. If err
+	// is set, its body is incomplete.
+	wholeResponse
+	// streamHead: the head of a stream.
+	streamHead
+	// streamEvent: an event of the stream.
+	streamEvent
+	// streamEnd: the end of the stream; err is io.EOF if it is complete.
+	streamEnd
+)
+
+// arrival is what an attempt has received.
+type arrival struct {
+	kind    arrivalKind
+	attempt *attempt
+	// response and its body are set for a whole response, response for a head.
+	response *Response
+	body     []byte
+	event    Event
+	err      error
+	// receivedAt is when the response head arrived, for a whole response.
+	receivedAt time.Time
+}
+
+// start sends the request to a server that pickServer or pickHedge has chosen.
+func (s *session) start(ctx context.Context, server *fleet.Server) {
+	now := time.Now()
+	s.attempts++
+	a := &attempt{server: server, number: s.attempts, inputs: s.choiceInputs, startedAt: now, lastReceivedAt: now}
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	s.running = append(s.running, a)
+	s.latestServer = server.ID
+	s.dispatcher.Demand.addRunning(s.request.key(), 1)
+	parameters := Attempt{Timeout: s.request.Deadline.Sub(now), LastEvent: s.lastEvent, Priority: s.request.Route.Priority}
+	go s.receive(a, parameters)
+}
+
+// receive makes an attempt and delivers all that it receives.
+func (s *session) receive(a *attempt, parameters Attempt) {
+	response, err := s.dispatcher.Backend.Send(a.ctx, a.server, s.request, parameters)
+	if err != nil {
+		s.deliver(arrival{kind: noResponse, attempt: a, err: err})
+		return
+	}
+	if a.ctx.Err() != nil {
+		discard(response)
+		e := verdict.UnknownOutcome(verdict.BackendFailed, "the attempt was cancelled as its response arrived", a.ctx.Err())
+		s.deliver(arrival{kind: noResponse, attempt: a, err: e})
+		return
+	}
+	receivedAt := time.Now()
+	if response.Refusal != NotRefused || !response.Verified {
+		discard(response)
+		s.deliver(arrival{kind: wholeResponse, attempt: a, response: response, receivedAt: receivedAt})
+		return
+	}
+	if response.Events == nil {
+		body, err := readBody(response.Body)
+		s.deliver(arrival{kind: wholeResponse, attempt: a, response: response, body: body, err: err, receivedAt: receivedAt})
+		return
+	}
+	defer response.Events.Close()
+	if !s.deliver(arrival{kind: streamHead, attempt: a, response: response}) {
+		return
+	}
+	for {
+		event, err := response.Events.Next()
+		if err != nil {
+			s.deliver(arrival{kind: streamEnd, attempt: a, err: err})
+			return
+		}
+		if !s.deliver(arrival{kind: streamEvent, attempt: a, event: event}) {
+			return
+		}
+	}
+}
+
+// deliver passes an arrival to the goroutine of the session. It returns false if the request
+// has ended.
+func (s *session) deliver(a arrival) bool {
+	select {
+	case s.arrivals <- a:
+		return true
+	case <-s.ended:
+		return false
+	}
+}
+
+// readBody reads and closes the body of a response that is not a stream.
+func readBody(r io.ReadCloser) ([]byte, error) {
+	defer func() { _ = r.Close() }()
+	body, err := io.ReadAll(io.LimitReader(r, int64(maximumBody)+1))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if len(body) > int(maximumBody) {
+		return nil, errors.Errorf("the body is longer than %d bytes", maximumBody)
+	}
+	return body, nil
+}
+
+// discard closes the body and the events of a response.
+func discard(r *Response) {
+	if r.Events != nil {
+		r.Events.Close()
+	}
+	if r.Body != nil {
+		_ = r.Body.Close()
+	}
+}
+
+// end ends an attempt and records its result for the log and the metrics.
+func (s *session) end(a *attempt, result string) {
+	for i, r := range s.running {
+		if r == a {
+			s.running = append(s.running[:i], s.running[i+1:]...)
+			break
+		}
+	}
+	s.dispatcher.CountAttempt(result)
+	s.logAttempt(a, result)
+	a.cancel(nil)
+	s.dispatcher.chooser.release(a.server.ID)
+	s.dispatcher.Demand.addRunning(s.request.key(), -1)
+}
+
+// endFailed ends an attempt that failed or was refused. Its server is avoided until
+// waitForChange or pickHedge permits all servers again.
+func (s *session) endFailed(a *attempt, result string) {
+	s.avoidedServers[a.server.ID] = true
+	s.end(a, result)
+}
+
+// lead makes an attempt the only one: it was the first to receive what the caller waits for.
+func (s *session) lead(a *attempt) {
+	for _, r := range append([]*attempt(nil), s.running...) {
+		if r != a {
+			r.cancel(errReplaced)
+			s.end(r, "Replaced")
+		}
+	}
+	s.latestServer = a.server.ID
+}
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -7,7 +7,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/parsleylug/parsleylug/fleet"
 	"github.com/parsleylug/parsleylug/verdict"
 )
 
@@ -15,9 +14,8 @@
 // period of a node that shuts down is over.
 var ErrShutdown = errors.New("the node shuts down")
 
-// errSilentServer is the cause with which an attempt is cancelled after a timeout without a
-// response or an event.
-var errSilentServer = errors.New("the server was silent")
+// errReplaced is the cause with which an attempt is cancelled when another one was first.
+var errReplaced = errors.New("another attempt was first")
 
 // endCause names what ended an attempt or a request with the given context: the backend
 // server if the context was not cancelled.
@@ -26,8 +24,8 @@
 	switch {
 	case cause == nil:
 		return "Server"
-	case stderrors.Is(cause, errSilentServer):
-		return "Silence"
+	case stderrors.Is(cause, errReplaced):
+		return "Replaced"
 	case stderrors.Is(cause, ErrShutdown):
 		return "Shutdown"
 	case stderrors.Is(cause, context.DeadlineExceeded):
@@ -50,15 +48,12 @@
 
 // logAttempt logs the result of one attempt, what ended it and the data behind the choice of
 // its server.
-func (s *session) logAttempt(server *fleet.Server, inputs choiceInputs, start time.Time, result, endedBy string) {
-	lastReceivedAt := start
-	if !s.lastReceivedAt.IsZero() {
-		lastReceivedAt = s.lastReceivedAt
-	}
-	s.dispatcher.Logger.Info().Str("Event", "Attempt").Str("Request", string(s.request.ID)).Str("Server", string(server.ID)).Str("Zone", string(server.Zone)).Str("Result", result).
-		Int("Number", s.attempts).Int("Candidates", inputs.candidates).Int("InFlight", inputs.attemptsInFlight).Float64("Others", inputs.otherLoad).
-		Int64("OthersAgeMs", inputs.loadAge.Milliseconds()).
-		Str("EndedBy", endedBy).Int("Events", s.receivedEvents).Int64("SilentMs", time.Since(lastReceivedAt).Milliseconds()).Int64("TookMs", time.Since(start).Milliseconds()).Msg("an attempt has ended")
+func (s *session) logAttempt(a *attempt, result string) {
+	s.dispatcher.Logger.Info().Str("Event", "Attempt").Str("Request", string(s.request.ID)).Str("Server", string(a.server.ID)).Str("Zone", string(a.server.Zone)).Str("Result", result).
+		Int("Number", a.number).Int("Candidates", a.inputs.candidates).Int("InFlight", a.inputs.attemptsInFlight).Float64("Others", a.inputs.otherLoad).
+		Int64("OthersAgeMs", a.inputs.loadAge.Milliseconds()).
+		Str("EndedBy", endCause(a.ctx)).Int("Events", a.events).Int64("SilentMs", time.Since(a.lastReceivedAt).Milliseconds()).
+		Int64("TookMs", time.Since(a.startedAt).Milliseconds()).Msg("an attempt has ended")
 }
 
 // logWaiting logs that the request waits for a server with its model or adapter, how long
--- /dev/null
+++ b/dispatch/hedge.go
@@ -0,0 +1,159 @@
+package dispatch
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/parsleylug/parsleylug/fleet"
+	"github.com/parsleylug/parsleylug/suspects"
+	"github.com/parsleylug/parsleylug/verdict"
+)
+
+// maximumRunningAttempts is the number of attempts that may run beside each other.
+const maximumRunningAttempts = 2
+
+// await handles what the running attempts receive, until the request has ended or the last
+// of them has failed. A server that is silent for a time keeps its attempt, because it may
+// go on; another attempt is started beside it, and the first that goes on counts. The last
+// result is true if the request has ended.
+func (s *session) await(ctx context.Context) (Outcome, *verdict.Error, bool) {
+	defer s.silence.Stop()
+	s.armSilence()
+	var failure *verdict.Error
+	for len(s.running) > 0 {
+		select {
+		case a := <-s.arrivals:
+			if !slices.Contains(s.running, a.attempt) {
+				continue
+			}
+			outcome, e, done := s.handle(ctx, a)
+			if done {
+				return outcome, e, true
+			}
+			if e != nil {
+				failure = e
+			}
+		case <-s.silence.C:
+			s.hedge(ctx)
+		}
+	}
+	return 0, failure, false
+}
+
+// handle handles one arrival. An error without the last result means that the attempt has
+// failed.
+func (s *session) handle(ctx context.Context, a arrival) (Outcome, *verdict.Error, bool) {
+	switch a.kind {
+	case noResponse:
+		return s.afterFailure(s.handleNoResponse(ctx, a.attempt, verdict.Of(a.err)))
+	case wholeResponse:
+		outcome, e, done := s.handleWholeResponse(a)
+		if done {
+			return outcome, e, true
+		}
+		return s.afterFailure(e)
+	case streamHead:
+		s.handleHead(a.attempt, a.response)
+		return 0, nil, false
+	case streamEvent:
+		return s.handleEvent(a.attempt, a.event)
+	}
+	outcome, e, done := s.handleStreamEnd(a.attempt, a.err)
+	if done {
+		return outcome, e, true
+	}
+	return s.afterFailure(e)
+}
+
+// afterFailure lets the attempt that still runs, if there is one, be hedged again.
+func (s *session) afterFailure(e *verdict.Error) (Outcome, *verdict.Error, bool) {
+	switch {
+	case len(s.running) == 0:
+	case s.running[0] == s.silent:
+		s.silence.Reset(s.nextRefusalBackoff())
+	default:
+		s.armSilence()
+	}
+	return 0, e, false
+}
+
+// armSilence starts the time after which the silence of the running attempt makes the
+// session start another one.
+func (s *session) armSilence() {
+	s.silent = nil
+	if !s.canHedge() {
+		s.silence.Stop()
+		return
+	}
+	s.silence.Reset(s.silenceTimeout(s.running[0]))
+}
+
+// silenceTimeout returns how long the server of an attempt may be silent before another
+// attempt is started beside it.
+func (s *session) silenceTimeout(a *attempt) time.Duration {
+	if s.headSent || a.response != nil {
+		return streamIdleTimeout
+	}
+	latencyGoal := s.request.Route.LatencyGoal
+	timeoutByResponseTime := timeoutResponseTimeFactor * s.dispatcher.chooser.recentResponseTime(time.Now(), a.server.ID)
+	return max(min(max(time.Duration(timeoutGoalShare*float64(latencyGoal)), timeoutByResponseTime), timeoutGoalFactor*latencyGoal), minimumAttemptTimeout)
+}
+
+// canHedge reports whether another attempt may be started beside the running one.
+func (s *session) canHedge() bool {
+	if !s.request.Route.IsRetryable() || len(s.running) >= maximumRunningAttempts {
+		return false
+	}
+	runs := s.possibleRuns
+	for _, a := range s.running {
+		if a.response == nil {
+			runs++
+		}
+	}
+	return runs < s.request.Route.MaxAttempts && s.dispatcher.standing(s.request.Content) == suspects.Clean
+}
+
+// hedge starts another attempt beside the one whose server is silent, if a server can take
+// it and the retry budget permits it.
+func (s *session) hedge(ctx context.Context) {
+	if ctx.Err() != nil || !s.canHedge() {
+		return
+	}
+	silent := s.running[0]
+	server := s.pickHedge(silent)
+	if server == nil {
+		s.silence.Reset(viewPollInterval)
+		return
+	}
+	if !s.dispatcher.spendHedge(s.request.Service) {
+		// Without retry budget for another attempt, a late response is better than none.
+		s.dispatcher.chooser.release(server.ID)
+		return
+	}
+	s.silent = silent
+	s.dispatcher.chooser.recordNoResponse(time.Now(), silent.server.ID)
+	s.start(ctx, server)
+}
+
+// pickHedge returns the server for an attempt beside one whose server is silent, and counts
+// an attempt in flight there. It prefers servers that have not failed or refused the request.
+// The silent server itself is the last choice, since its connection alone may be dead. It
+// returns nil if no server can take the request.
+func (s *session) pickHedge(silent *attempt) *fleet.Server {
+	now := time.Now()
+	candidates := s.candidates(now, s.dispatcher.Views.Get())
+	others := slices.DeleteFunc(slices.Clone(candidates), func(c *fleet.Server) bool { return c.ID == silent.server.ID })
+	untried := slices.DeleteFunc(slices.Clone(others), func(c *fleet.Server) bool { return s.avoidedServers[c.ID] })
+	switch {
+	case len(untried) > 0:
+		candidates = untried
+	case len(others) > 0:
+		candidates = others
+		clear(s.avoidedServers)
+	}
+	here := location{zone: s.dispatcher.Zone, regions: s.dispatcher.Regions}
+	server, inputs := s.dispatcher.chooser.choose(now, here, candidates, s.request.Prefix, s.avoidedServers)
+	s.choiceInputs = inputs
+	return server
+}
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -86,8 +86,7 @@
 func (s *session) waitForChange(ctx context.Context, view *View, deadline time.Time, candidatesRefused bool) *verdict.Error {
 	wait, changed := min(time.Until(deadline), viewPollInterval), view.Changed
 	if candidatesRefused {
-		wait = min(wait, s.refusalBackoff)
-		s.refusalBackoff = min(2*s.refusalBackoff, maximumRefusalBackoff)
+		wait = min(wait, s.nextRefusalBackoff())
 		// A newer view does not free a slot at these servers.
 		changed = nil
 	}
@@ -109,6 +108,14 @@
 	return newRefusal(time.Now(), s.request, verdict.DeadlineTooShort, "the model was not loaded in time", time.Second)
 }
 
+// nextRefusalBackoff returns the wait after the candidates have refused or failed the
+// request, and doubles the next one.
+func (s *session) nextRefusalBackoff() time.Duration {
+	d := s.refusalBackoff
+	s.refusalBackoff = min(2*d, maximumRefusalBackoff)
+	return d
+}
+
 // candidates returns the servers that have the model and adapter of the request loaded.
 func (s *session) candidates(now time.Time, view *View) []*fleet.Server {
 	servers := view.Servers[s.request.Service]
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	stderrors "errors"
-	"sync/atomic"
 	"time"
 
 	"github.com/parsleylug/parsleylug/domain"
-	"github.com/parsleylug/parsleylug/fleet"
 	"github.com/parsleylug/parsleylug/suspects"
 	"github.com/parsleylug/parsleylug/verdict"
 )
@@ -21,9 +19,6 @@
 	possibleRuns int
 	// attempts is the number of all attempts, including those that a server refused.
 	attempts int
-	// nextRetryPaid is true if the retry budget for the next attempt was already spent
-	// when the latest attempt timed out.
-	nextRetryPaid atomic.Bool
 	// avoidedServers holds the servers that failed or refused this request since the last
 	// refusal backoff.
 	avoidedServers map[domain.ServerID]bool
@@ -43,21 +38,26 @@
 	// longest time between two such writes.
 	lastWriteAt time.Time
 	longestGap  time.Duration
-	// attemptStart is when the latest attempt started. isCountedLate is true once the
-	// request was counted as late.
-	attemptStart  time.Time
+	// isCountedLate is true once the request was counted as late.
 	isCountedLate bool
-	// lastReceivedAt is when the server of the latest attempt last sent its response head
-	// or an event; zero before. receivedEvents is the number of those events.
-	lastReceivedAt time.Time
-	receivedEvents int
 	// waitTime is the total time for which the request has waited for a server.
 	waitTime time.Duration
-	// latestServer is the server of the latest attempt, choiceInputs the data behind its
-	// choice and attemptResult the result of the attempt.
-	latestServer  domain.ServerID
-	choiceInputs  choiceInputs
-	attemptResult string
+	// latestServer is the server of the latest attempt, or of the one whose response the
+	// caller gets; choiceInputs is the data behind the latest choice.
+	latestServer domain.ServerID
+	choiceInputs choiceInputs
+	// running are the attempts that have not ended, at most maximumRunningAttempts, the
+	// oldest first.
+	running []*attempt
+	// arrivals gets what the running attempts receive. ended is closed when the request has
+	// ended.
+	arrivals chan arrival
+	ended    chan struct{}
+	// silence expires when the server of the running attempt has been silent for too long.
+	// silent is the attempt beside which another one was started for that reason; nil if it
+	// has gone on since.
+	silence *time.Timer
+	silent  *attempt
 	// refusalBackoff is the duration of the next wait after every candidate has refused or
 	// failed the request.
 	refusalBackoff time.Duration
@@ -67,10 +67,29 @@
 	errorBody     []byte
 }
 
+func newSession(d *Dispatcher, r *Request, c Caller) *session {
+	s := &session{
+		dispatcher: d, request: r, caller: c, avoidedServers: map[domain.ServerID]bool{}, lastEvent: r.LastEvent,
+		refusalBackoff: initialRefusalBackoff, arrivals: make(chan arrival), ended: make(chan struct{}),
+		silence: time.NewTimer(time.Hour),
+	}
+	s.silence.Stop()
+	return s
+}
+
+// close ends the attempts that still run when the request has ended.
+func (s *session) close() {
+	for len(s.running) > 0 {
+		s.end(s.running[0], "Cut")
+	}
+	close(s.ended)
+}
+
 // Serve handles one request until it has ended. The context is cancelled when the caller
 // disconnects.
 func (d *Dispatcher) Serve(ctx context.Context, r *Request, c Caller) Outcome {
-	s := &session{dispatcher: d, request: r, caller: c, avoidedServers: map[domain.ServerID]bool{}, lastEvent: r.LastEvent, refusalBackoff: initialRefusalBackoff}
+	s := newSession(d, r, c)
+	defer s.close()
 	d.Demand.countArrival(r.key())
 	d.countRequest(r.Service)
 	withDeadline, cancel := context.WithDeadline(ctx, r.Deadline)
@@ -103,26 +122,27 @@
 		if e != nil {
 			return s.fail(ctx, e)
 		}
-		if s.attempts > 0 && !s.nextRetryPaid.Swap(false) && !s.dispatcher.spendRetry(s.request.Service) {
+		if s.attempts > 0 && !s.dispatcher.spendRetry(s.request.Service) {
 			s.dispatcher.chooser.release(server.ID)
 			return s.fail(ctx, newRefusal(time.Now(), s.request, verdict.NoCapacity, "the budget for repeated sendings is used up", time.Second))
 		}
-		outcome, e, done := s.attempt(ctx, server)
+		s.start(ctx, server)
+		outcome, e, done := s.await(ctx)
 		if done {
 			return outcome, e
 		}
-		if !s.canRetry(ctx, e) {
+		if !s.canRetry(ctx) {
 			return s.fail(ctx, e)
 		}
 	}
 }
 
-// canRetry reports whether the request may be sent again after a failed attempt.
-func (s *session) canRetry(ctx context.Context, e *verdict.Error) bool {
+// canRetry reports whether the request may be sent again after its last attempt failed.
+func (s *session) canRetry(ctx context.Context) bool {
 	if ctx.Err() != nil {
 		return false
 	}
-	if e.Verdict == verdict.NotRun {
+	if !s.mayHaveRun {
 		return true
 	}
 	if !s.request.Route.IsRetryable() || s.possibleRuns >= s.request.Route.MaxAttempts {
@@ -168,87 +188,3 @@
 	s.caller.WriteError(e)
 	return Refused, e
 }
-
-// attempt sends the request to one server. The last result is true if the request has
-// ended.
-func (s *session) attempt(ctx context.Context, server *fleet.Server) (Outcome, *verdict.Error, bool) {
-	start := time.Now()
-	s.attemptStart = start
-	s.latestServer = server.ID
-	s.attempts++
-	k := s.request.key()
-	s.dispatcher.Demand.addRunning(k, 1)
-	s.attemptResult = "Cut"
-	s.lastReceivedAt, s.receivedEvents = time.Time{}, 0
-	inputs := s.choiceInputs
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer func() {
-		s.logAttempt(server, inputs, start, s.attemptResult, endCause(ctx))
-		cancel(nil)
-		s.dispatcher.chooser.release(server.ID)
-		s.dispatcher.Demand.addRunning(k, -1)
-	}()
-	timeout := s.startTimeout(server, func() { cancel(errSilentServer) })
-	defer timeout.Stop()
-	response, err := s.dispatcher.Backend.Send(ctx, server, s.request, Attempt{Timeout: s.request.Deadline.Sub(start), LastEvent: s.lastEvent, Priority: s.request.Route.Priority})
-	if err != nil {
-		return s.handleNoResponse(ctx, server, verdict.Of(err))
-	}
-	s.lastReceivedAt = time.Now()
-	if !timeout.Stop() && ctx.Err() != nil {
-		// The timeout expired just as the response arrived.
-		discard(response)
-		return s.handleNoResponse(ctx, server, verdict.UnknownOutcome(verdict.BackendFailed, "no response from the server before the attempt timed out", nil))
-	}
-	if response.Refusal != NotRefused {
-		discard(response)
-		return s.handleRefusal(server, response)
-	}
-	s.mayHaveRun = true
-	s.possibleRuns++
-	if !response.Verified {
-		discard(response)
-		return s.handleInvalidResponse(server)
-	}
-	s.dispatcher.chooser.recordResponse(time.Now(), server.ID, time.Since(start), response.Load)
-	if response.Events != nil {
-		return s.forwardStream(server, response, timeout)
-	}
-	return s.handleBody(server, response)
-}
-
-// startTimeout starts the timer that cancels an attempt without a response, so that the
-// request can be sent to another server. If the request must not run again, the timer
-// expires only after the deadline.
-func (s *session) startTimeout(server *fleet.Server, cancel func()) *time.Timer {
-	if !s.request.Route.IsRetryable() || s.possibleRuns+1 >= s.request.Route.MaxAttempts {
-		return time.AfterFunc(time.Until(s.request.Deadline)+time.Second, cancel)
-	}
-	expire := func() {
-		// Without retry budget for another attempt, a late response is better than none.
-		if s.dispatcher.spendHedge(s.request.Service) {
-			s.nextRetryPaid.Store(true)
-			cancel()
-		}
-	}
-	if s.headSent {
-		return time.AfterFunc(streamIdleTimeout, expire)
-	}
-	latencyGoal := s.request.Route.LatencyGoal
-	timeoutByResponseTime := timeoutResponseTimeFactor * s.dispatcher.chooser.recentResponseTime(time.Now(), server.ID)
-	timeout := max(min(max(time.Duration(timeoutGoalShare*float64(latencyGoal)), timeoutByResponseTime), timeoutGoalFactor*latencyGoal), minimumAttemptTimeout)
-	return time.AfterFunc(timeout, expire)
-}
-
-// recordResult records the result of the latest attempt for the log and the metrics.
-func (s *session) recordResult(result string) {
-	s.attemptResult = result
-	s.dispatcher.CountAttempt(result)
-}
-
-// recordFailure records an attempt that failed or was refused. Its server is avoided
-// until waitForChange permits all servers again.
-func (s *session) recordFailure(server *fleet.Server, result string) {
-	s.avoidedServers[server.ID] = true
-	s.recordResult(result)
-}
--- a/dispatch/silence_test.go
+++ b/dispatch/silence_test.go
@@ -142,3 +142,71 @@
 		}
 	})
 }
+
+// endableStream responds with a stream of one event that then is silent, and closes ended
+// when the attempt is cancelled.
+func endableStream(ended chan<- time.Time) func(context.Context) (*Response, error) {
+	return func(ctx context.Context) (*Response, error) {
+		context.AfterFunc(ctx, func() { ended <- time.Now() })
+		return streamResponse(nil, 1)(ctx)
+	}
+}
+
+// Guards against TWICE: the silent attempt must be cancelled as soon as another one goes on
+// with the stream, and not before.
+func TestSilentAttemptIsCancelledWhenAnotherGoesOn(t *testing.T) {
+	const prefill = 700 * time.Millisecond
+	lateResumption := func(ctx context.Context) (*Response, error) {
+		time.Sleep(prefill)
+		return streamResponse(io.EOF, 2, 3)(ctx)
+	}
+	synctest.Test(t, func(t *testing.T) {
+		ended := make(chan time.Time, 1)
+		b := &fakeBackend{responses: []func(context.Context) (*Response, error){endableStream(ended), lateResumption}}
+		c := &fakeCaller{}
+		d := newTestDispatcher(b)
+		start := time.Now()
+		if got, want := d.Serve(t.Context(), streamRequest(), c), Served; got != want || string(c.body) != "123" {
+			t.Errorf("got %v with %q, want %v with %q", got, c.body, want, "123")
+		}
+		if got, want := (<-ended).Sub(start), streamIdleTimeout+prefill; got != want {
+			t.Errorf("the silent attempt was cancelled after %v, want %v", got, want)
+		}
+		if got, want := d.Running(), 0; got != want {
+			t.Errorf("got %d attempts in flight after the request, want %d", got, want)
+		}
+	})
+}
+
+// Guards against BUDGET: attempts beside each other count toward the maximum of the route,
+// and refused ones do not.
+func TestAttemptsBesideEachOtherAreBounded(t *testing.T) {
+	for name, other := range map[string]func(context.Context) (*Response, error){"silent": blockUntilCancelled, "full": refusal(Full)} {
+		b := &fakeBackend{responses: []func(context.Context) (*Response, error){blockUntilCancelled, other}}
+		synctest.Test(t, func(t *testing.T) {
+			d := newTestDispatcher(b)
+			d.Serve(t.Context(), streamRequest(), &fakeCaller{})
+		})
+		budget := 5
+		limit := map[string]int{"silent": 2, "full": 1 + budget}[name]
+		if got := len(b.received); got > limit || got < 2 {
+			t.Errorf("%s: got %d attempts, want 2 to %d", name, got, limit)
+		}
+	}
+}
+
+// Guards against LOST: the connection to the only server of a model is dead, and the server
+// answers on another one.
+func TestOnlyServerIsTriedOnAnotherConnection(t *testing.T) {
+	b := &fakeBackend{responses: []func(context.Context) (*Response, error){endableStream(make(chan time.Time, 1)), streamResponse(io.EOF, 2, 3)}}
+	c := &fakeCaller{}
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDispatcher(b)
+		view := newTestView(true)
+		view.Servers["engines"] = view.Servers["engines"][:1]
+		d.Views.Publish(view)
+		if got, want := d.Serve(t.Context(), streamRequest(), c), Served; got != want || string(c.body) != "123" {
+			t.Errorf("got %v with %q, want %v with %q", got, c.body, want, "123")
+		}
+	})
+}
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -5,51 +5,73 @@
 	"io"
 	"time"
 
-	"github.com/parsleylug/parsleylug/fleet"
 	"github.com/parsleylug/parsleylug/verdict"
 )
 
-// forwardStream forwards events to the caller until the stream ends or breaks. It skips
-// events that the caller has already received.
-func (s *session) forwardStream(server *fleet.Server, r *Response, timeout *time.Timer) (Outcome, *verdict.Error, bool) {
-	defer r.Events.Close()
-	isRetryable := s.request.Route.IsRetryable() && s.possibleRuns < s.request.Route.MaxAttempts
-	if isRetryable {
-		timeout.Reset(streamIdleTimeout)
+// handleHead records the head of a stream. The caller gets it with the first event.
+func (s *session) handleHead(a *attempt, r *Response) {
+	now := time.Now()
+	s.countRun()
+	a.response, a.lastReceivedAt = r, now
+	s.dispatcher.chooser.recordResponse(now, a.server.ID, now.Sub(a.startedAt), r.Load)
+	if len(s.running) == 1 {
+		s.armSilence()
 	}
-	for {
-		event, err := r.Events.Next()
-		if stderrors.Is(err, io.EOF) {
-			return s.finishStream(r)
-		}
-		if err != nil {
-			return s.handleBrokenStream(server, err)
-		}
-		s.lastReceivedAt = time.Now()
-		s.receivedEvents++
-		if isRetryable {
-			timeout.Reset(streamIdleTimeout)
-		}
-		if event.ID != 0 && event.ID <= s.lastEvent {
-			continue
-		}
-		if err := s.forward(r, event.Raw); err != nil {
-			return Left, verdict.UnknownOutcome(verdict.Unknown, "the caller has left", err), true
-		}
-		if event.ID != 0 {
-			s.lastEvent = event.ID
+}
+
+// handleEvent forwards an event, unless the caller has already received it, and ends the
+// other attempts.
+func (s *session) handleEvent(a *attempt, event Event) (Outcome, *verdict.Error, bool) {
+	a.lastReceivedAt = time.Now()
+	a.events++
+	if event.ID != 0 && event.ID <= s.lastEvent {
+		if len(s.running) == 1 {
+			s.armSilence()
 		}
+		return 0, nil, false
+	}
+	s.lead(a)
+	s.armSilence()
+	if err := s.forward(a, event.Raw); err != nil {
+		return Left, verdict.UnknownOutcome(verdict.Unknown, "the caller has left", err), true
+	}
+	if event.ID != 0 {
+		s.lastEvent = event.ID
+	}
+	return 0, nil, false
+}
+
+// handleStreamEnd ends the response if the stream is complete, or else records that it broke
+// and checks whether its server crashed.
+func (s *session) handleStreamEnd(a *attempt, err error) (Outcome, *verdict.Error, bool) {
+	if stderrors.Is(err, io.EOF) {
+		return s.finishStream(a)
+	}
+	s.endFailed(a, "BrokenOff")
+	s.dispatcher.chooser.recordFailure(time.Now(), a.server.ID, false)
+	go s.dispatcher.checkCrash(a.server, s.request.Content, s.headSent)
+	return 0, verdict.UnknownOutcome(verdict.StreamBroken, "the stream ended before it was complete", err), false
+}
+
+// finishStream ends a complete stream. If the caller had received every event before,
+// forward still has to send the head.
+func (s *session) finishStream(a *attempt) (Outcome, *verdict.Error, bool) {
+	s.lead(a)
+	if err := s.forward(a, nil); err != nil {
+		return Left, verdict.UnknownOutcome(verdict.Unknown, "the caller has left", err), true
 	}
+	s.end(a, "Answered")
+	return Served, nil, true
 }
 
 // forward sends part of a stream to the caller. If the head was not sent yet, forward
 // sends it first. Nil bytes end the stream.
-func (s *session) forward(r *Response, raw []byte) error {
+func (s *session) forward(a *attempt, raw []byte) error {
 	now := time.Now()
 	if !s.headSent {
 		s.headSent = true
 		s.responseStartedAt = now
-		if err := s.caller.StartStream(r); err != nil {
+		if err := s.caller.StartStream(a.response); err != nil {
 			return err
 		}
 	}
@@ -57,15 +79,15 @@
 		s.longestGap = max(s.longestGap, now.Sub(s.lastWriteAt))
 	}
 	s.lastWriteAt = now
-	s.countIfLate(now)
+	s.countIfLate(now, a)
 	return s.caller.WriteEvent(raw)
 }
 
 // countIfLate counts the request as late, at most once, if its stream misses the goals of
 // the route. The owner adds replicas for models with many late responses.
-func (s *session) countIfLate(now time.Time) {
+func (s *session) countIfLate(now time.Time, a *attempt) {
 	goal := s.request.Route.LatencyGoal
-	missesLatencyGoal := goal > 0 && now.Sub(s.attemptStart) > goal && s.responseStartedAt.Equal(now)
+	missesLatencyGoal := goal > 0 && now.Sub(a.startedAt) > goal && s.responseStartedAt.Equal(now)
 	missesGapGoal := s.request.Route.EventGapGoal > 0 && s.longestGap > s.request.Route.EventGapGoal
 	if s.isCountedLate || !missesLatencyGoal && !missesGapGoal {
 		return
@@ -73,21 +95,3 @@
 	s.isCountedLate = true
 	s.dispatcher.Demand.countLate(s.request.key())
 }
-
-// finishStream ends a complete stream. If the caller had received every event before,
-// forward still has to send the head.
-func (s *session) finishStream(r *Response) (Outcome, *verdict.Error, bool) {
-	if err := s.forward(r, nil); err != nil {
-		return Left, verdict.UnknownOutcome(verdict.Unknown, "the caller has left", err), true
-	}
-	s.recordResult("Answered")
-	return Served, nil, true
-}
-
-// handleBrokenStream records a stream that broke and checks whether its server crashed.
-func (s *session) handleBrokenStream(server *fleet.Server, err error) (Outcome, *verdict.Error, bool) {
-	s.recordFailure(server, "BrokenOff")
-	s.dispatcher.chooser.recordFailure(time.Now(), server.ID, false)
-	go s.dispatcher.checkCrash(server, s.request.Content, s.headSent)
-	return 0, verdict.UnknownOutcome(verdict.StreamBroken, "the stream ended before it was complete", err), false
-}
