--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -28,6 +28,7 @@
 	cancel    context.CancelCauseFunc
 	// response is the head of a stream; nil before it has arrived.
 	response *Response
+	position streamPosition
 	// lastReceivedAt is when the server last sent its response head or an event; startedAt
 	// before. events is the number of those events.
 	lastReceivedAt time.Time
@@ -68,12 +69,12 @@
 func (s *session) start(ctx context.Context, server *fleet.Server) {
 	now := time.Now()
 	s.attempts++
-	a := &attempt{server: server, number: s.attempts, inputs: s.choiceInputs, startedAt: now, lastReceivedAt: now}
+	a := &attempt{server: server, number: s.attempts, inputs: s.choiceInputs, startedAt: now, lastReceivedAt: now, position: s.order.start(s.headSent)}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	s.running = append(s.running, a)
 	s.latestServer = server.ID
 	s.dispatcher.Demand.addRunning(s.request.key(), 1)
-	parameters := Attempt{Timeout: s.request.Deadline.Sub(now), LastEvent: s.lastEvent, Priority: s.request.Route.Priority}
+	parameters := Attempt{Timeout: s.request.Deadline.Sub(now), LastEvent: s.order.last, Priority: s.request.Route.Priority}
 	go s.receive(a, parameters)
 }
 
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -46,36 +46,30 @@
 func (s *session) handle(ctx context.Context, a arrival) (Outcome, *verdict.Error, bool) {
 	switch a.kind {
 	case noResponse:
-		return s.afterFailure(s.handleNoResponse(ctx, a.attempt, verdict.Of(a.err)))
+		return s.unlessFailed(0, s.handleNoResponse(ctx, a.attempt, verdict.Of(a.err)), false)
 	case wholeResponse:
-		outcome, e, done := s.handleWholeResponse(a)
-		if done {
-			return outcome, e, true
-		}
-		return s.afterFailure(e)
+		return s.unlessFailed(s.handleWholeResponse(a))
 	case streamHead:
 		s.handleHead(a.attempt, a.response)
 		return 0, nil, false
 	case streamEvent:
-		return s.handleEvent(a.attempt, a.event)
-	}
-	outcome, e, done := s.handleStreamEnd(a.attempt, a.err)
-	if done {
-		return outcome, e, true
+		return s.unlessFailed(s.handleEvent(a.attempt, a.event))
 	}
-	return s.afterFailure(e)
+	return s.unlessFailed(s.handleStreamEnd(a.attempt, a.err))
 }
 
-// afterFailure lets the attempt that still runs, if there is one, be hedged again.
-func (s *session) afterFailure(e *verdict.Error) (Outcome, *verdict.Error, bool) {
-	switch {
-	case len(s.running) == 0:
-	case s.running[0] == s.silent:
+// unlessFailed returns what the handler of an arrival has returned. If the attempt has failed
+// and another one still runs, that one may be hedged again.
+func (s *session) unlessFailed(o Outcome, e *verdict.Error, done bool) (Outcome, *verdict.Error, bool) {
+	if done || e == nil || len(s.running) == 0 {
+		return o, e, done
+	}
+	if s.running[0] == s.silent {
 		s.silence.Reset(s.nextRefusalBackoff())
-	default:
+	} else {
 		s.armSilence()
 	}
-	return 0, e, false
+	return o, e, false
 }
 
 // armSilence starts the time after which the silence of the running attempt makes the
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -26,8 +26,8 @@
 	mayHaveRun bool
 	// headSent is true once the head of a stream was sent to the caller.
 	headSent bool
-	// lastEvent is the last event that the caller has received, 0 for none.
-	lastEvent EventID
+	// order joins the streams of the attempts.
+	order eventOrder
 	// resumeDeadline is the time at which a broken stream stops waiting for a server to
 	// resume it.
 	resumeDeadline time.Time
@@ -69,7 +69,7 @@
 
 func newSession(d *Dispatcher, r *Request, c Caller) *session {
 	s := &session{
-		dispatcher: d, request: r, caller: c, avoidedServers: map[domain.ServerID]bool{}, lastEvent: r.LastEvent,
+		dispatcher: d, request: r, caller: c, avoidedServers: map[domain.ServerID]bool{}, order: eventOrder{last: r.LastEvent},
 		refusalBackoff: initialRefusalBackoff, arrivals: make(chan arrival), ended: make(chan struct{}),
 		silence: time.NewTimer(time.Hour),
 	}
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -24,7 +24,11 @@
 func (s *session) handleEvent(a *attempt, event Event) (Outcome, *verdict.Error, bool) {
 	a.lastReceivedAt = time.Now()
 	a.events++
-	if event.ID != 0 && event.ID <= s.lastEvent {
+	isNew, err := s.order.accept(&a.position, event.ID)
+	if err != nil {
+		return s.handleBrokenStream(a, err)
+	}
+	if !isNew {
 		if len(s.running) == 1 {
 			s.armSilence()
 		}
@@ -35,18 +39,24 @@
 	if err := s.forward(a, event.Raw); err != nil {
 		return Left, verdict.UnknownOutcome(verdict.Unknown, "the caller has left", err), true
 	}
-	if event.ID != 0 {
-		s.lastEvent = event.ID
-	}
+	s.order.advance(event.ID)
 	return 0, nil, false
 }
 
-// handleStreamEnd ends the response if the stream is complete, or else records that it broke
-// and checks whether its server crashed.
+// handleStreamEnd ends the response if the stream is complete.
 func (s *session) handleStreamEnd(a *attempt, err error) (Outcome, *verdict.Error, bool) {
 	if stderrors.Is(err, io.EOF) {
-		return s.finishStream(a)
+		err = s.order.end(a.position)
+	}
+	if err != nil {
+		return s.handleBrokenStream(a, err)
 	}
+	return s.finishStream(a)
+}
+
+// handleBrokenStream records a stream that broke or cannot be joined to the caller's, and
+// checks whether its server crashed.
+func (s *session) handleBrokenStream(a *attempt, err error) (Outcome, *verdict.Error, bool) {
 	s.endFailed(a, "BrokenOff")
 	s.dispatcher.chooser.recordFailure(time.Now(), a.server.ID, false)
 	go s.dispatcher.checkCrash(a.server, s.request.Content, s.headSent)
