Close a connection after a response that belongs to another request

What callers saw: after a faulty server had written a stray response, request after request on that connection failed, each with the response that was due to the one before it; with refusals without an ID each was told "not run" for the one before.

Cause: net/http puts a connection back into its pool as soon as it has read a response without a body, before the node has looked at the response's ID.

A request that takes the connection in the moment between may still fail; it counts as one that may have run.

--- a/httponce/client.go
+++ b/httponce/client.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	stderrors "errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -59,9 +60,27 @@
 	if err != nil {
 		return nil, requestError(r.Context(), &progress, err)
 	}
+	response.Body = &body{ReadCloser: response.Body, connection: progress.connection}
 	return response, nil
 }
 
+// CloseConnection closes the connection of a response that Do returned, so that no later
+// request is sent on it. A caller needs it after a response that does not belong to its request:
+// the response that does may still arrive. The transport returns the connection of a response
+// without a body to its pool at once, so that a request that takes it meanwhile may fail.
+func CloseConnection(r *http.Response) {
+	if b, ok := r.Body.(*body); ok && b.connection != nil {
+		_ = b.connection.Close()
+	}
+}
+
+// body is the body of a response, with the connection that carries it; nil for a transport that
+// does not support tracing.
+type body struct {
+	io.ReadCloser
+	connection net.Conn
+}
+
 func (c *Client) client() *http.Client {
 	c.once.Do(func() {
 		client := http.Client{}
@@ -83,12 +102,18 @@
 // request.
 type connectionProgress struct {
 	connectionRequested, connected atomic.Bool
+	// connection is the latest connection. It may be read once the transport has returned a
+	// response.
+	connection net.Conn
 }
 
 func (p *connectionProgress) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
 		GetConn: func(string) { p.connectionRequested.Store(true) },
-		GotConn: func(httptrace.GotConnInfo) { p.connected.Store(true) },
+		GotConn: func(i httptrace.GotConnInfo) {
+			p.connected.Store(true)
+			p.connection = i.Conn
+		},
 	}
 }
 
--- a/httponce/client_test.go
+++ b/httponce/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -160,3 +161,25 @@
 		t.Errorf("got %d requests, want %d", got, want)
 	}
 }
+
+// Guards against a response that is still due and is taken for that of the next request.
+func TestNoRequestIsSentOnAClosedConnection(t *testing.T) {
+	var requests atomic.Int64
+	address := droppingServer(t, &requests)
+	client := &Client{HTTP: &http.Client{Transport: &http.Transport{}}}
+	for range 3 {
+		response, err := client.Do(request(t, "POST", "http://"+address+"/counted", "x"))
+		for errors.Is(err, net.ErrClosed) {
+			// The transport had not noticed that the connection was closed.
+			response, err = client.Do(request(t, "POST", "http://"+address+"/counted", "x"))
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		CloseConnection(response)
+		response.Body.Close()
+	}
+	if got, want := requests.Load(), int64(3); got != want {
+		t.Errorf("got %d requests at the server, want %d", got, want)
+	}
+}
