Keep the link to the owner for names that are not UTF-8

CBOR text has to be UTF-8, and the decoder of the links refused a message with other text, while the encoder writes it. A caller that asks for a model whose name has other bytes, or a server whose key has, thus ended the link of a node, and each next link with its first message: the node heard nothing more of what is loaded where, and the owner nothing of its demand.

The decoder takes such text as it is.

TestNamesThatAreNotUTF8KeepTheLink failed before, in both directions: "cbor: invalid UTF-8 string".

--- a/hub/message.go
+++ b/hub/message.go
@@ -114,6 +114,16 @@
 	Adapters []string
 }
 
+// unmarshal decodes a message. It accepts names that are not UTF-8, which callers and servers may
+// send: an error would end the link, and the next link too.
+func unmarshal(data []byte, v any) error {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		return err
+	}
+	return mode.Unmarshal(data, v)
+}
+
 func encodeReport(r Report) ([]byte, error) {
 	w := wireReport{Node: string(r.Node), Suspects: encodeSuspects(r.CrashReports), Doubted: domain.Strings(r.StaleServers)}
 	for _, d := range r.Demands {
@@ -128,7 +138,7 @@
 
 func decodeReport(data []byte) (Report, error) {
 	var w wireReport
-	if err := cbor.Unmarshal(data, &w); err != nil {
+	if err := unmarshal(data, &w); err != nil {
 		return Report{}, errors.Wrap(err, "decode a node's report")
 	}
 	r := Report{Node: domain.NodeID(w.Node), StaleServers: domain.Names[domain.ServerID](w.Doubted)}
@@ -160,7 +170,7 @@
 
 func decodeUpdate(data []byte) (Update, error) {
 	var w wireUpdate
-	if err := cbor.Unmarshal(data, &w); err != nil {
+	if err := unmarshal(data, &w); err != nil {
 		return Update{}, errors.Wrap(err, "decode the owner's update")
 	}
 	u := Update{NodeCount: w.Nodes}
