Leave odd engine states and demands out of the links' messages

A start time or a sequence near the largest integer in one message makes each later state of that server count as older, and negative or huge numbers of requests stay in the owner's sums. Such an entry of a message is left out; the others apply.

TestOddEngineStatesAreLeftOut and TestOddDemandsAreLeftOut failed before (all five entries were taken). FuzzMessages checks the same, with an odd message as a seed.

--- a/hub/hub_test.go
+++ b/hub/hub_test.go
@@ -1,6 +1,7 @@
 package hub
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/http/httptest"
@@ -56,9 +57,21 @@
 	update, _ := encodeUpdate(testUpdate)
 	f.Add(report)
 	f.Add(update)
-	f.Fuzz(func(_ *testing.T, data []byte) {
-		_, _ = decodeReport(data)
-		_, _ = decodeUpdate(data)
+	f.Add(bytes.Repeat([]byte{0x81}, 1000))
+	f.Add(append([]byte{0xa1, 0x67}, "Servers\x81\x85\x61\xff\x20\x1b\xff\xff\xff\xff\xff\xff\xff\xff\xf4\xf6"...))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r, _ := decodeReport(data)
+		for _, d := range r.Demands {
+			if d.Waiting < 0 || d.Running < 0 || d.Arrivals < 0 || d.LateResponses < 0 {
+				t.Fatalf("decoded a negative demand: %+v", d)
+			}
+		}
+		u, _ := decodeUpdate(data)
+		for _, s := range u.Servers {
+			if s.ID == "" || s.EngineState.StartedAtMs < 0 {
+				t.Fatalf("decoded an engine state out of range: %+v", s)
+			}
+		}
 	})
 }
 
--- a/hub/message.go
+++ b/hub/message.go
@@ -16,8 +16,17 @@
 	"github.com/parsleylug/parsleylug/suspects"
 )
 
-// maximumMessageBytes is the read limit on both ends of a link.
-const maximumMessageBytes = 4 << 20
+const (
+	// maximumMessageBytes is the read limit on both ends of a link.
+	maximumMessageBytes = 4 << 20
+	// maximumRequests bounds each number of requests in a demand, so that no sum overflows.
+	maximumRequests = 1 << 32
+	// maximumSequence is the largest whole number up to which float64, which servers may
+	// count in, is exact.
+	maximumSequence = 1 << 53
+	// maximumStartTimeMs is the beginning of the year 2100 in Unix milliseconds.
+	maximumStartTimeMs = 4_102_444_800_000
+)
 
 // Report is a message from a node to the owner.
 type Report struct {
@@ -136,6 +145,7 @@
 	return data, errors.WithStack(err)
 }
 
+// decodeReport decodes a report without the demands that are out of range.
 func decodeReport(data []byte) (Report, error) {
 	var w wireReport
 	if err := unmarshal(data, &w); err != nil {
@@ -143,6 +153,9 @@
 	}
 	r := Report{Node: domain.NodeID(w.Node), StaleServers: domain.Names[domain.ServerID](w.Doubted)}
 	for _, d := range w.Demands {
+		if !d.isInRange() {
+			continue
+		}
 		r.Demands = append(r.Demands, placement.Demand{
 			ModelKey: placement.ModelKey{Service: domain.ServiceName(d.Service), Model: domain.ModelName(d.Model), Adapter: domain.AdapterName(d.Adapter)},
 			Waiting:  d.Waiting, Running: d.Running, Arrivals: d.Arrived, LateResponses: d.Late,
@@ -153,6 +166,21 @@
 	return r, err
 }
 
+// isInRange reports whether the numbers of a demand are possible.
+func (d *wireDemand) isInRange() bool {
+	for _, n := range []int{d.Waiting, d.Running, d.Arrived, d.Late} {
+		if n < 0 || n > maximumRequests {
+			return false
+		}
+	}
+	return true
+}
+
+// isInRange reports whether an engine state names a server and its numbers are possible.
+func (s *wireServer) isInRange() bool {
+	return s.ID != "" && s.Born >= 0 && s.Born <= maximumStartTimeMs && s.Sequence <= maximumSequence
+}
+
 func encodeUpdate(u Update) ([]byte, error) {
 	store := wireStoreUpdate{Configuration: uint64(u.Store.ConfigurationOffset), Registrations: uint64(u.Store.RegistrationsOffset), Read: u.Store.RegistrationsRead}
 	w := wireUpdate{Nodes: u.NodeCount, News: store, Suspects: encodeSuspects(u.CrashReports)}
@@ -168,6 +196,7 @@
 	return data, errors.WithStack(err)
 }
 
+// decodeUpdate decodes an update without the engine states that are out of range.
 func decodeUpdate(data []byte) (Update, error) {
 	var w wireUpdate
 	if err := unmarshal(data, &w); err != nil {
@@ -176,6 +205,9 @@
 	u := Update{NodeCount: w.Nodes}
 	u.Store = StoreUpdate{ConfigurationOffset: domain.Offset(w.News.Configuration), RegistrationsOffset: domain.Offset(w.News.Registrations), RegistrationsRead: w.News.Read}
 	for _, s := range w.Servers {
+		if !s.isInRange() {
+			continue
+		}
 		state := fleet.EngineState{StartedAtMs: s.Born, Sequence: s.Sequence, Busy: s.Busy}
 		for _, m := range s.Models {
 			state.Models = append(state.Models, fleet.LoadedModel{Model: domain.ModelName(m.Model), Adapters: domain.Names[domain.AdapterName](m.Adapters)})
--- a/hub/oddmessage_test.go
+++ b/hub/oddmessage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"reflect"
 	"testing"
@@ -53,6 +54,43 @@
 	}
 }
 
+// An engine state with a number out of range is left out of an update, and the others apply.
+// Guards against a start time or sequence after which all later ones count as older.
+func TestOddEngineStatesAreLeftOut(t *testing.T) {
+	u := Update{Servers: []ServerState{
+		{ID: "a", EngineState: fleet.EngineState{StartedAtMs: -1}},
+		{ID: "b", EngineState: fleet.EngineState{StartedAtMs: math.MaxInt64}},
+		{ID: "c", EngineState: fleet.EngineState{Sequence: math.MaxUint64}},
+		{ID: "", EngineState: fleet.EngineState{Sequence: 1}},
+		{ID: "e", EngineState: fleet.EngineState{StartedAtMs: 1_700_000_000_000, Sequence: 1}},
+	}}
+	data, err := encodeUpdate(u)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := decodeUpdate(data)
+	if err != nil || len(got.Servers) != 1 || got.Servers[0].ID != "e" {
+		t.Errorf("got %+v and %v, want the server e", got.Servers, err)
+	}
+}
+
+// Demands with numbers that no node can have are left out of a report.
+func TestOddDemandsAreLeftOut(t *testing.T) {
+	r := Report{Node: "n"}
+	for _, d := range []placement.Demand{{Waiting: -1}, {Running: math.MinInt}, {Arrivals: math.MaxInt}, {LateResponses: math.MaxInt}, {Waiting: 5, Running: 6, Arrivals: 7, LateResponses: 8}} {
+		d.ModelKey = placement.ModelKey{Service: "s", Model: "m"}
+		r.Demands = append(r.Demands, d)
+	}
+	data, err := encodeReport(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := decodeReport(data)
+	if err != nil || len(got.Demands) != 1 || got.Demands[0].Waiting != 5 {
+		t.Errorf("got %+v and %v, want the last demand", got.Demands, err)
+	}
+}
+
 // A message that is no message of a node is an error, quickly and without a panic.
 func TestOddMessagesAreErrors(t *testing.T) {
 	array := func(depth int) []byte {
