Take a server's registration again after one with a later start time

Another writer's registration under a server's key, with a start time in the future but in range, made the planner take all later registrations and reports of that server as those of an earlier process, for as long as the server was registered: it was polled without end and got no order.

Registrations of a server come in the order of the store's log. If one has an earlier start time than the one before, the planner's view begins anew, as after a restart, and the server is polled.

TestStartTimeThatGoesBackIsTaken failed before: the reports were not taken. TestRegistrationOlderThanReportIsNotTaken passed before and holds what must stay.

--- a/placement/planner.go
+++ b/placement/planner.go
@@ -73,6 +73,10 @@
 			v = &engineView{nextPoll: now}
 			p.engines[s.ID] = v
 		}
+		if s.EngineState.StartedAtMs < v.server.EngineState.StartedAtMs {
+			// The previous registration under this ID was not the server's own.
+			v.resetAfterRestart(now)
+		}
 		v.server = *s
 		v.applyState(now, now.Add(-2*time.Second), s.EngineState, false)
 	}
