Refuse a waiting request while its caller can still receive the refusal

What callers saw: nothing. Cause: the wait ended at the deadline less the shortest time that a server needs. Now it ends 150 ms before the deadline, at most an eighth of the request's time, as the wait of streams does before the stall timeout.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -25,13 +25,14 @@
 	// between events.
 	stallTimeoutLatencyGoals = 4
 	stallTimeoutGapGoals     = 8
-	// refusalMargin is how long before the stall timeout a waiting request is refused.
-	refusalMargin = 150 * time.Millisecond
+	// refusalMargin is how long before its deadline or the stall timeout a waiting request
+	// is refused, so that the refusal reaches a caller that still waits for it. It is at
+	// most refusalMarginShare of the request's timeout.
+	refusalMargin      = 150 * time.Millisecond
+	refusalMarginShare = 0.125
 	// resumeMargin is how long before the stall timeout a broken stream stops waiting for
 	// a server. In the rest of the time the new server sends its first event.
 	resumeMargin = 400 * time.Millisecond
-	// minimumServiceTime is the shortest time in which a backend server can respond.
-	minimumServiceTime = 5 * time.Millisecond
 	// minimumRetryAfter is the lower bound of a Retry-After before its random part is
 	// subtracted, if the deadline permits it.
 	minimumRetryAfter = 200 * time.Millisecond
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -54,7 +54,8 @@
 
 // waitDeadline returns the time at which the request stops waiting for a server.
 func (s *session) waitDeadline() time.Time {
-	deadline := s.request.Deadline.Add(-minimumServiceTime)
+	timeout := s.request.Deadline.Sub(s.request.ArrivedAt)
+	deadline := s.request.Deadline.Add(-min(refusalMargin, time.Duration(refusalMarginShare*float64(timeout))))
 	if drainUntil := s.dispatcher.drainUntil.Load(); drainUntil != 0 {
 		deadline = earlier(deadline, time.Unix(0, drainUntil))
 	}
