Forward a server's own response that arrives at the deadline again

Cause: since attempts run beside each other, a response that arrived just after the deadline was dropped and answered by an error of the node's own. Only a stream that begins after it is dropped now, as before. Evidence: TestErrorResponseAtTheDeadlineIsForwarded failed before.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -85,9 +85,9 @@
 		s.deliver(arrival{kind: noResponse, attempt: a, err: err})
 		return
 	}
-	if a.ctx.Err() != nil {
+	if a.ctx.Err() != nil && response.Events != nil {
 		discard(response)
-		e := verdict.UnknownOutcome(verdict.BackendFailed, "the attempt was cancelled as its response arrived", a.ctx.Err())
+		e := verdict.UnknownOutcome(verdict.BackendFailed, "the attempt was cancelled as its stream began", a.ctx.Err())
 		s.deliver(arrival{kind: noResponse, attempt: a, err: e})
 		return
 	}
--- a/dispatch/refusaltime_test.go
+++ b/dispatch/refusaltime_test.go
@@ -50,3 +50,17 @@
 
 // unlimitedBudget lets a request be sent again until its deadline.
 func unlimitedBudget(w *retries.WindowBudget) { w.Length, w.Reserve = 10*time.Second, 1e6 }
+
+// Guards against a failure of this node in place of the server's own: a server that ends a
+// request at its deadline responds just after the node has given it up.
+func TestErrorResponseAtTheDeadlineIsForwarded(t *testing.T) {
+	respondAtDeadline := func(ctx context.Context) (*Response, error) {
+		<-ctx.Done()
+		return bodyResponse(504, "deadline")(ctx)
+	}
+	nonIdempotent := func() *Request { return plainRequest(fleet.NonIdempotent) }
+	o, c, _ := serve(t, nonIdempotent, respondAtDeadline)
+	if got, want := string(c.body), "deadline"; o != FailedThere || got != want {
+		t.Errorf("got %v with %q, want %v with %q", o, got, FailedThere, want)
+	}
+}
--- a/dispatch/silence_test.go
+++ b/dispatch/silence_test.go
@@ -130,17 +130,7 @@
 // Guards against LOST: the only server with a model is silent in the middle of a stream and
 // has no room for a second run of the request.
 func TestOnlyServerOfAModelKeepsItsStream(t *testing.T) {
-	b := &fakeBackend{responses: []func(context.Context) (*Response, error){silentStream, refusal(Full)}}
-	c := &fakeCaller{}
-	synctest.Test(t, func(t *testing.T) {
-		d := newTestDispatcher(b)
-		view := newTestView(true)
-		view.Servers["engines"] = view.Servers["engines"][:1]
-		d.Views.Publish(view)
-		if got, want := d.Serve(t.Context(), streamRequest(), c), Served; got != want || string(c.body) != "123" {
-			t.Errorf("got %v with %q, want %v with %q", got, c.body, want, "123")
-		}
-	})
+	testOnlyServer(t, silentStream, refusal(Full))
 }
 
 // endableStream responds with a stream of one event that then is silent, and closes ended
@@ -198,10 +188,16 @@
 // Guards against LOST: the connection to the only server of a model is dead, and the server
 // answers on another one.
 func TestOnlyServerIsTriedOnAnotherConnection(t *testing.T) {
-	b := &fakeBackend{responses: []func(context.Context) (*Response, error){endableStream(make(chan time.Time, 1)), streamResponse(io.EOF, 2, 3)}}
+	testOnlyServer(t, endableStream(make(chan time.Time, 1)), streamResponse(io.EOF, 2, 3))
+}
+
+// testOnlyServer checks that a caller gets a whole stream from the only server of a model,
+// which has the given responses.
+func testOnlyServer(t *testing.T, responses ...func(context.Context) (*Response, error)) {
+	t.Helper()
 	c := &fakeCaller{}
 	synctest.Test(t, func(t *testing.T) {
-		d := newTestDispatcher(b)
+		d := newTestDispatcher(&fakeBackend{responses: responses})
 		view := newTestView(true)
 		view.Servers["engines"] = view.Servers["engines"][:1]
 		d.Views.Publish(view)
