dispatch: Add a failing test of two servers that work on one stream

Cause: the silent attempt is cancelled at the first event of the other one, not at its response head. If that server is silent too after its head, both work on the stream for as long. Change: a test that fails on (1 s, wanted at most the 400 ms of the rule TWICE).

--- a/dispatch/hedge_test.go
+++ b/dispatch/hedge_test.go
@@ -209,3 +209,28 @@
 		}
 	})
 }
+
+// Guards against TWICE: a stream went on at another server, which was silent itself after its
+// response head, while the server before still worked on it.
+func TestSilentAttemptEndsSoonAfterTheNextRunBegins(t *testing.T) {
+	const (
+		prefill       = 300 * time.Millisecond
+		runsTogether  = 400 * time.Millisecond
+		secondSilence = time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		ended := make(chan time.Time, 1)
+		var resumedAt time.Time
+		resumption := func(ctx context.Context) (*Response, error) {
+			time.Sleep(prefill)
+			resumedAt = time.Now()
+			return &Response{Status: 200, Verified: true, Events: &silentEvents{ctx: ctx, next: 2, last: 3, wait: secondSilence}}, nil
+		}
+		b := &fakeBackend{responses: []func(context.Context) (*Response, error){endableStream(ended), resumption}}
+		d := newTestDispatcher(b)
+		d.Serve(t.Context(), streamRequest(), &fakeCaller{})
+		if got, want := (<-ended).Sub(resumedAt), runsTogether; got > want {
+			t.Errorf("the silent attempt ended %v after another server had begun to go on, want at most %v", got, want)
+		}
+	})
+}
