--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -154,12 +155,7 @@
 
 // end ends an attempt and records its result for the log and the metrics.
 func (s *session) end(a *attempt, result string) {
-	for i, r := range s.running {
-		if r == a {
-			s.running = append(s.running[:i], s.running[i+1:]...)
-			break
-		}
-	}
+	s.running = slices.DeleteFunc(s.running, func(r *attempt) bool { return r == a })
 	s.dispatcher.CountAttempt(result)
 	s.logAttempt(a, result)
 	a.cancel(nil)
@@ -175,12 +171,17 @@
 }
 
 // lead makes an attempt the only one: it was the first to receive what the caller waits for.
+// The server of another attempt may have run the request, also if it has not responded.
 func (s *session) lead(a *attempt) {
-	for _, r := range append([]*attempt(nil), s.running...) {
-		if r != a {
-			r.cancel(errReplaced)
-			s.end(r, "Replaced")
+	for _, r := range slices.Clone(s.running) {
+		if r == a {
+			continue
+		}
+		if r.response == nil {
+			s.countRun()
 		}
+		r.cancel(errReplaced)
+		s.end(r, "Replaced")
 	}
 	s.latestServer = a.server.ID
 }
