Record one silence of a server as one failure

Cause: each further attempt beside a silent one recorded the same silence as another failure, so that three refusals elsewhere ejected a sound server. Evidence: TestOneSilenceIsOneFailure failed before.

--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -125,8 +125,10 @@
 		s.dispatcher.chooser.release(server.ID)
 		return
 	}
-	s.silent = silent
-	s.dispatcher.chooser.recordNoResponse(time.Now(), silent.server.ID)
+	if s.silent != silent {
+		s.silent = silent
+		s.dispatcher.chooser.recordNoResponse(time.Now(), silent.server.ID)
+	}
 	s.start(ctx, server)
 }
 
