Look for retry budget again while a server is silent

Cause: if the budget had no room when a silence was noticed, no further attempt was made for it, so that a dead connection was kept until the kernel ended it. Now the budget is asked again every 500 ms, like the servers. Evidence: TestHedgeIsTriedAgainWhenTheBudgetHasRoom failed before.

--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -121,8 +121,8 @@
 		return
 	}
 	if !s.dispatcher.spendHedge(s.request.Service) {
-		// Without retry budget for another attempt, a late response is better than none.
 		s.dispatcher.chooser.release(server.ID)
+		s.silence.Reset(viewPollInterval)
 		return
 	}
 	if s.silent != silent {
