--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -27,7 +27,7 @@
 	startedAt time.Time
 	ctx       context.Context
 	cancel    context.CancelCauseFunc
-	// response is the head of a stream; nil before it has arrived.
+	// response is the head of the response; nil before it has arrived.
 	response *Response
 	position streamPosition
 	// lastReceivedAt is when the server last sent its response head or an event; startedAt
@@ -42,11 +42,13 @@
 const (
 	// noResponse: the attempt ended without a response, for the reason err.
 	noResponse arrivalKind = iota
-	// wholeResponse: a response that is not a stream, or one that is not forwarded. If err
-	// is set, its body is incomplete.
-	wholeResponse
-	// streamHead: the head of a stream.
-	streamHead
+	// discardedResponse: a refusal or a response that is not verified.
+	discardedResponse
+	// responseHead: the head of a verified response. Its body or events follow.
+	responseHead
+	// wholeBody: the body of a response that is not a stream. If err is set, it is
+	// incomplete.
+	wholeBody
 	// streamEvent: an event of the stream.
 	streamEvent
 	// streamEnd: the end of the stream; err is io.EOF if it is complete.
@@ -57,13 +59,11 @@
 type arrival struct {
 	kind    arrivalKind
 	attempt *attempt
-	// response and its body are set for a whole response, response for a head.
+	// response is set for a head and for a discarded response.
 	response *Response
 	body     []byte
 	event    Event
 	err      error
-	// receivedAt is when the response head arrived, for a whole response.
-	receivedAt time.Time
 }
 
 // start sends the request to a server that pickServer or pickHedge has chosen.
@@ -92,21 +92,21 @@
 		s.deliver(arrival{kind: noResponse, attempt: a, err: e})
 		return
 	}
-	receivedAt := time.Now()
 	if response.Refusal != NotRefused || !response.Verified {
 		discard(response)
-		s.deliver(arrival{kind: wholeResponse, attempt: a, response: response, receivedAt: receivedAt})
+		s.deliver(arrival{kind: discardedResponse, attempt: a, response: response})
+		return
+	}
+	if !s.deliver(arrival{kind: responseHead, attempt: a, response: response}) {
+		discard(response)
 		return
 	}
 	if response.Events == nil {
 		body, err := readBody(response.Body)
-		s.deliver(arrival{kind: wholeResponse, attempt: a, response: response, body: body, err: err, receivedAt: receivedAt})
+		s.deliver(arrival{kind: wholeBody, attempt: a, body: body, err: err})
 		return
 	}
 	defer response.Events.Close()
-	if !s.deliver(arrival{kind: streamHead, attempt: a, response: response}) {
-		return
-	}
 	for {
 		event, err := response.Events.Next()
 		if err != nil {
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -10,8 +10,13 @@
 	"github.com/parsleylug/parsleylug/verdict"
 )
 
-// maximumRunningAttempts is the number of attempts that may run beside each other.
-const maximumRunningAttempts = 2
+const (
+	// maximumRunningAttempts is the number of attempts that may run beside each other.
+	maximumRunningAttempts = 2
+	// maximumOverlap is how long an attempt still runs beside another one whose response
+	// has begun. The platform allows 400 ms until the server has noticed the end.
+	maximumOverlap = 250 * time.Millisecond
+)
 
 // await handles what the running attempts receive, until the request has ended or the last
 // of them has failed. A server that is silent for a time keeps its attempt, because it may
@@ -35,7 +40,11 @@
 				failure = e
 			}
 		case <-s.silence.C:
-			s.hedge(ctx)
+			if len(s.running) > 1 {
+				s.endOverlap()
+			} else {
+				s.hedge(ctx)
+			}
 		}
 	}
 	return 0, failure, false
@@ -47,11 +56,13 @@
 	switch a.kind {
 	case noResponse:
 		return s.unlessFailed(0, s.handleNoResponse(ctx, a.attempt, verdict.Of(a.err)), false)
-	case wholeResponse:
-		return s.unlessFailed(s.handleWholeResponse(a))
-	case streamHead:
+	case discardedResponse:
+		return s.unlessFailed(0, s.handleDiscarded(a.attempt, a.response), false)
+	case responseHead:
 		s.handleHead(a.attempt, a.response)
 		return 0, nil, false
+	case wholeBody:
+		return s.unlessFailed(s.handleBody(a.attempt, a.body, a.err))
 	case streamEvent:
 		return s.unlessFailed(s.handleEvent(a.attempt, a.event))
 	}
@@ -83,6 +94,32 @@
 	s.silence.Reset(s.silenceTimeout(s.running[0]))
 }
 
+// endSilence records that the server of an attempt has gone on.
+func (s *session) endSilence(a *attempt) {
+	if a == s.silent {
+		s.silent = nil
+	}
+	if len(s.running) == 1 {
+		s.armSilence()
+	}
+}
+
+// startOverlap starts the time after which an attempt whose response has begun ends the one
+// beside it, unless one of them goes on before.
+func (s *session) startOverlap(a *attempt) {
+	s.next = a
+	s.silence.Reset(maximumOverlap)
+}
+
+// endOverlap ends the attempt beside the one whose response has begun, so that two servers do
+// not work on one request for long.
+func (s *session) endOverlap() {
+	if slices.Contains(s.running, s.next) {
+		s.lead(s.next)
+		s.armSilence()
+	}
+}
+
 // silenceTimeout returns how long the server of an attempt may be silent before another
 // attempt is started beside it.
 func (s *session) silenceTimeout(a *attempt) time.Duration {
--- a/dispatch/response.go
+++ b/dispatch/response.go
@@ -31,27 +31,42 @@
 	return e
 }
 
-// handleWholeResponse handles a response that is not a stream, or one that is not forwarded.
-func (s *session) handleWholeResponse(a arrival) (Outcome, *verdict.Error, bool) {
-	if a.response.Refusal != NotRefused {
-		return 0, s.handleRefusal(a.attempt, a.response), false
+// handleDiscarded handles a refusal or a response that is not verified.
+func (s *session) handleDiscarded(a *attempt, r *Response) *verdict.Error {
+	if r.Refusal != NotRefused {
+		return s.handleRefusal(a, r)
 	}
 	s.countRun()
-	if !a.response.Verified {
-		s.endFailed(a.attempt, "Spoilt")
-		s.dispatcher.chooser.recordFailure(time.Now(), a.attempt.server.ID, false)
-		return 0, verdict.UnknownOutcome(verdict.BackendFailed, "the server's response could not be verified", nil), false
+	s.endFailed(a, "Spoilt")
+	s.dispatcher.chooser.recordFailure(time.Now(), a.server.ID, false)
+	return verdict.UnknownOutcome(verdict.BackendFailed, "the server's response could not be verified", nil)
+}
+
+// handleHead records the head of a response. The caller gets it with the first event, or with
+// the whole body.
+func (s *session) handleHead(a *attempt, r *Response) {
+	now := time.Now()
+	s.countRun()
+	a.response, a.lastReceivedAt = r, now
+	s.dispatcher.chooser.recordResponse(now, a.server.ID, now.Sub(a.startedAt), r.Load)
+	s.endSilence(a)
+	goesOn := r.Events != nil || r.IsSuccess() && !s.headSent
+	if len(s.running) > 1 && goesOn {
+		s.startOverlap(a)
 	}
-	s.dispatcher.chooser.recordResponse(time.Now(), a.attempt.server.ID, a.receivedAt.Sub(a.attempt.startedAt), a.response.Load)
-	if a.err != nil {
-		s.endFailed(a.attempt, "CutShort")
-		s.dispatcher.chooser.recordFailure(time.Now(), a.attempt.server.ID, false)
-		return 0, verdict.UnknownOutcome(verdict.BackendFailed, "the server's response is incomplete", a.err), false
+}
+
+// handleBody handles the body of a response that is not a stream.
+func (s *session) handleBody(a *attempt, body []byte, err error) (Outcome, *verdict.Error, bool) {
+	if err != nil {
+		s.endFailed(a, "CutShort")
+		s.dispatcher.chooser.recordFailure(time.Now(), a.server.ID, false)
+		return 0, verdict.UnknownOutcome(verdict.BackendFailed, "the server's response is incomplete", err), false
 	}
 	if !a.response.IsSuccess() {
-		return 0, s.handleErrorStatus(a), false
+		return 0, s.handleErrorStatus(a, body), false
 	}
-	return s.forwardWhole(a)
+	return s.forwardBody(a, body)
 }
 
 // handleRefusal records the refusal of a server that did not run the request.
@@ -71,25 +86,25 @@
 
 // handleErrorStatus stores an error response, which is forwarded if no other attempt
 // succeeds.
-func (s *session) handleErrorStatus(a arrival) *verdict.Error {
-	s.endFailed(a.attempt, "FailedThere")
+func (s *session) handleErrorStatus(a *attempt, body []byte) *verdict.Error {
+	s.endFailed(a, "FailedThere")
 	if !s.headSent {
-		s.errorResponse, s.errorBody = a.response, a.body
+		s.errorResponse, s.errorBody = a.response, body
 	}
 	return verdict.UnknownOutcome(verdict.BackendFailed, "the server returned an error response", nil)
 }
 
-// forwardWhole forwards a successful response that is not a stream. Such a response cannot
+// forwardBody forwards a successful response that is not a stream. Such a response cannot
 // continue a stream.
-func (s *session) forwardWhole(a arrival) (Outcome, *verdict.Error, bool) {
+func (s *session) forwardBody(a *attempt, body []byte) (Outcome, *verdict.Error, bool) {
 	if s.headSent {
-		s.endFailed(a.attempt, "NotResumed")
+		s.endFailed(a, "NotResumed")
 		return 0, verdict.UnknownOutcome(verdict.StreamBroken, "the server did not resume the stream", nil), false
 	}
-	s.lead(a.attempt)
-	s.end(a.attempt, "Answered")
+	s.lead(a)
+	s.end(a, "Answered")
 	s.responseStartedAt = time.Now()
-	if err := s.caller.WriteResponse(a.response, a.body); err != nil {
+	if err := s.caller.WriteResponse(a.response, body); err != nil {
 		return Left, verdict.UnknownOutcome(verdict.Unknown, "the caller has left", err), true
 	}
 	return Served, nil, true
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -58,6 +58,8 @@
 	// has gone on since.
 	silence *time.Timer
 	silent  *attempt
+	// next is the latest attempt whose response has begun beside another attempt.
+	next *attempt
 	// refusalBackoff is the duration of the next wait after every candidate has refused or
 	// failed the request.
 	refusalBackoff time.Duration
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -8,17 +8,6 @@
 	"github.com/parsleylug/parsleylug/verdict"
 )
 
-// handleHead records the head of a stream. The caller gets it with the first event.
-func (s *session) handleHead(a *attempt, r *Response) {
-	now := time.Now()
-	s.countRun()
-	a.response, a.lastReceivedAt = r, now
-	s.dispatcher.chooser.recordResponse(now, a.server.ID, now.Sub(a.startedAt), r.Load)
-	if len(s.running) == 1 {
-		s.armSilence()
-	}
-}
-
 // handleEvent forwards an event, unless the caller has already received it, and ends the
 // other attempts.
 func (s *session) handleEvent(a *attempt, event Event) (Outcome, *verdict.Error, bool) {
@@ -29,9 +18,7 @@
 		return s.handleBrokenStream(a, err)
 	}
 	if !isNew {
-		if len(s.running) == 1 {
-			s.armSilence()
-		}
+		s.endSilence(a)
 		return 0, nil, false
 	}
 	s.lead(a)
