Suspect no content of a crash when the kernel gave up the connection

What callers saw: the retries of a request refused with 503 for a minute. A crash resets or closes its connections; a timeout is silence, which the product's own interface does not count either. Evidence: TestOneCutOfTheLinkIsNoReasonToRefuseAContent failed before; its fake now returns the error that the kernel gives, ETIMEDOUT, in place of any error, and still failed with it on the code before.

--- a/dispatch/hedge_test.go
+++ b/dispatch/hedge_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -193,7 +194,7 @@
 	timedOut := func(ctx context.Context) (*Response, error) {
 		select {
 		case <-time.After(2 * time.Second):
-			return failedAttempt(verdict.MayHaveRun)(ctx)
+			return nil, verdict.UnknownOutcome(verdict.BackendFailed, "no response", errors.WithStack(syscall.ETIMEDOUT))
 		case <-ctx.Done():
 			return blockUntilCancelled(ctx)
 		}
--- a/dispatch/response.go
+++ b/dispatch/response.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	stderrors "errors"
+	"syscall"
 	"time"
 
 	"github.com/parsleylug/parsleylug/verdict"
@@ -26,11 +28,20 @@
 	s.endFailed(a, "Unanswered")
 	s.dispatcher.chooser.recordNoResponse(time.Now(), a.server.ID)
 	if ctx.Err() == nil {
-		go s.dispatcher.checkCrash(a.server, s.request.Content, s.headSent)
+		s.suspectCrash(a, e)
 	}
 	return e
 }
 
+// suspectCrash checks whether the server of an attempt that failed has crashed. A connection
+// that the kernel gave up because its peer was silent is no sign of a crash: the link of this
+// node or the path may be cut.
+func (s *session) suspectCrash(a *attempt, err error) {
+	if !stderrors.Is(err, syscall.ETIMEDOUT) {
+		go s.dispatcher.checkCrash(a.server, s.request.Content, s.headSent)
+	}
+}
+
 // handleDiscarded handles a refusal or a response that is not verified.
 func (s *session) handleDiscarded(a *attempt, r *Response) *verdict.Error {
 	if r.Refusal != NotRefused {
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -46,7 +46,7 @@
 func (s *session) handleBrokenStream(a *attempt, err error) (Outcome, *verdict.Error, bool) {
 	s.endFailed(a, "BrokenOff")
 	s.dispatcher.chooser.recordFailure(time.Now(), a.server.ID, false)
-	go s.dispatcher.checkCrash(a.server, s.request.Content, s.headSent)
+	s.suspectCrash(a, err)
 	return 0, verdict.UnknownOutcome(verdict.StreamBroken, "the stream ended before it was complete", err), false
 }
 
