Let a panic end its attempt alone

Cause: attempts receive in goroutines of their own since they run beside each other, and a panic there would have ended the process, where net/http recovered it before. No input is known that panics there. Now the attempt ends as one without a response, with a log line and the stack. Evidence: TestPanicEndsItsAttemptAlone ends the test process without the change.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -79,8 +79,15 @@
 	go s.receive(a, parameters)
 }
 
-// receive makes an attempt and delivers all that it receives.
+// receive makes an attempt and delivers all that it receives. A panic ends the attempt alone,
+// and not the process with all the requests that it has read.
 func (s *session) receive(a *attempt, parameters Attempt) {
+	defer func() {
+		if p := recover(); p != nil {
+			s.logPanic(a, p)
+			s.deliver(arrival{kind: noResponse, attempt: a, err: errors.Errorf("panic: %v", p)})
+		}
+	}()
 	response, err := s.dispatcher.Backend.Send(a.ctx, a.server, s.request, parameters)
 	if err != nil {
 		s.deliver(arrival{kind: noResponse, attempt: a, err: err})
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	stderrors "errors"
+	"runtime/debug"
 	"time"
 
 	"github.com/pkg/errors"
@@ -56,6 +57,12 @@
 		Int64("TookMs", time.Since(a.startedAt).Milliseconds()).Msg("an attempt has ended")
 }
 
+// logPanic logs a panic of the goroutine of an attempt.
+func (s *session) logPanic(a *attempt, value any) {
+	s.dispatcher.Logger.Error().Str("Event", "AttemptPanicked").Str("Request", string(s.request.ID)).Str("Server", string(a.server.ID)).
+		Interface("Panic", value).Bytes("Stack", debug.Stack()).Msg("an attempt ended with a panic")
+}
+
 // logWaiting logs that the request waits for a server with its model or adapter, how long
 // the wait is expected to be and how long it may be.
 func (s *session) logWaiting(view *View, expected time.Duration, deadline time.Time) {
--- a/dispatch/hedge_test.go
+++ b/dispatch/hedge_test.go
@@ -235,3 +235,13 @@
 		}
 	})
 }
+
+// Guards against LOST: a panic in an attempt ended the process, and every request that it had
+// read with it.
+func TestPanicEndsItsAttemptAlone(t *testing.T) {
+	panicking := func(context.Context) (*Response, error) { panic("attempt") }
+	o, c, _ := serve(t, streamRequest, panicking, streamResponse(io.EOF, 1))
+	if got, want := string(c.body), "1"; o != Served || got != want {
+		t.Errorf("got %v with %q, want Served with %q", o, got, want)
+	}
+}
