Answer requests that are arriving when a node stops

What callers saw: beside a SIGTERM, their connections were closed without a response 2.50 to 2.51 s after Stopping, for requests sent 9 to 113 ms before.

Cause: http.Server.Shutdown closes each connection in StateIdle, and net/http keeps a kept connection in that state until the whole header is parsed, also when bytes of a request are in the kernel's receive buffer or in its own. It also closes a connection, new or kept, whose header is complete after Shutdown has begun.

Change: CallerServer.Drain in place of Shutdown. It closes the listener and then, every 25 ms, interrupts the reads of the connections that wait for a request, and of new ones without a byte for a second. The interrupted read itself decides, so that no byte can be on its way between the kernel and the server: if bytes have arrived, it goes on with the server's deadline, otherwise it fails and net/http closes the connection. A connection waits for a request from the deadline that net/http sets after a response until a byte is read or net/http sets the next one, for the rest of a header; this covers a part of a request that was read along with the previous one. Where the receive buffer cannot be examined, it counts as empty.

The grace period and the end of the requests at its end stay. A request that never arrives whole now keeps the process until then.

A response whose handler began before SIGTERM does not announce the end of its connection any more when it is written after the listener is closed; Shutdown did that. Its connection is closed after it within 25 ms, unless the next request has begun to arrive, which is answered.

--- a/commands/front.go
+++ b/commands/front.go
@@ -179,19 +179,21 @@
 	metricsServer := &http.Server{Handler: f.metrics.Handler(), ReadHeaderTimeout: readHeaderTimeout}
 	for _, l := range []struct {
 		server  *http.Server
+		serve   func(net.Listener) error
 		address string
 		listen  func(context.Context, string) (net.Listener, error)
 	}{
-		{callerServer, f.settings.CallerAddress, platform.ListenForCallers},
-		{readinessServer, f.settings.ReadyAddress, platform.Listen},
-		{peerServer, hubAddress(f.node.Name), platform.Listen},
-		{metricsServer, metricsAddress, platform.Listen},
+		{callerServer.Server, callerServer.Serve, f.settings.CallerAddress, platform.ListenForCallers},
+		{readinessServer, readinessServer.Serve, f.settings.ReadyAddress, platform.Listen},
+		{peerServer, peerServer.Serve, hubAddress(f.node.Name), platform.Listen},
+		{metricsServer, metricsServer.Serve, metricsAddress, platform.Listen},
 	} {
 		listener, err := l.listen(ctx, l.address)
 		if err != nil {
 			return errors.Wrapf(err, "listen on %s", l.address)
 		}
-		f.startServer(l.server, listener)
+		l.server.ErrorLog = f.errorLog(listener)
+		f.startServer(l.serve, listener)
 	}
 	f.logger.Info().Str("Event", "Started").Str("CallerAddress", f.settings.CallerAddress).Str("Zone", string(f.settings.Zone)).
 		Bool("FirstStart", f.settings.FirstStart).Msg("node started")
@@ -209,13 +211,16 @@
 	return <-done
 }
 
+// errorLog returns the logger for the errors of the HTTP server of a listener.
+func (f *frontNode) errorLog(l net.Listener) *log.Logger {
+	return log.New(f.logger.With().Str("Event", "HTTPServerError").Str("Address", l.Addr().String()).Logger(), "", 0)
+}
+
 // startServer serves the connections of a listener.
-func (f *frontNode) startServer(s *http.Server, l net.Listener) {
-	address := l.Addr().String()
-	s.ErrorLog = log.New(f.logger.With().Str("Event", "HTTPServerError").Str("Address", address).Logger(), "", 0)
+func (f *frontNode) startServer(serve func(net.Listener) error, l net.Listener) {
 	go func() {
-		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			f.logger.Error().Str("Event", "ListenerFailed").Str("Address", address).Err(err).Msg("listener failed")
+		if err := serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			f.logger.Error().Str("Event", "ListenerFailed").Str("Address", l.Addr().String()).Err(err).Msg("listener failed")
 		}
 	}()
 }
@@ -232,9 +237,9 @@
 	f.logger.Info().Str("Event", "Reloaded").Bool("AddressesChanged", changed).Msg("settings file read again")
 }
 
-// shutDown drains the node: it reports not ready, stops accepting requests and waits for
-// those in flight until the grace period is nearly over. Then it cancels the rest.
-func (f *frontNode) shutDown(callerServer *http.Server) {
+// shutDown drains the node: it reports not ready, stops accepting connections and waits for
+// the requests that arrive or run until the grace period is nearly over. Then it cancels the rest.
+func (f *frontNode) shutDown(callerServer *platform.CallerServer) {
 	start := time.Now()
 	f.logger.Info().Str("Event", "Stopping").Int("Running", f.frontend.Dispatcher.Running()).Msg("the node stops")
 	f.node.Drain()
@@ -243,7 +248,7 @@
 	time.Sleep(notReadyDelay)
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(f.settings.GracePeriod-exitMargin))
 	defer cancel()
-	err := callerServer.Shutdown(ctx)
+	err := callerServer.Drain(ctx)
 	if err != nil {
 		// The cancelled requests need a moment to send their final response.
 		f.cancelRequests(dispatch.ErrShutdown)
