--- a/fleet/configuration.go
+++ b/fleet/configuration.go
@@ -12,7 +12,7 @@
 	"github.com/parsleylug/parsleylug/domain"
 )
 
-//go:generate go run golang.org/x/tools/cmd/stringer@v0.52.0 -type=Kind,State,Tier -output=names_string.go
+//go:generate go run golang.org/x/tools/cmd/stringer@v0.52.0 -type=Kind,State,Tier,NoticeSource,Restriction -output=names_string.go
 
 // Version is the version number of an operator's configuration. A larger Version is newer.
 type Version int64
