Keep requests away from servers that leave or have asked for time

permittedServers is the one place that decides whether a server may be sent a request; pickServer calls it for first attempts, retries, hedges, after a wait and for resumed streams. A server within the time that it asked for gets nothing. A leaving server gets a request only if no other is left to try, and only if the request arrived within the drain bound after the first notice. A request whose servers are all kept away waits until the first of them opens again, if that is early enough, and is else refused at once with that time as its Retry-After, not shortened to the caller's deadline, with up to a tenth more so that callers do not return together. Lines of a request say in KeptAway which servers were left out; requests_kept_away counts requests.

With permittedServers returning its argument, as before this change, these fail: success, ready registration, last resort, refused request, hedge, hedged stream, retry after a refusal, retry after a failure, resumed stream, waiting request, truthful refusal, model on a leaving server, log and metric, and the test with 600 requests at once, which counts what reaches the server between 0.5 s after its 503 and the end of its time. All pass now.

One map lookup for each candidate, none while no server has said anything. What was linear in the servers of a service before (the search for a model's holders and the comparison of candidates) still is.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -73,6 +73,9 @@
 	Regions map[domain.Zone]domain.Region
 	Views   *Views
 	Demand  *DemandCounter
+	// Notices holds what the backend servers have said of themselves. New creates it if it
+	// is nil.
+	Notices *fleet.Notices
 	Backend Backend
 	Logger  zerolog.Logger
 	// SetBudget sets the length, ratio and reserve of a service's retry budget. It is
@@ -96,6 +99,9 @@
 	CountRequest(kind fleet.Kind, outcome Outcome, timeToResponseStart time.Duration)
 	// CountAttempt counts an attempt by its result.
 	CountAttempt(result string)
+	// CountKeptAway counts a request that was kept away from a server by a restriction; at
+	// most once for each request and restriction.
+	CountKeptAway(r fleet.Restriction)
 }
 
 // Dispatcher handles the requests that one node receives. Create it with New. It is safe
@@ -115,6 +121,9 @@
 
 // New returns a Dispatcher.
 func New(o Options) *Dispatcher {
+	if o.Notices == nil {
+		o.Notices = &fleet.Notices{}
+	}
 	return &Dispatcher{Options: o, budgets: map[domain.ServiceName]*retries.WindowBudget{}}
 }
 
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -17,11 +17,17 @@
 	attemptsInFlight int
 	otherLoad        float64
 	loadAge          time.Duration
+	// keptAway describes the servers that were left out because of a restriction.
+	keptAway string
 }
 
 // logAttempt logs the result of one attempt and the data behind the choice of its server.
 func (s *session) logAttempt(server *fleet.Server, inputs choiceInputs, start time.Time, result string) {
-	s.dispatcher.Logger.Info().Str("Event", "Attempt").Str("Request", string(s.request.ID)).Str("Server", string(server.ID)).Str("Zone", string(server.Zone)).Str("Result", result).
+	line := s.dispatcher.Logger.Info()
+	if inputs.keptAway != "" {
+		line = line.Str("KeptAway", inputs.keptAway)
+	}
+	line.Str("Event", "Attempt").Str("Request", string(s.request.ID)).Str("Server", string(server.ID)).Str("Zone", string(server.Zone)).Str("Result", result).
 		Int("Number", s.attempts).Int("Candidates", inputs.candidates).Int("InFlight", inputs.attemptsInFlight).Float64("Others", inputs.otherLoad).
 		Int64("OthersAgeMs", inputs.loadAge.Milliseconds()).Int64("TookMs", time.Since(start).Milliseconds()).Msg("an attempt has ended")
 }
@@ -29,7 +35,11 @@
 // logWaiting logs that the request waits for a server with its model or adapter, how long
 // the wait is expected to be and how long it may be.
 func (s *session) logWaiting(view *View, expected time.Duration, deadline time.Time) {
-	s.dispatcher.Logger.Info().Str("Event", "Waiting").Str("Request", string(s.request.ID)).Str("Model", string(s.request.Model)).Str("Adapter", string(s.request.Adapter)).Int("Servers", len(view.Servers[s.request.Service])).
+	line := s.dispatcher.Logger.Info()
+	if text := s.keptAway.text(time.Now()); text != "" {
+		line = line.Str("KeptAway", text)
+	}
+	line.Str("Event", "Waiting").Str("Request", string(s.request.ID)).Str("Model", string(s.request.Model)).Str("Adapter", string(s.request.Adapter)).Int("Servers", len(view.Servers[s.request.Service])).
 		Int64("ExpectedMs", expected.Milliseconds()).Int64("AtMostMs", time.Until(deadline).Milliseconds()).
 		Int64("Version", int64(view.Config.Version)).Msg("no server holds what the request needs")
 }
@@ -42,6 +52,9 @@
 		Int64("WaitedMs", s.waitTime.Milliseconds()).Int64("FirstMs", s.timeToResponseStart().Milliseconds()).
 		Int64("GoalMs", s.request.Route.LatencyGoal.Milliseconds()).Int64("GapMs", s.longestGap.Milliseconds()).
 		Int64("TookMs", time.Since(s.request.ArrivedAt).Milliseconds()).Int64("LastEvent", int64(s.lastEvent))
+	if text := s.keptAway.text(time.Now()); text != "" {
+		line = line.Str("KeptAway", text)
+	}
 	message := "the caller has its answer"
 	if e != nil {
 		message = e.Message
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/parsleylug/parsleylug/fleet"
@@ -27,19 +26,19 @@
 		view := s.dispatcher.Views.Get()
 		now := time.Now()
 		candidates := s.candidates(now, view)
-		hasUntriedServer := slices.ContainsFunc(candidates, func(c *fleet.Server) bool { return !s.avoidedServers[c.ID] })
-		if hasUntriedServer || len(candidates) > 0 && s.attempts == 0 {
+		if s.hasUntried(candidates) || len(candidates) > 0 && s.attempts == 0 {
 			here := location{zone: s.dispatcher.Zone, regions: s.dispatcher.Regions}
 			server, inputs := s.dispatcher.chooser.choose(now, here, candidates, s.request.Prefix, s.avoidedServers)
+			inputs.keptAway = s.keptAway.text(now)
 			s.choiceInputs = inputs
 			return server, nil
 		}
-		expectedWait, e := s.estimateWait(view, candidates)
+		expectedWait, e := s.estimateWait(now, view, candidates)
 		if e != nil {
 			return nil, e
 		}
 		if now.Add(expectedWait).After(deadline) {
-			return nil, newRefusal(now, s.request, verdict.NoCapacity, "the model cannot be had in time", expectedWait)
+			return nil, s.refuseWait(now, expectedWait)
 		}
 		if !isWaiting {
 			isWaiting = true
@@ -85,6 +84,9 @@
 // request, it waits for the refusal backoff instead and then permits all servers again.
 func (s *session) waitForChange(ctx context.Context, view *View, deadline time.Time, candidatesRefused bool) *verdict.Error {
 	wait, changed := min(time.Until(deadline), viewPollInterval), view.Changed
+	if untilReopening, ok := s.keptAway.untilReopening(time.Now()); ok && !candidatesRefused {
+		wait = min(wait, untilReopening)
+	}
 	if candidatesRefused {
 		wait = min(wait, s.refusalBackoff)
 		s.refusalBackoff = min(2*s.refusalBackoff, maximumRefusalBackoff)
@@ -109,8 +111,13 @@
 	return newRefusal(time.Now(), s.request, verdict.DeadlineTooShort, "the model was not loaded in time", time.Second)
 }
 
-// candidates returns the servers that have the model and adapter of the request loaded.
+// candidates returns the servers that can serve the request and may be sent it now.
 func (s *session) candidates(now time.Time, view *View) []*fleet.Server {
+	return s.permittedServers(now, s.capableServers(now, view))
+}
+
+// capableServers returns the servers that have the model and adapter of the request loaded.
+func (s *session) capableServers(now time.Time, view *View) []*fleet.Server {
 	servers := view.Servers[s.request.Service]
 	if s.request.Model == "" {
 		return servers
@@ -125,18 +132,22 @@
 	return candidates
 }
 
-// estimateWait estimates the time until a server has the model and adapter loaded. It
-// returns an error if no server is going to load them.
-func (s *session) estimateWait(view *View, candidates []*fleet.Server) (time.Duration, *verdict.Error) {
+// estimateWait estimates the time until a server can take the request. It returns an error
+// if none is going to.
+func (s *session) estimateWait(now time.Time, view *View, candidates []*fleet.Server) (time.Duration, *verdict.Error) {
 	if len(candidates) > 0 {
 		return 0, nil
 	}
-	servers := view.Servers[s.request.Service]
 	if view.Config == nil {
-		return 0, newRefusal(time.Now(), s.request, verdict.NotReady, "no configuration is known", time.Second)
+		return 0, newRefusal(now, s.request, verdict.NotReady, "no configuration is known", time.Second)
+	}
+	untilReopening, reopens := s.keptAway.untilReopening(now)
+	servers := s.dispatcher.Notices.Select(now, s.request.ArrivedAt, view.Servers[s.request.Service]).Open
+	if len(servers) == 0 && reopens {
+		return untilReopening, nil
 	}
 	if len(servers) == 0 {
-		return 0, newRefusal(time.Now(), s.request, verdict.NoCapacity, "the service has no usable backend server", time.Second)
+		return 0, newRefusal(now, s.request, verdict.NoCapacity, "the service has no usable backend server", time.Second)
 	}
 	engine := view.Config.Services[s.request.Service].Engine
 	if s.request.Model == "" || engine == nil {
@@ -146,10 +157,20 @@
 	if !ok {
 		return 0, verdict.Refuse(verdict.UnknownModel, "the model is not in the configuration")
 	}
+	expectedWait := s.estimateLoad(model, servers)
+	if reopens {
+		expectedWait = min(expectedWait, untilReopening)
+	}
+	return expectedWait, nil
+}
+
+// estimateLoad estimates the time until one of the servers has the model and adapter
+// loaded.
+func (s *session) estimateLoad(model fleet.Model, servers []*fleet.Server) time.Duration {
 	expectedWait := model.StoreLoadTime
 	for _, c := range servers {
 		if _, loaded := c.EngineState.Find(s.request.Model); loaded {
-			return 0, nil
+			return 0
 		}
 		expectedWait = min(expectedWait, model.LoadTime(c.EngineState.Tier(s.request.Model)))
 	}
@@ -157,5 +178,14 @@
 		// The load probably started when the request arrived.
 		expectedWait = max(0, expectedWait-time.Since(s.request.ArrivedAt))
 	}
-	return expectedWait, nil
+	return expectedWait
+}
+
+// refuseWait returns the refusal of a request that cannot be served before it would have to
+// wait for too long.
+func (s *session) refuseWait(now time.Time, expectedWait time.Duration) *verdict.Error {
+	if untilReopening, ok := s.keptAway.untilReopening(now); ok && untilReopening == expectedWait {
+		return newReopeningRefusal(expectedWait)
+	}
+	return newRefusal(now, s.request, verdict.NoCapacity, "the model cannot be had in time", expectedWait)
 }
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -49,6 +49,8 @@
 	isCountedLate bool
 	// waitTime is the total time for which the request has waited for a server.
 	waitTime time.Duration
+	// keptAway is what kept the request away from servers.
+	keptAway keptAway
 	// latestServer is the server of the latest attempt, choiceInputs the data behind its
 	// choice and attemptResult the result of the attempt.
 	latestServer  domain.ServerID
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -50,6 +50,11 @@
 	m.scope.Tagged(map[string]string{"result": result}).Counter("attempts").Inc(1)
 }
 
+// CountKeptAway implements dispatch.Counters.
+func (m *Metrics) CountKeptAway(r fleet.Restriction) {
+	m.scope.Tagged(map[string]string{"restriction": r.String()}).Counter("requests_kept_away").Inc(1)
+}
+
 // CountStoreCall implements platform.StoreCounters.
 func (m *Metrics) CountStoreCall(call string, succeeded bool, responseBytes int) {
 	s := m.scope.Tagged(map[string]string{"call": call, "succeeded": strconv.FormatBool(succeeded)})
--- a/entry/metrics_test.go
+++ b/entry/metrics_test.go
@@ -14,6 +14,7 @@
 	m := NewMetrics()
 	m.CountRequest(fleet.Streaming, dispatch.Served, 30*time.Millisecond)
 	m.CountAttempt("Answered")
+	m.CountKeptAway(fleet.Leaving)
 	m.CountStoreCall("read", true, 1200)
 	m.CountStoreCall("read", false, 0)
 	text := ""
@@ -27,6 +28,7 @@
 	for _, want := range []string{
 		`parsleylug_requests{kind="Streaming",outcome="Served"} 1`,
 		`parsleylug_attempts{result="Answered"} 1`,
+		`parsleylug_requests_kept_away{restriction="Leaving"} 1`,
 		`parsleylug_store_calls{call="read",succeeded="true"} 1`,
 		`parsleylug_store_calls{call="read",succeeded="false"} 1`,
 		`parsleylug_store_answer_bytes{call="read",succeeded="true"} 1200`,
