Plan no loads on leaving servers and report them to the owner

The node that gets a leaving server's response may be the only one that knows while the store is away. The owner went on to plan loads there, and counted its models as loaded, so that a model that lived only there was loaded nowhere else. entry.Node now records the notices of all responses; the planner gets the usable servers without the leaving ones, as it does for draining registrations, so their models count as missing. Nodes list the leaving servers in their reports to the owner: all of them over a new link, then each once. Older nodes ignore the field. Notices end with the directory.

With the planner given all usable servers, as before this change, TestOwnerPlansNoLoadOnALeavingServerWhileTheStoreIsAway and TestOwnerLearnsOfLeavingServersFromReports fail. Tests of entry, hub, fleet, commands and the pages pass.

--- a/commands/front.go
+++ b/commands/front.go
@@ -122,6 +122,7 @@
 		Logger:                logger,
 		Counters:              f.metrics,
 		RegistrationsInterval: s.DrainBound / registrationReadsPerDrain,
+		DrainBound:            s.DrainBound,
 		TimeToLive:            max(s.MinimumMemberTTL, time.Duration(memberTTLShare*float64(s.LeaseBound))),
 		FirstOrderDelay:       firstOrderDelay,
 		ServersCheckFences:    s.ServersCheckFences,
@@ -129,13 +130,14 @@
 	})
 	dispatcher := dispatch.New(dispatch.Options{
 		Zone: s.Zone, Regions: s.Regions,
-		Views: &f.node.Views, Demand: &f.node.Demand,
+		Views: &f.node.Views, Demand: &f.node.Demand, Notices: &f.node.Notices,
 		Backend: backend, Logger: logger,
 		SetBudget:              f.setRetryBudget,
 		ReportCrash:            f.node.ReportCrash,
 		ReportStaleEngineState: f.node.RefreshEngineState,
 		Counters:               f.metrics,
 	})
+	backend.OnNotice = f.node.RecordNotice
 	f.node.OnCrashReports = dispatcher.ApplyCrashReports
 	f.frontend = &platform.Frontend{Dispatcher: dispatcher, Views: &f.node.Views, IsBehind: f.node.IsConfigurationBehind}
 	return f
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -76,10 +76,11 @@
 }
 
 // applyUsable passes the servers that are usable now to the planner and the
-// published view, and returns their number. The caller holds mu.
+// published view, and returns their number. The planner does not get those that
+// leave. The caller holds mu.
 func (n *Node) applyUsable(now time.Time) int {
 	usable := n.directory.Usable(now)
-	n.planner.SetServers(now, usable)
+	n.planner.SetServers(now, n.withoutLeaving(usable))
 	n.publishUsable(usable)
 	return len(usable)
 }
@@ -115,6 +116,7 @@
 	if len(changed) > 0 {
 		n.registrationsOffset = offset
 	}
+	n.Notices.Prune(now, n.directory.Find)
 	n.broadcastStoreUpdate(true)
 	if n.overlayStale && n.fence == 0 {
 		n.overlay, n.overlayStale = nil, false
--- a/entry/link.go
+++ b/entry/link.go
@@ -101,20 +101,24 @@
 	}
 }
 
-// sendReports sends the owner this node's demand, crash reports and stale
-// servers. The first report has the complete demand, later ones only its changes.
+// sendReports sends the owner this node's demand, crash reports, stale servers and
+// leaving servers. The first report has the complete demand and all leaving servers,
+// later ones only the changes.
 // After a second without a report, it sends an empty one.
 func (n *Node) sendReports(ctx context.Context, l *hub.Link) {
 	demands := n.Demand.TakeAll(time.Now())
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	lastSent := time.Now()
+	var leaving []hub.LeavingServer
+	var lastLeaving fleet.NoticeNumber
 	for {
+		leaving, lastLeaving = n.leavingServers(time.Now(), lastLeaving)
 		n.mu.Lock()
-		r := hub.Report{Node: n.Name, Demands: demands, CrashReports: n.crashReports, StaleServers: n.staleServers}
+		r := hub.Report{Node: n.Name, Demands: demands, CrashReports: n.crashReports, StaleServers: n.staleServers, LeavingServers: leaving}
 		n.crashReports, n.staleServers = nil, nil
 		n.mu.Unlock()
-		if len(demands) > 0 || len(r.CrashReports) > 0 || len(r.StaleServers) > 0 || time.Since(lastSent) > time.Second {
+		if len(demands) > 0 || len(r.CrashReports) > 0 || len(r.StaleServers) > 0 || len(leaving) > 0 || time.Since(lastSent) > time.Second {
 			if err := l.Send(ctx, r); err != nil {
 				return
 			}
--- a/entry/node.go
+++ b/entry/node.go
@@ -85,6 +85,9 @@
 	Counters Counters
 	// RegistrationsInterval is the interval between reads of the registrations.
 	RegistrationsInterval time.Duration
+	// DrainBound is the time after which a leaving backend server must get no more
+	// requests that arrived later.
+	DrainBound time.Duration
 	// TimeToLive is how long the group keeps a member that does not renew.
 	TimeToLive time.Duration
 	// FirstOrderDelay is the delay between the grant of the lease and the first order.
@@ -103,7 +106,9 @@
 	Options
 	Views  dispatch.Views
 	Demand dispatch.DemandCounter
-	Hub    hub.Hub
+	// Notices holds what the backend servers have said of themselves.
+	Notices fleet.Notices
+	Hub     hub.Hub
 	// OnCrashReports is called with the crash reports that this node receives from
 	// the owner or, as the owner, from another node. Those from the owner include
 	// this node's own. Each identifies a request content that crashed a backend
@@ -170,6 +175,7 @@
 // New returns a node that is idle until Run.
 func New(o Options) *Node {
 	n := &Node{Options: o, planTrigger: make(chan struct{}, 1), storeRecovered: make(chan struct{}), failedCalls: map[string]bool{}}
+	n.Notices.DrainBound = o.DrainBound
 	n.storeUpdates.changed = make(chan struct{})
 	n.lease.Shard = ownedShard
 	n.lease.TimeToLive, n.lease.FirstOrderDelay, n.lease.ServersCheckFences = o.TimeToLive, o.FirstOrderDelay, o.ServersCheckFences
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -251,6 +251,7 @@
 	for _, id := range r.StaleServers {
 		n.planner.RequestPoll(time.Now(), id)
 	}
+	n.recordReportedLeaving(time.Now(), r.LeavingServers)
 	n.crashReports = append(n.crashReports, r.CrashReports...)
 	if len(r.CrashReports) > 0 && n.OnCrashReports != nil {
 		n.OnCrashReports(r.CrashReports)
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -136,6 +136,16 @@
 	return servers
 }
 
+// Find returns the last valid registration of a server, also if it was removed within
+// removalRetention.
+func (d *Directory) Find(id domain.ServerID) (*Server, bool) {
+	e := d.entries[id]
+	if e == nil || e.server == nil {
+		return nil, false
+	}
+	return e.server, true
+}
+
 // IsStable reports whether the result of Usable depends on the changes alone and no
 // longer on the time. It stays false for twice reregistrationWindow after a removal, so
 // that a caller that polls it calls Usable again after the window has ended.
--- a/hub/hub_test.go
+++ b/hub/hub_test.go
@@ -17,10 +17,11 @@
 )
 
 var testReport = Report{
-	Node:         "n",
-	Demands:      []placement.Demand{{ModelKey: placement.ModelKey{Service: "s", Model: "m", Adapter: "a"}, Waiting: 1, Running: 2, Arrivals: 3, LateResponses: 4}},
-	CrashReports: []suspects.Report{{Content: suspects.Content{1, 2}, Crashes: 2, Server: "i", AfterToken: true}},
-	StaleServers: []domain.ServerID{"i"},
+	Node:           "n",
+	Demands:        []placement.Demand{{ModelKey: placement.ModelKey{Service: "s", Model: "m", Adapter: "a"}, Waiting: 1, Running: 2, Arrivals: 3, LateResponses: 4}},
+	CrashReports:   []suspects.Report{{Content: suspects.Content{1, 2}, Crashes: 2, Server: "i", AfterToken: true}},
+	StaleServers:   []domain.ServerID{"i"},
+	LeavingServers: []LeavingServer{{Incarnation: fleet.Incarnation{ID: "i", StartedAtMs: 5}, Age: 1500 * time.Millisecond}},
 }
 
 var testUpdate = Update{
--- a/hub/message.go
+++ b/hub/message.go
@@ -7,6 +7,8 @@
 package hub
 
 import (
+	"time"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
@@ -16,8 +18,12 @@
 	"github.com/parsleylug/parsleylug/suspects"
 )
 
-// maximumMessageBytes is the read limit on both ends of a link.
-const maximumMessageBytes = 4 << 20
+const (
+	// maximumMessageBytes is the read limit on both ends of a link.
+	maximumMessageBytes = 4 << 20
+	// maximumAge bounds the ages in a message.
+	maximumAge = 10 * 365 * 24 * time.Hour
+)
 
 // Report is a message from a node to the owner.
 type Report struct {
@@ -30,6 +36,16 @@
 	// StaleServers are the servers that lack a model or adapter listed in the
 	// node's cached engine state. The owner queries their engine state again.
 	StaleServers []domain.ServerID
+	// LeavingServers are the servers that the node has learned from their responses to be
+	// leaving, since its last report. The first report over a link lists all of them.
+	LeavingServers []LeavingServer
+}
+
+// LeavingServer is a backend server that said that it leaves. Age is the time since the
+// node first learned of it.
+type LeavingServer struct {
+	fleet.Incarnation
+	Age time.Duration
 }
 
 // Update is a message from the owner to a node.
@@ -70,6 +86,14 @@
 	Demands  []wireDemand
 	Suspects []wireSuspect
 	Doubted  []string
+	Leaving  []wireLeaving
+}
+
+type wireLeaving struct {
+	_               struct{} `cbor:",toarray"`
+	ID              string
+	Born            int64
+	AgeMilliseconds int64
 }
 
 type wireDemand struct {
@@ -122,6 +146,9 @@
 			Waiting: d.Waiting, Running: d.Running, Arrived: d.Arrivals, Late: d.LateResponses,
 		})
 	}
+	for _, l := range r.LeavingServers {
+		w.Leaving = append(w.Leaving, wireLeaving{ID: string(l.ID), Born: l.StartedAtMs, AgeMilliseconds: l.Age.Milliseconds()})
+	}
 	data, err := cbor.Marshal(w)
 	return data, errors.WithStack(err)
 }
@@ -138,6 +165,13 @@
 			Waiting:  d.Waiting, Running: d.Running, Arrivals: d.Arrived, LateResponses: d.Late,
 		})
 	}
+	for _, l := range w.Leaving {
+		if l.AgeMilliseconds < 0 || l.AgeMilliseconds > maximumAge.Milliseconds() {
+			return Report{}, errors.Errorf("the age of a leaving server is %d ms", l.AgeMilliseconds)
+		}
+		i := fleet.Incarnation{ID: domain.ServerID(l.ID), StartedAtMs: l.Born}
+		r.LeavingServers = append(r.LeavingServers, LeavingServer{Incarnation: i, Age: time.Duration(l.AgeMilliseconds) * time.Millisecond})
+	}
 	var err error
 	r.CrashReports, err = decodeSuspects(w.Suspects)
 	return r, err
