Keep a requested time that a restarted server asked for before it was known

A server that has restarted under its ID and refuses with Retry-After before its registration is read was recorded under its old start; the registration ended the requested time, and requests went there within it. A requested time now also holds for an incarnation that had started when it was recorded. An error, when clocks differ, costs that time at most. Leaving ends by no time and so still holds for the known incarnation alone: its next response says it again.

TestRequestedTimeHoldsForAnIncarnationThatStartedBefore failed before (got Open, want RetryLater) and passes now.

--- a/fleet/notices.go
+++ b/fleet/notices.go
@@ -30,7 +30,8 @@
 	// leavingNumber numbers the entries by when they were first known to leave.
 	leavingNumber NoticeNumber
 	// retryAt is the end of the time for which the server wants no requests.
-	retryAt time.Time
+	// retryRecordedAt is when the server last asked for time.
+	retryAt, retryRecordedAt time.Time
 	// invalidAt is when an invalid notice was last reported.
 	invalidAt time.Time
 	// absentSince is when the server was first found without a registration, zero while
@@ -44,6 +45,20 @@
 	return e.startedAtMs == 0 || startedAtMs <= e.startedAtMs
 }
 
+// mustWait reports whether the requested time lasts and holds for a server with the given
+// start. It also holds for a newer incarnation that had started when it was recorded:
+// responses name no incarnation, so that it may be the one that asked for the time. The
+// clocks of servers may differ; an error costs the requested time at most. Leaving does not
+// end by time, and so holds for the known incarnation alone.
+func (e *noticeEntry) mustWait(now time.Time, startedAtMs int64) bool {
+	return now.Before(e.retryAt) && (e.appliesTo(startedAtMs) || startedAtMs <= e.retryRecordedAt.UnixMilli())
+}
+
+// isLeaving reports whether the entry says that a server with the given start leaves.
+func (e *noticeEntry) isLeaving(startedAtMs int64) bool {
+	return !e.leavingSince.IsZero() && e.appliesTo(startedAtMs)
+}
+
 // Notices holds what backend servers have said of themselves in responses. Registrations
 // do not change it, except that a newer incarnation ends the notices of the one before.
 // The zero Notices is ready for use. It is safe for concurrent use.
@@ -58,24 +73,17 @@
 	lastLeaving NoticeNumber
 }
 
-// Record records a notice of an incarnation and returns what it changed. A notice of an
-// incarnation that is older than the known one has no effect.
+// Record records a notice of an incarnation and returns what it changed. An incarnation
+// that is older than the known one can no longer be leaving.
 func (n *Notices) Record(now time.Time, i Incarnation, notice Notice) NoticeChange {
 	if !notice.Leaving && notice.RetryAfter <= 0 && notice.Invalid == "" {
 		return NoticeChange{}
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	e := n.entries[i.ID]
-	switch {
-	case e == nil || !e.appliesTo(i.StartedAtMs):
-		e = &noticeEntry{startedAtMs: i.StartedAtMs}
-		if n.entries == nil {
-			n.entries = map[domain.ServerID]*noticeEntry{}
-		}
-		n.entries[i.ID] = e
-	case i.StartedAtMs != 0 && i.StartedAtMs < e.startedAtMs:
-		return NoticeChange{}
+	e := n.entryFor(now, i)
+	if i.StartedAtMs != 0 && i.StartedAtMs < e.startedAtMs {
+		notice.Leaving = false
 	}
 	change := e.apply(now, notice)
 	if change.BeganLeaving {
@@ -85,6 +93,24 @@
 	return change
 }
 
+// entryFor returns the entry of an incarnation. For a newer one than the known it makes
+// another, which keeps a requested time that holds for it. The caller holds mu.
+func (n *Notices) entryFor(now time.Time, i Incarnation) *noticeEntry {
+	e := n.entries[i.ID]
+	if e != nil && e.appliesTo(i.StartedAtMs) {
+		return e
+	}
+	newer := &noticeEntry{startedAtMs: i.StartedAtMs}
+	if e != nil && e.mustWait(now, i.StartedAtMs) {
+		newer.retryAt, newer.retryRecordedAt = e.retryAt, e.retryRecordedAt
+	}
+	if n.entries == nil {
+		n.entries = map[domain.ServerID]*noticeEntry{}
+	}
+	n.entries[i.ID] = newer
+	return newer
+}
+
 // apply adds a notice of the same incarnation. The longest time that the server has asked
 // for is in force, because each of its responses holds by itself.
 func (e *noticeEntry) apply(now time.Time, notice Notice) NoticeChange {
@@ -93,9 +119,10 @@
 		e.leavingSince = now
 		change.BeganLeaving = true
 	}
-	if retryAt := now.Add(notice.RetryAfter); notice.RetryAfter > 0 && retryAt.After(e.retryAt) {
+	if notice.RetryAfter > 0 {
 		change.BeganRetryLater = !now.Before(e.retryAt)
-		e.retryAt = retryAt
+		e.retryRecordedAt = now
+		e.retryAt = later(e.retryAt, now.Add(notice.RetryAfter))
 	}
 	if notice.Invalid != "" && now.Sub(e.invalidAt) >= invalidNoticeInterval {
 		e.invalidAt = now
@@ -110,7 +137,7 @@
 	n.mu.RLock()
 	defer n.mu.RUnlock()
 	e := n.entries[s.ID]
-	return e != nil && !e.leavingSince.IsZero() && e.appliesTo(s.EngineState.StartedAtMs)
+	return e != nil && e.isLeaving(s.EngineState.StartedAtMs)
 }
 
 // Select divides servers by whether a request that arrived at this node at arrivedAt may
@@ -140,10 +167,10 @@
 // servers of the selection. The caller holds mu.
 func (n *Notices) classify(now, arrivedAt time.Time, s *Server, selection *Selection) bool {
 	e := n.entries[s.ID]
-	if e == nil || !e.appliesTo(s.EngineState.StartedAtMs) {
+	if e == nil {
 		return true
 	}
-	isLeaving, mustWait := !e.leavingSince.IsZero(), now.Before(e.retryAt)
+	isLeaving, mustWait := e.isLeaving(s.EngineState.StartedAtMs), e.mustWait(now, s.EngineState.StartedAtMs)
 	isTooLate := isLeaving && arrivedAt.After(e.leavingSince.Add(n.DrainBound))
 	switch {
 	case isTooLate:
@@ -185,7 +212,7 @@
 		case e.absentSince.IsZero():
 			e.absentSince = now
 		}
-		isReplaced := isRegistered && !e.appliesTo(s.EngineState.StartedAtMs)
+		isReplaced := isRegistered && !e.appliesTo(s.EngineState.StartedAtMs) && !e.mustWait(now, s.EngineState.StartedAtMs)
 		isAbsent := !isRegistered && now.Sub(e.absentSince) >= noticeRetention
 		isOver := e.leavingSince.IsZero() && !now.Before(e.retryAt) && now.Sub(e.invalidAt) >= invalidNoticeInterval
 		if isReplaced || isAbsent || isOver {
--- a/fleet/notices_test.go
+++ b/fleet/notices_test.go
@@ -101,6 +101,35 @@
 	checkSelection(t, n, now.Add(time.Hour), noticeServer("a", 7), "Leaving")
 }
 
+// A server restarts under its ID, and its new incarnation asks for time before its
+// registration is read. The response names no incarnation, so that it is recorded for the
+// old one; without a guard the next registration ends it.
+func TestRequestedTimeHoldsForAnIncarnationThatStartedBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &Notices{}
+		before := noticeServer("a", time.Now().UnixMilli())
+		time.Sleep(time.Second)
+		restarted := noticeServer("a", time.Now().UnixMilli())
+		time.Sleep(time.Second)
+		n.Record(time.Now(), before.Incarnation(), Notice{RetryAfter: 3 * time.Second})
+		find := func(domain.ServerID) (*Server, bool) { return restarted, true }
+		n.Prune(time.Now(), find)
+		checkSelection(t, n, time.Now(), restarted, "RetryLater")
+		n.Record(time.Now(), restarted.Incarnation(), Notice{RetryAfter: time.Second})
+		n.Record(time.Now(), before.Incarnation(), Notice{Leaving: true})
+		time.Sleep(1500 * time.Millisecond)
+		checkSelection(t, n, time.Now(), restarted, "RetryLater")
+		later := noticeServer("a", time.Now().UnixMilli())
+		checkSelection(t, n, time.Now(), later, "Open")
+		time.Sleep(1500 * time.Millisecond)
+		checkSelection(t, n, time.Now(), restarted, "Open")
+		n.Prune(time.Now(), find)
+		if got, want := n.Len(), 0; got != want {
+			t.Errorf("entries: got %d, want %d", got, want)
+		}
+	})
+}
+
 func TestRetryAfterEndsAtTheLatestRequestedTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n, s := &Notices{}, noticeServer("a", 5)
