Wait two seconds for the first token of an engine before giving it up

What callers of our own interface saw: 504, though the only engine of the model would have answered after 1.6 s. Cause: silence taken for failure in the product's own interface: an attempt was cancelled after a quarter of the time left, at least 1 s, before another one had a token. The least time is 2 s now, as between tokens, so that a second or so of silence ends nothing. An engine that is silent for longer is still given up before another takes over; attempts that stay beside each other, as on the users' platform, are open there.

--- a/streams/relay.go
+++ b/streams/relay.go
@@ -59,10 +59,11 @@
 
 // Timeouts for the next token of an engine. A request may wait in the engine's queue before
 // its first token. The timeout for the first token is therefore the time until the
-// deadline divided by firstTokenDivisor, within bounds.
+// deadline divided by firstTokenDivisor, within bounds. None is below the second or so for
+// which a sound engine may be silent.
 const (
 	TokenGapTimeout          = 2 * time.Second
-	FirstTokenMinimumTimeout = time.Second
+	FirstTokenMinimumTimeout = 2 * time.Second
 	FirstTokenMaximumTimeout = 10 * time.Second
 	firstTokenDivisor        = 4
 )
