--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -1,12 +1,40 @@
 package dispatch
 
 import (
+	"context"
+	stderrors "errors"
+	"runtime/debug"
 	"time"
 
-	"github.com/parsleylug/parsleylug/fleet"
+	"github.com/pkg/errors"
+
 	"github.com/parsleylug/parsleylug/verdict"
 )
 
+// ErrShutdown is the cause with which the requests in flight are cancelled when the grace
+// period of a node that shuts down is over.
+var ErrShutdown = errors.New("the node shuts down")
+
+// errReplaced is the cause with which an attempt is cancelled when another one was first.
+var errReplaced = errors.New("another attempt was first")
+
+// endCause names what ended an attempt or a request with the given context: the backend
+// server if the context was not cancelled.
+func endCause(ctx context.Context) string {
+	cause := context.Cause(ctx)
+	switch {
+	case cause == nil:
+		return "Server"
+	case stderrors.Is(cause, errReplaced):
+		return "Replaced"
+	case stderrors.Is(cause, ErrShutdown):
+		return "Shutdown"
+	case stderrors.Is(cause, context.DeadlineExceeded):
+		return "Deadline"
+	}
+	return "Caller"
+}
+
 // choiceInputs is the data behind the choice of a server, for the log.
 type choiceInputs struct {
 	// candidates is the number of servers among which the choice was made.
@@ -21,15 +49,24 @@
 	keptAway string
 }
 
-// logAttempt logs the result of one attempt and the data behind the choice of its server.
-func (s *session) logAttempt(server *fleet.Server, inputs choiceInputs, start time.Time, result string) {
+// logAttempt logs the result of one attempt, what ended it and the data behind the choice of
+// its server.
+func (s *session) logAttempt(a *attempt, result string) {
 	line := s.dispatcher.Logger.Info()
-	if inputs.keptAway != "" {
-		line = line.Str("KeptAway", inputs.keptAway)
+	if a.inputs.keptAway != "" {
+		line = line.Str("KeptAway", a.inputs.keptAway)
 	}
-	line.Str("Event", "Attempt").Str("Request", string(s.request.ID)).Str("Server", string(server.ID)).Str("Zone", string(server.Zone)).Str("Result", result).
-		Int("Number", s.attempts).Int("Candidates", inputs.candidates).Int("InFlight", inputs.attemptsInFlight).Float64("Others", inputs.otherLoad).
-		Int64("OthersAgeMs", inputs.loadAge.Milliseconds()).Int64("TookMs", time.Since(start).Milliseconds()).Msg("an attempt has ended")
+	line.Str("Event", "Attempt").Str("Request", string(s.request.ID)).Str("Server", string(a.server.ID)).Str("Zone", string(a.server.Zone)).Str("Result", result).
+		Int("Number", a.number).Int("Candidates", a.inputs.candidates).Int("InFlight", a.inputs.attemptsInFlight).Float64("Others", a.inputs.otherLoad).
+		Int64("OthersAgeMs", a.inputs.loadAge.Milliseconds()).
+		Str("EndedBy", endCause(a.ctx)).Int("Events", a.events).Int64("SilentMs", time.Since(a.lastReceivedAt).Milliseconds()).
+		Int64("TookMs", time.Since(a.startedAt).Milliseconds()).Msg("an attempt has ended")
+}
+
+// logPanic logs a panic of the goroutine of an attempt.
+func (s *session) logPanic(a *attempt, value any) {
+	s.dispatcher.Logger.Error().Str("Event", "AttemptPanicked").Str("Request", string(s.request.ID)).Str("Server", string(a.server.ID)).
+		Interface("Panic", value).Bytes("Stack", debug.Stack()).Msg("an attempt ended with a panic")
 }
 
 // logWaiting logs that the request waits for a server with its model or adapter, how long
@@ -51,7 +88,7 @@
 		Str("Adapter", string(s.request.Adapter)).Str("Server", string(s.latestServer)).Int("Sends", s.attempts).Int("Runs", s.possibleRuns).
 		Int64("WaitedMs", s.waitTime.Milliseconds()).Int64("FirstMs", s.timeToResponseStart().Milliseconds()).
 		Int64("GoalMs", s.request.Route.LatencyGoal.Milliseconds()).Int64("GapMs", s.longestGap.Milliseconds()).
-		Int64("TookMs", time.Since(s.request.ArrivedAt).Milliseconds()).Int64("LastEvent", int64(s.lastEvent))
+		Int64("TookMs", time.Since(s.request.ArrivedAt).Milliseconds()).Int64("LastEvent", int64(s.order.last)).Bool("HeadSent", s.headSent)
 	if text := s.keptAway.text(time.Now()); text != "" {
 		line = line.Str("KeptAway", text)
 	}
--- /dev/null
+++ b/dispatch/hedge.go
@@ -0,0 +1,193 @@
+package dispatch
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/parsleylug/parsleylug/fleet"
+	"github.com/parsleylug/parsleylug/suspects"
+	"github.com/parsleylug/parsleylug/verdict"
+)
+
+const (
+	// maximumRunningAttempts is the number of attempts that may run beside each other.
+	maximumRunningAttempts = 2
+	// maximumOverlap is how long an attempt still runs beside another one whose response
+	// has begun. The platform allows 400 ms until the server has noticed the end.
+	maximumOverlap = 250 * time.Millisecond
+)
+
+// await handles what the running attempts receive, until the request has ended or the last
+// of them has failed. A server that is silent for a time keeps its attempt, because it may
+// go on; another attempt is started beside it, and the first that goes on counts. The last
+// result is true if the request has ended.
+func (s *session) await(ctx context.Context) (Outcome, *verdict.Error, bool) {
+	defer s.silence.Stop()
+	s.armSilence()
+	var failure *verdict.Error
+	for len(s.running) > 0 {
+		select {
+		case a := <-s.arrivals:
+			if !slices.Contains(s.running, a.attempt) {
+				continue
+			}
+			outcome, e, done := s.handle(ctx, a)
+			if done {
+				return outcome, e, true
+			}
+			if e != nil {
+				failure = e
+			}
+		case <-s.silence.C:
+			if len(s.running) > 1 {
+				s.endOverlap()
+			} else {
+				s.hedge(ctx)
+			}
+		}
+	}
+	return 0, failure, false
+}
+
+// handle handles one arrival. An error without the last result means that the attempt has
+// failed.
+func (s *session) handle(ctx context.Context, a arrival) (Outcome, *verdict.Error, bool) {
+	switch a.kind {
+	case noResponse:
+		return s.unlessFailed(0, s.handleNoResponse(ctx, a.attempt, verdict.Of(a.err)), false)
+	case discardedResponse:
+		return s.unlessFailed(0, s.handleDiscarded(a.attempt, a.response), false)
+	case responseHead:
+		s.handleHead(a.attempt, a.response)
+		return 0, nil, false
+	case wholeBody:
+		return s.unlessFailed(s.handleBody(a.attempt, a.body, a.err))
+	case streamEvent:
+		return s.unlessFailed(s.handleEvent(a.attempt, a.event))
+	}
+	return s.unlessFailed(s.handleStreamEnd(a.attempt, a.err))
+}
+
+// unlessFailed returns what the handler of an arrival has returned. If the attempt has failed
+// and another one still runs, that one may be hedged again.
+func (s *session) unlessFailed(o Outcome, e *verdict.Error, done bool) (Outcome, *verdict.Error, bool) {
+	if done || e == nil || len(s.running) == 0 {
+		return o, e, done
+	}
+	if s.running[0] == s.silent {
+		s.silence.Reset(s.nextRefusalBackoff())
+	} else {
+		s.armSilence()
+	}
+	return o, e, false
+}
+
+// armSilence starts the time after which the silence of the running attempt makes the
+// session start another one.
+func (s *session) armSilence() {
+	s.silent = nil
+	if !s.canHedge() {
+		s.silence.Stop()
+		return
+	}
+	s.silence.Reset(s.silenceTimeout(s.running[0]))
+}
+
+// endSilence records that the server of an attempt has gone on.
+func (s *session) endSilence(a *attempt) {
+	if a == s.silent {
+		s.silent = nil
+	}
+	if len(s.running) == 1 {
+		s.armSilence()
+	}
+}
+
+// startOverlap starts the time after which an attempt whose response has begun ends the one
+// beside it, unless one of them goes on before.
+func (s *session) startOverlap(a *attempt) {
+	s.next = a
+	s.silence.Reset(maximumOverlap)
+}
+
+// endOverlap ends the attempt beside the one whose response has begun, so that two servers do
+// not work on one request for long.
+func (s *session) endOverlap() {
+	if slices.Contains(s.running, s.next) {
+		s.lead(s.next)
+		s.armSilence()
+	}
+}
+
+// silenceTimeout returns how long the server of an attempt may be silent before another
+// attempt is started beside it.
+func (s *session) silenceTimeout(a *attempt) time.Duration {
+	if s.headSent || a.response != nil {
+		return streamIdleTimeout
+	}
+	latencyGoal := s.request.Route.LatencyGoal
+	timeoutByResponseTime := timeoutResponseTimeFactor * s.dispatcher.chooser.recentResponseTime(time.Now(), a.server.ID)
+	return max(min(max(time.Duration(timeoutGoalShare*float64(latencyGoal)), timeoutByResponseTime), timeoutGoalFactor*latencyGoal), minimumAttemptTimeout)
+}
+
+// canHedge reports whether another attempt may be started beside the running one.
+func (s *session) canHedge() bool {
+	if !s.request.Route.IsRetryable() || len(s.running) >= maximumRunningAttempts {
+		return false
+	}
+	runs := s.possibleRuns
+	for _, a := range s.running {
+		if a.response == nil {
+			runs++
+		}
+	}
+	return runs < s.request.Route.MaxAttempts && s.dispatcher.standing(s.request.Content) == suspects.Clean
+}
+
+// hedge starts another attempt beside the one whose server is silent, if a server can take
+// it and the retry budget permits it.
+func (s *session) hedge(ctx context.Context) {
+	if ctx.Err() != nil || !s.canHedge() {
+		return
+	}
+	silent := s.running[0]
+	server := s.pickHedge(silent)
+	if server == nil {
+		s.silence.Reset(viewPollInterval)
+		return
+	}
+	if !s.dispatcher.spendHedge(s.request.Service) {
+		s.dispatcher.chooser.release(server.ID)
+		s.silence.Reset(viewPollInterval)
+		return
+	}
+	if s.silent != silent {
+		s.silent = silent
+		s.dispatcher.chooser.recordNoResponse(time.Now(), silent.server.ID)
+	}
+	s.start(ctx, server)
+}
+
+// pickHedge returns the server for an attempt beside one whose server is silent, and counts
+// an attempt in flight there. It prefers servers that have not failed or refused the request.
+// The silent server itself is the last choice, since its connection alone may be dead. It
+// returns nil if no server can take the request.
+func (s *session) pickHedge(silent *attempt) *fleet.Server {
+	now := time.Now()
+	candidates := s.candidates(now, s.dispatcher.Views.Get())
+	others := slices.DeleteFunc(slices.Clone(candidates), func(c *fleet.Server) bool { return c.ID == silent.server.ID })
+	untried := slices.DeleteFunc(slices.Clone(others), func(c *fleet.Server) bool { return s.avoidedServers[c.ID] })
+	switch {
+	case len(untried) > 0:
+		candidates = untried
+	case len(others) > 0:
+		candidates = others
+		clear(s.avoidedServers)
+	}
+	here := location{zone: s.dispatcher.Zone, regions: s.dispatcher.Regions}
+	server, inputs := s.dispatcher.chooser.choose(now, here, candidates, s.request.Prefix, s.avoidedServers)
+	inputs.keptAway = s.keptAway.text(now)
+	s.choiceInputs = inputs
+	return server
+}
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -53,7 +53,8 @@
 
 // waitDeadline returns the time at which the request stops waiting for a server.
 func (s *session) waitDeadline() time.Time {
-	deadline := s.request.Deadline.Add(-minimumServiceTime)
+	timeout := s.request.Deadline.Sub(s.request.ArrivedAt)
+	deadline := s.request.Deadline.Add(-min(refusalMargin, time.Duration(refusalMarginShare*float64(timeout))))
 	if drainUntil := s.dispatcher.drainUntil.Load(); drainUntil != 0 {
 		deadline = earlier(deadline, time.Unix(0, drainUntil))
 	}
@@ -88,8 +89,7 @@
 		wait = min(wait, untilReopening)
 	}
 	if candidatesRefused {
-		wait = min(wait, s.refusalBackoff)
-		s.refusalBackoff = min(2*s.refusalBackoff, maximumRefusalBackoff)
+		wait = min(wait, s.nextRefusalBackoff())
 		// A newer view does not free a slot at these servers.
 		changed = nil
 	}
@@ -111,6 +111,14 @@
 	return newRefusal(time.Now(), s.request, verdict.DeadlineTooShort, "the model was not loaded in time", time.Second)
 }
 
+// nextRefusalBackoff returns the wait after the candidates have refused or failed the
+// request, and doubles the next one.
+func (s *session) nextRefusalBackoff() time.Duration {
+	d := s.refusalBackoff
+	s.refusalBackoff = min(2*d, maximumRefusalBackoff)
+	return d
+}
+
 // candidates returns the servers that can serve the request and may be sent it now.
 func (s *session) candidates(now time.Time, view *View) []*fleet.Server {
 	return s.permittedServers(now, s.capableServers(now, view))
--- a/dispatch/response.go
+++ b/dispatch/response.go
@@ -2,106 +2,121 @@
 
 import (
 	"context"
-	"io"
+	stderrors "errors"
+	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
-
-	"github.com/parsleylug/parsleylug/domain"
-	"github.com/parsleylug/parsleylug/fleet"
 	"github.com/parsleylug/parsleylug/verdict"
 )
 
-// maximumBody limits the body of a response that is not a stream. The whole body is held in
-// memory until it is complete.
-const maximumBody = 8 * domain.Mebibyte
-
-// discard closes the body and the events of a response.
-func discard(r *Response) {
-	if r.Events != nil {
-		r.Events.Close()
-	}
-	if r.Body != nil {
-		_ = r.Body.Close()
-	}
+// countRun records that a server may have run the request.
+func (s *session) countRun() {
+	s.mayHaveRun = true
+	s.possibleRuns++
 }
 
 // handleNoResponse records an attempt that failed without a response.
-func (s *session) handleNoResponse(ctx context.Context, server *fleet.Server, e *verdict.Error) (Outcome, *verdict.Error, bool) {
+func (s *session) handleNoResponse(ctx context.Context, a *attempt, e *verdict.Error) *verdict.Error {
 	if e.Verdict == verdict.NotRun {
-		s.recordFailure(server, "Unreached")
+		s.endFailed(a, "Unreached")
 		if ctx.Err() == nil {
-			s.dispatcher.chooser.recordFailure(time.Now(), server.ID, true)
+			s.dispatcher.chooser.recordFailure(time.Now(), a.server.ID, true)
 		}
-		return 0, e, false
+		return e
 	}
-	s.mayHaveRun = true
-	s.possibleRuns++
-	s.recordFailure(server, "Unanswered")
-	s.dispatcher.chooser.recordNoResponse(time.Now(), server.ID)
+	s.countRun()
+	s.endFailed(a, "Unanswered")
+	s.dispatcher.chooser.recordNoResponse(time.Now(), a.server.ID)
 	if ctx.Err() == nil {
-		go s.dispatcher.checkCrash(server, s.request.Content, s.headSent)
+		s.suspectCrash(a, e)
 	}
-	return 0, e, false
+	return e
 }
 
-// handleRefusal records the refusal of a server that did not run the request.
-func (s *session) handleRefusal(server *fleet.Server, r *Response) (Outcome, *verdict.Error, bool) {
-	s.recordFailure(server, r.Refusal.String())
-	if r.Refusal == Full {
-		s.dispatcher.chooser.recordOverload(time.Now(), server)
+// suspectCrash checks whether the server of an attempt that failed has crashed. A connection
+// that the kernel gave up because its peer was silent is no sign of a crash: the link of this
+// node or the path may be cut.
+func (s *session) suspectCrash(a *attempt, err error) {
+	if !stderrors.Is(err, syscall.ETIMEDOUT) {
+		go s.dispatcher.checkCrash(a.server, s.request.Content, s.headSent)
 	}
-	if r.Refusal == Elsewhere {
-		s.dispatcher.chooser.recordMissing(time.Now(), server.ID, s.request.key())
-		if s.dispatcher.ReportStaleEngineState != nil {
-			s.dispatcher.ReportStaleEngineState(server.ID)
-		}
-	}
-	return 0, verdict.Refuse(verdict.NoCapacity, "the server did not run the request"), false
 }
 
-// handleInvalidResponse records a response that is not verified.
-func (s *session) handleInvalidResponse(server *fleet.Server) (Outcome, *verdict.Error, bool) {
-	s.recordFailure(server, "Spoilt")
-	s.dispatcher.chooser.recordFailure(time.Now(), server.ID, false)
-	return 0, verdict.UnknownOutcome(verdict.BackendFailed, "the server's response could not be verified", nil), false
+// handleDiscarded handles a refusal or a response that is not verified.
+func (s *session) handleDiscarded(a *attempt, r *Response) *verdict.Error {
+	if r.Refusal != NotRefused {
+		return s.handleRefusal(a, r)
+	}
+	s.countRun()
+	s.endFailed(a, "Spoilt")
+	s.dispatcher.chooser.recordFailure(time.Now(), a.server.ID, false)
+	return verdict.UnknownOutcome(verdict.BackendFailed, "the server's response could not be verified", nil)
 }
 
-// handleBody reads and forwards a response that is not a stream.
-func (s *session) handleBody(server *fleet.Server, r *Response) (Outcome, *verdict.Error, bool) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, int64(maximumBody)+1))
-	_ = r.Body.Close()
-	if err == nil && len(body) > int(maximumBody) {
-		err = errors.Errorf("the body is longer than %d bytes", maximumBody)
+// handleHead records the head of a response. The caller gets it with the first event, or with
+// the whole body.
+func (s *session) handleHead(a *attempt, r *Response) {
+	now := time.Now()
+	s.countRun()
+	a.response, a.lastReceivedAt = r, now
+	s.dispatcher.chooser.recordResponse(now, a.server.ID, now.Sub(a.startedAt), r.Load)
+	s.endSilence(a)
+	goesOn := r.Events != nil || r.IsSuccess() && !s.headSent
+	if len(s.running) > 1 && goesOn {
+		s.startOverlap(a)
 	}
+}
+
+// handleBody handles the body of a response that is not a stream.
+func (s *session) handleBody(a *attempt, body []byte, err error) (Outcome, *verdict.Error, bool) {
 	if err != nil {
-		s.recordFailure(server, "CutShort")
-		s.dispatcher.chooser.recordFailure(time.Now(), server.ID, false)
+		s.endFailed(a, "CutShort")
+		s.dispatcher.chooser.recordFailure(time.Now(), a.server.ID, false)
 		return 0, verdict.UnknownOutcome(verdict.BackendFailed, "the server's response is incomplete", err), false
 	}
-	if !r.IsSuccess() {
-		return s.handleErrorStatus(server, r, body)
+	if !a.response.IsSuccess() {
+		return 0, s.handleErrorStatus(a, body), false
 	}
-	s.recordResult("Answered")
-	s.responseStartedAt = time.Now()
-	if s.headSent {
-		// A response that is not a stream cannot continue a stream.
-		return 0, verdict.UnknownOutcome(verdict.StreamBroken, "the server did not resume the stream", nil), false
+	return s.forwardBody(a, body)
+}
+
+// handleRefusal records the refusal of a server that did not run the request.
+func (s *session) handleRefusal(a *attempt, r *Response) *verdict.Error {
+	s.endFailed(a, r.Refusal.String())
+	if r.Refusal == Full {
+		s.dispatcher.chooser.recordOverload(time.Now(), a.server)
 	}
-	if err := s.caller.WriteResponse(r, body); err != nil {
-		return Left, verdict.UnknownOutcome(verdict.Unknown, "the caller has left", err), true
+	if r.Refusal == Elsewhere {
+		s.dispatcher.chooser.recordMissing(time.Now(), a.server.ID, s.request.key())
+		if s.dispatcher.ReportStaleEngineState != nil {
+			s.dispatcher.ReportStaleEngineState(a.server.ID)
+		}
 	}
-	return Served, nil, true
+	return verdict.Refuse(verdict.NoCapacity, "the server did not run the request")
 }
 
 // handleErrorStatus stores an error response, which is forwarded if no other attempt
 // succeeds.
-func (s *session) handleErrorStatus(server *fleet.Server, r *Response, body []byte) (Outcome, *verdict.Error, bool) {
-	s.recordFailure(server, "FailedThere")
-	e := verdict.UnknownOutcome(verdict.BackendFailed, "the server returned an error response", nil)
+func (s *session) handleErrorStatus(a *attempt, body []byte) *verdict.Error {
+	s.endFailed(a, "FailedThere")
+	if !s.headSent {
+		s.errorResponse, s.errorBody = a.response, body
+	}
+	return verdict.UnknownOutcome(verdict.BackendFailed, "the server returned an error response", nil)
+}
+
+// forwardBody forwards a successful response that is not a stream. Such a response cannot
+// continue a stream.
+func (s *session) forwardBody(a *attempt, body []byte) (Outcome, *verdict.Error, bool) {
 	if s.headSent {
-		return 0, e, false
+		s.endFailed(a, "NotResumed")
+		return 0, verdict.UnknownOutcome(verdict.StreamBroken, "the server did not resume the stream", nil), false
 	}
-	s.errorResponse, s.errorBody = r, body
-	return 0, e, false
+	s.lead(a)
+	s.end(a, "Answered")
+	s.responseStartedAt = time.Now()
+	if err := s.caller.WriteResponse(a.response, body); err != nil {
+		return Left, verdict.UnknownOutcome(verdict.Unknown, "the caller has left", err), true
+	}
+	return Served, nil, true
 }
