Keep a leaving notice while another writer's entry is in the store

Found by reading after the merge of odd entries: an entry with a later start time ended the notices of the server's own process (Prune removed them, a later notice replaced them), and the server's own entry made the node use a leaving server again. The two facts of a server now have a start time each, so that a requested time of another incarnation does not replace a leaving notice, and a newer registration only covers it: the entry goes when no registration of the leaving incarnation was seen for 10 minutes.

TestOddRegistrationDoesNotEndALeavingNotice failed before (got Open, want Leaving) and passes. In TestNoticesAreBounded and TestRequestedTimeHoldsForAnIncarnationThatStartedBefore the end after a restart comes 10 minutes later than before; the bounds on the number of entries stay.

--- a/fleet/notices.go
+++ b/fleet/notices.go
@@ -20,29 +20,33 @@
 // NoticeNumber numbers the servers that were known to leave, from 1.
 type NoticeNumber uint64
 
-// noticeEntry is what one incarnation has said.
+// noticeEntry is what the incarnations of one server have said.
 type noticeEntry struct {
-	// startedAtMs is 0 if the start is not known. The entry then holds for every
-	// incarnation of the server.
-	startedAtMs int64
-	// leavingSince is zero if the server has not said that it leaves.
-	leavingSince time.Time
-	// leavingNumber numbers the entries by when they were first known to leave.
+	// leavingSince is when the incarnation that leaves was first known to leave, zero if none
+	// is. leavingStart is the start of that incarnation, leavingNumber numbers the servers by
+	// when they were first known to leave.
+	leavingSince  time.Time
+	leavingStart  startTime
 	leavingNumber NoticeNumber
-	// retryAt is the end of the time for which the server wants no requests.
-	// retryRecordedAt is when the server last asked for time.
-	retryAt, retryRecordedAt time.Time
+	// retryAt is the end of the time for which the server wants no requests. retryStart is
+	// the start of the newest incarnation that asked for it, retryRecordedAt when one last did.
+	retryAt         time.Time
+	retryStart      startTime
+	retryRecordedAt time.Time
 	// invalidAt is when an invalid notice was last reported.
 	invalidAt time.Time
-	// absentSince is when the server was first found without a registration, zero while
-	// it has one.
-	absentSince time.Time
+	// unusedSince is when leaving was first found to hold for no registration, zero while it
+	// holds for one.
+	unusedSince time.Time
 }
 
-// appliesTo reports whether the entry holds for a server with the given start. It does
-// for the same and for older incarnations.
-func (e *noticeEntry) appliesTo(startedAtMs int64) bool {
-	return e.startedAtMs == 0 || startedAtMs <= e.startedAtMs
+// startTime is the start of an incarnation in Unix milliseconds, 0 if it is not known.
+type startTime int64
+
+// covers reports whether a fact about an incarnation that started at t holds for one with
+// the given start: the same, an older one and, if t is not known, any.
+func (t startTime) covers(startedAtMs int64) bool {
+	return t == 0 || startedAtMs <= int64(t)
 }
 
 // mustWait reports whether the requested time lasts and holds for a server with the given
@@ -51,12 +55,12 @@
 // clocks of servers may differ; an error costs the requested time at most. Leaving does not
 // end by time, and so holds for the known incarnation alone.
 func (e *noticeEntry) mustWait(now time.Time, startedAtMs int64) bool {
-	return now.Before(e.retryAt) && (e.appliesTo(startedAtMs) || startedAtMs <= e.retryRecordedAt.UnixMilli())
+	return now.Before(e.retryAt) && (e.retryStart.covers(startedAtMs) || startedAtMs <= e.retryRecordedAt.UnixMilli())
 }
 
 // isLeaving reports whether the entry says that a server with the given start leaves.
 func (e *noticeEntry) isLeaving(startedAtMs int64) bool {
-	return !e.leavingSince.IsZero() && e.appliesTo(startedAtMs)
+	return !e.leavingSince.IsZero() && e.leavingStart.covers(startedAtMs)
 }
 
 // Notices holds what backend servers have said of themselves in responses. Registrations
@@ -73,56 +77,30 @@
 	lastLeaving NoticeNumber
 }
 
-// Record records a notice of an incarnation and returns what it changed. An incarnation
-// that is older than the known one can no longer be leaving.
+// Record records a notice of an incarnation and returns what it changed.
 func (n *Notices) Record(now time.Time, i Incarnation, notice Notice) NoticeChange {
 	if !notice.Leaving && notice.RetryAfter <= 0 && notice.Invalid == "" {
 		return NoticeChange{}
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	e := n.entryFor(now, i)
-	if i.StartedAtMs != 0 && i.StartedAtMs < e.startedAtMs {
-		notice.Leaving = false
+	e := n.entries[i.ID]
+	if e == nil {
+		e = &noticeEntry{}
+		if n.entries == nil {
+			n.entries = map[domain.ServerID]*noticeEntry{}
+		}
+		n.entries[i.ID] = e
 	}
-	change := e.apply(now, notice)
+	change := NoticeChange{BeganLeaving: notice.Leaving && !e.isLeaving(i.StartedAtMs)}
 	if change.BeganLeaving {
 		n.lastLeaving++
-		e.leavingNumber = n.lastLeaving
-	}
-	return change
-}
-
-// entryFor returns the entry of an incarnation. For a newer one than the known it makes
-// another, which keeps a requested time that holds for it. The caller holds mu.
-func (n *Notices) entryFor(now time.Time, i Incarnation) *noticeEntry {
-	e := n.entries[i.ID]
-	if e != nil && e.appliesTo(i.StartedAtMs) {
-		return e
-	}
-	newer := &noticeEntry{startedAtMs: i.StartedAtMs}
-	if e != nil && e.mustWait(now, i.StartedAtMs) {
-		newer.retryAt, newer.retryRecordedAt = e.retryAt, e.retryRecordedAt
-	}
-	if n.entries == nil {
-		n.entries = map[domain.ServerID]*noticeEntry{}
-	}
-	n.entries[i.ID] = newer
-	return newer
-}
-
-// apply adds a notice of the same incarnation. The longest time that the server has asked
-// for is in force, because each of its responses holds by itself.
-func (e *noticeEntry) apply(now time.Time, notice Notice) NoticeChange {
-	change := NoticeChange{}
-	if notice.Leaving && e.leavingSince.IsZero() {
-		e.leavingSince = now
-		change.BeganLeaving = true
+		e.leavingSince, e.leavingStart, e.leavingNumber = now, startTime(i.StartedAtMs), n.lastLeaving
+		e.unusedSince = time.Time{}
 	}
 	if notice.RetryAfter > 0 {
 		change.BeganRetryLater = !now.Before(e.retryAt)
-		e.retryRecordedAt = now
-		e.retryAt = later(e.retryAt, now.Add(notice.RetryAfter))
+		e.extendRetry(now, i, notice.RetryAfter)
 	}
 	if notice.Invalid != "" && now.Sub(e.invalidAt) >= invalidNoticeInterval {
 		e.invalidAt = now
@@ -132,6 +110,16 @@
 	return change
 }
 
+// extendRetry adds a time that an incarnation asks for. The longest of the times that were
+// asked for is in force, because each response holds by itself.
+func (e *noticeEntry) extendRetry(now time.Time, i Incarnation, d time.Duration) {
+	if !now.Before(e.retryAt) || !e.retryStart.covers(i.StartedAtMs) || i.StartedAtMs == 0 {
+		e.retryStart = startTime(i.StartedAtMs)
+	}
+	e.retryRecordedAt = now
+	e.retryAt = later(e.retryAt, now.Add(d))
+}
+
 // IsLeaving reports whether the incarnation that registered has said that it leaves.
 func (n *Notices) IsLeaving(s *Server) bool {
 	n.mu.RLock()
@@ -191,31 +179,29 @@
 	var list []LeavingServer
 	for id, e := range n.entries {
 		if e.leavingNumber > after {
-			list = append(list, LeavingServer{Incarnation: Incarnation{ID: id, StartedAtMs: e.startedAtMs}, Since: e.leavingSince})
+			list = append(list, LeavingServer{Incarnation: Incarnation{ID: id, StartedAtMs: int64(e.leavingStart)}, Since: e.leavingSince})
 		}
 	}
 	return list, n.lastLeaving
 }
 
-// Prune removes the entries that can have no effect any more: those of servers that have
-// registered a newer incarnation, those of servers that have been absent from find for
-// noticeRetention, and those whose requested time is over. The function find returns the
-// last registration of a server.
+// Prune removes the entries that can have no effect any more: those of leaving servers for
+// which find has returned no registration of the leaving incarnation for noticeRetention,
+// and others whose requested time is over. The function find returns the last registration of
+// a server. A newer registration does not end an entry at once: it may be another writer's.
 func (n *Notices) Prune(now time.Time, find func(domain.ServerID) (*Server, bool)) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for id, e := range n.entries {
 		s, isRegistered := find(id)
 		switch {
-		case isRegistered:
-			e.absentSince = time.Time{}
-		case e.absentSince.IsZero():
-			e.absentSince = now
+		case isRegistered && e.isLeaving(s.EngineState.StartedAtMs):
+			e.unusedSince = time.Time{}
+		case e.unusedSince.IsZero():
+			e.unusedSince = now
 		}
-		isReplaced := isRegistered && !e.appliesTo(s.EngineState.StartedAtMs) && !e.mustWait(now, s.EngineState.StartedAtMs)
-		isAbsent := !isRegistered && now.Sub(e.absentSince) >= noticeRetention
-		isOver := e.leavingSince.IsZero() && !now.Before(e.retryAt) && now.Sub(e.invalidAt) >= invalidNoticeInterval
-		if isReplaced || isAbsent || isOver {
+		isLeavingOver := e.leavingSince.IsZero() || !e.unusedSince.IsZero() && now.Sub(e.unusedSince) >= noticeRetention
+		if isLeavingOver && !now.Before(e.retryAt) && now.Sub(e.invalidAt) >= invalidNoticeInterval {
 			delete(n.entries, id)
 		}
 	}
--- a/fleet/notices_test.go
+++ b/fleet/notices_test.go
@@ -123,6 +123,7 @@
 		checkSelection(t, n, time.Now(), later, "Open")
 		time.Sleep(1500 * time.Millisecond)
 		checkSelection(t, n, time.Now(), restarted, "Open")
+		time.Sleep(noticeRetention)
 		n.Prune(time.Now(), find)
 		if got, want := n.Len(), 0; got != want {
 			t.Errorf("entries: got %d, want %d", got, want)
@@ -130,6 +131,21 @@
 	})
 }
 
+// Guards against DRAIN: another writer's entry names a later start of a leaving server, and
+// the server's own entry follows.
+func TestOddRegistrationDoesNotEndALeavingNotice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, s := &Notices{}, noticeServer("a", 5)
+		n.Record(time.Now(), s.Incarnation(), Notice{Leaving: true})
+		odd := noticeServer("a", 1<<40)
+		n.Prune(time.Now(), func(domain.ServerID) (*Server, bool) { return odd, true })
+		n.Record(time.Now(), odd.Incarnation(), Notice{RetryAfter: time.Second})
+		time.Sleep(time.Minute)
+		n.Prune(time.Now(), func(domain.ServerID) (*Server, bool) { return s, true })
+		checkSelection(t, n, time.Now(), s, "Leaving")
+	})
+}
+
 func TestRetryAfterEndsAtTheLatestRequestedTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n, s := &Notices{}, noticeServer("a", 5)
@@ -221,6 +237,8 @@
 		}
 		registered[s.ID] = noticeServer("again", 6)
 		n.Prune(time.Now(), find)
+		time.Sleep(noticeRetention)
+		n.Prune(time.Now(), find)
 		if got, want := n.Len(), 0; got != want {
 			t.Errorf("entries after a restart of the server: got %d, want %d", got, want)
 		}
