Leave odd leaving servers out of a report instead of ending the link

TestOddLeavingServersAreLeftOut fails with the check that this replaces (the report was rejected) and passes.

--- a/hub/message.go
+++ b/hub/message.go
@@ -170,7 +170,7 @@
 	return data, errors.WithStack(err)
 }
 
-// decodeReport decodes a report without the demands that are out of range.
+// decodeReport decodes a report without the demands and leaving servers that are out of range.
 func decodeReport(data []byte) (Report, error) {
 	var w wireReport
 	if err := unmarshal(data, &w); err != nil {
@@ -187,8 +187,8 @@
 		})
 	}
 	for _, l := range w.Leaving {
-		if l.AgeMilliseconds < 0 || l.AgeMilliseconds > maximumAge.Milliseconds() {
-			return Report{}, errors.Errorf("the age of a leaving server is %d ms", l.AgeMilliseconds)
+		if !l.isInRange() {
+			continue
 		}
 		i := fleet.Incarnation{ID: domain.ServerID(l.ID), StartedAtMs: l.Born}
 		r.LeavingServers = append(r.LeavingServers, LeavingServer{Incarnation: i, Age: time.Duration(l.AgeMilliseconds) * time.Millisecond})
@@ -198,6 +198,11 @@
 	return r, err
 }
 
+// isInRange reports whether a leaving server is named and its numbers are possible.
+func (l *wireLeaving) isInRange() bool {
+	return l.ID != "" && l.Born >= 0 && l.Born <= maximumStartTimeMs && l.AgeMilliseconds >= 0 && l.AgeMilliseconds <= maximumAge.Milliseconds()
+}
+
 // isInRange reports whether the numbers of a demand are possible.
 func (d *wireDemand) isInRange() bool {
 	for _, n := range []int{d.Waiting, d.Running, d.Arrived, d.Late} {
