--- a/fleet/notices_test.go
+++ b/fleet/notices_test.go
@@ -123,6 +123,7 @@
 		checkSelection(t, n, time.Now(), later, "Open")
 		time.Sleep(1500 * time.Millisecond)
 		checkSelection(t, n, time.Now(), restarted, "Open")
+		n.Prune(time.Now(), find)
 		time.Sleep(noticeRetention)
 		n.Prune(time.Now(), find)
 		if got, want := n.Len(), 0; got != want {
