--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -45,12 +45,18 @@
 	attemptsInFlight int
 	otherLoad        float64
 	loadAge          time.Duration
+	// keptAway describes the servers that were left out because of a restriction.
+	keptAway string
 }
 
 // logAttempt logs the result of one attempt, what ended it and the data behind the choice of
 // its server.
 func (s *session) logAttempt(a *attempt, result string) {
-	s.dispatcher.Logger.Info().Str("Event", "Attempt").Str("Request", string(s.request.ID)).Str("Server", string(a.server.ID)).Str("Zone", string(a.server.Zone)).Str("Result", result).
+	line := s.dispatcher.Logger.Info()
+	if a.inputs.keptAway != "" {
+		line = line.Str("KeptAway", a.inputs.keptAway)
+	}
+	line.Str("Event", "Attempt").Str("Request", string(s.request.ID)).Str("Server", string(a.server.ID)).Str("Zone", string(a.server.Zone)).Str("Result", result).
 		Int("Number", a.number).Int("Candidates", a.inputs.candidates).Int("InFlight", a.inputs.attemptsInFlight).Float64("Others", a.inputs.otherLoad).
 		Int64("OthersAgeMs", a.inputs.loadAge.Milliseconds()).
 		Str("EndedBy", endCause(a.ctx)).Int("Events", a.events).Int64("SilentMs", time.Since(a.lastReceivedAt).Milliseconds()).
@@ -66,7 +72,11 @@
 // logWaiting logs that the request waits for a server with its model or adapter, how long
 // the wait is expected to be and how long it may be.
 func (s *session) logWaiting(view *View, expected time.Duration, deadline time.Time) {
-	s.dispatcher.Logger.Info().Str("Event", "Waiting").Str("Request", string(s.request.ID)).Str("Model", string(s.request.Model)).Str("Adapter", string(s.request.Adapter)).Int("Servers", len(view.Servers[s.request.Service])).
+	line := s.dispatcher.Logger.Info()
+	if text := s.keptAway.text(time.Now()); text != "" {
+		line = line.Str("KeptAway", text)
+	}
+	line.Str("Event", "Waiting").Str("Request", string(s.request.ID)).Str("Model", string(s.request.Model)).Str("Adapter", string(s.request.Adapter)).Int("Servers", len(view.Servers[s.request.Service])).
 		Int64("ExpectedMs", expected.Milliseconds()).Int64("AtMostMs", time.Until(deadline).Milliseconds()).
 		Int64("Version", int64(view.Config.Version)).Msg("no server holds what the request needs")
 }
@@ -79,6 +89,9 @@
 		Int64("WaitedMs", s.waitTime.Milliseconds()).Int64("FirstMs", s.timeToResponseStart().Milliseconds()).
 		Int64("GoalMs", s.request.Route.LatencyGoal.Milliseconds()).Int64("GapMs", s.longestGap.Milliseconds()).
 		Int64("TookMs", time.Since(s.request.ArrivedAt).Milliseconds()).Int64("LastEvent", int64(s.order.last)).Bool("HeadSent", s.headSent)
+	if text := s.keptAway.text(time.Now()); text != "" {
+		line = line.Str("KeptAway", text)
+	}
 	message := "the caller has its answer"
 	if e != nil {
 		message = e.Message
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -15,7 +15,7 @@
 	maximumRunningAttempts = 2
 	// maximumOverlap is how long an attempt still runs beside another one whose response
 	// has begun. The platform allows 400 ms until the server has noticed the end.
-	maximumOverlap = 250 * time.Millisecond
+	maximumOverlap = 150 * time.Millisecond
 )
 
 // await handles what the running attempts receive, until the request has ended or the last
@@ -187,6 +187,7 @@
 	}
 	here := location{zone: s.dispatcher.Zone, regions: s.dispatcher.Regions}
 	server, inputs := s.dispatcher.chooser.choose(now, here, candidates, s.request.Prefix, s.avoidedServers)
+	inputs.keptAway = s.keptAway.text(now)
 	s.choiceInputs = inputs
 	return server
 }
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -42,6 +42,8 @@
 	isCountedLate bool
 	// waitTime is the total time for which the request has waited for a server.
 	waitTime time.Duration
+	// keptAway is what kept the request away from servers.
+	keptAway keptAway
 	// latestServer is the server of the latest attempt, or of the one whose response the
 	// caller gets; choiceInputs is the data behind the latest choice.
 	latestServer domain.ServerID
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -52,6 +52,11 @@
 	m.scope.Tagged(map[string]string{"result": result}).Counter("attempts").Inc(1)
 }
 
+// CountKeptAway implements dispatch.Counters.
+func (m *Metrics) CountKeptAway(r fleet.Restriction) {
+	m.scope.Tagged(map[string]string{"restriction": r.String()}).Counter("requests_kept_away").Inc(1)
+}
+
 // CountRejected implements platform.FrontCounters.
 func (m *Metrics) CountRejected(reason verdict.Reason) {
 	m.scope.Tagged(map[string]string{"reason": reason.String()}).Counter("requests_rejected").Inc(1)
--- a/hub/message.go
+++ b/hub/message.go
@@ -7,6 +7,8 @@
 package hub
 
 import (
+	"time"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
@@ -19,6 +21,8 @@
 const (
 	// maximumMessageBytes is the read limit on both ends of a link.
 	maximumMessageBytes = 4 << 20
+	// maximumAge bounds the ages in a message.
+	maximumAge = 10 * 365 * 24 * time.Hour
 	// maximumRequests bounds each number of requests in a demand, so that no sum overflows.
 	maximumRequests = 1 << 32
 	// maximumSequence is the largest whole number up to which float64, which servers may
@@ -39,6 +43,16 @@
 	// StaleServers are the servers that lack a model or adapter listed in the
 	// node's cached engine state. The owner queries their engine state again.
 	StaleServers []domain.ServerID
+	// LeavingServers are the servers that the node has learned from their responses to be
+	// leaving, since its last report. The first report over a link lists all of them.
+	LeavingServers []LeavingServer
+}
+
+// LeavingServer is a backend server that said that it leaves. Age is the time since the
+// node first learned of it.
+type LeavingServer struct {
+	fleet.Incarnation
+	Age time.Duration
 }
 
 // Update is a message from the owner to a node.
@@ -79,6 +93,14 @@
 	Demands  []wireDemand
 	Suspects []wireSuspect
 	Doubted  []string
+	Leaving  []wireLeaving
+}
+
+type wireLeaving struct {
+	_               struct{} `cbor:",toarray"`
+	ID              string
+	Born            int64
+	AgeMilliseconds int64
 }
 
 type wireDemand struct {
@@ -141,11 +163,14 @@
 			Waiting: d.Waiting, Running: d.Running, Arrived: d.Arrivals, Late: d.LateResponses,
 		})
 	}
+	for _, l := range r.LeavingServers {
+		w.Leaving = append(w.Leaving, wireLeaving{ID: string(l.ID), Born: l.StartedAtMs, AgeMilliseconds: l.Age.Milliseconds()})
+	}
 	data, err := cbor.Marshal(w)
 	return data, errors.WithStack(err)
 }
 
-// decodeReport decodes a report without the demands that are out of range.
+// decodeReport decodes a report without the demands and leaving servers that are out of range.
 func decodeReport(data []byte) (Report, error) {
 	var w wireReport
 	if err := unmarshal(data, &w); err != nil {
@@ -161,11 +186,23 @@
 			Waiting:  d.Waiting, Running: d.Running, Arrivals: d.Arrived, LateResponses: d.Late,
 		})
 	}
+	for _, l := range w.Leaving {
+		if !l.isInRange() {
+			continue
+		}
+		i := fleet.Incarnation{ID: domain.ServerID(l.ID), StartedAtMs: l.Born}
+		r.LeavingServers = append(r.LeavingServers, LeavingServer{Incarnation: i, Age: time.Duration(l.AgeMilliseconds) * time.Millisecond})
+	}
 	var err error
 	r.CrashReports, err = decodeSuspects(w.Suspects)
 	return r, err
 }
 
+// isInRange reports whether a leaving server is named and its numbers are possible.
+func (l *wireLeaving) isInRange() bool {
+	return l.ID != "" && l.Born >= 0 && l.Born <= maximumStartTimeMs && l.AgeMilliseconds >= 0 && l.AgeMilliseconds <= maximumAge.Milliseconds()
+}
+
 // isInRange reports whether the numbers of a demand are possible.
 func (d *wireDemand) isInRange() bool {
 	for _, n := range []int{d.Waiting, d.Running, d.Arrived, d.Late} {
