Try a silent server itself again only after 1.2 s

Cause: where a model has one server, a request that was late there was sent to the same server once more after a share of the route's goal (0.3 s and more), beside the first sending. That helps only if the connection is dead, and loads a server that is slow because it is busy. Now it waits until the server has been silent for 1.2 s.

--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -171,7 +171,8 @@
 
 // pickHedge returns the server for an attempt beside one whose server is silent, and counts
 // an attempt in flight there. It prefers servers that have not failed or refused the request.
-// The silent server itself is the last choice, since its connection alone may be dead. It
+// The silent server itself is the last choice, and only after streamIdleTimeout: its
+// connection alone may be dead, but a second run would also slow down a loaded server. It
 // returns nil if no server can take the request.
 func (s *session) pickHedge(silent *attempt) *fleet.Server {
 	now := time.Now()
@@ -184,6 +185,8 @@
 	case len(others) > 0:
 		candidates = others
 		clear(s.avoidedServers)
+	case now.Sub(silent.lastReceivedAt) < streamIdleTimeout:
+		return nil
 	}
 	here := location{zone: s.dispatcher.Zone, regions: s.dispatcher.Regions}
 	server, inputs := s.dispatcher.chooser.choose(now, here, candidates, s.request.Prefix, s.avoidedServers)
