Start the listeners of a node in a function of their own

run() started four servers, waited for signals and stopped; listen starts the servers now. No change of behaviour; the tests of commands pass, and vet for x86-64.

--- a/commands/front.go
+++ b/commands/front.go
@@ -176,6 +176,27 @@
 	defer cancelRequests(nil)
 	f.cancelRequests = cancelRequests
 	callerServer := f.frontend.HTTPServer(requestsContext, platform.ServerLimits{ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleConnectionTimeout, HeaderBytes: maximumHeaderBytes})
+	if err := f.listen(ctx, callerServer, metricsAddress); err != nil {
+		return err
+	}
+	f.logger.Info().Str("Event", "Started").Str("CallerAddress", f.settings.CallerAddress).Str("Zone", string(f.settings.Zone)).
+		Bool("FirstStart", f.settings.FirstStart).Msg("node started")
+	done := make(chan error, 1)
+	go func() { done <- f.node.Run(ctx) }()
+	for sig := range signals {
+		if sig == syscall.SIGHUP {
+			f.reload(path)
+			continue
+		}
+		break
+	}
+	f.shutDown(callerServer)
+	cancel()
+	return <-done
+}
+
+// listen starts the servers for callers, the readiness probe, the other nodes and the metrics.
+func (f *frontNode) listen(ctx context.Context, callerServer *platform.CallerServer, metricsAddress string) error {
 	peerServer := &http.Server{Handler: &f.node.Hub, ReadHeaderTimeout: readHeaderTimeout}
 	readinessServer := &http.Server{Handler: platform.ReadinessHandler(f.node.IsReady), ReadHeaderTimeout: readHeaderTimeout}
 	metricsServer := &http.Server{Handler: f.metrics.Handler(), ReadHeaderTimeout: readHeaderTimeout}
@@ -197,20 +218,7 @@
 		l.server.ErrorLog = f.errorLog(listener)
 		f.startServer(l.serve, listener)
 	}
-	f.logger.Info().Str("Event", "Started").Str("CallerAddress", f.settings.CallerAddress).Str("Zone", string(f.settings.Zone)).
-		Bool("FirstStart", f.settings.FirstStart).Msg("node started")
-	done := make(chan error, 1)
-	go func() { done <- f.node.Run(ctx) }()
-	for sig := range signals {
-		if sig == syscall.SIGHUP {
-			f.reload(path)
-			continue
-		}
-		break
-	}
-	f.shutDown(callerServer)
-	cancel()
-	return <-done
+	return nil
 }
 
 // errorLog returns the logger for the errors of the HTTP server of a listener.
