Log which requests ran on a server that crashed

ServerCrashed named the server alone, so that the log could not tell servers that die of themselves from servers that a part of prompts crashes: the hypotheses 1 and 3 of docs/incidents/poison-part-of-prompts.md looked the same. The line now names the request and the parts that its prompt may share.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -183,10 +183,13 @@
 	return d.budget(s).Spend(time.Now())
 }
 
+// maximumLoggedPrefix bounds the part of a prompt's prefix in a log line, in bytes.
+const maximumLoggedPrefix = 200
+
 // checkCrash checks whether a server that failed an attempt still accepts connections. If
 // it does not, checkCrash records and reports that the server crashed while it ran the
-// content; afterToken means that the content had already generated tokens.
-func (d *Dispatcher) checkCrash(s *fleet.Server, c suspects.Content, afterToken bool) {
+// request; afterToken means that the request had already generated tokens.
+func (d *Dispatcher) checkCrash(s *fleet.Server, r *Request, afterToken bool) {
 	time.Sleep(crashCheckDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
@@ -196,9 +199,11 @@
 	now := time.Now()
 	d.chooser.recordFailure(now, s.ID, true)
 	d.mu.Lock()
-	report := d.suspects.RecordCrash(now, c, s.ID, false, afterToken)
+	report := d.suspects.RecordCrash(now, r.Content, s.ID, false, afterToken)
 	d.mu.Unlock()
-	d.Logger.Info().Str("Event", "ServerCrashed").Str("Server", string(s.ID)).Int("ContentCrashes", report.Crashes).Msg("a server crashed while it ran a request")
+	d.Logger.Info().Str("Event", "ServerCrashed").Str("Server", string(s.ID)).Int("ContentCrashes", report.Crashes).
+		Str("Request", string(r.ID)).Str("Prefix", r.Prefix[:min(len(r.Prefix), maximumLoggedPrefix)]).Bool("AfterToken", afterToken).
+		Msg("a server crashed while it ran a request")
 	if d.ReportCrash != nil {
 		d.ReportCrash(report)
 	}
--- a/dispatch/response.go
+++ b/dispatch/response.go
@@ -38,7 +38,7 @@
 // node or the path may be cut.
 func (s *session) suspectCrash(a *attempt, err error) {
 	if !stderrors.Is(err, syscall.ETIMEDOUT) {
-		go s.dispatcher.checkCrash(a.server, s.request.Content, s.headSent)
+		go s.dispatcher.checkCrash(a.server, s.request, s.headSent)
 	}
 }
 
