Guard the records of crashes with a lock of their own

A request counts itself in the retry budget with the dispatcher's lock held, and for that asks the node for the number of nodes, which takes the node's lock. A report of a crash arrives with the node's lock held and took the dispatcher's. If both happened at once, the node stood still for ever, with all its requests.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -116,9 +116,13 @@
 	// durations are those of the requests that this node has passed on.
 	durations recentDurations
 
-	mu       sync.Mutex
-	budgets  map[domain.ServiceName]*retries.WindowBudget
-	suspects suspects.List
+	mu      sync.Mutex
+	budgets map[domain.ServiceName]*retries.WindowBudget
+
+	// crashesMu is held for no call out of this package: reports of crashes arrive with locks
+	// held that such a call may take.
+	crashesMu sync.Mutex
+	suspects  suspects.List
 }
 
 // New returns a Dispatcher.
@@ -135,16 +139,16 @@
 // ApplyCrashReports applies the reports of other nodes about request contents that were
 // running on servers when these crashed.
 func (d *Dispatcher) ApplyCrashReports(reports []suspects.Report) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+	d.crashesMu.Lock()
+	defer d.crashesMu.Unlock()
 	d.suspects.ApplyReports(time.Now(), reports)
 }
 
 // standing returns whether a request content now runs as usual, in isolation or not at
 // all.
 func (d *Dispatcher) standing(c suspects.Content) suspects.Standing {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+	d.crashesMu.Lock()
+	defer d.crashesMu.Unlock()
 	s, _ := d.suspects.Standing(time.Now(), c)
 	return s
 }
@@ -198,9 +202,9 @@
 	}
 	now := time.Now()
 	d.chooser.recordFailure(now, s.ID, true)
-	d.mu.Lock()
+	d.crashesMu.Lock()
 	report := d.suspects.RecordCrash(now, r.Content, s.ID, false, afterToken)
-	d.mu.Unlock()
+	d.crashesMu.Unlock()
 	d.Logger.Info().Str("Event", "ServerCrashed").Str("Server", string(s.ID)).Int("ContentCrashes", report.Crashes).
 		Str("Request", string(r.ID)).Str("Prefix", r.Prefix[:min(len(r.Prefix), maximumLoggedPrefix)]).Bool("AfterToken", afterToken).
 		Msg("a server crashed while it ran a request")
