Recognise a part of prompts that crashes servers

Cause: a request was only known by a hash of the whole of it. Requests that are never alike have one crash each, so that what they have in common was never counted. The class: evidence is kept for one identity of a request, and the cause belongs to another one.

Now each request has traits, today the shared parts of its prompt, and package suspects joins what all nodes saw: for each crash of a server the traits of the requests that ran there, and which traits requests completed with. A trait is refused at all nodes after three crashes without a completion, if it alone explains most of them, or after five. A completion exempts a trait for 10 s and ends its refusal, so that parts which sound requests share are not blamed; crashes that a refused trait explains count neither against other traits nor against the contents that ran beside it. A refusal lasts 10 to 20 minutes; after it each node admits a request at a time, and a further crash renews it everywhere for twice as long.

Nodes report crashes at once over the link to the owner, which passes on what is new; the first message over each link has all that its sender knows, so that a node that starts later and a new owner are told. One check is made for a crash instead of one for each broken request. A refused request is no demand for its model, and waiting ones are refused at once.

--- a/commands/front.go
+++ b/commands/front.go
@@ -136,11 +136,13 @@
 		Backend: backend, Logger: logger,
 		SetBudget:              f.setRetryBudget,
 		ReportCrash:            f.node.ReportCrash,
+		ReportTraits:           f.node.ReportTraits,
 		ReportStaleEngineState: f.node.RefreshEngineState,
 		Counters:               f.metrics,
 	})
 	backend.OnNotice = f.node.RecordNotice
 	f.node.OnCrashReports = dispatcher.ApplyCrashReports
+	f.node.Traits = dispatcher
 	f.frontend = &platform.Frontend{
 		Dispatcher: dispatcher, Views: &f.node.Views, IsBehind: f.node.IsConfigurationBehind,
 		Logger: logger, Counters: f.metrics,
--- a/dispatch/crashes_test.go
+++ b/dispatch/crashes_test.go
@@ -1,13 +1,18 @@
 package dispatch
 
 import (
+	"context"
+	"errors"
+	"io"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/parsleylug/parsleylug/fleet"
 	"github.com/parsleylug/parsleylug/retries"
 	"github.com/parsleylug/parsleylug/suspects"
+	"github.com/parsleylug/parsleylug/verdict"
 )
 
 // Guards against LOST: a node stood still for ever. A report of a crash arrived, with the lock
@@ -42,3 +47,89 @@
 		t.Fatal("got a deadlock of a request and a crash report, want both to end")
 	}
 }
+
+const testTrait suspects.Trait = 7
+
+// refuseTestTrait makes a dispatcher refuse requests with testTrait.
+func refuseTestTrait(d *Dispatcher) {
+	d.ApplyTraitReport(suspects.TraitReport{Refusals: []suspects.TraitRefusal{{Trait: testTrait, Number: 1, Remaining: time.Minute}}})
+}
+
+func traitRequest() *Request {
+	r := streamRequest()
+	r.Traits = []suspects.Trait{testTrait}
+	return r
+}
+
+// Guards against an accelerator that is loaded for nobody: a request that is refused for a trait
+// does not count as demand for its model, and reaches no server.
+func TestRefusedTraitIsNoDemand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &fakeBackend{responses: []func(context.Context) (*Response, error){streamResponse(io.EOF, 1)}}
+		d := newTestDispatcher(b)
+		refuseTestTrait(d)
+		c := &fakeCaller{}
+		if got, want := d.Serve(t.Context(), traitRequest(), c), Refused; got != want || c.writtenError.Reason != verdict.Quarantined {
+			t.Errorf("got %v with %+v, want %v with Quarantined", got, c.writtenError, want)
+		}
+		if got := d.Demand.TakeAll(time.Now()); len(got) != 0 || len(b.received) != 0 {
+			t.Errorf("got demand %+v and %d attempts, want none", got, len(b.received))
+		}
+	})
+}
+
+// Guards against BUDGET: a request that waited for its model when its trait was refused was sent
+// to a server later. It is refused at once.
+func TestRefusalOfATraitEndsTheWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &fakeBackend{responses: []func(context.Context) (*Response, error){streamResponse(io.EOF, 1)}}
+		d := newTestDispatcher(b)
+		d.Views.Publish(newTestView(false))
+		const refusedAfter = 300 * time.Millisecond
+		time.AfterFunc(refusedAfter, func() { refuseTestTrait(d) })
+		r, begin := traitRequest(), time.Now()
+		r.Route.LatencyGoal = 10 * time.Second
+		if got, want := d.Serve(t.Context(), r, &fakeCaller{}), Refused; got != want {
+			t.Errorf("got %v, want %v", got, want)
+		}
+		if got, want := time.Since(begin), refusedAfter; got != want || len(b.received) != 0 {
+			t.Errorf("refused after %v and %d attempts, want %v and none", got, len(b.received), want)
+		}
+	})
+}
+
+// Guards against BUDGET: a stream that broke off was resumed although its trait was refused
+// meanwhile.
+func TestRefusedTraitIsNotRetried(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &fakeBackend{}
+		d := newTestDispatcher(b)
+		b.responses = []func(context.Context) (*Response, error){func(ctx context.Context) (*Response, error) {
+			refuseTestTrait(d)
+			return streamResponse(errors.New("reset"), 1)(ctx)
+		}}
+		c := &fakeCaller{}
+		if got, want := d.Serve(t.Context(), traitRequest(), c), Broken; got != want || len(b.received) != 1 {
+			t.Errorf("got %v after %d attempts, want %v after one", got, len(b.received), want)
+		}
+		time.Sleep(time.Second)
+	})
+}
+
+// Guards against LOST: a sound request that was on a server beside a bad one counted as suspected
+// and was not retried. A crash that a refused trait explains is no other request's fault.
+func TestCrashWithAKnownCauseSuspectsNoOtherRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDispatcher(&fakeBackend{})
+		refuseTestTrait(d)
+		content := suspects.Content{1}
+		d.recordCrash(time.Now(), "a", []crashedRequest{{id: "bad", traits: []suspects.Trait{testTrait}}, {id: "sound", content: content}})
+		if got, want := d.standing(content), suspects.Clean; got != want {
+			t.Errorf("got %v, want %v", got, want)
+		}
+		d.recordCrash(time.Now(), "b", []crashedRequest{{id: "sound", content: content}})
+		if got, want := d.standing(content), suspects.Suspected; got != want {
+			t.Errorf("after a crash without a known cause: got %v, want %v", got, want)
+		}
+	})
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"context"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -61,10 +60,6 @@
 	// streamIdleTimeout is the time without an event after which a retryable stream is
 	// resumed at another server.
 	streamIdleTimeout = 1200 * time.Millisecond
-	// crashCheckDelay is the time between the failure of an attempt and the check whether
-	// the server still accepts connections. crashCheckTimeout bounds the check.
-	crashCheckDelay   = 40 * time.Millisecond
-	crashCheckTimeout = 400 * time.Millisecond
 )
 
 // Options are the dependencies and settings of a Dispatcher.
@@ -85,6 +80,9 @@
 	// ReportCrash sends the other nodes a report about a request content that was running
 	// on a server when it crashed. It may be nil.
 	ReportCrash func(suspects.Report)
+	// ReportTraits sends the other nodes what this node has learned of traits of requests.
+	// It may be nil.
+	ReportTraits func(suspects.TraitReport)
 	// ReportStaleEngineState is called with the ID of a server that lacks a model or
 	// adapter that is loaded there according to this node's view. It may be nil.
 	ReportStaleEngineState func(domain.ServerID)
@@ -119,10 +117,7 @@
 	mu      sync.Mutex
 	budgets map[domain.ServiceName]*retries.WindowBudget
 
-	// crashesMu is held for no call out of this package: reports of crashes arrive with locks
-	// held that such a call may take.
-	crashesMu sync.Mutex
-	suspects  suspects.List
+	crashes crashRecords
 }
 
 // New returns a Dispatcher.
@@ -130,29 +125,15 @@
 	if o.Notices == nil {
 		o.Notices = &fleet.Notices{}
 	}
-	return &Dispatcher{Options: o, budgets: map[domain.ServiceName]*retries.WindowBudget{}}
+	d := &Dispatcher{Options: o, budgets: map[domain.ServiceName]*retries.WindowBudget{}}
+	d.crashes.checks = map[domain.ServerID][]crashedRequest{}
+	d.crashes.contents.IsExplained = d.crashes.traits.IsExplained
+	return d
 }
 
 // Running returns the number of attempts in flight.
 func (d *Dispatcher) Running() int { return d.chooser.inFlight() }
 
-// ApplyCrashReports applies the reports of other nodes about request contents that were
-// running on servers when these crashed.
-func (d *Dispatcher) ApplyCrashReports(reports []suspects.Report) {
-	d.crashesMu.Lock()
-	defer d.crashesMu.Unlock()
-	d.suspects.ApplyReports(time.Now(), reports)
-}
-
-// standing returns whether a request content now runs as usual, in isolation or not at
-// all.
-func (d *Dispatcher) standing(c suspects.Content) suspects.Standing {
-	d.crashesMu.Lock()
-	defer d.crashesMu.Unlock()
-	s, _ := d.suspects.Standing(time.Now(), c)
-	return s
-}
-
 // budget returns the retry budget of a service after SetBudget has updated its settings.
 // The caller holds mu.
 func (d *Dispatcher) budget(s domain.ServiceName) *retries.WindowBudget {
@@ -187,32 +168,6 @@
 	return d.budget(s).Spend(time.Now())
 }
 
-// maximumLoggedPrefix bounds the part of a prompt's prefix in a log line, in bytes.
-const maximumLoggedPrefix = 200
-
-// checkCrash checks whether a server that failed an attempt still accepts connections. If
-// it does not, checkCrash records and reports that the server crashed while it ran the
-// request; afterToken means that the request had already generated tokens.
-func (d *Dispatcher) checkCrash(s *fleet.Server, r *Request, afterToken bool) {
-	time.Sleep(crashCheckDelay)
-	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
-	defer cancel()
-	if d.Backend.Reach(ctx, s) == nil {
-		return
-	}
-	now := time.Now()
-	d.chooser.recordFailure(now, s.ID, true)
-	d.crashesMu.Lock()
-	report := d.suspects.RecordCrash(now, r.Content, s.ID, false, afterToken)
-	d.crashesMu.Unlock()
-	d.Logger.Info().Str("Event", "ServerCrashed").Str("Server", string(s.ID)).Int("ContentCrashes", report.Crashes).
-		Str("Request", string(r.ID)).Str("Prefix", r.Prefix[:min(len(r.Prefix), maximumLoggedPrefix)]).Bool("AfterToken", afterToken).
-		Msg("a server crashed while it ran a request")
-	if d.ReportCrash != nil {
-		d.ReportCrash(report)
-	}
-}
-
 // Outcome is how a request ended.
 type Outcome int
 
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	stderrors "errors"
+	"fmt"
 	"runtime/debug"
 	"time"
 
@@ -93,6 +94,9 @@
 	if text := s.keptAway.text(time.Now()); text != "" {
 		line = line.Str("KeptAway", text)
 	}
+	if s.refusedTrait != 0 {
+		line = line.Str("Trait", fmt.Sprintf("%x", s.refusedTrait))
+	}
 	s.dispatcher.logShutdown(line, "ArrivedAfterStopMs", s.request.ArrivedAt)
 	message := "the caller has its answer"
 	if e != nil {
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -204,7 +204,7 @@
 		s.silence.restart(time.Now(), viewPollInterval)
 		return
 	}
-	if !s.dispatcher.spendHedge(s.request.Service) {
+	if s.admit() != nil || !s.dispatcher.spendHedge(s.request.Service) {
 		s.dispatcher.chooser.release(server.ID)
 		s.silence.restart(time.Now(), viewPollInterval)
 		return
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -22,6 +22,9 @@
 		}
 	}()
 	for {
+		if e := s.refuseSuspect(); e != nil {
+			return nil, e
+		}
 		deadline := s.waitDeadline()
 		view := s.dispatcher.Views.Get()
 		now := time.Now()
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -37,6 +37,9 @@
 	LastEvent EventID
 	// Content is the hash of the request's content, which is the same in every retry.
 	Content suspects.Content
+	// Traits are what the request may have in common with others that are not alike: the
+	// parts of its prompt but the last.
+	Traits []suspects.Trait
 	// Message is the request as package platform received it.
 	Message any
 }
--- a/dispatch/response.go
+++ b/dispatch/response.go
@@ -38,7 +38,7 @@
 // node or the path may be cut.
 func (s *session) suspectCrash(a *attempt, err error) {
 	if !stderrors.Is(err, syscall.ETIMEDOUT) {
-		go s.dispatcher.checkCrash(a.server, s.request, s.headSent)
+		s.dispatcher.checkCrash(a.server, crashedRequest{id: s.request.ID, content: s.request.Content, traits: s.request.Traits, afterToken: s.headSent})
 	}
 }
 
@@ -113,6 +113,7 @@
 		return 0, verdict.UnknownOutcome(verdict.StreamBroken, "the server did not resume the stream", nil), false
 	}
 	s.lead(a)
+	s.recordCompletion(a)
 	s.end(a, "Answered")
 	s.responseStartedAt = time.Now()
 	if err := s.caller.WriteResponse(a.response, body); err != nil {
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -78,6 +78,8 @@
 	// gets it if no attempt succeeds.
 	errorResponse *Response
 	errorBody     []byte
+	// refusedTrait is the trait for which the request was refused; 0 if it was not.
+	refusedTrait suspects.Trait
 }
 
 func newSession(d *Dispatcher, r *Request, c Caller) *session {
@@ -103,7 +105,9 @@
 func (d *Dispatcher) Serve(ctx context.Context, r *Request, c Caller) Outcome {
 	s := newSession(d, r, c)
 	defer s.close()
-	d.Demand.countArrival(r.key())
+	if s.refuseSuspect() == nil {
+		d.Demand.countArrival(r.key())
+	}
 	d.countRequest(r.Service)
 	withDeadline, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
@@ -136,14 +140,15 @@
 
 // run makes attempts until the request has a response or has failed for good.
 func (s *session) run(ctx context.Context) (Outcome, *verdict.Error) {
-	if s.dispatcher.standing(s.request.Content) == suspects.Refused {
-		return s.refuse(newRefusal(time.Now(), s.request, verdict.Quarantined, "this request was running on several servers when they crashed", 0))
-	}
 	for {
 		server, e := s.pickServer(ctx)
 		if e != nil {
 			return s.fail(ctx, e)
 		}
+		if e := s.admit(); e != nil {
+			s.dispatcher.chooser.release(server.ID)
+			return s.fail(ctx, e)
+		}
 		if s.attempts > 0 && !s.dispatcher.spendRetry(s.request.Service) {
 			s.dispatcher.chooser.release(server.ID)
 			return s.fail(ctx, newRefusal(time.Now(), s.request, verdict.NoCapacity, "the budget for repeated sendings is used up", time.Second))
@@ -205,7 +210,9 @@
 // refuse ends a request that did not run at any server. Its caller is expected to retry
 // it.
 func (s *session) refuse(e *verdict.Error) (Outcome, *verdict.Error) {
-	s.dispatcher.Demand.countRefusal(s.request.key(), time.Now())
+	if e.Reason != verdict.Quarantined {
+		s.dispatcher.Demand.countRefusal(s.request.key(), time.Now())
+	}
 	s.caller.WriteError(e)
 	return Refused, e
 }
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -54,6 +54,7 @@
 // forward still has to send the head.
 func (s *session) finishStream(a *attempt) (Outcome, *verdict.Error, bool) {
 	s.lead(a)
+	s.recordCompletion(a)
 	if err := s.forward(a, nil); err != nil {
 		return Left, verdict.UnknownOutcome(verdict.Unknown, "the caller has left", err), true
 	}
--- a/entry/link.go
+++ b/entry/link.go
@@ -112,13 +112,14 @@
 	lastSent := time.Now()
 	var leaving []hub.LeavingServer
 	var lastLeaving fleet.NoticeNumber
+	n.resetTraitReport()
 	for {
 		leaving, lastLeaving = n.leavingServers(time.Now(), lastLeaving)
 		n.mu.Lock()
-		r := hub.Report{Node: n.Name, Demands: demands, CrashReports: n.crashReports, StaleServers: n.staleServers, LeavingServers: leaving}
+		r := hub.Report{Node: n.Name, Demands: demands, CrashReports: n.crashReports, Traits: n.takeTraitReport(), StaleServers: n.staleServers, LeavingServers: leaving}
 		n.crashReports, n.staleServers = nil, nil
 		n.mu.Unlock()
-		if len(demands) > 0 || len(r.CrashReports) > 0 || len(r.StaleServers) > 0 || len(leaving) > 0 || time.Since(lastSent) > time.Second {
+		if len(demands) > 0 || len(r.CrashReports) > 0 || !r.Traits.IsEmpty() || len(r.StaleServers) > 0 || len(leaving) > 0 || time.Since(lastSent) > time.Second {
 			if err := l.Send(ctx, r); err != nil {
 				return
 			}
@@ -129,6 +130,8 @@
 			return
 		case <-n.Demand.Urgent():
 			pause.For(ctx, reportBatchDelay, nil)
+		case <-n.traitsReported:
+			pause.For(ctx, reportBatchDelay, nil)
 		case <-ticker.C:
 		}
 		demands = n.Demand.TakeChanges(time.Now())
@@ -145,6 +148,7 @@
 	}
 	now := time.Now()
 	n.applyStoreUpdate(now, u.Store)
+	n.applyTraits(u.Traits, false)
 	if len(u.Servers) == 0 && len(u.CrashReports) == 0 && u.NodeCount <= n.nodeCount {
 		return
 	}
--- a/entry/node.go
+++ b/entry/node.go
@@ -67,6 +67,15 @@
 	CountConfigurationRead(result string)
 }
 
+// Traits holds what a node knows of traits of requests that crash servers.
+type Traits interface {
+	// ApplyTraitReport applies what another node reports. It returns what was new in it, and
+	// what this node knows that contradicts it.
+	ApplyTraitReport(r suspects.TraitReport) (news, answer suspects.TraitReport)
+	// TraitSnapshot returns all that this node knows.
+	TraitSnapshot() suspects.TraitReport
+}
+
 // Options configures a Node.
 type Options struct {
 	// Name identifies this run of the node. It contains the address of the node's
@@ -118,6 +127,9 @@
 	// this node's own. Each identifies a request content that crashed a backend
 	// server. OnCrashReports may be nil.
 	OnCrashReports func([]suspects.Report)
+	// Traits holds what this node knows of traits of requests that crash servers. It may be
+	// nil.
+	Traits Traits
 
 	mu        sync.Mutex
 	directory fleet.Directory
@@ -165,6 +177,10 @@
 	// crashReports are the crash reports that have not been sent yet: by the
 	// owner to the other nodes, by another node to the owner.
 	crashReports []suspects.Report
+	// traitReport is what this node has to tell of traits, likewise. traitsReported gets a
+	// value when something was added.
+	traitReport    suspects.TraitReport
+	traitsReported chan struct{}
 	// staleServers are the servers that lack a model or adapter listed in their
 	// cached engine state. The next report passes them to the owner.
 	staleServers []domain.ServerID
@@ -182,7 +198,7 @@
 
 // New returns a node that is idle until Run.
 func New(o Options) *Node {
-	n := &Node{Options: o, planTrigger: make(chan struct{}, 1), storeRecovered: make(chan struct{}), failedCalls: map[string]bool{}}
+	n := &Node{Options: o, planTrigger: make(chan struct{}, 1), traitsReported: make(chan struct{}, 1), storeRecovered: make(chan struct{}), failedCalls: map[string]bool{}}
 	n.Notices.DrainBound = o.DrainBound
 	n.storeUpdates.changed = make(chan struct{})
 	n.lease.Shard = ownedShard
@@ -241,14 +257,6 @@
 	return n.nodeCount
 }
 
-// ReportCrash reports a request content that crashed a backend server to the other
-// nodes.
-func (n *Node) ReportCrash(r suspects.Report) {
-	n.mu.Lock()
-	n.crashReports = append(n.crashReports, r)
-	n.mu.Unlock()
-}
-
 // RefreshEngineState requests that the owner query a server's engine state again, because
 // the server lacked a model or adapter that its cached state lists.
 func (n *Node) RefreshEngineState(id domain.ServerID) {
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -277,7 +277,7 @@
 	if n.sentDigests == nil {
 		n.sentDigests = map[domain.ServerID]engineStateDigest{}
 	}
-	u := hub.Update{NodeCount: n.countNodes(now), CrashReports: n.crashReports}
+	u := hub.Update{NodeCount: n.countNodes(now), CrashReports: n.crashReports, Traits: n.takeTraitReport()}
 	n.nodeCount = max(n.nodeCount, u.NodeCount)
 	n.crashReports = nil
 	for id, state := range states {
@@ -293,7 +293,7 @@
 			delete(n.sentDigests, id)
 		}
 	}
-	if len(u.Servers) == 0 && len(u.CrashReports) == 0 {
+	if len(u.Servers) == 0 && len(u.CrashReports) == 0 && u.Traits.IsEmpty() {
 		return
 	}
 	n.overlay = states
@@ -316,7 +316,8 @@
 		n.planner.RequestPoll(time.Now(), id)
 	}
 	n.recordReportedLeaving(time.Now(), r.LeavingServers)
-	n.crashReports = append(n.crashReports, r.CrashReports...)
+	n.addCrashReports(r.CrashReports)
+	n.applyTraits(r.Traits, true)
 	if len(r.CrashReports) > 0 && n.OnCrashReports != nil {
 		n.OnCrashReports(r.CrashReports)
 	}
@@ -347,6 +348,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	u := hub.Update{NodeCount: n.countNodes(time.Now())}
+	if n.Traits != nil {
+		u.Traits = n.Traits.TraitSnapshot()
+	}
 	for id, state := range n.planner.Snapshot() {
 		u.Servers = append(u.Servers, hub.ServerState{ID: id, EngineState: state})
 	}
--- a/hub/hub_test.go
+++ b/hub/hub_test.go
@@ -17,16 +17,24 @@
 	"github.com/parsleylug/parsleylug/suspects"
 )
 
+var testTraits = suspects.TraitReport{
+	Crashes:     []suspects.TraitCrash{{Server: "i", Age: 70 * time.Millisecond, Traits: []suspects.Trait{1, 1 << 63}}},
+	Completions: []suspects.TraitCompletion{{Trait: 2, Age: time.Second}},
+	Refusals:    []suspects.TraitRefusal{{Trait: 3, Number: 2, Remaining: 10 * time.Minute}},
+}
+
 var testReport = Report{
 	Node:           "n",
 	Demands:        []placement.Demand{{ModelKey: placement.ModelKey{Service: "s", Model: "m", Adapter: "a"}, Waiting: 1, Running: 2, Arrivals: 3, LateResponses: 4}},
 	CrashReports:   []suspects.Report{{Content: suspects.Content{1, 2}, Crashes: 2, Server: "i", AfterToken: true}},
 	StaleServers:   []domain.ServerID{"i"},
 	LeavingServers: []LeavingServer{{Incarnation: fleet.Incarnation{ID: "i", StartedAtMs: 5}, Age: 1500 * time.Millisecond}},
+	Traits:         testTraits,
 }
 
 var testUpdate = Update{
 	NodeCount: 3,
+	Traits:    testTraits,
 	Store:     StoreUpdate{ConfigurationOffset: 7, RegistrationsOffset: 9, RegistrationsRead: true},
 	Servers: []ServerState{{ID: "i", EngineState: fleet.EngineState{
 		StartedAtMs: 5, Sequence: 6, Busy: true,
--- a/hub/message.go
+++ b/hub/message.go
@@ -40,6 +40,9 @@
 	Demands []placement.Demand
 	// CrashReports are the reports of crashed backend servers since the node's last report.
 	CrashReports []suspects.Report
+	// Traits is what the node has learned of the traits of requests since its last report. The
+	// first report over a link has all that the node knows.
+	Traits suspects.TraitReport
 	// StaleServers are the servers that lack a model or adapter listed in the
 	// node's cached engine state. The owner queries their engine state again.
 	StaleServers []domain.ServerID
@@ -63,6 +66,9 @@
 	// CrashReports are the crash reports that the owner has collected from all nodes
 	// since the last update. They include those of the receiving node.
 	CrashReports []suspects.Report
+	// Traits is what the owner has learned of the traits of requests since the last update.
+	// The first update over a link has all that the owner knows.
+	Traits suspects.TraitReport
 	// NodeCount is the number of linked nodes plus 1 for the owner itself; 0 if it is
 	// unknown.
 	NodeCount int
@@ -94,6 +100,7 @@
 	Suspects []wireSuspect
 	Doubted  []string
 	Leaving  []wireLeaving
+	Traits   *wireTraits
 }
 
 type wireLeaving struct {
@@ -122,6 +129,7 @@
 	Suspects []wireSuspect
 	Nodes    int
 	News     wireStoreUpdate
+	Traits   *wireTraits
 }
 
 type wireStoreUpdate struct {
@@ -156,7 +164,7 @@
 }
 
 func encodeReport(r Report) ([]byte, error) {
-	w := wireReport{Node: string(r.Node), Suspects: encodeSuspects(r.CrashReports), Doubted: domain.Strings(r.StaleServers)}
+	w := wireReport{Node: string(r.Node), Suspects: encodeSuspects(r.CrashReports), Doubted: domain.Strings(r.StaleServers), Traits: encodeTraits(r.Traits)}
 	for _, d := range r.Demands {
 		w.Demands = append(w.Demands, wireDemand{
 			Service: string(d.Service), Model: string(d.Model), Adapter: string(d.Adapter),
@@ -193,6 +201,7 @@
 		i := fleet.Incarnation{ID: domain.ServerID(l.ID), StartedAtMs: l.Born}
 		r.LeavingServers = append(r.LeavingServers, LeavingServer{Incarnation: i, Age: time.Duration(l.AgeMilliseconds) * time.Millisecond})
 	}
+	r.Traits = w.Traits.decode()
 	var err error
 	r.CrashReports, err = decodeSuspects(w.Suspects)
 	return r, err
@@ -220,7 +229,7 @@
 
 func encodeUpdate(u Update) ([]byte, error) {
 	store := wireStoreUpdate{Configuration: uint64(u.Store.ConfigurationOffset), Registrations: uint64(u.Store.RegistrationsOffset), Read: u.Store.RegistrationsRead}
-	w := wireUpdate{Nodes: u.NodeCount, News: store, Suspects: encodeSuspects(u.CrashReports)}
+	w := wireUpdate{Nodes: u.NodeCount, News: store, Suspects: encodeSuspects(u.CrashReports), Traits: encodeTraits(u.Traits)}
 	for _, s := range u.Servers {
 		state := s.EngineState
 		ws := wireServer{ID: string(s.ID), Born: state.StartedAtMs, Sequence: state.Sequence, Busy: state.Busy}
@@ -251,6 +260,7 @@
 		}
 		u.Servers = append(u.Servers, ServerState{ID: domain.ServerID(s.ID), EngineState: state})
 	}
+	u.Traits = w.Traits.decode()
 	var err error
 	u.CrashReports, err = decodeSuspects(w.Suspects)
 	return u, err
--- a/hub/oddmessage_test.go
+++ b/hub/oddmessage_test.go
@@ -115,3 +115,17 @@
 		}
 	}
 }
+
+// Entries on traits that are out of range are left out, and the others apply. Guards against a
+// completion in the future, which would end all suspicion.
+func TestOddTraitsAreLeftOut(t *testing.T) {
+	w := wireTraits{
+		Crashes:     []wireTraitCrash{{Server: "", Traits: []uint64{1}}, {Server: "i", AgeMilliseconds: -1}, {Server: "i", Traits: []uint64{1}}},
+		Completions: []wireTraitCompletion{{Trait: 1, AgeMilliseconds: -1}, {Trait: 2, AgeMilliseconds: math.MaxInt64}},
+		Refusals:    []wireTraitRefusal{{Trait: 1, Number: 0, RemainingMilliseconds: 1}, {Trait: 1, Number: 1, RemainingMilliseconds: -1}},
+	}
+	want := suspects.TraitReport{Crashes: []suspects.TraitCrash{{Server: "i", Traits: []suspects.Trait{1}}}}
+	if got := w.decode(); !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
--- a/suspects/list.go
+++ b/suspects/list.go
@@ -77,6 +77,10 @@
 // List holds the contents that ran on crashed servers. The zero List is empty. It is not
 // safe for concurrent use.
 type List struct {
+	// IsExplained reports whether the cause of a crash of a server at a time is known, so that
+	// the crash does not count. It may be nil.
+	IsExplained func(s domain.ServerID, at time.Time) bool
+
 	contents map[Content]*crashRecord
 }
 
@@ -137,6 +141,9 @@
 func (l *List) countCrashes(c Content, e *crashRecord) crashCounts {
 	var n crashCounts
 	for _, k := range e.crashes {
+		if l.IsExplained != nil && l.IsExplained(k.server, k.at) {
+			continue
+		}
 		n.all++
 		if !k.afterToken {
 			n.beforeToken++
--- /dev/null
+++ b/suspects/traits.go
@@ -0,0 +1,507 @@
+package suspects
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/parsleylug/parsleylug/domain"
+)
+
+// Trait identifies something that requests which are not alike can have in common, such as a
+// part of their prompts, by its hash.
+type Trait uint64
+
+// Numbers of crashes after which a trait is refused. They count since the last request with
+// the trait that ran to completion.
+const (
+	// traitCrashLimit applies to the trait that explains the most crashes, if it explains at
+	// least half of them.
+	traitCrashLimit = 3
+	// traitCrashLimitOverall applies to all traits that explain the most crashes, also if
+	// these are few among all crashes.
+	traitCrashLimitOverall = 5
+)
+
+// Times of evidence and refusals.
+const (
+	// completionLifetime is how long a completed request exempts its traits from crashes.
+	// While servers crash, no request may be completed for a time.
+	completionLifetime = 10 * time.Second
+	// crashLifetime is how long a crash is evidence.
+	crashLifetime = 30 * time.Minute
+	// completionReportInterval is the least time between two reports that requests with a
+	// trait complete.
+	completionReportInterval = time.Second
+	// firstTraitRefusal is the length of the first refusal of a trait. Each further one is
+	// twice as long, up to longestTraitRefusal. Each node adds a random time up to the same
+	// length, so that not all nodes admit a request at the end of a refusal.
+	firstTraitRefusal   = 10 * time.Minute
+	longestTraitRefusal = 24 * time.Hour
+	// probeInterval is the least time between two requests with a trait that a node admits
+	// after a refusal, until one of them has completed.
+	probeInterval = time.Minute
+	// snapshotCrashAge is the age up to which crashes are part of a snapshot.
+	snapshotCrashAge = time.Minute
+)
+
+// Bounds of Traits.
+const (
+	maximumServerCrashes    = 64
+	maximumTraitsPerCrash   = 256
+	maximumTraitRecords     = 4096
+	maximumTraitCompletions = 8192
+)
+
+// TraitReport is the message in which a node tells the other nodes which traits it saw at
+// crashes, in completed requests and in refusals.
+type TraitReport struct {
+	Crashes     []TraitCrash
+	Completions []TraitCompletion
+	Refusals    []TraitRefusal
+}
+
+// TraitCrash is a crash of a server, with the traits of the requests that ran there.
+type TraitCrash struct {
+	Server domain.ServerID
+	// Age is the time since the crash.
+	Age    time.Duration
+	Traits []Trait
+}
+
+// TraitCompletion says that a request with a trait ran to completion.
+type TraitCompletion struct {
+	Trait Trait
+	// Age is the time since the completion.
+	Age time.Duration
+}
+
+// TraitRefusal says that requests with a trait are refused.
+type TraitRefusal struct {
+	Trait Trait
+	// Number is the number of refusals of the trait so far, from 1.
+	Number int
+	// Remaining is the time until the refusal ends.
+	Remaining time.Duration
+}
+
+// Len returns the number of entries of a report.
+func (r *TraitReport) Len() int { return len(r.Crashes) + len(r.Completions) + len(r.Refusals) }
+
+// IsEmpty reports whether a report says nothing.
+func (r *TraitReport) IsEmpty() bool { return r.Len() == 0 }
+
+// Append adds the contents of another report.
+func (r *TraitReport) Append(o TraitReport) {
+	r.Crashes = append(r.Crashes, o.Crashes...)
+	r.Completions = append(r.Completions, o.Completions...)
+	r.Refusals = append(r.Refusals, o.Refusals...)
+}
+
+// Traits decides which traits crash servers. A trait that crashes servers was in a request
+// on each server that it crashed, and no request with it runs to completion. Requests with
+// such a trait are refused. The zero Traits is empty. It is not safe for concurrent use.
+type Traits struct {
+	// crashes are the recent crashes, the oldest first; at most maximumServerCrashes.
+	crashes []traitCrash
+	// completions is when a request with a trait was last known to complete.
+	completions map[Trait]time.Time
+	// reportedAt is when this node last reported that a trait completes.
+	reportedAt map[Trait]time.Time
+	refusals   map[Trait]*traitRefusal
+}
+
+// traitCrash is one crash of a server. Its traits are sorted and hold none that was exempt
+// at the crash.
+type traitCrash struct {
+	server domain.ServerID
+	at     time.Time
+	traits []Trait
+}
+
+func (k *traitCrash) has(t Trait) bool {
+	_, ok := slices.BinarySearch(k.traits, t)
+	return ok
+}
+
+// traitRefusal is the refusal of one trait.
+type traitRefusal struct {
+	// number counts the refusals of the trait, from 1.
+	number int
+	// begunAt is when the refusal began and until when it ends.
+	begunAt, until time.Time
+	// probedAt is when a request with the trait was last admitted after the refusal.
+	probedAt time.Time
+}
+
+// Decision is a change of what is refused, for the log.
+type Decision struct {
+	Trait   Trait
+	Refused bool
+	// Servers are the servers whose crashes the trait explains; empty if another node has
+	// decided or the refusal has ended.
+	Servers []domain.ServerID
+	// Length is the length of the refusal.
+	Length time.Duration
+}
+
+// Refused returns the first of the traits that is refused now, and for how long. It returns
+// false if none is.
+func (s *Traits) Refused(now time.Time, traits []Trait) (Trait, time.Duration, bool) {
+	if len(s.refusals) == 0 {
+		return 0, 0, false
+	}
+	for _, t := range traits {
+		if r := s.refusals[t]; r != nil && now.Before(r.admitsAt()) {
+			return t, r.admitsAt().Sub(now), true
+		}
+	}
+	return 0, 0, false
+}
+
+// admitsAt is when the next request with the trait may run.
+func (r *traitRefusal) admitsAt() time.Time {
+	if probed := r.probedAt.Add(probeInterval); !r.probedAt.IsZero() && probed.After(r.until) {
+		return probed
+	}
+	return r.until
+}
+
+// Admit is Refused for a request that is about to be sent to a server. If the refusal of a
+// trait has ended, it admits one request every probeInterval.
+func (s *Traits) Admit(now time.Time, traits []Trait) (Trait, time.Duration, bool) {
+	t, remaining, refused := s.Refused(now, traits)
+	if refused || len(s.refusals) == 0 {
+		return t, remaining, refused
+	}
+	for _, t := range traits {
+		if r := s.refusals[t]; r != nil {
+			r.probedAt = now
+		}
+	}
+	return 0, 0, false
+}
+
+// IsExplained reports whether a refused trait was on a server that crashed at a time, so that
+// nothing else needs to be the cause.
+func (s *Traits) IsExplained(server domain.ServerID, at time.Time) bool {
+	for i := range s.crashes {
+		k := &s.crashes[i]
+		if k.server == server && k.at.Sub(at).Abs() < sameCrashWindow && s.hasRefused(k) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Traits) hasRefused(k *traitCrash) bool {
+	return len(s.refusals) > 0 && slices.ContainsFunc(k.traits, func(t Trait) bool { return s.refusals[t] != nil })
+}
+
+// RecordCompletion records that a request with the traits ran to completion at this node. It
+// returns the report for the other nodes, which is empty unless the traits are suspected.
+func (s *Traits) RecordCompletion(now time.Time, traits []Trait) (TraitReport, []Decision) {
+	var r TraitReport
+	var decisions []Decision
+	for _, t := range traits {
+		decisions = append(decisions, s.addCompletion(now, t)...)
+		if s.isSuspected(t) || len(decisions) > 0 {
+			s.reportCompletion(now, t, &r)
+		}
+	}
+	return r, decisions
+}
+
+// isSuspected reports whether a recent crash counts against a trait.
+func (s *Traits) isSuspected(t Trait) bool {
+	return slices.ContainsFunc(s.crashes, func(k traitCrash) bool { return k.has(t) })
+}
+
+// reportCompletion adds the latest completion of a trait to a report, unless the node has
+// just reported one.
+func (s *Traits) reportCompletion(now time.Time, t Trait, r *TraitReport) {
+	if now.Sub(s.reportedAt[t]) < completionReportInterval {
+		return
+	}
+	if s.reportedAt == nil {
+		s.reportedAt = map[Trait]time.Time{}
+	}
+	makeRoom(s.reportedAt, maximumTraitRecords)
+	s.reportedAt[t] = now
+	r.Completions = append(r.Completions, TraitCompletion{Trait: t, Age: now.Sub(s.completions[t])})
+}
+
+// addCompletion records a completion of a trait at a time and ends its refusal. Crashes until
+// then no longer count against the trait.
+func (s *Traits) addCompletion(at time.Time, t Trait) []Decision {
+	if s.completions == nil {
+		s.completions = map[Trait]time.Time{}
+	}
+	if !at.After(s.completions[t]) {
+		return nil
+	}
+	makeRoom(s.completions, maximumTraitCompletions)
+	s.completions[t] = at
+	for i := range s.crashes {
+		k := &s.crashes[i]
+		if n, ok := slices.BinarySearch(k.traits, t); ok && !k.at.After(at.Add(completionLifetime)) {
+			k.traits = slices.Delete(k.traits, n, n+1)
+		}
+	}
+	if s.refusals[t] == nil {
+		return nil
+	}
+	delete(s.refusals, t)
+	return []Decision{{Trait: t}}
+}
+
+// isExempt reports whether a request with the trait had completed shortly before a time.
+func (s *Traits) isExempt(t Trait, at time.Time) bool {
+	completedAt, ok := s.completions[t]
+	return ok && at.Sub(completedAt) < completionLifetime
+}
+
+// RecordCrash records that a server crashed while requests with the traits ran there. It
+// returns the report for the other nodes.
+func (s *Traits) RecordCrash(now time.Time, server domain.ServerID, traits []Trait) (TraitReport, []Decision) {
+	var r TraitReport
+	added, isNew := s.addCrash(now, server, traits)
+	if isNew || len(added) > 0 {
+		r.Crashes = []TraitCrash{{Server: server, Traits: added}}
+	}
+	decisions := append(s.renewRefusals(now, now, added), s.decide(now)...)
+	for _, d := range decisions {
+		if f := s.refusals[d.Trait]; f != nil {
+			r.Refusals = append(r.Refusals, TraitRefusal{Trait: d.Trait, Number: f.number, Remaining: f.until.Sub(now)})
+		}
+	}
+	return r, decisions
+}
+
+// addCrash adds the traits that are not exempt to a crash, and returns those that are new
+// there. It reports whether the crash itself is new. Reports of the crash of one server within
+// sameCrashWindow are about one crash.
+func (s *Traits) addCrash(at time.Time, server domain.ServerID, traits []Trait) (added []Trait, isNew bool) {
+	i := slices.IndexFunc(s.crashes, func(k traitCrash) bool { return k.server == server && k.at.Sub(at).Abs() < sameCrashWindow })
+	if i < 0 {
+		i, isNew = s.insertCrash(at, server), true
+	}
+	k := &s.crashes[i]
+	for _, t := range traits {
+		n, ok := slices.BinarySearch(k.traits, t)
+		if ok || len(k.traits) >= maximumTraitsPerCrash || s.isExempt(t, at) {
+			continue
+		}
+		k.traits = slices.Insert(k.traits, n, t)
+		added = append(added, t)
+	}
+	return added, isNew
+}
+
+// insertCrash adds a crash without traits in the order of time and returns its index. If there
+// are too many crashes, it removes the oldest one.
+func (s *Traits) insertCrash(at time.Time, server domain.ServerID) int {
+	if len(s.crashes) >= maximumServerCrashes {
+		s.crashes = slices.Delete(s.crashes, 0, 1)
+	}
+	i, _ := slices.BinarySearchFunc(s.crashes, at, func(k traitCrash, at time.Time) int { return k.at.Compare(at) })
+	s.crashes = slices.Insert(s.crashes, i, traitCrash{server: server, at: at})
+	return i
+}
+
+// decide refuses the traits that explain enough crashes, one after the other. Crashes that a
+// refused trait explains do not count against other traits.
+func (s *Traits) decide(now time.Time) []Decision {
+	s.removeExpired(now)
+	var decisions []Decision
+	for {
+		culprits := s.findCulprits()
+		if len(culprits) == 0 {
+			return decisions
+		}
+		for _, t := range culprits {
+			d := Decision{Trait: t, Refused: true, Servers: s.crashedServers(t)}
+			d.Length = s.refuse(now, t, 1)
+			decisions = append(decisions, d)
+		}
+	}
+}
+
+// traitCounts are the crashes that count for one trait: the number of those that it explains,
+// and the number of all crashes before the first of them.
+type traitCounts struct{ explained, before int }
+
+// findCulprits returns the traits that explain the most crashes, if these are enough.
+func (s *Traits) findCulprits() []Trait {
+	counts, total := s.countUnexplained()
+	most := 0
+	for _, n := range counts {
+		most = max(most, n.explained)
+	}
+	var best []Trait
+	for t, n := range counts {
+		if n.explained == most {
+			best = append(best, t)
+		}
+	}
+	slices.Sort(best)
+	isSingle := len(best) == 1 && most >= traitCrashLimit && 2*most >= total-counts[best[0]].before
+	if isSingle || most >= traitCrashLimitOverall {
+		return best
+	}
+	return nil
+}
+
+// countUnexplained counts the crashes that no refused trait explains, for each trait and in all.
+func (s *Traits) countUnexplained() (counts map[Trait]*traitCounts, total int) {
+	counts = map[Trait]*traitCounts{}
+	for i := range s.crashes {
+		k := &s.crashes[i]
+		if s.hasRefused(k) {
+			continue
+		}
+		for _, t := range k.traits {
+			if counts[t] == nil {
+				counts[t] = &traitCounts{before: total}
+			}
+			counts[t].explained++
+		}
+		total++
+	}
+	return counts, total
+}
+
+// crashedServers returns the servers whose crashes a trait explains.
+func (s *Traits) crashedServers(t Trait) []domain.ServerID {
+	var servers []domain.ServerID
+	for i := range s.crashes {
+		if s.crashes[i].has(t) {
+			servers = append(servers, s.crashes[i].server)
+		}
+	}
+	return servers
+}
+
+// refuse starts a refusal of a trait and returns its length at this node.
+func (s *Traits) refuse(now time.Time, t Trait, number int) time.Duration {
+	length := refusalLength(number)
+	length += rand.N(length)
+	s.setRefusal(t, &traitRefusal{number: number, begunAt: now, until: now.Add(length)})
+	return length
+}
+
+func (s *Traits) setRefusal(t Trait, r *traitRefusal) {
+	if s.refusals == nil {
+		s.refusals = map[Trait]*traitRefusal{}
+	}
+	makeRoom(s.refusals, maximumTraitRecords)
+	s.refusals[t] = r
+}
+
+// refusalLength returns the least length of the refusal with a number.
+func refusalLength(number int) time.Duration {
+	length := firstTraitRefusal
+	for ; number > 1 && length < longestTraitRefusal; number-- {
+		length *= 2
+	}
+	return min(length, longestTraitRefusal)
+}
+
+// renewRefusals refuses the traits again that crashed a server after they were admitted at the
+// end of a refusal, at this or at another node.
+func (s *Traits) renewRefusals(now, crashedAt time.Time, traits []Trait) []Decision {
+	var decisions []Decision
+	for _, t := range traits {
+		r := s.refusals[t]
+		if r == nil || crashedAt.Sub(r.begunAt) < refusalLength(r.number)/2 {
+			continue
+		}
+		length := s.refuse(now, t, r.number+1)
+		decisions = append(decisions, Decision{Trait: t, Refused: true, Length: length})
+	}
+	return decisions
+}
+
+// removeExpired removes the crashes that are too old to count.
+func (s *Traits) removeExpired(now time.Time) {
+	s.crashes = slices.DeleteFunc(s.crashes, func(k traitCrash) bool { return now.Sub(k.at) >= crashLifetime })
+}
+
+// Apply applies the report of another node. It returns what was new in it, and what this node
+// knows that contradicts it.
+func (s *Traits) Apply(now time.Time, r TraitReport) (news, answer TraitReport, decisions []Decision) {
+	for _, c := range r.Completions {
+		at := now.Add(-c.Age)
+		if at.Sub(s.completions[c.Trait]) < completionReportInterval {
+			continue
+		}
+		decisions = append(decisions, s.addCompletion(at, c.Trait)...)
+		news.Completions = append(news.Completions, c)
+	}
+	for _, c := range r.Crashes {
+		at := now.Add(-c.Age)
+		s.answerExempt(now, at, c.Traits, &answer)
+		if added, isNew := s.addCrash(at, c.Server, c.Traits); isNew || len(added) > 0 {
+			news.Crashes = append(news.Crashes, TraitCrash{Server: c.Server, Age: c.Age, Traits: added})
+			decisions = append(decisions, s.renewRefusals(now, at, added)...)
+		}
+	}
+	for _, c := range r.Refusals {
+		s.answerExempt(now, now, []Trait{c.Trait}, &answer)
+		if s.applyRefusal(now, c) {
+			news.Refusals = append(news.Refusals, c)
+			decisions = append(decisions, Decision{Trait: c.Trait, Refused: true, Length: c.Remaining})
+		}
+	}
+	return news, answer, append(decisions, s.decide(now)...)
+}
+
+// answerExempt adds the completions that exempt traits from a crash at a time to a report.
+func (s *Traits) answerExempt(now, crashedAt time.Time, traits []Trait, answer *TraitReport) {
+	for _, t := range traits {
+		if s.isExempt(t, crashedAt) {
+			s.reportCompletion(now, t, answer)
+		}
+	}
+}
+
+// applyRefusal applies the refusal of a trait by another node, unless the trait is exempt or
+// as many refusals of it are known. It reports whether it did.
+func (s *Traits) applyRefusal(now time.Time, c TraitRefusal) bool {
+	r := s.refusals[c.Trait]
+	if s.isExempt(c.Trait, now) || c.Number < 1 || c.Remaining <= 0 || r != nil && r.number >= c.Number {
+		return false
+	}
+	remaining := min(c.Remaining, 2*longestTraitRefusal)
+	s.setRefusal(c.Trait, &traitRefusal{number: c.Number, begunAt: now, until: now.Add(remaining)})
+	return true
+}
+
+// Snapshot returns the report for a node that may know nothing.
+func (s *Traits) Snapshot(now time.Time) TraitReport {
+	var r TraitReport
+	for _, k := range s.crashes {
+		if age := now.Sub(k.at); age < snapshotCrashAge {
+			r.Crashes = append(r.Crashes, TraitCrash{Server: k.server, Age: max(0, age), Traits: slices.Clone(k.traits)})
+		}
+	}
+	for t, f := range s.refusals {
+		if remaining := f.until.Sub(now); remaining > 0 {
+			r.Refusals = append(r.Refusals, TraitRefusal{Trait: t, Number: f.number, Remaining: remaining})
+		}
+	}
+	slices.SortFunc(r.Refusals, func(a, b TraitRefusal) int { return cmp.Compare(a.Trait, b.Trait) })
+	return r
+}
+
+// makeRoom removes an entry of a map that has reached its largest size.
+func makeRoom[K comparable, V any](m map[K]V, size int) {
+	if len(m) < size {
+		return
+	}
+	for k := range m {
+		delete(m, k)
+		return
+	}
+}
