Bound the memory of all messages that a node holds whole

Package buffers now holds such messages. The first 64 KiB of each are free, so that ordinary requests go on however long others are; beyond that, all responses, all request bodies, and all events with the reports of servers take at most 9 % of the machine's memory each. When that is used up, the largest response is given up, and its server counts as failed; a request body for which there is no room is refused with 503 before it runs. A message that is alone may have its full limit. Responses of unknown length are read in chunks that are used again, because a buffer that doubles leaves twice its size to the garbage collector.

--- a/commands/front.go
+++ b/commands/front.go
@@ -29,6 +29,9 @@
 	// memoryLimitShare is the fraction of the VM's memory that becomes the soft memory
 	// limit of the Go runtime.
 	memoryLimitShare = 0.7
+	// messageMemoryShare is the fraction of the VM's memory that each kind of message may take
+	// that is held whole: requests, responses, and events with the reports of servers.
+	messageMemoryShare = 0.09
 	// registrationReadsPerDrain is the number of reads of the registrations within the
 	// drain bound, the time after which a draining backend server must receive no more
 	// requests.
@@ -110,6 +113,8 @@
 	name := fmt.Sprintf("%s/%x", address, time.Now().UnixNano())
 	store := platform.NewStore(s.StoreAddress)
 	backend := platform.NewBackend(name)
+	messageMemory := domain.Bytes(float64(s.Memory) * messageMemoryShare)
+	backend.Memory.Size = messageMemory
 	f := &frontNode{settings: s, logger: logger, metrics: entry.NewMetrics()}
 	store.Counters = f.metrics
 	f.node = entry.New(entry.Options{
@@ -138,6 +143,7 @@
 		ReportCrash:            f.node.ReportCrash,
 		ReportTraits:           f.node.ReportTraits,
 		ReportStaleEngineState: f.node.RefreshEngineState,
+		ResponseMemory:         messageMemory,
 		Counters:               f.metrics,
 	})
 	backend.OnNotice = f.node.RecordNotice
@@ -147,6 +153,7 @@
 		Dispatcher: dispatcher, Views: &f.node.Views, IsBehind: f.node.IsConfigurationBehind,
 		Logger: logger, Counters: f.metrics,
 	}
+	f.frontend.Bodies.Size = messageMemory
 	return f
 }
 
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"slices"
 	"time"
 
@@ -115,7 +114,7 @@
 		return
 	}
 	if response.Events == nil {
-		body, err := readBody(response.Body)
+		body, err := s.readBody(response)
 		s.deliver(ctx, arrival{kind: wholeBody, attempt: a, body: body, err: err})
 		return
 	}
@@ -153,17 +152,23 @@
 	return !s.ending.isDone && slices.Contains(s.running, a)
 }
 
-// readBody reads and closes the body of a response that is not a stream.
-func readBody(r io.ReadCloser) ([]byte, error) {
-	defer func() { _ = r.Close() }()
-	body, err := io.ReadAll(io.LimitReader(r, int64(maximumBody)+1))
-	if err != nil {
-		return nil, errors.WithStack(err)
+// readBody reads and closes the body of a response that is not a stream. It stays in memory
+// until the session is closed.
+func (s *session) readBody(r *Response) ([]byte, error) {
+	defer func() { _ = r.Body.Close() }()
+	buffer := s.dispatcher.bodies.NewBuffer(func() { _ = r.Body.Close() })
+	if err := buffer.ReadAll(r.Body, maximumBody, r.BodyLength); err != nil {
+		buffer.Release()
+		return nil, err
 	}
-	if len(body) > int(maximumBody) {
-		return nil, errors.Errorf("the body is longer than %d bytes", maximumBody)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.isClosed {
+		buffer.Release()
+		return nil, errors.New("the request has ended")
 	}
-	return body, nil
+	s.bodies = append(s.bodies, buffer)
+	return buffer.Bytes(), nil
 }
 
 // discard closes the body and the events of a response.
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/parsleylug/parsleylug/buffers"
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fleet"
 	"github.com/parsleylug/parsleylug/retries"
@@ -86,6 +87,9 @@
 	// ReportStaleEngineState is called with the ID of a server that lacks a model or
 	// adapter that is loaded there according to this node's view. It may be nil.
 	ReportStaleEngineState func(domain.ServerID)
+	// ResponseMemory bounds the responses of all requests that are held whole; 0 means
+	// buffers.DefaultSize.
+	ResponseMemory domain.Bytes
 	Counters
 }
 
@@ -118,6 +122,8 @@
 	budgets map[domain.ServiceName]*retries.WindowBudget
 
 	crashes crashRecords
+	// bodies bounds the responses that are held whole.
+	bodies buffers.Pool
 }
 
 // New returns a Dispatcher.
@@ -126,6 +132,7 @@
 		o.Notices = &fleet.Notices{}
 	}
 	d := &Dispatcher{Options: o, budgets: map[domain.ServiceName]*retries.WindowBudget{}}
+	d.bodies.Size = o.ResponseMemory
 	d.crashes.checks = map[domain.ServerID][]crashedRequest{}
 	d.crashes.contents.IsExplained = d.crashes.traits.IsExplained
 	return d
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -96,8 +96,10 @@
 	// request. An unverified response is never forwarded.
 	Verified bool
 	Load     Load
-	// Body is nil for a successful stream.
-	Body io.ReadCloser
+	// Body is nil for a successful stream. BodyLength is the length that the server has
+	// declared for it in bytes, 0 or less if it is unknown.
+	Body       io.ReadCloser
+	BodyLength int64
 	// Events is set for a successful stream only.
 	Events Events
 	// Message is the response as the platform received it.
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/parsleylug/parsleylug/buffers"
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/suspects"
 	"github.com/parsleylug/parsleylug/verdict"
@@ -80,6 +81,10 @@
 	errorBody     []byte
 	// refusedTrait is the trait for which the request was refused; 0 if it was not.
 	refusedTrait suspects.Trait
+	// bodies hold the responses that were read whole. They are released when the session is
+	// closed, which isClosed tells.
+	bodies   []*buffers.Buffer
+	isClosed bool
 }
 
 func newSession(d *Dispatcher, r *Request, c Caller) *session {
@@ -91,13 +96,17 @@
 	return s
 }
 
-// close ends the attempts that still run when the request has ended.
+// close ends the attempts that still run when the request has ended, and releases its memory.
 func (s *session) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for len(s.running) > 0 {
 		s.end(s.running[0], "Cut")
 	}
+	s.isClosed = true
+	for _, b := range s.bodies {
+		b.Release()
+	}
 }
 
 // Serve handles one request until it has ended. The context is cancelled when the caller
