Write the lines of the standard logger as events

net/http writes the beginning of what a server sends behind its response to the standard logger: no JSON, outside the limit of lines a second, and as many as the server likes. They are lines of the event LibraryMessage now, under the limit.

--- a/commands/front.go
+++ b/commands/front.go
@@ -94,9 +94,17 @@
 	defer out.close()
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	logger := zerolog.New(out).Level(level).With().Timestamp().Str("Node", s.Node).Logger()
+	redirectStandardLog(logger)
 	return newFrontNode(s, logger).run(path, net.JoinHostPort(s.IP, strconv.Itoa(c.MetricsPort)))
 }
 
+// redirectStandardLog makes the lines of the standard logger events of the node. The HTTP client
+// writes there what a server sends on an idle connection.
+func redirectStandardLog(l zerolog.Logger) {
+	log.SetFlags(0)
+	log.SetOutput(l.With().Str("Event", "LibraryMessage").Logger())
+}
+
 // frontNode is one node with its listeners and metrics.
 type frontNode struct {
 	settings platform.Settings
