Refuse a request beside the cause of a crash only briefly

Traced: two nodes ran a suspect each in isolation on one server. The cause had generated tokens and the other request had not, so that only the cause counted as crashing in company, and the other one as alone.

A suspect beside the crash now counts as as likely the cause also if it ran in as many crashes.

--- a/suspects/list.go
+++ b/suspects/list.go
@@ -160,15 +160,16 @@
 }
 
 // hasConcurrentSuspect reports whether another suspect ran in isolation on the server at
-// the time of the crash and is as likely to be the cause. This happens if two nodes each
-// run a suspect in isolation there.
+// the time of the crash and is as likely to be the cause: it had generated as few tokens, or
+// ran in as many crashes. This happens if two nodes each run a suspect in isolation there.
 func (l *List) hasConcurrentSuspect(c Content, k crash) bool {
 	for other, e := range l.contents {
 		if other == c {
 			continue
 		}
 		for _, o := range e.crashes {
-			if o.isolated && (k.afterToken || !o.afterToken) && o.server == k.server && o.at.Sub(k.at).Abs() < sameCrashWindow {
+			isAsLikely := k.afterToken || !o.afterToken || len(e.crashes) >= len(l.contents[c].crashes)
+			if o.isolated && isAsLikely && o.server == k.server && o.at.Sub(k.at).Abs() < sameCrashWindow {
 				return true
 			}
 		}
--- a/suspects/list_test.go
+++ b/suspects/list_test.go
@@ -84,3 +84,22 @@
 		t.Errorf("got %d contents, want at most %d", got, want)
 	}
 }
+
+// Guards against an innocent content that is refused for a day: it ran in isolation beside the
+// cause, whose response had begun, and had not begun its own.
+func TestSuspectBesideTheCauseIsRefusedBriefly(t *testing.T) {
+	var l List
+	cause, innocent := Content{1}, Content{2}
+	for i, s := range []domain.ServerID{"e1", "e2", "e3"} {
+		at, isLast := start.Add(time.Duration(i)*time.Second), i == 2
+		l.RecordCrash(at, cause, s, isLast, true)
+		l.RecordCrash(at, innocent, s, isLast, !isLast)
+	}
+	later := start.Add(2 * time.Second)
+	if got, remaining := l.Standing(later, innocent); got != Refused || remaining != RefusalAfterSharedCrash {
+		t.Errorf("innocent content: got %v for %v, want Refused for %v", got, remaining, RefusalAfterSharedCrash)
+	}
+	if got, _ := l.Standing(later, cause); got != Refused {
+		t.Errorf("cause: got %v, want Refused", got)
+	}
+}
