Keep refused traits in the platform's store

A node that started while no owner was there to tell it, such as an owner that was killed, or all nodes at once, knew of no refusal: it sent requests with a bad part to servers until it had seen three crashes itself.

The owner saves refusals in a keyed topic of the store, one call for what changed, and removes them when they are cleared. A node reads them once when it starts and is ready after the first attempt; without the store it is ready, and tries again.

--- a/commands/front.go
+++ b/commands/front.go
@@ -130,6 +130,7 @@
 		Feed:                  &platform.Feed{Store: store, Logger: logger},
 		Group:                 &platform.Group{Store: store, Member: name},
 		Engines:               backend,
+		TraitLog:              &platform.TraitLog{Store: store},
 		Uptime:                platform.Uptime{},
 		Dialer:                platform.Dialer(time.Second),
 		HubAddress:            hubAddress,
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -36,8 +36,14 @@
 		n.traitReport.Append(r)
 	}
 	n.triggerPlan()
+	signal(n.traitsReported)
+	signal(n.traitsChanged)
+}
+
+// signal sends a value on a channel unless one is waiting there.
+func signal(c chan<- struct{}) {
 	select {
-	case n.traitsReported <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
--- a/entry/node.go
+++ b/entry/node.go
@@ -85,6 +85,8 @@
 	Group   Group
 	Engines Engines
 	Uptime  Uptime
+	// TraitLog may be nil.
+	TraitLog TraitLog
 	// Dialer opens the connections to the owner's hub.
 	Dialer *net.Dialer
 	// HubAddress extracts the address of a node's hub from the node's name.
@@ -181,6 +183,10 @@
 	// value when something was added.
 	traitReport    suspects.TraitReport
 	traitsReported chan struct{}
+	// traitsChanged gets a value when refused traits may have to be saved. traitsLoaded is set
+	// after the first attempt to read them.
+	traitsChanged chan struct{}
+	traitsLoaded  bool
 	// staleServers are the servers that lack a model or adapter listed in their
 	// cached engine state. The next report passes them to the owner.
 	staleServers []domain.ServerID
@@ -198,7 +204,7 @@
 
 // New returns a node that is idle until Run.
 func New(o Options) *Node {
-	n := &Node{Options: o, planTrigger: make(chan struct{}, 1), traitsReported: make(chan struct{}, 1), storeRecovered: make(chan struct{}), failedCalls: map[string]bool{}}
+	n := &Node{Options: o, planTrigger: make(chan struct{}, 1), traitsReported: make(chan struct{}, 1), traitsChanged: make(chan struct{}, 1), storeRecovered: make(chan struct{}), failedCalls: map[string]bool{}}
 	n.Notices.DrainBound = o.DrainBound
 	n.storeUpdates.changed = make(chan struct{})
 	n.lease.Shard = ownedShard
@@ -213,7 +219,7 @@
 // Run runs the node's loops until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	for _, loop := range []func(context.Context){n.followConfiguration, n.followServers, n.renewMembership, n.runOwner, n.maintainLink} {
+	for _, loop := range []func(context.Context){n.followConfiguration, n.followServers, n.renewMembership, n.runOwner, n.maintainLink, n.loadTraits, n.saveTraits} {
 		g.Go(func() error {
 			loop(ctx)
 			return nil
@@ -226,7 +232,7 @@
 func (n *Node) IsReady() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.config != nil && n.serversSeen && !n.draining
+	return n.config != nil && n.serversSeen && !n.draining && (n.traitsLoaded || n.TraitLog == nil)
 }
 
 // IsConfigurationBehind reports whether the owner has announced a configuration that this
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -220,6 +220,7 @@
 	n.Logger.Info().Str("Event", "OwnershipBegun").Uint64("Fence", uint64(fence)).Msg("this node owns the model engines")
 	n.ownedSince = now
 	n.planner.BeginTerm(now)
+	signal(n.traitsChanged)
 	n.planner.RecordDemand(now, n.Name, n.Demand.TakeAll(now))
 }
 
--- a/entry/traits_test.go
+++ b/entry/traits_test.go
@@ -7,10 +7,14 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/hub"
+	"github.com/parsleylug/parsleylug/lease"
 	"github.com/parsleylug/parsleylug/suspects"
 )
 
@@ -42,6 +46,13 @@
 	return r
 }
 
+func (s *traitStore) recordCompletion() suspects.TraitReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, _ := s.traits.RecordCompletion(time.Now(), []suspects.Trait{testTrait})
+	return r
+}
+
 func (s *traitStore) isRefused() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -128,3 +139,130 @@
 		t.Errorf("reports on traits: got %d, want %d at most", got, want)
 	}
 }
+
+// traitLog is a TraitLog for tests. It is safe for concurrent use.
+type traitLog struct {
+	mu      sync.Mutex
+	failing bool
+	refused map[suspects.Trait]suspects.TraitRefusal
+	saves   int
+}
+
+func (l *traitLog) Load(context.Context) ([]suspects.TraitRefusal, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.failing {
+		return nil, errStore
+	}
+	var list []suspects.TraitRefusal
+	for _, r := range l.refused {
+		list = append(list, r)
+	}
+	return list, nil
+}
+
+func (l *traitLog) Save(_ context.Context, refused []suspects.TraitRefusal, ended []suspects.Trait) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.failing {
+		return errStore
+	}
+	l.saves++
+	if l.refused == nil {
+		l.refused = map[suspects.Trait]suspects.TraitRefusal{}
+	}
+	for _, r := range refused {
+		l.refused[r.Trait] = r
+	}
+	for _, t := range ended {
+		delete(l.refused, t)
+	}
+	return nil
+}
+
+func (l *traitLog) setFailing(failing bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failing = failing
+}
+
+// state returns whether testTrait is saved as refused, and the number of saves.
+func (l *traitLog) state() (refused bool, saves int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.refused[testTrait].Number > 0, l.saves
+}
+
+// newOwner returns a node that becomes the owner of the engine of a platform when it runs.
+func newOwner(p *fakePlatform, l TraitLog, traits Traits) *Node {
+	p.shards, p.generation = []lease.Shard{ownedShard}, 4
+	n := New(Options{
+		Name: "n", Feed: p, Group: p, Engines: p, Uptime: &clock{start: time.Now()}, Logger: zerolog.Nop(), TraitLog: l,
+		RegistrationsInterval: 800 * time.Millisecond, TimeToLive: 2500 * time.Millisecond, FirstOrderDelay: 500 * time.Millisecond, ServersCheckFences: true,
+	})
+	n.Traits = traits
+	return n
+}
+
+// Guards against BUDGET: all nodes restart, or one starts while no node owns the engines, and
+// nobody can tell it which traits are refused. The owner saves them once, also after an outage
+// of the store, and removes those that are cleared.
+func TestOwnerSavesRefusedTraits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &fakePlatform{version: 1}
+		store, saved := &traitStore{}, &traitLog{}
+		n := newOwner(p, saved, store)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = n.Run(ctx) }()
+		time.Sleep(2 * time.Second)
+		saved.setFailing(true)
+		for _, id := range crashedServers {
+			n.ReportTraits(store.recordCrash(id))
+		}
+		time.Sleep(5 * time.Second)
+		if refused, _ := saved.state(); refused {
+			t.Error("got the trait saved while the store is away")
+		}
+		saved.setFailing(false)
+		time.Sleep(5 * time.Second)
+		if refused, saves := saved.state(); !refused || saves != 1 {
+			t.Errorf("got saved %v with %d calls, want true with 1", refused, saves)
+		}
+		n.ReportTraits(store.recordCompletion())
+		time.Sleep(5 * time.Second)
+		if refused, saves := saved.state(); refused || saves != 2 {
+			t.Errorf("after a completion: got saved %v with %d calls, want false with 2", refused, saves)
+		}
+		cancel()
+		time.Sleep(10 * time.Second)
+	})
+}
+
+// A node is not ready before it has tried to read the refused traits. Without the store it is
+// ready, and reads them once the store responds.
+func TestStartingNodeReadsRefusedTraits(t *testing.T) {
+	for _, failing := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			p := &fakePlatform{version: 1}
+			saved := &traitLog{failing: failing, refused: map[suspects.Trait]suspects.TraitRefusal{testTrait: {Trait: testTrait, Number: 1, Remaining: time.Hour}}}
+			store := &traitStore{}
+			n := newOwner(p, saved, store)
+			if n.IsReady() {
+				t.Error("got ready before the start")
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			go func() { _ = n.Run(ctx) }()
+			time.Sleep(time.Second)
+			if got, want := store.isRefused(), !failing; got != want || !n.IsReady() {
+				t.Errorf("after the start: got refused %v, ready %v, want %v, true", got, n.IsReady(), want)
+			}
+			saved.setFailing(false)
+			time.Sleep(5 * time.Second)
+			if !store.isRefused() {
+				t.Error("the node does not refuse the trait, want it refused")
+			}
+			cancel()
+			time.Sleep(10 * time.Second)
+		})
+	}
+}
