--- a/commands/lategrace_test.go
+++ b/commands/lategrace_test.go
@@ -123,6 +123,8 @@
 func (noCounters) CountRequest(fleet.Kind, dispatch.Outcome, time.Duration) {}
 func (noCounters) CountAttempt(string)                                      {}
 func (noCounters) CountKeptAway(fleet.Restriction)                          {}
+func (noCounters) CountCrash()                                              {}
+func (noCounters) CountTraitDecision(bool)                                  {}
 
 // stoppingNodeView returns a view with the routes /once/ (non-idempotent), /again/ (idempotent)
 // and /stream/ (resumable) to one backend server.
--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -170,6 +170,7 @@
 		contents = append(contents, d.crashes.contents.RecordCrash(now, r.content, id, false, r.afterToken))
 	}
 	d.crashes.mu.Unlock()
+	d.CountCrash()
 	d.logCrash(id, requests, contents)
 	d.logDecisions(decisions)
 	d.reportTraits(report)
@@ -207,6 +208,7 @@
 // that wait for a server, since they may be refused now.
 func (d *Dispatcher) logDecisions(decisions []suspects.Decision) {
 	for _, c := range decisions {
+		d.CountTraitDecision(c.Refused)
 		trait := fmt.Sprintf("%x", c.Trait)
 		if !c.Refused {
 			d.Logger.Info().Str("Event", "TraitCleared").Str("Trait", trait).Msg("requests with the trait are served again, because one has completed")
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -105,6 +105,10 @@
 	// CountKeptAway counts a request that was kept away from a server by a restriction; at
 	// most once for each request and restriction.
 	CountKeptAway(r fleet.Restriction)
+	// CountCrash counts the crash of a server that ran requests of this node.
+	CountCrash()
+	// CountTraitDecision counts a trait that is refused from now on, or no longer.
+	CountTraitDecision(refused bool)
 }
 
 // Dispatcher handles the requests that one node receives. Create it with New. It is safe
--- a/dispatch/session_test.go
+++ b/dispatch/session_test.go
@@ -142,6 +142,8 @@
 func (noCounters) CountRequest(fleet.Kind, Outcome, time.Duration) {}
 func (noCounters) CountAttempt(string)                             {}
 func (noCounters) CountKeptAway(fleet.Restriction)                 {}
+func (noCounters) CountCrash()                                     {}
+func (noCounters) CountTraitDecision(bool)                         {}
 
 // newTestDispatcher returns a dispatcher with two plain servers and two engines. Both
 // engines have the model "m" loaded.
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -57,6 +57,14 @@
 	m.scope.Tagged(map[string]string{"restriction": r.String()}).Counter("requests_kept_away").Inc(1)
 }
 
+// CountCrash implements dispatch.Counters.
+func (m *Metrics) CountCrash() { m.scope.Counter("server_crashes").Inc(1) }
+
+// CountTraitDecision implements dispatch.Counters.
+func (m *Metrics) CountTraitDecision(refused bool) {
+	m.scope.Tagged(map[string]string{"refused": strconv.FormatBool(refused)}).Counter("trait_decisions").Inc(1)
+}
+
 // CountRejected implements platform.FrontCounters.
 func (m *Metrics) CountRejected(reason verdict.Reason) {
 	m.scope.Tagged(map[string]string{"reason": reason.String()}).Counter("requests_rejected").Inc(1)
