Report that a suspected trait completes

A node that completed a request with a trait that had been on crashed servers, but was not refused, told nobody, because it looked whether the trait was suspected after it had cleared it. Nodes without such requests went on counting crashes against a sound part.

--- a/suspects/traits.go
+++ b/suspects/traits.go
@@ -205,17 +205,18 @@
 	var r TraitReport
 	var decisions []Decision
 	for _, t := range traits {
+		isSuspected := s.isSuspected(t)
 		decisions = append(decisions, s.addCompletion(now, t)...)
-		if s.isSuspected(t) || len(decisions) > 0 {
+		if isSuspected {
 			s.reportCompletion(now, t, &r)
 		}
 	}
 	return r, decisions
 }
 
-// isSuspected reports whether a recent crash counts against a trait.
+// isSuspected reports whether a trait is refused or a recent crash counts against it.
 func (s *Traits) isSuspected(t Trait) bool {
-	return slices.ContainsFunc(s.crashes, func(k traitCrash) bool { return k.has(t) })
+	return s.refusals[t] != nil || slices.ContainsFunc(s.crashes, func(k traitCrash) bool { return k.has(t) })
 }
 
 // reportCompletion adds the latest completion of a trait to a report, unless the node has
--- a/suspects/traits_test.go
+++ b/suspects/traits_test.go
@@ -64,6 +64,23 @@
 	}
 }
 
+// Guards against LOST: only the node that completed a request knew that its trait is sound, and the
+// others counted later crashes on.
+func TestCompletionOfASuspectedTraitIsReported(t *testing.T) {
+	var s, other Traits
+	r, _ := s.RecordCrash(start, "a", []Trait{sharedTrait})
+	other.Apply(start, r)
+	completed, _ := s.RecordCompletion(start.Add(time.Second), []Trait{sharedTrait, otherTrait})
+	if got := completed.Completions; len(got) != 1 || got[0].Trait != sharedTrait {
+		t.Errorf("reported completions: got %+v, want the one of the suspected trait", got)
+	}
+	other.Apply(start.Add(time.Second), completed)
+	now := crashServers(&other, start.Add(time.Second), traitCrashLimitOverall, sharedTrait)
+	if isRefused(&other, now, sharedTrait) {
+		t.Error("got the trait refused at another node shortly after the report")
+	}
+}
+
 func TestTwoBadTraitsAtOnceAreBothRefused(t *testing.T) {
 	var s Traits
 	now := start
