--- a/entry/traitlog.go
+++ b/entry/traitlog.go
@@ -61,11 +61,13 @@
 	}
 }
 
-// mayOrder reports whether this node is the owner and may issue orders.
+// mayOrder reports whether this node is the owner and may issue orders. A node that was paused
+// asks the lease, which may have run out meanwhile.
 func (n *Node) mayOrder() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.fence != 0
+	_, valid := n.lease.Fence(n.Uptime.Now())
+	return valid
 }
 
 // saveChangedTraits saves what differs from what this node has saved, which is the number of
--- a/entry/traits_test.go
+++ b/entry/traits_test.go
@@ -266,3 +266,29 @@
 		})
 	}
 }
+
+// Guards against a permission that has run out: an owner that was suspended for longer than its
+// lease saves nothing.
+func TestSuspendedOwnerSavesNoTraits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &fakePlatform{version: 1}
+		store, saved := &traitStore{}, &traitLog{}
+		n := newOwner(p, saved, store)
+		n.lease.ServersCheckFences = false
+		c := n.Uptime.(*clock)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = n.Run(ctx) }()
+		time.Sleep(2 * time.Second)
+		p.update(func() { p.failing = true })
+		c.suspended += time.Minute
+		for _, id := range crashedServers {
+			n.ReportTraits(store.recordCrash(id))
+		}
+		time.Sleep(100 * time.Millisecond)
+		if _, saves := saved.state(); saves != 0 {
+			t.Errorf("got %d saves after the suspension, want none", saves)
+		}
+		cancel()
+		time.Sleep(10 * time.Second)
+	})
+}
