--- a/entry/notice_test.go
+++ b/entry/notice_test.go
@@ -70,36 +70,52 @@
 	})
 }
 
-// A report lists each leaving server once for each link, and the first report all of them.
-func TestReportsListLeavingServers(t *testing.T) {
+// startReportHub starts the hub of an owner, and returns its address and the reports that it
+// receives.
+func startReportHub(t *testing.T) (string, <-chan hub.Report) {
+	t.Helper()
 	reports := make(chan hub.Report, 9)
 	h := &hub.Hub{OnReport: func(r hub.Report) { reports <- r }, AcceptsLinks: func() bool { return true }, InitialUpdate: func() hub.Update { return hub.Update{} }}
 	s := httptest.NewServer(h)
-	defer s.Close()
-	defer h.Close()
+	t.Cleanup(s.Close)
+	t.Cleanup(h.Close)
+	return strings.TrimPrefix(s.URL, "http://"), reports
+}
+
+// withLink calls f while a node sends its reports over a new link to the hub at an address.
+func withLink(t *testing.T, n *Node, address string, f func()) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	l, err := hub.Dial(ctx, &net.Dialer{}, address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.sendReports(ctx, l)
+	}()
+	f()
+	cancel()
+	<-done
+}
+
+// A report lists each leaving server once for each link, and the first report all of them.
+func TestReportsListLeavingServers(t *testing.T) {
+	address, reports := startReportHub(t)
 	n := New(Options{Name: "n"})
 	n.RecordNotice(leavingIncarnation, fleet.FromRequest, fleet.Notice{Leaving: true})
 	for range 2 {
-		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
-		l, err := hub.Dial(ctx, &net.Dialer{}, strings.TrimPrefix(s.URL, "http://"))
-		if err != nil {
-			t.Fatal(err)
-		}
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			n.sendReports(ctx, l)
-		}()
-		first := <-reports
-		if len(first.LeavingServers) != 1 || first.LeavingServers[0].Incarnation != leavingIncarnation {
-			t.Errorf("first report: got %+v, want the leaving server", first.LeavingServers)
-		}
-		if second := <-reports; len(second.LeavingServers) != 0 {
-			t.Errorf("second report: got %+v, want none", second.LeavingServers)
-		}
-		cancel()
-		<-done
-		l.Close()
+		withLink(t, n, address, func() {
+			first := <-reports
+			if len(first.LeavingServers) != 1 || first.LeavingServers[0].Incarnation != leavingIncarnation {
+				t.Errorf("first report: got %+v, want the leaving server", first.LeavingServers)
+			}
+			if second := <-reports; len(second.LeavingServers) != 0 {
+				t.Errorf("second report: got %+v, want none", second.LeavingServers)
+			}
+		})
 	}
 }
 
--- a/entry/traits_test.go
+++ b/entry/traits_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"net/http/httptest"
-	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -88,11 +85,7 @@
 // Guards against BUDGET: a new owner knows of no refusal. The first report over each link has
 // all that its node knows, and a crash is reported before the next regular report.
 func TestReportsTellOfTraits(t *testing.T) {
-	reports := make(chan hub.Report, 9)
-	h := &hub.Hub{OnReport: func(r hub.Report) { reports <- r }, AcceptsLinks: func() bool { return true }, InitialUpdate: func() hub.Update { return hub.Update{} }}
-	s := httptest.NewServer(h)
-	defer s.Close()
-	defer h.Close()
+	address, reports := startReportHub(t)
 	store := &traitStore{}
 	for _, id := range crashedServers {
 		store.recordCrash(id)
@@ -100,28 +93,17 @@
 	n := New(Options{Name: "n"})
 	n.Traits = store
 	for _, id := range []domain.ServerID{"d", "e"} {
-		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
-		l, err := hub.Dial(ctx, &net.Dialer{}, strings.TrimPrefix(s.URL, "http://"))
-		if err != nil {
-			t.Fatal(err)
-		}
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			n.sendReports(ctx, l)
-		}()
-		owner := &traitStore{}
-		owner.ApplyTraitReport((<-reports).Traits)
-		if !owner.isRefused() {
-			t.Error("the owner does not refuse the trait after the first report, want it refused")
-		}
-		n.ReportTraits(store.recordCrash(id))
-		if got := (<-reports).Traits.Crashes; len(got) != 1 || got[0].Server != id {
-			t.Errorf("second report: got crashes %+v, want the one of %s", got, id)
-		}
-		cancel()
-		<-done
-		l.Close()
+		withLink(t, n, address, func() {
+			owner := &traitStore{}
+			owner.ApplyTraitReport((<-reports).Traits)
+			if !owner.isRefused() {
+				t.Error("the owner does not refuse the trait after the first report, want it refused")
+			}
+			n.ReportTraits(store.recordCrash(id))
+			if got := (<-reports).Traits.Crashes; len(got) != 1 || got[0].Server != id {
+				t.Errorf("second report: got crashes %+v, want the one of %s", got, id)
+			}
+		})
 	}
 }
 
--- a/suspects/traits.go
+++ b/suspects/traits.go
@@ -1,8 +1,6 @@
 package suspects
 
 import (
-	"cmp"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -24,7 +22,7 @@
 	traitCrashLimitOverall = 5
 )
 
-// Times of evidence and refusals.
+// Times of evidence.
 const (
 	// completionLifetime is how long a completed request exempts its traits from crashes.
 	// While servers crash, no request may be completed for a time.
@@ -34,14 +32,6 @@
 	// completionReportInterval is the least time between two reports that requests with a
 	// trait complete.
 	completionReportInterval = time.Second
-	// firstTraitRefusal is the length of the first refusal of a trait. Each further one is
-	// twice as long, up to longestTraitRefusal. Each node adds a random time up to the same
-	// length, so that not all nodes admit a request at the end of a refusal.
-	firstTraitRefusal   = 10 * time.Minute
-	longestTraitRefusal = 24 * time.Hour
-	// probeInterval is the least time between two requests with a trait that a node admits
-	// after a refusal, until one of them has completed.
-	probeInterval = time.Minute
 	// snapshotCrashAge is the age up to which crashes are part of a snapshot.
 	snapshotCrashAge = time.Minute
 )
@@ -54,51 +44,6 @@
 	maximumTraitCompletions = 8192
 )
 
-// TraitReport is the message in which a node tells the other nodes which traits it saw at
-// crashes, in completed requests and in refusals.
-type TraitReport struct {
-	Crashes     []TraitCrash
-	Completions []TraitCompletion
-	Refusals    []TraitRefusal
-}
-
-// TraitCrash is a crash of a server, with the traits of the requests that ran there.
-type TraitCrash struct {
-	Server domain.ServerID
-	// Age is the time since the crash.
-	Age    time.Duration
-	Traits []Trait
-}
-
-// TraitCompletion says that a request with a trait ran to completion.
-type TraitCompletion struct {
-	Trait Trait
-	// Age is the time since the completion.
-	Age time.Duration
-}
-
-// TraitRefusal says that requests with a trait are refused.
-type TraitRefusal struct {
-	Trait Trait
-	// Number is the number of refusals of the trait so far, from 1.
-	Number int
-	// Remaining is the time until the refusal ends.
-	Remaining time.Duration
-}
-
-// Len returns the number of entries of a report.
-func (r *TraitReport) Len() int { return len(r.Crashes) + len(r.Completions) + len(r.Refusals) }
-
-// IsEmpty reports whether a report says nothing.
-func (r *TraitReport) IsEmpty() bool { return r.Len() == 0 }
-
-// Append adds the contents of another report.
-func (r *TraitReport) Append(o TraitReport) {
-	r.Crashes = append(r.Crashes, o.Crashes...)
-	r.Completions = append(r.Completions, o.Completions...)
-	r.Refusals = append(r.Refusals, o.Refusals...)
-}
-
 // Traits decides which traits crash servers. A trait that crashes servers was in a request
 // on each server that it crashed, and no request with it runs to completion. Requests with
 // such a trait are refused. The zero Traits is empty. It is not safe for concurrent use.
@@ -125,16 +70,6 @@
 	return ok
 }
 
-// traitRefusal is the refusal of one trait.
-type traitRefusal struct {
-	// number counts the refusals of the trait, from 1.
-	number int
-	// begunAt is when the refusal began and until when it ends.
-	begunAt, until time.Time
-	// probedAt is when a request with the trait was last admitted after the refusal.
-	probedAt time.Time
-}
-
 // Decision is a change of what is refused, for the log.
 type Decision struct {
 	Trait   Trait
@@ -146,43 +81,6 @@
 	Length time.Duration
 }
 
-// Refused returns the first of the traits that is refused now, and for how long. It returns
-// false if none is.
-func (s *Traits) Refused(now time.Time, traits []Trait) (Trait, time.Duration, bool) {
-	if len(s.refusals) == 0 {
-		return 0, 0, false
-	}
-	for _, t := range traits {
-		if r := s.refusals[t]; r != nil && now.Before(r.admitsAt()) {
-			return t, r.admitsAt().Sub(now), true
-		}
-	}
-	return 0, 0, false
-}
-
-// admitsAt is when the next request with the trait may run.
-func (r *traitRefusal) admitsAt() time.Time {
-	if probed := r.probedAt.Add(probeInterval); !r.probedAt.IsZero() && probed.After(r.until) {
-		return probed
-	}
-	return r.until
-}
-
-// Admit is Refused for a request that is about to be sent to a server. If the refusal of a
-// trait has ended, it admits one request every probeInterval.
-func (s *Traits) Admit(now time.Time, traits []Trait) (Trait, time.Duration, bool) {
-	t, remaining, refused := s.Refused(now, traits)
-	if refused || len(s.refusals) == 0 {
-		return t, remaining, refused
-	}
-	for _, t := range traits {
-		if r := s.refusals[t]; r != nil {
-			r.probedAt = now
-		}
-	}
-	return 0, 0, false
-}
-
 // IsExplained reports whether a refused trait was on a server that crashed at a time, so that
 // nothing else needs to be the cause.
 func (s *Traits) IsExplained(server domain.ServerID, at time.Time) bool {
@@ -384,118 +282,11 @@
 	return servers
 }
 
-// refuse starts a refusal of a trait and returns its length at this node.
-func (s *Traits) refuse(now time.Time, t Trait, number int) time.Duration {
-	length := refusalLength(number)
-	length += rand.N(length)
-	s.setRefusal(t, &traitRefusal{number: number, begunAt: now, until: now.Add(length)})
-	return length
-}
-
-func (s *Traits) setRefusal(t Trait, r *traitRefusal) {
-	if s.refusals == nil {
-		s.refusals = map[Trait]*traitRefusal{}
-	}
-	makeRoom(s.refusals, maximumTraitRecords)
-	s.refusals[t] = r
-}
-
-// refusalLength returns the least length of the refusal with a number.
-func refusalLength(number int) time.Duration {
-	length := firstTraitRefusal
-	for ; number > 1 && length < longestTraitRefusal; number-- {
-		length *= 2
-	}
-	return min(length, longestTraitRefusal)
-}
-
-// renewRefusals refuses the traits again that crashed a server after they were admitted at the
-// end of a refusal, at this or at another node.
-func (s *Traits) renewRefusals(now, crashedAt time.Time, traits []Trait) []Decision {
-	var decisions []Decision
-	for _, t := range traits {
-		r := s.refusals[t]
-		if r == nil || crashedAt.Sub(r.begunAt) < refusalLength(r.number)/2 {
-			continue
-		}
-		length := s.refuse(now, t, r.number+1)
-		decisions = append(decisions, Decision{Trait: t, Refused: true, Length: length})
-	}
-	return decisions
-}
-
 // removeExpired removes the crashes that are too old to count.
 func (s *Traits) removeExpired(now time.Time) {
 	s.crashes = slices.DeleteFunc(s.crashes, func(k traitCrash) bool { return now.Sub(k.at) >= crashLifetime })
 }
 
-// Apply applies the report of another node. It returns what was new in it, and what this node
-// knows that contradicts it.
-func (s *Traits) Apply(now time.Time, r TraitReport) (news, answer TraitReport, decisions []Decision) {
-	for _, c := range r.Completions {
-		at := now.Add(-c.Age)
-		if at.Sub(s.completions[c.Trait]) < completionReportInterval {
-			continue
-		}
-		decisions = append(decisions, s.addCompletion(at, c.Trait)...)
-		news.Completions = append(news.Completions, c)
-	}
-	for _, c := range r.Crashes {
-		at := now.Add(-c.Age)
-		s.answerExempt(now, at, c.Traits, &answer)
-		if added, isNew := s.addCrash(at, c.Server, c.Traits); isNew || len(added) > 0 {
-			news.Crashes = append(news.Crashes, TraitCrash{Server: c.Server, Age: c.Age, Traits: added})
-			decisions = append(decisions, s.renewRefusals(now, at, added)...)
-		}
-	}
-	for _, c := range r.Refusals {
-		s.answerExempt(now, now, []Trait{c.Trait}, &answer)
-		if s.applyRefusal(now, c) {
-			news.Refusals = append(news.Refusals, c)
-			decisions = append(decisions, Decision{Trait: c.Trait, Refused: true, Length: c.Remaining})
-		}
-	}
-	return news, answer, append(decisions, s.decide(now)...)
-}
-
-// answerExempt adds the completions that exempt traits from a crash at a time to a report.
-func (s *Traits) answerExempt(now, crashedAt time.Time, traits []Trait, answer *TraitReport) {
-	for _, t := range traits {
-		if s.isExempt(t, crashedAt) {
-			s.reportCompletion(now, t, answer)
-		}
-	}
-}
-
-// applyRefusal applies the refusal of a trait by another node, unless the trait is exempt or
-// as many refusals of it are known. It reports whether it did.
-func (s *Traits) applyRefusal(now time.Time, c TraitRefusal) bool {
-	r := s.refusals[c.Trait]
-	if s.isExempt(c.Trait, now) || c.Number < 1 || c.Remaining <= 0 || r != nil && r.number >= c.Number {
-		return false
-	}
-	remaining := min(c.Remaining, 2*longestTraitRefusal)
-	s.setRefusal(c.Trait, &traitRefusal{number: c.Number, begunAt: now, until: now.Add(remaining)})
-	return true
-}
-
-// Snapshot returns the report for a node that may know nothing.
-func (s *Traits) Snapshot(now time.Time) TraitReport {
-	var r TraitReport
-	for _, k := range s.crashes {
-		if age := now.Sub(k.at); age < snapshotCrashAge {
-			r.Crashes = append(r.Crashes, TraitCrash{Server: k.server, Age: max(0, age), Traits: slices.Clone(k.traits)})
-		}
-	}
-	for t, f := range s.refusals {
-		if remaining := f.until.Sub(now); remaining > 0 {
-			r.Refusals = append(r.Refusals, TraitRefusal{Trait: t, Number: f.number, Remaining: remaining})
-		}
-	}
-	slices.SortFunc(r.Refusals, func(a, b TraitRefusal) int { return cmp.Compare(a.Trait, b.Trait) })
-	return r
-}
-
 // makeRoom removes an entry of a map that has reached its largest size.
 func makeRoom[K comparable, V any](m map[K]V, size int) {
 	if len(m) < size {
