Keep unused chunks within the size of their pool

The chunks that a pool keeps for further use came on top of its size, so that responses without end took 93 to 114 MB at times, beside other work on the machine (wanted 92, half of the smallest machine). Now what is used and kept together is bounded, chunks are offered after their buffer has returned its share, and a kind of message may take 6 % of the machine instead of 9 %.

--- a/buffers/pool.go
+++ b/buffers/pool.go
@@ -18,7 +18,7 @@
 
 const (
 	// DefaultSize is the size of a Pool without one.
-	DefaultSize = 16 * domain.Mebibyte
+	DefaultSize = 12 * domain.Mebibyte
 	// FreeSize is the size up to which a Buffer takes nothing from its Pool, so that short
 	// messages are read however full the Pool is.
 	FreeSize = 64 * domain.Kibibyte
@@ -51,7 +51,7 @@
 	released chan struct{}
 	// filling are the buffers that may be given up.
 	filling map[*Buffer]bool
-	// unused are chunks for further use, at most as many as Size holds.
+	// unused are chunks for further use, as many as Size holds beside what is used.
 	unused [][]byte
 }
 
@@ -183,17 +183,22 @@
 	for _, chunk := range b.chunks {
 		b.data = append(b.data, chunk...)
 	}
+	if err := b.Reserve(size); err != nil {
+		return err
+	}
+	b.pool.mu.Lock()
+	defer b.pool.mu.Unlock()
 	b.returnChunks()
-	return b.Reserve(size)
+	return nil
 }
 
-// returnChunks gives the chunks back to the pool.
+// returnChunks gives the chunks back to the pool, which keeps as many as it has room for. The
+// caller holds the mutex of the pool.
 func (b *Buffer) returnChunks() {
-	b.pool.mu.Lock()
-	defer b.pool.mu.Unlock()
+	p := b.pool
 	for _, chunk := range b.chunks {
-		if domain.Bytes(len(b.pool.unused))*chunkSize < b.pool.size() {
-			b.pool.unused = append(b.pool.unused, chunk[:0])
+		if p.used+domain.Bytes(len(p.unused)+1)*chunkSize <= p.size() {
+			p.unused = append(p.unused, chunk[:0])
 		}
 	}
 	b.chunks = nil
@@ -307,7 +312,6 @@
 
 // Release returns what the buffer has taken to the pool. Further calls do nothing.
 func (b *Buffer) Release() {
-	b.returnChunks()
 	p := b.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -317,6 +321,7 @@
 	}
 	p.announceRelease(-b.reserved)
 	b.reserved = 0
+	b.returnChunks()
 	delete(p.filling, b)
 	b.data = nil
 }
--- a/commands/front.go
+++ b/commands/front.go
@@ -31,7 +31,7 @@
 	memoryLimitShare = 0.7
 	// messageMemoryShare is the fraction of the VM's memory that each kind of message may take
 	// that is held whole: requests, responses, and events with the reports of servers.
-	messageMemoryShare = 0.09
+	messageMemoryShare = 0.06
 	// registrationReadsPerDrain is the number of reads of the registrations within the
 	// drain bound, the time after which a draining backend server must receive no more
 	// requests.
