Drop the oldest traits first when their tables are full

Callers saw: sound requests refused for 10 to 20 minutes on a node that knew 8,192 completed traits, if their shared part was on servers that a bad part crashed.

Cause: a full table dropped any entry, also one that had just been written, so that a trait that had completed a moment before was not exempt from the next crashes.

--- a/suspects/traitrefusal.go
+++ b/suspects/traitrefusal.go
@@ -76,7 +76,7 @@
 	if s.refusals == nil {
 		s.refusals = map[Trait]*traitRefusal{}
 	}
-	makeRoom(s.refusals, maximumTraitRecords)
+	makeRoom(s.refusals, maximumTraitRecords, func(r *traitRefusal) time.Time { return r.until })
 	s.refusals[t] = r
 }
 
--- a/suspects/traits.go
+++ b/suspects/traits.go
@@ -126,7 +126,7 @@
 	if s.reportedAt == nil {
 		s.reportedAt = map[Trait]time.Time{}
 	}
-	makeRoom(s.reportedAt, maximumTraitRecords)
+	makeRoom(s.reportedAt, maximumTraitRecords, timeItself)
 	s.reportedAt[t] = now
 	r.Completions = append(r.Completions, TraitCompletion{Trait: t, Age: now.Sub(s.completions[t])})
 }
@@ -140,7 +140,7 @@
 	if !at.After(s.completions[t]) {
 		return nil
 	}
-	makeRoom(s.completions, maximumTraitCompletions)
+	makeRoom(s.completions, maximumTraitCompletions, timeItself)
 	s.completions[t] = at
 	for i := range s.crashes {
 		k := &s.crashes[i]
@@ -286,14 +286,3 @@
 func (s *Traits) removeExpired(now time.Time) {
 	s.crashes = slices.DeleteFunc(s.crashes, func(k traitCrash) bool { return now.Sub(k.at) >= crashLifetime })
 }
-
-// makeRoom removes an entry of a map that has reached its largest size.
-func makeRoom[K comparable, V any](m map[K]V, size int) {
-	if len(m) < size {
-		return
-	}
-	for k := range m {
-		delete(m, k)
-		return
-	}
-}
