Tell comments of a stream from its events

Callers saw: streams cut at their deadline, or in the middle, though another server could have gone on.

Cause: comments and empty lines passed as events without an ID. A server that had stalled and sent a comment now and then was never silent, so that no attempt was started beside it; and in the rest of a stream, where each event needs an ID, one comment of a sound server broke the stream and counted as a failure of the server.

Evidence: on the old logic TestCommentsDoNotEndTheSilenceOfAServer got Broken with "" and "1" after one attempt, TestCommentsInAResumedStreamAreSkipped Broken with "1", TestStreamBeginsAnewAfterComments Broken with ":". All pass now.

Comments are still forwarded, but leave the silence timer and the position in the stream as they are; those of a resumed stream are dropped, as they are no part of it. A silent server keeps its attempt until another one has an event, so a sound server that only sends comments for a while loses nothing (TestCommentsAreForwarded).

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -74,7 +74,7 @@
 	if s.attempts == 1 {
 		s.firstStartedAt = now
 	}
-	a := &attempt{server: server, number: s.attempts, inputs: s.choiceInputs, startedAt: now, lastReceivedAt: now, position: s.order.start(s.headSent)}
+	a := &attempt{server: server, number: s.attempts, inputs: s.choiceInputs, startedAt: now, lastReceivedAt: now, position: s.order.start(!s.responseStartedAt.IsZero())}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	s.running = append(s.running, a)
 	s.latestServer = server.ID
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -113,6 +113,9 @@
 type Event struct {
 	ID  EventID
 	Raw []byte
+	// IsComment is true if there are only comments or nothing before the empty line. Such
+	// bytes keep a connection open and are no part of the stream.
+	IsComment bool
 }
 
 // Events reads the events of a stream. Next returns io.EOF at the end of a complete
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -11,6 +11,9 @@
 // handleEvent forwards an event, unless the caller has already received it, and ends the
 // other attempts.
 func (s *session) handleEvent(a *attempt, event Event) (Outcome, *verdict.Error, bool) {
+	if event.IsComment {
+		return s.handleComment(a, event.Raw)
+	}
 	a.lastReceivedAt = time.Now()
 	a.events++
 	isNew, err := s.order.accept(&a.position, event.ID)
@@ -30,6 +33,19 @@
 	return 0, nil, false
 }
 
+// handleComment forwards comments, which some servers send while they have no event. They do not
+// end the silence of the server: it may have stalled. Those of a stream that resumes another one,
+// or that runs beside another one without an event so far, are dropped.
+func (s *session) handleComment(a *attempt, raw []byte) (Outcome, *verdict.Error, bool) {
+	if a.position.isResuming || len(s.running) > 1 && !s.headSent {
+		return 0, nil, false
+	}
+	if err := s.write(a, raw); err != nil {
+		return Left, verdict.UnknownOutcome(verdict.Unknown, "the caller has left", err), true
+	}
+	return 0, nil, false
+}
+
 // handleStreamEnd ends the response if the stream is complete.
 func (s *session) handleStreamEnd(a *attempt, err error) (Outcome, *verdict.Error, bool) {
 	if stderrors.Is(err, io.EOF) {
@@ -62,22 +78,29 @@
 	return Served, nil, true
 }
 
-// forward sends part of a stream to the caller. If the head was not sent yet, forward
-// sends it first. Nil bytes end the stream.
+// forward sends an event to the caller, and the head first if it was not sent yet. Nil bytes end
+// the stream.
 func (s *session) forward(a *attempt, raw []byte) error {
 	now := time.Now()
-	if !s.headSent {
-		s.headSent = true
+	if s.responseStartedAt.IsZero() {
 		s.responseStartedAt = now
-		if err := s.caller.StartStream(a.response); err != nil {
-			return err
-		}
 	}
 	if !s.lastWriteAt.IsZero() {
 		s.longestGap = max(s.longestGap, now.Sub(s.lastWriteAt))
 	}
 	s.lastWriteAt = now
 	s.countIfLate(now, a)
+	return s.write(a, raw)
+}
+
+// write writes part of a stream, after the head if that was not sent yet.
+func (s *session) write(a *attempt, raw []byte) error {
+	if !s.headSent {
+		s.headSent = true
+		if err := s.caller.StartStream(a.response); err != nil {
+			return err
+		}
+	}
 	return s.caller.WriteEvent(raw)
 }
 
