Remove cleared traits that a former owner saved; bound the wait for them at start

Callers saw: requests with a sound part refused with 503 at nodes that start, for up to the length of the refusal, though the part had been cleared; and, where the store is very slow, a node that never became ready.

Cause: an owner removed from the store only what it had saved itself. A trait that completed under the next owner stayed there as refused. And a node waited for the first read of the traits without a bound: a store that sends a byte every second, or page after page, ends no call.

Evidence: before, TestNewOwnerRemovesTraitsThatAreCleared found the trait in the store 5 s after it had completed, and TestSlowTraitLogDoesNotHoldUpTheStart a node that was not ready after 6 s. Both pass now.

Each node notes the refusals that it has read or been told of as possibly in the store, and as the owner removes those that are refused no longer. It counts as ready after 3 s and goes on reading.

--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -32,6 +32,7 @@
 	if r.IsEmpty() {
 		return
 	}
+	n.notePossiblyStored(r.Refusals)
 	if n.traitReport.Len() < maximumPendingReports {
 		n.traitReport.Append(r)
 	}
@@ -72,6 +73,7 @@
 	if n.Traits == nil || r.IsEmpty() {
 		return
 	}
+	n.notePossiblyStored(r.Refusals)
 	news, answer := n.Traits.ApplyTraitReport(r)
 	if isOwner {
 		n.addTraitReport(news)
--- a/entry/node.go
+++ b/entry/node.go
@@ -184,9 +184,13 @@
 	traitReport    suspects.TraitReport
 	traitsReported chan struct{}
 	// traitsChanged gets a value when refused traits may have to be saved. traitsLoaded is set
-	// after the first attempt to read them.
+	// after the first attempt to read them, or after maximumTraitLoad.
 	traitsChanged chan struct{}
 	traitsLoaded  bool
+	// storedTraits holds the refused traits that are in the store as far as this node knows,
+	// with the number of their refusals there; 0 if it is unknown. At most
+	// maximumStoredTraits.
+	storedTraits map[suspects.Trait]int
 	// staleServers are the servers that lack a model or adapter listed in their
 	// cached engine state. The next report passes them to the owner.
 	staleServers []domain.ServerID
--- a/entry/traitlog.go
+++ b/entry/traitlog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/parsleylug/parsleylug/pause"
 	"github.com/parsleylug/parsleylug/suspects"
@@ -16,20 +17,29 @@
 	Save(ctx context.Context, refused []suspects.TraitRefusal, ended []suspects.Trait) error
 }
 
+const (
+	// maximumTraitLoad is how long a node that starts waits for the refused traits before it
+	// is ready.
+	maximumTraitLoad = 3 * time.Second
+	// maximumStoredTraits bounds the traits that a node knows to be in the store.
+	maximumStoredTraits = 4096
+)
+
 // loadTraits reads the refused traits when the node starts. The node is ready after the first
-// attempt; if that fails, the node learns of them later.
+// attempt, or after maximumTraitLoad; it then learns of them later.
 func (n *Node) loadTraits(ctx context.Context) {
 	if n.TraitLog == nil || n.Traits == nil {
 		return
 	}
+	timer := time.AfterFunc(maximumTraitLoad, n.endTraitLoad)
+	defer timer.Stop()
 	for ctx.Err() == nil {
 		refusals, err := n.TraitLog.Load(ctx)
 		if err == nil {
+			n.noteStored(refusals)
 			n.Traits.ApplyTraitReport(suspects.TraitReport{Refusals: refusals})
 		}
-		n.mu.Lock()
-		n.traitsLoaded = true
-		n.mu.Unlock()
+		n.endTraitLoad()
 		if err == nil {
 			return
 		}
@@ -38,12 +48,42 @@
 	}
 }
 
+// endTraitLoad records that the node need not wait for the refused traits any longer.
+func (n *Node) endTraitLoad() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.traitsLoaded = true
+}
+
+// noteStored records which refusals the store has.
+func (n *Node) noteStored(refusals []suspects.TraitRefusal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.notePossiblyStored(refusals)
+	for _, r := range refusals {
+		if _, ok := n.storedTraits[r.Trait]; ok {
+			n.storedTraits[r.Trait] = r.Number
+		}
+	}
+}
+
+// notePossiblyStored records refusals that the store may have. The caller holds mu.
+func (n *Node) notePossiblyStored(refusals []suspects.TraitRefusal) {
+	if n.storedTraits == nil {
+		n.storedTraits = map[suspects.Trait]int{}
+	}
+	for _, r := range refusals {
+		if _, ok := n.storedTraits[r.Trait]; !ok && len(n.storedTraits) < maximumStoredTraits {
+			n.storedTraits[r.Trait] = 0
+		}
+	}
+}
+
 // saveTraits saves the refused traits whenever they have changed, while this node is the owner.
 func (n *Node) saveTraits(ctx context.Context) {
 	if n.TraitLog == nil || n.Traits == nil {
 		return
 	}
-	saved := map[suspects.Trait]int{}
 	for {
 		select {
 		case <-ctx.Done():
@@ -51,7 +91,7 @@
 		case <-n.traitsChanged:
 		}
 		for ctx.Err() == nil && n.mayOrder() {
-			if err := n.saveChangedTraits(ctx, saved); err == nil {
+			if err := n.saveChangedTraits(ctx); err == nil {
 				break
 			}
 			n.pauseUntilRecovery(ctx, maximumRelinkInterval)
@@ -70,23 +110,11 @@
 	return valid
 }
 
-// saveChangedTraits saves what differs from what this node has saved, which is the number of
-// refusals of each trait.
-func (n *Node) saveChangedTraits(ctx context.Context, saved map[suspects.Trait]int) error {
-	var changed []suspects.TraitRefusal
-	refused := map[suspects.Trait]int{}
-	for _, r := range n.Traits.TraitSnapshot().Refusals {
-		refused[r.Trait] = r.Number
-		if saved[r.Trait] != r.Number {
-			changed = append(changed, r)
-		}
-	}
-	var ended []suspects.Trait
-	for t := range saved {
-		if refused[t] == 0 {
-			ended = append(ended, t)
-		}
-	}
+// saveChangedTraits saves what differs from what the store has as far as this node knows, and
+// removes what is refused no longer, also if a former owner has saved it.
+func (n *Node) saveChangedTraits(ctx context.Context) error {
+	refusals := n.Traits.TraitSnapshot().Refusals
+	changed, ended := n.traitChanges(refusals)
 	if len(changed) == 0 && len(ended) == 0 {
 		return nil
 	}
@@ -94,9 +122,31 @@
 		n.Logger.Info().Str("Event", "TraitsNotSaved").Int("Refused", len(changed)).Int("Ended", len(ended)).Err(err).Msg("failed to save the refused traits in the store")
 		return err
 	}
-	clear(saved)
-	for t, number := range refused {
-		saved[t] = number
+	n.mu.Lock()
+	for _, t := range ended {
+		delete(n.storedTraits, t)
 	}
+	n.mu.Unlock()
+	n.noteStored(changed)
 	return nil
 }
+
+// traitChanges returns the refusals that the store lacks or has with another number, and the
+// traits that it may have and that are refused no longer.
+func (n *Node) traitChanges(refusals []suspects.TraitRefusal) (changed []suspects.TraitRefusal, ended []suspects.Trait) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	refused := map[suspects.Trait]bool{}
+	for _, r := range refusals {
+		refused[r.Trait] = true
+		if n.storedTraits[r.Trait] != r.Number {
+			changed = append(changed, r)
+		}
+	}
+	for t := range n.storedTraits {
+		if !refused[t] {
+			ended = append(ended, t)
+		}
+	}
+	return changed, ended
+}
--- a/entry/traits_test.go
+++ b/entry/traits_test.go
@@ -126,11 +126,17 @@
 type traitLog struct {
 	mu      sync.Mutex
 	failing bool
+	// hangs makes Load block until its context ends.
+	hangs   bool
 	refused map[suspects.Trait]suspects.TraitRefusal
 	saves   int
 }
 
-func (l *traitLog) Load(context.Context) ([]suspects.TraitRefusal, error) {
+func (l *traitLog) Load(ctx context.Context) ([]suspects.TraitRefusal, error) {
+	if l.hangs {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.failing {
@@ -274,3 +280,43 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// Guards against a node that is never ready: a store that sends the refused traits a byte now and
+// then, or page after page, held up its start.
+func TestSlowTraitLogDoesNotHoldUpTheStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &fakePlatform{version: 1}
+		n := newOwner(p, &traitLog{hangs: true}, &traitStore{})
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = n.Run(ctx) }()
+		time.Sleep(maximumTraitLoad + time.Second)
+		if !n.IsReady() {
+			t.Error("got not ready, want ready without the refused traits")
+		}
+		cancel()
+		time.Sleep(10 * time.Second)
+	})
+}
+
+// Guards against DENIED: a trait that completes while a new owner is there stayed refused in the
+// store, where only its former owner would have removed it, and each node that started refused
+// sound requests with it.
+func TestNewOwnerRemovesTraitsThatAreCleared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &fakePlatform{version: 1}
+		saved := &traitLog{refused: map[suspects.Trait]suspects.TraitRefusal{testTrait: {Trait: testTrait, Number: 1, Remaining: time.Hour}}}
+		store := &traitStore{}
+		n := newOwner(p, saved, store)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = n.Run(ctx) }()
+		// The node has read the traits and is not the owner yet.
+		time.Sleep(100 * time.Millisecond)
+		n.ReportTraits(store.recordCompletion())
+		time.Sleep(5 * time.Second)
+		if refused, _ := saved.state(); refused {
+			t.Error("got the trait refused in the store after it has completed, want it removed")
+		}
+		cancel()
+		time.Sleep(10 * time.Second)
+	})
+}
