End requests on our own interface whose body trickles

Callers saw: 503 QueueFull for all of a node. Eight callers with chunked bodies that sent a byte now and then reserved the 32 MiB for the bodies of all requests, for as long as they liked.

Cause: the read of a body had no deadline; only that of the body of a refused request had.

Evidence: before, TestBodyThatTricklesIsRefusedAtItsDeadline got no response within 3 s to a request with a deadline of 300 ms; now 504 with the verdict NotRun after 0.3 s. The suspicion that the bodies there have no bound on their sum is refuted by TestBufferedBodiesAreBounded.

The body has to arrive before the deadline of its request. The read deadline ends with the body, since it would cancel the request later (TestBodyLimitEndsWithTheBody).

--- a/caller/api.go
+++ b/caller/api.go
@@ -143,6 +143,7 @@
 			return
 		}
 		defer a.queues.releaseBytes(size)
+		a.limitBodyRead(w, r)
 		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
--- a/caller/request.go
+++ b/caller/request.go
@@ -10,6 +10,7 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -131,6 +132,9 @@
 	if errors.As(err, &large) {
 		return nil, bodyTooLarge()
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, verdict.Refuse(verdict.DeadlinePassed, "the body did not arrive before the deadline").WithRetryAfter(retryOtherNodeDelay)
+	}
 	if err != nil {
 		return nil, &verdict.Error{
 			Verdict: verdict.NotRun, Reason: verdict.BadRequest, Message: "the body could not be read", Cause: err,
