--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -71,8 +71,8 @@
 func (s *session) start(ctx context.Context, server *fleet.Server) *attempt {
 	now := time.Now()
 	s.attempts++
-	if s.attempts == 1 {
-		s.firstStartedAt = now
+	if s.attempts == 1 && s.request.LastEvent == 0 {
+		s.measured = s.dispatcher.durations.start(now, s.request.durationKey())
 	}
 	a := &attempt{server: server, number: s.attempts, inputs: s.choiceInputs, startedAt: now, lastReceivedAt: now, position: s.order.start(s.headSent)}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
--- a/dispatch/durations.go
+++ b/dispatch/durations.go
@@ -1,7 +1,7 @@
 package dispatch
 
 import (
-	"slices"
+	"math"
 	"sync"
 	"time"
 
@@ -13,99 +13,117 @@
 	// durationsPeriod is how long a duration counts at least. It counts for twice as long at
 	// most.
 	durationsPeriod = 30 * time.Second
-	// maximumDurations bounds the durations that are kept for one route and period.
-	maximumDurations = 64
+	// durationClassesPerDoubling is the number of classes of durations between one duration
+	// and its double.
+	durationClassesPerDoubling = 8
+	// shortestClass is the upper bound of the first class.
+	shortestClass = time.Millisecond
+	// durationClassCount is the number of classes. The last one ends at 131 s, which is longer
+	// than any grace period, and holds all that is longer.
+	durationClassCount = 17*durationClassesPerDoubling + 1
 )
 
-// durationKey identifies the requests that are expected to take equally long. Without a route,
-// these are all requests to the service.
+// durationKey identifies the requests that are expected to take equally long.
 type durationKey struct {
 	route   fleet.RouteName
 	service domain.ServiceName
 }
 
-// recentDurations holds how long recent requests took, by route and service and by service
-// alone. The zero recentDurations is ready for use. It is safe for concurrent use.
+// measuredRequest is a request from its first attempt on.
+type measuredRequest struct {
+	key       durationKey
+	startedAt time.Time
+}
+
+// recentDurations holds how long recent requests took, and since when the others run, by route
+// and service. The zero recentDurations is ready for use. It is safe for concurrent use.
 type recentDurations struct {
 	mu sync.Mutex
 	// periodStart is when the current period began.
 	periodStart time.Time
 	// current and previous are the durations of the current period and of the one before.
-	current, previous map[durationKey]*durationSamples
+	current, previous map[durationKey]*durationCounts
+	// running are the requests that have not ended.
+	running map[*measuredRequest]struct{}
+}
+
+// durationCounts are the numbers of durations of one period by class. They stop at their
+// highest value.
+type durationCounts struct {
+	served, unserved [durationClassCount]uint16
+}
+
+// durationClass returns the class of a duration, the first whose upper bound is not less.
+func durationClass(d time.Duration) int {
+	if d <= shortestClass {
+		return 0
+	}
+	class := math.Ceil(durationClassesPerDoubling * math.Log2(float64(d)/float64(shortestClass)))
+	return min(int(class), durationClassCount-1)
 }
 
-// durationSamples are the latest durations of one period.
-type durationSamples struct {
-	// latest holds maximumDurations durations at most; next is the index of the oldest one
-	// once it is full.
-	latest []time.Duration
-	next   int
-	// slowest is the longest duration of the period.
-	slowest time.Duration
+// upperBound returns the longest duration of a class.
+func upperBound(class int) time.Duration {
+	return time.Duration(float64(shortestClass) * math.Exp2(float64(class)/durationClassesPerDoubling))
+}
+
+// start records that a request runs from now on.
+func (r *recentDurations) start(now time.Time, k durationKey) *measuredRequest {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.running == nil {
+		r.running = map[*measuredRequest]struct{}{}
+	}
+	m := &measuredRequest{key: k, startedAt: now}
+	r.running[m] = struct{}{}
+	return m
 }
 
-// durationEstimate tells how long a request is expected to take.
-type durationEstimate struct {
-	// usual is the median of the recent durations, slowest the longest of them.
-	usual, slowest time.Duration
+// forget ends a request without a duration. It does nothing if the request has ended.
+func (r *recentDurations) forget(m *measuredRequest) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.running, m)
 }
 
-// record records how long a request took from its first attempt to its end. A request that was
-// not served would have taken longer, so that its duration counts only as a longest one.
-func (r *recentDurations) record(now time.Time, k durationKey, d time.Duration, isServed bool) {
+// end records how long a request took. One that was not served would have taken longer.
+func (r *recentDurations) end(now time.Time, m *measuredRequest, isServed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	delete(r.running, m)
 	r.advance(now)
 	if r.current == nil {
-		r.current = map[durationKey]*durationSamples{}
+		r.current = map[durationKey]*durationCounts{}
 	}
-	for _, k := range []durationKey{k, {service: k.service}} {
-		samples := r.current[k]
-		if samples == nil && !isServed {
-			continue
-		}
-		if samples == nil {
-			samples = &durationSamples{}
-			r.current[k] = samples
-		}
-		if isServed || d > samples.slowest {
-			samples.add(d)
-		}
+	counts := r.current[m.key]
+	if counts == nil {
+		counts = &durationCounts{}
+		r.current[m.key] = counts
 	}
-}
-
-func (s *durationSamples) add(d time.Duration) {
-	s.slowest = max(s.slowest, d)
-	if len(s.latest) < maximumDurations {
-		s.latest = append(s.latest, d)
-		return
+	count := &counts.unserved[durationClass(now.Sub(m.startedAt))]
+	if isServed {
+		count = &counts.served[durationClass(now.Sub(m.startedAt))]
+	}
+	if *count < math.MaxUint16 {
+		*count++
 	}
-	s.latest[s.next] = d
-	s.next = (s.next + 1) % maximumDurations
 }
 
-// estimate returns the estimate for the route at the service or, if no recent request of it is
-// known, for all requests to the service. It returns false if none is known either.
-func (r *recentDurations) estimate(now time.Time, k durationKey) (durationEstimate, bool) {
+// distribution returns the distribution of the durations of a route's requests at a service.
+func (r *recentDurations) distribution(now time.Time, k durationKey) *durationDistribution {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.advance(now)
-	for _, k := range []durationKey{k, {service: k.service}} {
-		var e durationEstimate
-		var latest []time.Duration
-		for _, samples := range []*durationSamples{r.current[k], r.previous[k]} {
-			if samples != nil {
-				latest = append(latest, samples.latest...)
-				e.slowest = max(e.slowest, samples.slowest)
-			}
-		}
-		if len(latest) > 0 {
-			slices.Sort(latest)
-			e.usual = latest[len(latest)/2]
-			return e, true
+	d := &durationDistribution{}
+	for _, counts := range []*durationCounts{r.current[k], r.previous[k]} {
+		d.add(counts)
+	}
+	for m := range r.running {
+		if m.key == k {
+			d.unserved[durationClass(now.Sub(m.startedAt))]++
 		}
 	}
-	return durationEstimate{}, false
+	return d
 }
 
 // advance begins a new period if the current one has ended. The caller holds mu.
@@ -119,3 +137,56 @@
 		r.previous = nil
 	}
 }
+
+// durationDistribution tells how long a request is expected to take: the numbers of recent
+// requests by the class of their duration.
+type durationDistribution struct {
+	served [durationClassCount]int
+	// unserved holds the requests that would have taken longer, or still run: their duration
+	// is a lower bound.
+	unserved [durationClassCount]int
+}
+
+func (d *durationDistribution) add(c *durationCounts) {
+	if c == nil {
+		return
+	}
+	for class := range c.served {
+		d.served[class] += int(c.served[class])
+		d.unserved[class] += int(c.unserved[class])
+	}
+}
+
+// servedCount returns the number of requests that were served.
+func (d *durationDistribution) servedCount() int {
+	sum := 0
+	for _, n := range d.served {
+		sum += n
+	}
+	return sum
+}
+
+// exceededBy returns the time that at most the given share of the requests exceeds, by the
+// estimator of Kaplan and Meier. It returns false with the longest duration that is known if
+// too many requests have not been served for that.
+func (d *durationDistribution) exceededBy(share float64) (time.Duration, bool) {
+	longer := 0
+	for class := range d.served {
+		longer += d.served[class] + d.unserved[class]
+	}
+	exceeding, longest := 1.0, 0
+	for class := range d.served {
+		if longer == 0 {
+			break
+		}
+		exceeding *= 1 - float64(d.served[class])/float64(longer)
+		if exceeding <= share {
+			return upperBound(class), true
+		}
+		if d.served[class]+d.unserved[class] > 0 {
+			longest = class
+		}
+		longer -= d.served[class] + d.unserved[class]
+	}
+	return upperBound(longest), false
+}
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -27,8 +27,9 @@
 	possibleRuns int
 	// attempts is the number of all attempts, including those that a server refused.
 	attempts int
-	// firstStartedAt is when the first attempt started; zero before.
-	firstStartedAt time.Time
+	// measured is set from the first attempt on, unless the request is only the rest of a
+	// stream.
+	measured *measuredRequest
 	// avoidedServers holds the servers that failed or refused this request since the last
 	// refusal backoff.
 	avoidedServers map[domain.ServerID]bool
@@ -104,6 +105,7 @@
 		s.end(s.running[0], "Cut")
 	}
 	s.isClosed = true
+	s.dispatcher.durations.forget(s.measured)
 	for _, b := range s.bodies {
 		b.Release()
 	}
@@ -130,11 +132,10 @@
 	return outcome
 }
 
-// recordDuration records how long the request took, unless it did not run or was only the rest
-// of a stream.
+// recordDuration records how long the request took, unless it did not run.
 func (s *session) recordDuration(now time.Time, o Outcome) {
-	if o != Refused && s.attempts > 0 && s.request.LastEvent == 0 {
-		s.dispatcher.durations.record(now, s.request.durationKey(), now.Sub(s.firstStartedAt), o == Served)
+	if o != Refused && s.measured != nil {
+		s.dispatcher.durations.end(now, s.measured, o == Served)
 	}
 }
 
--- a/dispatch/shutdown.go
+++ b/dispatch/shutdown.go
@@ -14,21 +14,33 @@
 	// silenceAllowance is added to the time that an attempt is expected to take, because a
 	// backend server may be silent for a second and go on.
 	silenceAllowance = time.Second
-	// maximumShutdownWait is how long a request that came after the signal to stop waits for a
-	// server. Other nodes can let it wait for longer.
+	// maximumShutdownWait is how long a request that has not run waits for a server after the
+	// signal to stop. Other nodes can let it wait for longer.
 	maximumShutdownWait = 300 * time.Millisecond
 	// maximumShutdownRetryAfter bounds the random Retry-After of a request that is refused
 	// because this node shuts down.
 	maximumShutdownRetryAfter = 50 * time.Millisecond
+	// minimumDurations is the least number of requests from which a duration is estimated.
+	minimumDurations = 5
+	// fewDurationsAllowance is divided by the number of requests that an estimate is based on;
+	// it is the share of the estimate that is added to it.
+	fewDurationsAllowance = 2.0
+	// retryableCutShare and otherCutShare are the shares of the requests that may be expected
+	// to last beyond the end of the node: of those that the caller may repeat, and of the
+	// others.
+	retryableCutShare = 0.05
+	otherCutShare     = 0.01
+	// usualShare is the share of the requests that take longer than usual.
+	usualShare = 0.5
 )
 
 // Shutdown is the schedule of this node's shutdown.
 //
-// Until WaitUntil, a request that has not run is sent to a server if a usual request of its route
-// would end before EndsAt. A few of these may be cut. After WaitUntil, callers have had the time
-// to go to other nodes: a stream is started only if its deadline is before EndsAt, any other
-// request also if the slowest recent one would end in time. The caller of the latter gets a
-// response in any case, but one that says that it may have run.
+// A request that has not run is refused at once unless it is expected to end before EndsAt,
+// because other nodes can serve it. Until WaitUntil, a small share of the recent requests of its
+// route may have been slower than that. After WaitUntil, callers have had the time to go to other
+// nodes: a stream is started only if its deadline is before EndsAt, any other request also if the
+// slowest recent one would end in time.
 type Shutdown struct {
 	// BegunAt is when the node got the signal to stop.
 	BegunAt time.Time
@@ -61,20 +73,54 @@
 }
 
 // latestStart returns the time until which an attempt may start on a node that shuts down. An
-// attempt that ends at its deadline in any case may always start.
+// attempt that ends at its deadline in any case may always start. It returns the zero time if
+// nothing is known of how long the request takes, unless it may have run: then no attempt would
+// be worse.
 func (s *session) latestStart(now time.Time, shutdown *Shutdown) time.Time {
 	if !s.request.Deadline.After(shutdown.EndsAt) {
 		return s.request.Deadline
 	}
-	estimate, ok := s.dispatcher.durations.estimate(now, s.request.durationKey())
+	durations := s.dispatcher.durations.distribution(now, s.request.durationKey())
 	if s.mayHaveRun {
-		return shutdown.EndsAt.Add(-s.remaining(estimate.usual) - silenceAllowance)
+		usual, _ := durations.exceededBy(usualShare)
+		return shutdown.EndsAt.Add(-s.remaining(usual) - silenceAllowance)
 	}
-	early := earlier(shutdown.WaitUntil, shutdown.EndsAt.Add(-estimate.usual))
+	return later(s.latestEarlyStart(durations, shutdown), s.latestLateStart(durations, shutdown))
+}
+
+// latestEarlyStart returns the time until which a request may start that has not run, while its
+// caller may not know that this node stops.
+func (s *session) latestEarlyStart(d *durationDistribution, shutdown *Shutdown) time.Time {
+	share := otherCutShare
+	if s.request.Route.IsRetryable() {
+		share = retryableCutShare
+	}
+	expected, ok := d.expected(share)
+	if !ok {
+		return time.Time{}
+	}
+	return earlier(shutdown.WaitUntil, shutdown.EndsAt.Add(-expected))
+}
+
+// latestLateStart returns the time until which a request may start that has not run, although
+// its caller has had the time to go to another node.
+func (s *session) latestLateStart(d *durationDistribution, shutdown *Shutdown) time.Time {
+	expected, ok := d.expected(0)
 	if !ok || s.request.Route.Kind == fleet.Streaming {
-		return early
+		return time.Time{}
+	}
+	return shutdown.EndsAt.Add(-expected - silenceAllowance)
+}
+
+// expected returns the time that at most the given share of the requests is expected to exceed.
+// It returns false if too little is known.
+func (d *durationDistribution) expected(share float64) (time.Duration, bool) {
+	count := d.servedCount()
+	if count < minimumDurations {
+		return 0, false
 	}
-	return later(early, shutdown.EndsAt.Add(-estimate.slowest-silenceAllowance))
+	bound, ok := d.exceededBy(share)
+	return time.Duration(float64(bound) * (1 + fewDurationsAllowance/float64(count))), ok
 }
 
 // remaining returns how much of a duration is left for a stream that the caller has received in
