--- a/commands/front.go
+++ b/commands/front.go
@@ -56,6 +56,8 @@
 	notReadyDelay = 2500 * time.Millisecond
 	// exitMargin is the part of the grace period that is reserved for the exit.
 	exitMargin = 500 * time.Millisecond
+	// logMargin is the last part of exitMargin, which is reserved for the log.
+	logMargin = 200 * time.Millisecond
 	// retryBudgetShare is the fraction of the shared retry budget that the nodes use.
 	retryBudgetShare = 0.8
 	// minimumBudgetNodes is the minimum number of nodes that the retry budget's reserve is
@@ -202,9 +204,27 @@
 	done := make(chan error, 1)
 	go func() { done <- f.node.Run(ctx) }()
 	f.awaitTermination(path, reloads, terminations)
+	return f.stop(callerServer, cancel, done)
+}
+
+// stop shuts the node down and ends its loops, whose end done delivers.
+func (f *frontNode) stop(callerServer *platform.CallerServer, cancelLoops context.CancelFunc, done <-chan error) error {
+	endsAt := time.Now().Add(f.settings.GracePeriod - logMargin)
 	f.shutDown(callerServer)
-	cancel()
-	return <-done
+	cancelLoops()
+	return f.awaitEnd(done, endsAt)
+}
+
+// awaitEnd waits for the end of the node's loops, until the given time at most. A node that the
+// store does not let leave the owner group by then leaves it when its time-to-live has passed.
+func (f *frontNode) awaitEnd(done <-chan error, until time.Time) error {
+	select {
+	case err := <-done:
+		return err
+	case <-time.After(time.Until(until)):
+		f.logger.Warn().Str("Event", "EndNotAwaited").Msg("the grace period is over before the calls to the store have ended")
+		return nil
+	}
 }
 
 // notifySignals returns the channels of the signals that reload the settings and of those that
--- a/commands/logwriter.go
+++ b/commands/logwriter.go
@@ -13,7 +13,7 @@
 	// maximumQueuedLines is the number of log lines that are buffered for a slow output.
 	maximumQueuedLines = 1000
 	// flushTimeout limits the wait for a slow output when the process exits.
-	flushTimeout = 300 * time.Millisecond
+	flushTimeout = 150 * time.Millisecond
 )
 
 // logWriter is a rate-limited, non-blocking writer of log lines. It drops the lines beyond
