Make messages wait for memory instead of giving up the largest

Cause: a Pool of buffers that was full gave up the largest message at once, whoever it was, and a buffer took more memory while it held some, so that waiting alone could have lasted for ever.

Change: a message that finds no room waits, and nobody reads on meanwhile, so that the window of the connection holds its sender back. Beyond the first 64 KiB a message of a declared length takes all that it needs at once; one without a length takes 64 KiB at a time, and the pool keeps free what one of these, the assured one, may still take, so that it never waits and the others get their turn. Those that wait get memory in their order. A message that holds memory while others wait, and whose sender is silent for over 3 s, is given up. Messages are kept in the parts in which they were read, which takes the place of a copy of twice their size.

A successful response of a declared length that finds no memory within 250 ms is passed on while it arrives. It is then the only one: it is not sent again or hedged, and ends with an abort if it breaks off. Without a length it waits until its request ends. An attempt that waits for memory is not taken for one of a silent server, nor for a failure of that.

--- a/buffers/pool.go
+++ b/buffers/pool.go
@@ -7,7 +7,8 @@
 package buffers
 
 import (
-	"io"
+	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,23 +23,27 @@
 	// FreeSize is the size up to which a Buffer takes nothing from its Pool, so that short
 	// messages are read however full the Pool is.
 	FreeSize = 64 * domain.Kibibyte
-	// firstCapacity is the capacity of a Buffer for a message of unknown length.
-	firstCapacity = 4 * domain.Kibibyte
-	// chunkSize is the size of the parts in which the rest of a long message is read. A message
-	// that grows in one piece leaves its earlier pieces to the garbage collector.
-	chunkSize = FreeSize
-	// releaseTimeout bounds the wait for the memory of messages that were given up.
-	releaseTimeout = 100 * time.Millisecond
+	// stallTimeout is how long the sender of a message may be silent while the message holds
+	// memory that others wait for. A sound peer may be silent for a second or so.
+	stallTimeout = 3 * time.Second
+	// stallCheckInterval is how often those that wait for memory look for stalled messages.
+	stallCheckInterval = 500 * time.Millisecond
 )
 
 // The errors of reads. They come with the stack of the read.
 var (
 	ErrTooLong = errors.New("the message is too long")
 	ErrFull    = errors.New("there is no memory for the message beside others")
+	ErrStalled = errors.New("the sender of the message is silent while others wait for its memory")
 )
 
-// Pool bounds the sum of the sizes of its buffers. If it is full, the largest message is given
-// up, whoever asks for more memory. A message that is alone may be larger than the pool.
+// Pool bounds the sum of the sizes of its buffers. Buffers that find no room wait for it, those
+// that hold memory before others and these in the order of their arrival. A message that is alone
+// may be larger than the pool.
+//
+// A buffer may take more memory while it holds some, and several that wait for each other must
+// not do so for ever. The pool therefore keeps free what one of them, the assured one, may still
+// take, so that it does not wait and returns its memory to the others in the end.
 //
 // The zero Pool is ready for use. It is safe for concurrent use and must not be copied.
 type Pool struct {
@@ -46,44 +51,27 @@
 	Size domain.Bytes
 
 	mu sync.Mutex
-	// used is what all buffers take, and ending what those of them take that were given up.
-	used, ending domain.Bytes
-	// released is closed when memory is returned; nil if nobody waits for that.
-	released chan struct{}
-	// filling are the buffers that may be given up.
+	// used is what all buffers take.
+	used domain.Bytes
+	// largestClaim is the largest claim of all buffers so far, at most Size.
+	largestClaim domain.Bytes
+	// assured is the buffer for which the pool keeps room; nil if there is none.
+	assured *Buffer
+	// waiting are the buffers that wait for room, the oldest first.
+	waiting []*waiter
+	// filling are the buffers that hold memory while their messages are read, and may be given
+	// up.
 	filling map[*Buffer]bool
 	// unused are chunks for further use, as many as Size holds beside what is used.
 	unused [][]byte
 }
 
-// Buffer holds one message. Its data is valid until Release.
-type Buffer struct {
-	pool *Pool
-	// data is the beginning of the message, and the whole of it once it is read. chunks are the
-	// rest of a message of unknown length meanwhile; all of them are full but the last.
-	data   []byte
-	chunks [][]byte
-	// end ends the read that fills the buffer; nil if it must not be ended.
-	end func()
-	// reserved is what the buffer takes from the pool. isGivenUp is set when the pool has ended
-	// the read. The mutex of the pool guards both.
-	reserved  domain.Bytes
-	isGivenUp bool
-}
-
-// NewBuffer returns an empty buffer. The pool calls end, in a goroutine of its own, if it gives
-// the message up; a message without end is never given up for others, and its reads fail instead.
-func (p *Pool) NewBuffer(end func()) *Buffer {
-	b := &Buffer{pool: p, end: end}
-	if end != nil {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		if p.filling == nil {
-			p.filling = map[*Buffer]bool{}
-		}
-		p.filling[b] = true
-	}
-	return b
+// waiter is a buffer that waits until it may take size from the pool, in all.
+type waiter struct {
+	buffer *Buffer
+	size   domain.Bytes
+	// granted is closed when the buffer has got its memory.
+	granted chan struct{}
 }
 
 // Used returns what the buffers take from the pool.
@@ -93,236 +81,177 @@
 	return p.used
 }
 
-// Bytes returns the message.
-func (b *Buffer) Bytes() []byte { return b.data }
+func (p *Pool) size() domain.Bytes {
+	if p.Size == 0 {
+		return DefaultSize
+	}
+	return p.Size
+}
 
-// ReadAll reads a message of at most limit bytes. The parameter declared is the length that its
-// sender has declared, 0 or less if it is unknown. After ReadAll the message is not given up any
-// more.
-func (b *Buffer) ReadAll(r io.Reader, limit domain.Bytes, declared int64) error {
-	defer b.seal()
-	if declared > int64(limit) {
-		return errors.WithStack(ErrTooLong)
+// reserve makes a buffer take its size from the pool, and waits for room. The wait ends with an
+// error after the Wait of the buffer and with the context.
+func (p *Pool) reserve(ctx context.Context, b *Buffer, size domain.Bytes) error {
+	w, err := p.tryReserve(b, size)
+	if w == nil {
+		return err
 	}
-	whole := domain.Bytes(max(0, declared)) + 1
-	capacity := firstCapacity
-	if declared > 0 {
-		capacity = min(whole, FreeSize)
+	check := time.NewTicker(stallCheckInterval)
+	defer check.Stop()
+	var timeout <-chan time.Time
+	if b.Wait > 0 {
+		timeout = time.After(b.Wait)
 	}
-	b.data = make([]byte, 0, capacity)
-	size := domain.Bytes(0)
 	for {
-		room, err := b.room(whole)
-		if err != nil {
-			return err
-		}
-		n, err := r.Read(room)
-		b.extend(n)
-		size += domain.Bytes(n)
-		switch {
-		case size > limit:
-			return errors.WithStack(ErrTooLong)
-		case errors.Is(err, io.EOF):
-			return b.join(size)
-		case err != nil:
-			return errors.WithStack(err)
+		select {
+		case <-w.granted:
+			return nil
+		case now := <-check.C:
+			p.giveUpStalled(now)
+			continue
+		case <-timeout:
+		case <-ctx.Done():
 		}
+		return p.leave(w)
 	}
 }
 
-// room returns the memory for the next part of the message. It takes more if there is none
-// left: all that a message of a known length needs once its first FreeSize has arrived, and a
-// chunk at a time for others.
-func (b *Buffer) room(whole domain.Bytes) ([]byte, error) {
-	switch n, length := len(b.chunks), domain.Bytes(len(b.data)); {
-	case n > 0 && len(b.chunks[n-1]) < cap(b.chunks[n-1]):
-		last := b.chunks[n-1]
-		return last[len(last):cap(last)], nil
-	case n == 0 && length < FreeSize:
-		b.enlarge(FreeSize)
-		return b.data[length:cap(b.data)], nil
-	case n == 0 && length < whole:
-		if err := b.Reserve(whole); err != nil {
-			return nil, err
-		}
-		b.enlarge(whole)
-		return b.data[length:cap(b.data)], nil
+// tryReserve is reserve without the wait. If the buffer has to wait, it returns its place in
+// the queue.
+func (p *Pool) tryReserve(b *Buffer, size domain.Bytes) (*waiter, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if b.isGivenUp {
+		return nil, errors.WithStack(ErrStalled)
 	}
-	if err := b.Reserve(domain.Bytes(len(b.data)) + chunkSize*domain.Bytes(len(b.chunks)+1)); err != nil {
-		return nil, err
+	if size <= b.reserved {
+		return nil, nil
 	}
-	chunk := b.pool.takeChunk()
-	b.chunks = append(b.chunks, chunk)
-	return chunk[:cap(chunk)], nil
-}
-
-// enlarge makes the capacity of data at least size, unless data has room left.
-func (b *Buffer) enlarge(size domain.Bytes) {
-	if len(b.data) == cap(b.data) {
-		b.data = append(make([]byte, 0, size), b.data...)
+	p.largestClaim = max(p.largestClaim, min(b.claim, p.size()))
+	isFirst := len(p.waiting) == 0 || b.reserved > 0
+	if isFirst && p.hasRoom(b, size) {
+		p.grant(b, size)
+		return nil, nil
 	}
+	w := &waiter{buffer: b, size: size, granted: make(chan struct{})}
+	p.waiting = append(p.waiting, w)
+	b.isWaiting = true
+	return w, nil
 }
 
-// extend adds the bytes that were read into room to the message.
-func (b *Buffer) extend(n int) {
-	if i := len(b.chunks) - 1; i >= 0 {
-		b.chunks[i] = b.chunks[i][:len(b.chunks[i])+n]
-		return
+// hasRoom reports whether a buffer may take its size from the pool, so that one of the buffers
+// that may grow still finds room for all that it may need. The caller holds mu.
+func (p *Pool) hasRoom(b *Buffer, size domain.Bytes) bool {
+	if b == p.assured || p.used == b.reserved {
+		return true
 	}
-	b.data = b.data[:len(b.data)+n]
+	free := p.size() - p.used - (size - b.reserved)
+	needed := domain.Bytes(0)
+	switch {
+	case p.assured != nil:
+		needed = p.largestClaim - p.assured.reserved
+	case size < b.claim:
+		needed = min(b.claim, p.size()) - size
+	}
+	return free >= max(0, needed)
 }
 
-// join makes data the whole message. For a moment it takes twice its size.
-func (b *Buffer) join(size domain.Bytes) error {
-	if len(b.chunks) == 0 {
-		return nil
+// grant gives a buffer its size. The caller holds mu.
+func (p *Pool) grant(b *Buffer, size domain.Bytes) {
+	p.used += size - b.reserved
+	b.reserved = size
+	b.lastProgress = time.Now()
+	if p.assured == nil && size < b.claim {
+		p.assured = b
 	}
-	if err := b.Reserve(2 * size); err != nil {
-		return err
-	}
-	b.data = append(make([]byte, 0, size), b.data...)
-	for _, chunk := range b.chunks {
-		b.data = append(b.data, chunk...)
+	if p.filling == nil {
+		p.filling = map[*Buffer]bool{}
 	}
-	if err := b.Reserve(size); err != nil {
-		return err
+	p.filling[b] = b.end != nil
+	for len(p.unused) > 0 && p.used+domain.Bytes(len(p.unused))*chunkSize > p.size() {
+		p.unused = p.unused[:len(p.unused)-1]
 	}
-	b.pool.mu.Lock()
-	defer b.pool.mu.Unlock()
-	b.returnChunks()
-	return nil
 }
 
-// returnChunks gives the chunks back to the pool, which keeps as many as it has room for. The
-// caller holds the mutex of the pool.
-func (b *Buffer) returnChunks() {
-	p := b.pool
-	for _, chunk := range b.chunks {
-		if p.used+domain.Bytes(len(p.unused)+1)*chunkSize <= p.size() {
-			p.unused = append(p.unused, chunk[:0])
-		}
+// shrink makes a buffer whose message is read return what it takes beyond a size. The caller
+// holds mu.
+func (p *Pool) shrink(b *Buffer, size domain.Bytes) {
+	delete(p.filling, b)
+	if size < b.reserved {
+		p.used -= b.reserved - size
+		b.reserved = size
 	}
-	b.chunks = nil
-}
-
-// takeChunk returns an empty chunk.
-func (p *Pool) takeChunk() []byte {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	last := len(p.unused) - 1
-	if last < 0 {
-		return make([]byte, 0, chunkSize)
+	if p.assured == b {
+		p.assured = nil
 	}
-	chunk := p.unused[last]
-	p.unused = p.unused[:last]
-	return chunk
+	p.serveWaiting()
 }
 
-// seal keeps the pool from giving up the message.
-func (b *Buffer) seal() {
-	b.pool.mu.Lock()
-	defer b.pool.mu.Unlock()
-	delete(b.pool.filling, b)
-}
-
-// Reserve makes the buffer take its size, beyond FreeSize, from the pool. If the pool is full, it
-// gives up larger messages and waits until they have returned their memory.
-func (b *Buffer) Reserve(size domain.Bytes) error {
-	var timeout <-chan time.Time
+// serveWaiting grants the requests of those that wait, as far as there is room. The caller
+// holds mu.
+func (p *Pool) serveWaiting() {
 	for {
-		released, err := b.tryReserve(size)
-		if err != nil || released == nil {
-			return err
-		}
-		if timeout == nil {
-			timeout = time.After(releaseTimeout)
-		}
-		select {
-		case <-released:
-		case <-timeout:
-			return errors.WithStack(ErrFull)
+		i := p.nextWaiting()
+		if i < 0 {
+			return
 		}
+		w := p.waiting[i]
+		p.waiting = slices.Delete(p.waiting, i, i+1)
+		w.buffer.isWaiting = false
+		p.grant(w.buffer, w.size)
+		close(w.granted)
 	}
 }
 
-// tryReserve is Reserve without the wait. If it has to wait, it returns a channel that is closed
-// when memory is returned.
-func (b *Buffer) tryReserve(size domain.Bytes) (released <-chan struct{}, err error) {
-	p := b.pool
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if b.isGivenUp {
-		return nil, errors.WithStack(ErrFull)
-	}
-	more := max(0, size-FreeSize) - b.reserved
-	missing := p.used + more - p.size()
-	isAlone := p.used == b.reserved
-	if more <= 0 || missing <= 0 || isAlone {
-		b.reserved += more
-		p.used += more
-		p.announceRelease(more)
-		return nil, nil
-	}
-	for p.ending < missing {
-		largest := p.largest()
-		if largest == nil || largest == b || largest.reserved < b.reserved+more {
-			return nil, errors.WithStack(ErrFull)
+// nextWaiting returns the index of the next that gets its memory, or -1. Those that hold memory
+// go first, since they return it then. The caller holds mu.
+func (p *Pool) nextWaiting() int {
+	for i, w := range p.waiting {
+		if w.buffer.reserved > 0 && p.hasRoom(w.buffer, w.size) {
+			return i
 		}
-		p.giveUp(largest)
 	}
-	if p.released == nil {
-		p.released = make(chan struct{})
+	if len(p.waiting) > 0 && p.hasRoom(p.waiting[0].buffer, p.waiting[0].size) {
+		return 0
 	}
-	return p.released, nil
+	return -1
 }
 
-// announceRelease wakes those that wait for memory if the change of what is used is negative. The
-// caller holds mu.
-func (p *Pool) announceRelease(change domain.Bytes) {
-	if change < 0 && p.released != nil {
-		close(p.released)
-		p.released = nil
-	}
-}
-
-func (p *Pool) size() domain.Bytes {
-	if p.Size == 0 {
-		return DefaultSize
+// leave ends a wait. It returns an error unless the buffer has got its memory meanwhile.
+func (p *Pool) leave(w *waiter) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i := slices.Index(p.waiting, w)
+	if i < 0 {
+		return nil
 	}
-	return p.Size
+	p.waiting = slices.Delete(p.waiting, i, i+1)
+	w.buffer.isWaiting = false
+	p.serveWaiting()
+	return errors.WithStack(ErrFull)
 }
 
-// largest returns the largest buffer that may be given up, or nil. The caller holds mu.
-func (p *Pool) largest() *Buffer {
-	var largest *Buffer
-	for b := range p.filling {
-		if largest == nil || b.reserved > largest.reserved {
-			largest = b
+// giveUpStalled ends the reads of messages that hold memory and whose senders are silent.
+func (p *Pool) giveUpStalled(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for b, canEnd := range p.filling {
+		if canEnd && !b.isWaiting && now.Sub(b.lastProgress) > stallTimeout {
+			b.isGivenUp = true
+			delete(p.filling, b)
+			go b.end()
 		}
 	}
-	return largest
-}
-
-// giveUp ends the read of a buffer. The caller holds mu.
-func (p *Pool) giveUp(b *Buffer) {
-	b.isGivenUp = true
-	p.ending += b.reserved
-	delete(p.filling, b)
-	go b.end()
 }
 
-// Release returns what the buffer has taken to the pool. Further calls do nothing.
-func (b *Buffer) Release() {
-	p := b.pool
+// takeChunk returns an empty chunk.
+func (p *Pool) takeChunk() []byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.used -= b.reserved
-	if b.isGivenUp {
-		p.ending -= b.reserved
+	last := len(p.unused) - 1
+	if last < 0 {
+		return make([]byte, 0, chunkSize)
 	}
-	p.announceRelease(-b.reserved)
-	b.reserved = 0
-	b.returnChunks()
-	delete(p.filling, b)
-	b.data = nil
+	chunk := p.unused[last]
+	p.unused = p.unused[:last]
+	return chunk
 }
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -7,15 +7,11 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/buffers"
 	"github.com/parsleylug/parsleylug/fleet"
 	"github.com/parsleylug/parsleylug/verdict"
 )
 
-// maximumBody limits the body of a response that is not a stream. The whole body is held in
-// memory until it is complete.
-const maximumBody = 8 * domain.Mebibyte
-
 // attempt is one sending of the request to one server. The session's mu guards the fields
 // that change after the start.
 type attempt struct {
@@ -30,6 +26,8 @@
 	// response is the head of the response; nil before it has arrived.
 	response *Response
 	position streamPosition
+	// buffer holds the body of the response while it is read whole; nil else.
+	buffer *buffers.Buffer
 	// lastReceivedAt is when the server last sent its response head or an event; startedAt
 	// before. events is the number of those events.
 	lastReceivedAt time.Time
@@ -49,6 +47,10 @@
 	// wholeBody: the body of a response that is not a stream. If err is set, it is
 	// incomplete.
 	wholeBody
+	// bodyPart: part of a body that is passed on while it arrives.
+	bodyPart
+	// bodyEnd: the end of such a body. If err is set, it is incomplete.
+	bodyEnd
 	// streamEvent: an event of the stream.
 	streamEvent
 	// streamEnd: the end of the stream; err is io.EOF if it is complete.
@@ -61,9 +63,10 @@
 	attempt *attempt
 	// response is set for a head and for a discarded response.
 	response *Response
-	body     []byte
-	event    Event
-	err      error
+	// body is the body of a response, or the next of it, in parts.
+	body  [][]byte
+	event Event
+	err   error
 }
 
 // start returns a running attempt at a server that pickServer or pickHedge has chosen. The
@@ -114,8 +117,7 @@
 		return
 	}
 	if response.Events == nil {
-		body, err := s.readBody(response)
-		s.deliver(ctx, arrival{kind: wholeBody, attempt: a, body: body, err: err})
+		s.receiveBody(ctx, a, response)
 		return
 	}
 	defer response.Events.Close()
@@ -152,25 +154,6 @@
 	return !s.ending.isDone && slices.Contains(s.running, a)
 }
 
-// readBody reads and closes the body of a response that is not a stream. It stays in memory
-// until the session is closed.
-func (s *session) readBody(r *Response) ([]byte, error) {
-	defer func() { _ = r.Body.Close() }()
-	buffer := s.dispatcher.bodies.NewBuffer(func() { _ = r.Body.Close() })
-	if err := buffer.ReadAll(r.Body, maximumBody, r.BodyLength); err != nil {
-		buffer.Release()
-		return nil, err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.isClosed {
-		buffer.Release()
-		return nil, errors.New("the request has ended")
-	}
-	s.bodies = append(s.bodies, buffer)
-	return buffer.Bytes(), nil
-}
-
 // discard closes the body and the events of a response.
 func discard(r *Response) {
 	if r.Events != nil {
--- /dev/null
+++ b/dispatch/body.go
@@ -0,0 +1,170 @@
+package dispatch
+
+import (
+	"context"
+	stderrors "errors"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleylug/parsleylug/buffers"
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/verdict"
+)
+
+const (
+	// maximumBody limits the body of a response that is not a stream. The whole body is held in
+	// memory until it is complete, unless its length is declared and there is no memory for it.
+	maximumBody = 8 * domain.Mebibyte
+	// passOnDelay is how long a body of a declared length waits for memory before it is passed
+	// on while it arrives.
+	passOnDelay = 250 * time.Millisecond
+	// passOnPart is the size of the parts in which a body is passed on.
+	passOnPart = 32 * domain.Kibibyte
+)
+
+// receiveBody delivers the body of a response that is not a stream: whole, or in parts if there
+// is no memory for the whole of it. The body stays in memory until the session is closed.
+func (s *session) receiveBody(ctx context.Context, a *attempt, r *Response) {
+	defer func() { _ = r.Body.Close() }()
+	buffer := s.dispatcher.bodies.NewBuffer(func() { _ = r.Body.Close() })
+	s.setBuffer(a, buffer)
+	// A response that has no declared length, or that another one may replace, is not passed on
+	// before it is whole.
+	canPassOn := r.BodyLength > 0 && r.IsSuccess()
+	if canPassOn {
+		buffer.Wait = passOnDelay
+	}
+	err := buffer.ReadAll(a.ctx, r.Body, maximumBody, r.BodyLength)
+	if err == nil && s.keep(buffer) {
+		s.deliver(ctx, arrival{kind: wholeBody, attempt: a, body: buffer.Parts()})
+		return
+	}
+	defer buffer.Release()
+	if canPassOn && a.ctx.Err() == nil && stderrors.Is(err, buffers.ErrFull) {
+		s.passOn(ctx, a, r, buffer.Parts())
+		return
+	}
+	s.deliver(ctx, arrival{kind: wholeBody, attempt: a, err: err})
+}
+
+// setBuffer records the buffer into which the body of an attempt is read.
+func (s *session) setBuffer(a *attempt, b *buffers.Buffer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a.buffer = b
+}
+
+// keep keeps a body in memory until the session is closed. It returns false if it is closed.
+func (s *session) keep(b *buffers.Buffer) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.isClosed {
+		s.bodies = append(s.bodies, b)
+	}
+	return !s.isClosed
+}
+
+// passOn delivers a body in parts while it arrives, first what has arrived.
+func (s *session) passOn(ctx context.Context, a *attempt, r *Response, arrived [][]byte) {
+	if !s.deliver(ctx, arrival{kind: bodyPart, attempt: a, body: arrived}) {
+		return
+	}
+	part := make([]byte, passOnPart)
+	for {
+		n, err := r.Body.Read(part)
+		if n > 0 && !s.deliver(ctx, arrival{kind: bodyPart, attempt: a, body: [][]byte{part[:n]}}) {
+			return
+		}
+		if stderrors.Is(err, io.EOF) {
+			s.deliver(ctx, arrival{kind: bodyEnd, attempt: a})
+			return
+		}
+		if err != nil {
+			s.deliver(ctx, arrival{kind: bodyEnd, attempt: a, err: errors.WithStack(err)})
+			return
+		}
+	}
+}
+
+// handleBody handles the body of a response that is not a stream.
+func (s *session) handleBody(a *attempt, body [][]byte, err error) (Outcome, *verdict.Error, bool) {
+	if err != nil {
+		return 0, s.handleCutBody(a, err), false
+	}
+	if !a.response.IsSuccess() {
+		return 0, s.handleErrorStatus(a, body), false
+	}
+	return s.forwardBody(a, body)
+}
+
+// handleCutBody records an attempt whose response is incomplete. That is no failure of its server
+// if this node had no memory for it.
+func (s *session) handleCutBody(a *attempt, err error) *verdict.Error {
+	s.endFailed(a, "CutShort")
+	if !stderrors.Is(err, buffers.ErrFull) {
+		s.dispatcher.chooser.recordFailure(time.Now(), a.server.ID, false)
+	}
+	return verdict.UnknownOutcome(verdict.BackendFailed, "the server's response is incomplete", err)
+}
+
+// handleNotResumed records an attempt that has responded to the rest of a stream with a response
+// that is not a stream, which cannot continue it.
+func (s *session) handleNotResumed(a *attempt) *verdict.Error {
+	s.endFailed(a, "NotResumed")
+	return verdict.UnknownOutcome(verdict.StreamBroken, "the server did not resume the stream", nil)
+}
+
+// forwardBody forwards a successful response that is not a stream.
+func (s *session) forwardBody(a *attempt, body [][]byte) (Outcome, *verdict.Error, bool) {
+	if s.headSent {
+		return 0, s.handleNotResumed(a), false
+	}
+	s.lead(a)
+	s.recordCompletion(a)
+	s.end(a, "Answered")
+	s.responseStartedAt = time.Now()
+	if err := s.caller.WriteResponse(a.response, body); err != nil {
+		return Left, errCallerLeft(err), true
+	}
+	return Served, nil, true
+}
+
+// handleBodyPart forwards part of a body. From the first part on, the caller gets this response
+// or an incomplete one.
+func (s *session) handleBodyPart(a *attempt, parts [][]byte) (Outcome, *verdict.Error, bool) {
+	if !s.isPassedOn && s.headSent {
+		return 0, s.handleNotResumed(a), false
+	}
+	if !s.isPassedOn {
+		s.isPassedOn, s.headSent = true, true
+		s.lead(a)
+		s.silence.stop()
+		s.responseStartedAt = time.Now()
+		if err := s.caller.StartResponse(a.response); err != nil {
+			return Left, errCallerLeft(err), true
+		}
+	}
+	for _, part := range parts {
+		if err := s.caller.WritePart(part); err != nil {
+			return Left, errCallerLeft(err), true
+		}
+	}
+	return 0, nil, false
+}
+
+// handleBodyEnd ends a response whose body was passed on.
+func (s *session) handleBodyEnd(a *attempt, err error) *verdict.Error {
+	if err != nil {
+		return s.handleCutBody(a, err)
+	}
+	s.recordCompletion(a)
+	s.end(a, "Answered")
+	return nil
+}
+
+// errCallerLeft returns the error of a request whose response could not be written.
+func errCallerLeft(err error) *verdict.Error {
+	return verdict.UnknownOutcome(verdict.Unknown, "the caller has left", err)
+}
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -89,6 +89,11 @@
 		s.endOverlap()
 		return
 	}
+	if a := s.running[0]; a.buffer != nil && a.buffer.IsWaiting() {
+		// This node does not read, so the server is not silent.
+		s.armSilence(time.Now())
+		return
+	}
 	s.hedge(ctx)
 }
 
@@ -105,6 +110,11 @@
 		return 0, nil, false
 	case wholeBody:
 		return s.unlessFailed(s.handleBody(a.attempt, a.body, a.err))
+	case bodyPart:
+		return s.unlessFailed(s.handleBodyPart(a.attempt, a.body))
+	case bodyEnd:
+		e := s.handleBodyEnd(a.attempt, a.err)
+		return s.unlessFailed(Served, e, e == nil)
 	case streamEvent:
 		return s.unlessFailed(s.handleEvent(a.attempt, a.event))
 	}
@@ -180,7 +190,7 @@
 
 // hasRunsLeft reports whether the route permits another attempt beside the running one.
 func (s *session) hasRunsLeft() bool {
-	if !s.request.Route.IsRetryable() || len(s.running) >= maximumRunningAttempts {
+	if s.isPassedOn || !s.request.Route.IsRetryable() || len(s.running) >= maximumRunningAttempts {
 		return false
 	}
 	runs := s.possibleRuns
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -136,11 +136,16 @@
 }
 
 // Caller writes the response to the caller of a request. Exactly one of WriteResponse,
-// StartStream and WriteError is called. StartStream is followed by calls of WriteEvent
-// and, if the stream breaks, of Abort.
+// StartResponse, StartStream and WriteError is called. StartResponse is followed by calls of
+// WritePart, StartStream by calls of WriteEvent, and both by Abort if the rest is lost.
 type Caller interface {
-	// WriteResponse writes a complete response.
-	WriteResponse(r *Response, body []byte) error
+	// WriteResponse writes a complete response, whose body is given in parts.
+	WriteResponse(r *Response, body [][]byte) error
+	// StartResponse writes the head of a response whose body has the length that its server
+	// has declared.
+	StartResponse(r *Response) error
+	// WritePart writes part of such a body.
+	WritePart(part []byte) error
 	// StartStream writes the head of a stream.
 	StartStream(r *Response) error
 	// WriteEvent writes one event of a stream. Nil bytes mark the end of a complete
@@ -148,6 +153,6 @@
 	WriteEvent(raw []byte) error
 	// WriteError writes the error of a request that has no response to forward.
 	WriteError(e *verdict.Error)
-	// Abort ends a stream in such a way that it does not look complete.
+	// Abort ends a response in such a way that it does not look complete.
 	Abort()
 }
--- a/dispatch/response.go
+++ b/dispatch/response.go
@@ -67,19 +67,6 @@
 	}
 }
 
-// handleBody handles the body of a response that is not a stream.
-func (s *session) handleBody(a *attempt, body []byte, err error) (Outcome, *verdict.Error, bool) {
-	if err != nil {
-		s.endFailed(a, "CutShort")
-		s.dispatcher.chooser.recordFailure(time.Now(), a.server.ID, false)
-		return 0, verdict.UnknownOutcome(verdict.BackendFailed, "the server's response is incomplete", err), false
-	}
-	if !a.response.IsSuccess() {
-		return 0, s.handleErrorStatus(a, body), false
-	}
-	return s.forwardBody(a, body)
-}
-
 // handleRefusal records the refusal of a server that did not run the request.
 func (s *session) handleRefusal(a *attempt, r *Response) *verdict.Error {
 	s.endFailed(a, r.Refusal.String())
@@ -97,27 +84,10 @@
 
 // handleErrorStatus stores an error response, which is forwarded if no other attempt
 // succeeds.
-func (s *session) handleErrorStatus(a *attempt, body []byte) *verdict.Error {
+func (s *session) handleErrorStatus(a *attempt, body [][]byte) *verdict.Error {
 	s.endFailed(a, "FailedThere")
 	if !s.headSent {
 		s.errorResponse, s.errorBody = a.response, body
 	}
 	return verdict.UnknownOutcome(verdict.BackendFailed, "the server returned an error response", nil)
 }
-
-// forwardBody forwards a successful response that is not a stream. Such a response cannot
-// continue a stream.
-func (s *session) forwardBody(a *attempt, body []byte) (Outcome, *verdict.Error, bool) {
-	if s.headSent {
-		s.endFailed(a, "NotResumed")
-		return 0, verdict.UnknownOutcome(verdict.StreamBroken, "the server did not resume the stream", nil), false
-	}
-	s.lead(a)
-	s.recordCompletion(a)
-	s.end(a, "Answered")
-	s.responseStartedAt = time.Now()
-	if err := s.caller.WriteResponse(a.response, body); err != nil {
-		return Left, verdict.UnknownOutcome(verdict.Unknown, "the caller has left", err), true
-	}
-	return Served, nil, true
-}
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -35,8 +35,10 @@
 	avoidedServers map[domain.ServerID]bool
 	// mayHaveRun is true once a server may have run the request.
 	mayHaveRun bool
-	// headSent is true once the head of a stream was sent to the caller.
-	headSent bool
+	// headSent is true once the head of a stream, or of a body that is passed on while it
+	// arrives, was sent to the caller. isPassedOn is true in the second case, in which the
+	// request is not sent again.
+	headSent, isPassedOn bool
 	// order joins the streams of the attempts.
 	order eventOrder
 	// resumeDeadline is the time at which a broken stream stops waiting for a server to
@@ -79,7 +81,7 @@
 	// errorResponse is the latest error response of a server, with its body. The caller
 	// gets it if no attempt succeeds.
 	errorResponse *Response
-	errorBody     []byte
+	errorBody     [][]byte
 	// refusedTrait is the trait for which the request was refused; 0 if it was not.
 	refusedTrait suspects.Trait
 	// bodies hold the responses that were read whole. They are released when the session is
@@ -181,13 +183,16 @@
 	if !s.mayHaveRun {
 		return true
 	}
+	if s.isPassedOn {
+		return false
+	}
 	if !s.request.Route.IsRetryable() || s.possibleRuns >= s.request.Route.MaxAttempts {
 		return false
 	}
 	return s.dispatcher.standing(s.request.Content) == suspects.Clean
 }
 
-// fail ends a request without a successful response. It aborts the stream if its head was
+// fail ends a request without a successful response. It aborts the response if its head was
 // sent, or else forwards the latest error response of a server if there is one. Otherwise
 // it writes an error, which has the verdict NotRun only if no server can have run the
 // request.
--- a/dispatch/session_test.go
+++ b/dispatch/session_test.go
@@ -118,8 +118,18 @@
 	writtenError                       *verdict.Error
 }
 
-func (c *fakeCaller) WriteResponse(r *Response, body []byte) error {
-	c.responseStarted, c.complete, c.status, c.body = true, true, r.Status, body
+func (c *fakeCaller) WriteResponse(r *Response, body [][]byte) error {
+	c.responseStarted, c.complete, c.status, c.body = true, true, r.Status, bytes.Join(body, nil)
+	return nil
+}
+
+func (c *fakeCaller) StartResponse(r *Response) error {
+	c.responseStarted, c.status = true, r.Status
+	return nil
+}
+
+func (c *fakeCaller) WritePart(part []byte) error {
+	c.body = append(c.body, part...)
 	return nil
 }
 
