--- a/dispatch/body.go
+++ b/dispatch/body.go
@@ -102,11 +102,14 @@
 // handleCutBody records an attempt whose response is incomplete. That is no failure of its server
 // if this node had no memory for it.
 func (s *session) handleCutBody(a *attempt, err error) *verdict.Error {
-	s.endFailed(a, "CutShort")
-	if !stderrors.Is(err, buffers.ErrFull) {
-		s.dispatcher.chooser.recordFailure(time.Now(), a.server.ID, false)
+	e := verdict.UnknownOutcome(verdict.BackendFailed, "the server's response is incomplete", err)
+	if stderrors.Is(err, buffers.ErrFull) {
+		s.endFailed(a, "NoMemory")
+		return e
 	}
-	return verdict.UnknownOutcome(verdict.BackendFailed, "the server's response is incomplete", err)
+	s.endFailed(a, "CutShort")
+	s.dispatcher.chooser.recordFailure(time.Now(), a.server.ID, false)
+	return e
 }
 
 // handleNotResumed records an attempt that has responded to the rest of a stream with a response
@@ -160,7 +163,7 @@
 		return s.handleCutBody(a, err)
 	}
 	s.recordCompletion(a)
-	s.end(a, "Answered")
+	s.end(a, "PassedOn")
 	return nil
 }
 
