--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -32,6 +32,10 @@
 	// ArrivedAt is when this node read the request. Deadline is the caller's deadline or
 	// the end of the route's timeout, whichever is earlier.
 	ArrivedAt, Deadline time.Time
+	// CallerTimeout is the time limit of the caller, without that of the route.
+	CallerTimeout time.Duration
+	// InForce is the configuration in force at the arrival.
+	InForce InForce
 	// LastEvent is the last event that the caller had received before it sent this
 	// request, 0 for none.
 	LastEvent EventID
