--- a/commands/lategrace_test.go
+++ b/commands/lategrace_test.go
@@ -124,6 +124,8 @@
 func (noCounters) CountAttempt(string)                                      {}
 func (noCounters) CountKeptAway(fleet.Restriction)                          {}
 func (noCounters) CountCrash()                                              {}
+func (noCounters) CountEnd(bool)                                            {}
+func (noCounters) CountEndedEarly(string, bool)                             {}
 func (noCounters) CountTraitDecision(bool)                                  {}
 
 // stoppingNodeView returns a view with the routes /once/ (non-idempotent), /again/ (idempotent)
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -186,6 +186,7 @@
 	s.running = slices.DeleteFunc(s.running, func(r *attempt) bool { return r == a })
 	s.dispatcher.CountAttempt(result)
 	s.logAttempt(a, result)
+	s.latestEnd = endCause(a.ctx)
 	a.cancel(nil)
 	s.dispatcher.chooser.release(a.server.ID)
 	s.dispatcher.Demand.addRunning(s.request.key(), -1)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -100,6 +100,12 @@
 	// time from the arrival of the request to the first part of its response, 0 if there
 	// was no response.
 	CountRequest(kind fleet.Kind, outcome Outcome, timeToResponseStart time.Duration)
+	// CountEnd counts a request that has ended. isNearChange is true if a version of the
+	// configuration came into force shortly before.
+	CountEnd(isNearChange bool)
+	// CountEndedEarly counts a request that this node ended without a complete response of a
+	// server before its time limit, by what ended its latest attempt.
+	CountEndedEarly(endedBy string, isNearChange bool)
 	// CountAttempt counts an attempt by its result.
 	CountAttempt(result string)
 	// CountKeptAway counts a request that was kept away from a server by a restriction; at
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -59,6 +59,8 @@
 	// caller gets; choiceInputs is the data behind the latest choice.
 	latestServer domain.ServerID
 	choiceInputs choiceInputs
+	// latestEnd is what ended the latest attempt; empty before.
+	latestEnd string
 	// running are the attempts that have not ended, at most maximumRunningAttempts, the
 	// oldest first.
 	running []*attempt
@@ -129,6 +131,7 @@
 	}
 	s.logOutcome(outcome, err)
 	d.CountRequest(r.Route.Kind, outcome, s.timeToResponseStart())
+	s.countEnd(time.Now(), outcome)
 	return outcome
 }
 
--- a/dispatch/session_test.go
+++ b/dispatch/session_test.go
@@ -143,6 +143,8 @@
 func (noCounters) CountAttempt(string)                             {}
 func (noCounters) CountKeptAway(fleet.Restriction)                 {}
 func (noCounters) CountCrash()                                     {}
+func (noCounters) CountEnd(bool)                                   {}
+func (noCounters) CountEndedEarly(string, bool)                    {}
 func (noCounters) CountTraitDecision(bool)                         {}
 
 // newTestDispatcher returns a dispatcher with two plain servers and two engines. Both
--- a/dispatch/timing.go
+++ b/dispatch/timing.go
@@ -8,8 +8,13 @@
 	"github.com/parsleylug/parsleylug/fleet"
 )
 
-// lateRefusal is how long a refused request has waited if its log line describes its timing.
-const lateRefusal = 250 * time.Millisecond
+const (
+	// lateRefusal is how long a refused request has waited if its log line describes its timing.
+	lateRefusal = 250 * time.Millisecond
+	// nearChangePeriod is how long after a version of the configuration has come into force the
+	// end of a request counts as near that change.
+	nearChangePeriod = 3500 * time.Millisecond
+)
 
 // InForce is the configuration that a node uses at one moment.
 type InForce struct {
@@ -72,6 +77,21 @@
 	d.logShutdown(line, "AfterStopMs", now)
 }
 
+// isNearChange reports whether the configuration came into force shortly before now.
+func (f InForce) isNearChange(now time.Time) bool {
+	return !f.Since.IsZero() && now.Sub(f.Since) < nearChangePeriod
+}
+
+// countEnd counts the end of the request beside a change of the configuration or at another
+// time, and whether this node ended it early.
+func (s *session) countEnd(now time.Time, o Outcome) {
+	isNearChange := s.dispatcher.Views.Get().InForce().isNearChange(now)
+	s.dispatcher.CountEnd(isNearChange)
+	if (o == Broken || o == Failed) && now.Before(s.request.Deadline) {
+		s.dispatcher.CountEndedEarly(s.latestEnd, isNearChange)
+	}
+}
+
 // isTimingLogged reports whether the line about the end of a request describes its timing: if
 // the caller has no response of a server and was not refused soon.
 func (s *session) isTimingLogged(o Outcome) bool {
--- a/dispatch/timing_test.go
+++ b/dispatch/timing_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
+	"io"
 	"maps"
 	"testing"
 	"testing/synctest"
@@ -132,3 +134,45 @@
 		}
 	})
 }
+
+// countedEnds counts the ends of requests.
+type countedEnds struct {
+	noCounters
+	ended, endedEarly map[string]int
+}
+
+func (c countedEnds) CountEnd(isNearChange bool) { c.ended[fmt.Sprint(isNearChange)]++ }
+
+func (c countedEnds) CountEndedEarly(endedBy string, isNearChange bool) {
+	c.endedEarly[fmt.Sprint(endedBy, " ", isNearChange)]++
+}
+
+// Requests that a node ends beside a change of the configuration could not be compared with
+// those at other times.
+func TestEarlyEndsAreCountedBesideChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		breaksOff := streamResponse(errors.New("broken"), 1)
+		endless := func(ctx context.Context) (*Response, error) {
+			return &Response{Status: 200, Verified: true, Events: &fakeEvents{events: []Event{{ID: 1, Raw: []byte("a")}}, ctx: ctx}}, nil
+		}
+		d := newTestDispatcher(&fakeBackend{responses: []func(context.Context) (*Response, error){breaksOff, breaksOff, streamResponse(io.EOF, 1), endless}})
+		counts := countedEnds{ended: map[string]int{}, endedEarly: map[string]int{}}
+		d.Counters = counts
+		for _, wait := range []time.Duration{0, nearChangePeriod, 0, 0} {
+			time.Sleep(wait)
+			d.Serve(t.Context(), timedRequest(d), &fakeCaller{})
+		}
+		nextVersion(d, 9)
+		ctx, cancel := context.WithCancelCause(t.Context())
+		time.AfterFunc(time.Second, func() { cancel(ErrShutdown) })
+		d.Serve(ctx, timedRequest(d), &fakeCaller{})
+		synctest.Wait()
+		time.Sleep(time.Second)
+		if got, want := counts.ended, map[string]int{"true": 2, "false": 3}; !maps.Equal(got, want) {
+			t.Errorf("got ends %v, want %v", got, want)
+		}
+		if got, want := counts.endedEarly, map[string]int{"Server true": 1, "Server false": 1, "Shutdown true": 1}; !maps.Equal(got, want) {
+			t.Errorf("got early ends %v, want %v", got, want)
+		}
+	})
+}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -47,6 +47,16 @@
 	}
 }
 
+// CountEnd implements dispatch.Counters.
+func (m *Metrics) CountEnd(isNearChange bool) {
+	m.scope.Tagged(map[string]string{"near_change": strconv.FormatBool(isNearChange)}).Counter("requests_ended").Inc(1)
+}
+
+// CountEndedEarly implements dispatch.Counters.
+func (m *Metrics) CountEndedEarly(endedBy string, isNearChange bool) {
+	m.scope.Tagged(map[string]string{"ended_by": endedBy, "near_change": strconv.FormatBool(isNearChange)}).Counter("requests_ended_early").Inc(1)
+}
+
 // CountAttempt implements dispatch.Counters.
 func (m *Metrics) CountAttempt(result string) {
 	m.scope.Tagged(map[string]string{"result": result}).Counter("attempts").Inc(1)
--- a/entry/metrics_test.go
+++ b/entry/metrics_test.go
@@ -15,6 +15,8 @@
 	m.CountRequest(fleet.Streaming, dispatch.Served, 30*time.Millisecond)
 	m.CountAttempt("Answered")
 	m.CountKeptAway(fleet.Leaving)
+	m.CountEnd(true)
+	m.CountEndedEarly("Shutdown", false)
 	m.CountStoreCall("read", true, 1200)
 	m.CountStoreCall("read", false, 0)
 	text := ""
@@ -28,6 +30,8 @@
 	for _, want := range []string{
 		`parsleylug_requests{kind="Streaming",outcome="Served"} 1`,
 		`parsleylug_attempts{result="Answered"} 1`,
+		`parsleylug_requests_ended{near_change="true"} 1`,
+		`parsleylug_requests_ended_early{ended_by="Shutdown",near_change="false"} 1`,
 		`parsleylug_requests_kept_away{restriction="Leaving"} 1`,
 		`parsleylug_store_calls{call="read",succeeded="true"} 1`,
 		`parsleylug_store_calls{call="read",succeeded="false"} 1`,
