Leave odd numbers out of the owner's updates

One update with an offset of 2^64-1 made a node count as behind for the rest of its run, as it keeps the highest offset announced: requests without a route would get 503 for 404, and the store is asked once a second. One with an odd number of nodes, of which the largest counts, would leave the node no share of the retry budget.

Evidence: before, TestOddNumbersOfAnUpdateAreLeftOut got all four numbers.

--- a/hub/message.go
+++ b/hub/message.go
@@ -28,6 +28,12 @@
 	// maximumSequence is the largest whole number up to which float64, which servers may
 	// count in, is exact.
 	maximumSequence = 1 << 53
+	// maximumNodes is the largest number of nodes. A larger one would leave no node a share of
+	// the retry budget.
+	maximumNodes = 10_000
+	// maximumOffset is the largest offset of the store. Nodes keep the highest one announced,
+	// and count as behind until they have read up to it.
+	maximumOffset = 1 << 53
 	// maximumStartTimeMs is the beginning of the year 2100 in Unix milliseconds.
 	maximumStartTimeMs = 4_102_444_800_000
 )
@@ -242,14 +248,25 @@
 	return data, errors.WithStack(err)
 }
 
-// decodeUpdate decodes an update without the engine states that are out of range.
+// isInRange reports whether the offsets of a store update are possible.
+func (u *wireStoreUpdate) isInRange() bool {
+	return u.Configuration <= maximumOffset && u.Registrations <= maximumOffset
+}
+
+// decodeUpdate decodes an update without the engine states, the store update and the number of
+// nodes that are out of range.
 func decodeUpdate(data []byte) (Update, error) {
 	var w wireUpdate
 	if err := unmarshal(data, &w); err != nil {
 		return Update{}, errors.Wrap(err, "decode the owner's update")
 	}
-	u := Update{NodeCount: w.Nodes}
-	u.Store = StoreUpdate{ConfigurationOffset: domain.Offset(w.News.Configuration), RegistrationsOffset: domain.Offset(w.News.Registrations), RegistrationsRead: w.News.Read}
+	var u Update
+	if w.Nodes >= 0 && w.Nodes <= maximumNodes {
+		u.NodeCount = w.Nodes
+	}
+	if w.News.isInRange() {
+		u.Store = StoreUpdate{ConfigurationOffset: domain.Offset(w.News.Configuration), RegistrationsOffset: domain.Offset(w.News.Registrations), RegistrationsRead: w.News.Read}
+	}
 	for _, s := range w.Servers {
 		if !s.isInRange() {
 			continue
--- a/hub/oddmessage_test.go
+++ b/hub/oddmessage_test.go
@@ -74,6 +74,31 @@
 	}
 }
 
+// Guards against CONFIG and lost retries: one odd update of the owner made a node count as behind,
+// or divide the retry budget by any number, for the rest of its run.
+func TestOddNumbersOfAnUpdateAreLeftOut(t *testing.T) {
+	sound := Update{NodeCount: 3, Store: StoreUpdate{ConfigurationOffset: 5, RegistrationsOffset: 6, RegistrationsRead: true}}
+	for name, u := range map[string]Update{
+		"negative nodes":       {NodeCount: -1},
+		"too many nodes":       {NodeCount: math.MaxInt},
+		"configuration offset": {Store: StoreUpdate{ConfigurationOffset: math.MaxUint64, RegistrationsRead: true}},
+		"registrations offset": {Store: StoreUpdate{RegistrationsOffset: math.MaxUint64, RegistrationsRead: true}},
+		"":                     sound,
+	} {
+		data, err := encodeUpdate(u)
+		if err != nil {
+			t.Fatal(err)
+		}
+		want := Update{}
+		if name == "" {
+			want = sound
+		}
+		if got, err := decodeUpdate(data); err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("%s: got %+v and %v, want %+v", name, got, err, want)
+		}
+	}
+}
+
 // Demands with numbers that no node can have are left out of a report.
 func TestOddDemandsAreLeftOut(t *testing.T) {
 	r := Report{Node: "n"}
