Count no demand for models that the configuration lacks

Callers saw: requests that wait for a model while the owner does not hear of them.

Cause: the demand counted whatever model and adapter a request named, up to 64 KiB each, for 4 s after its refusal. 200 such requests make the report to the owner longer than the 4 MiB that it reads, which ends the link; the next link begins with the whole demand again. Long after they are gone the owner keeps a total for each name.

That the link breaks is by reading (the read limit in package hub).

What a request counts as is decided once, when it arrives, so that its counts stay in balance while the configuration changes.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -78,7 +78,7 @@
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	s.running = append(s.running, a)
 	s.latestServer = server.ID
-	s.dispatcher.Demand.addRunning(s.request.key(), 1)
+	s.dispatcher.Demand.addRunning(s.demandKey, 1)
 	a.parameters = Attempt{Timeout: s.request.Deadline.Sub(now), LastEvent: s.order.last, Priority: s.request.Route.Priority}
 	return a
 }
@@ -188,7 +188,7 @@
 	s.logAttempt(a, result)
 	a.cancel(nil)
 	s.dispatcher.chooser.release(a.server.ID)
-	s.dispatcher.Demand.addRunning(s.request.key(), -1)
+	s.dispatcher.Demand.addRunning(s.demandKey, -1)
 }
 
 // endFailed ends an attempt that failed or was refused. Its server is avoided until
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -17,7 +17,7 @@
 	s.resumeDeadline = start.Add(s.stallTimeout() - resumeMargin)
 	defer func() {
 		if isWaiting {
-			s.dispatcher.Demand.stopWaiting(s.request.key())
+			s.dispatcher.Demand.stopWaiting(s.demandKey)
 			s.waitTime += time.Since(start)
 		}
 	}()
@@ -49,7 +49,7 @@
 		if !isWaiting {
 			isWaiting = true
 			s.logWaiting(view, expectedWait, deadline)
-			s.dispatcher.Demand.startWaiting(s.request.key())
+			s.dispatcher.Demand.startWaiting(s.demandKey)
 		}
 		if e := s.waitForChange(ctx, view, deadline, len(candidates) > 0); e != nil {
 			return nil, e
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -48,6 +48,26 @@
 	return placement.ModelKey{Service: r.Service, Model: r.Model, Adapter: r.Adapter}
 }
 
+// maximumAdapterName is the longest name of an adapter in bytes that counts in the demand.
+const maximumAdapterName = 256
+
+// demandKey returns what the request counts as in the demand: nothing if the configuration of the
+// view lacks its model, or its adapter cannot exist. Callers choose these names, and the demand
+// for any number of them would have to be kept and sent to the owner.
+func (r *Request) demandKey(v *View) placement.ModelKey {
+	if v.Config == nil || len(r.Adapter) > maximumAdapterName {
+		return placement.ModelKey{}
+	}
+	engine := v.Config.Services[r.Service].Engine
+	if engine == nil {
+		return placement.ModelKey{}
+	}
+	if _, ok := engine.Models[r.Model]; !ok {
+		return placement.ModelKey{}
+	}
+	return r.key()
+}
+
 func (r *Request) durationKey() durationKey {
 	return durationKey{route: r.Route.Name, service: r.Service}
 }
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -8,6 +8,7 @@
 
 	"github.com/parsleylug/parsleylug/buffers"
 	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/placement"
 	"github.com/parsleylug/parsleylug/suspects"
 	"github.com/parsleylug/parsleylug/verdict"
 )
@@ -21,6 +22,8 @@
 	dispatcher *Dispatcher
 	request    *Request
 	caller     Caller
+	// demandKey is what the request counts as in the demand.
+	demandKey placement.ModelKey
 	// begunAt is when the whole request, with its body, was there.
 	begunAt time.Time
 	// possibleRuns is the number of attempts that may have run the request.
@@ -94,6 +97,7 @@
 		refusalBackoff: initialRefusalBackoff,
 	}
 	s.settled.L = &s.mu
+	s.demandKey = r.demandKey(d.Views.Get())
 	return s
 }
 
@@ -117,7 +121,7 @@
 	s := newSession(d, r, c)
 	defer s.close()
 	if s.refuseSuspect() == nil {
-		d.Demand.countArrival(r.key())
+		d.Demand.countArrival(s.demandKey)
 	}
 	d.countRequest(r.Service)
 	withDeadline, cancel := context.WithDeadline(ctx, r.Deadline)
@@ -221,7 +225,7 @@
 // it.
 func (s *session) refuse(e *verdict.Error) (Outcome, *verdict.Error) {
 	if e.Reason != verdict.Quarantined {
-		s.dispatcher.Demand.countRefusal(s.request.key(), time.Now())
+		s.dispatcher.Demand.countRefusal(s.demandKey, time.Now())
 	}
 	s.caller.WriteError(e)
 	return Refused, e
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -114,5 +114,5 @@
 		return
 	}
 	s.isCountedLate = true
-	s.dispatcher.Demand.countLate(s.request.key())
+	s.dispatcher.Demand.countLate(s.demandKey)
 }
