--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -81,7 +81,7 @@
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	s.running = append(s.running, a)
 	s.latestServer = server.ID
-	s.dispatcher.Demand.addRunning(s.request.key(), 1)
+	s.dispatcher.Demand.addRunning(s.demandKey, 1)
 	a.parameters = Attempt{Timeout: s.request.Deadline.Sub(now), LastEvent: s.order.last, Priority: s.request.Route.Priority}
 	return a
 }
@@ -172,7 +172,7 @@
 	s.latestEnd = endCause(a.ctx)
 	a.cancel(nil)
 	s.dispatcher.chooser.release(a.server.ID)
-	s.dispatcher.Demand.addRunning(s.request.key(), -1)
+	s.dispatcher.Demand.addRunning(s.demandKey, -1)
 }
 
 // endFailed ends an attempt that failed or was refused. Its server is avoided until
