--- a/commands/endofgrace_test.go
+++ b/commands/endofgrace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"time"
 
@@ -34,3 +35,22 @@
 		t.Error("the loops were not cancelled")
 	}
 }
+
+// Guards against a process that still runs at the end of its grace period: it waited for a fixed
+// time after the last response, and had less time to exit.
+func TestNodeEndsAfterItsLastResponse(t *testing.T) {
+	t.Parallel()
+	n := startStoppingNode(t)
+	c := n.connect(t)
+	responses := make(chan lateAnswer, 1)
+	go func() { responses <- c.send(requestText("long", "/once/", callerTimeout/2, callerTimeout, "")) }()
+	time.Sleep(100 * time.Millisecond)
+	n.stop()
+	<-n.exited
+	if took, limit := time.Since(n.stoppedAt), graceOfTests-exitMargin+finalResponseTime*4/5; took > limit {
+		t.Errorf("stopped after %v, want at most %v", took, limit)
+	}
+	if a := <-responses; a.err != nil || a.status != http.StatusBadGateway {
+		t.Errorf("got %v, want a whole response with status 502", a)
+	}
+}
--- a/commands/front.go
+++ b/commands/front.go
@@ -56,6 +56,9 @@
 	notReadyDelay = 2500 * time.Millisecond
 	// exitMargin is the part of the grace period that is reserved for the exit.
 	exitMargin = 500 * time.Millisecond
+	// finalResponseTime is the part of exitMargin in which cancelled requests may send their
+	// final response.
+	finalResponseTime = 250 * time.Millisecond
 	// logMargin is the last part of exitMargin, which is reserved for the log.
 	logMargin = 200 * time.Millisecond
 	// retryBudgetShare is the fraction of the shared retry budget that the nodes use.
@@ -194,7 +197,11 @@
 	reloads, terminations := notifySignals()
 	requestsContext, cancelRequests := context.WithCancelCause(context.Background())
 	defer cancelRequests(nil)
-	f.cancelRequests = cancelRequests
+	// The responses to cancelled requests do not need the loops, which have more time to end so.
+	f.cancelRequests = func(cause error) {
+		cancelRequests(cause)
+		cancel()
+	}
 	callerServer := f.frontend.HTTPServer(requestsContext, platform.ServerLimits{ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleConnectionTimeout, HeaderBytes: maximumHeaderBytes})
 	if err := f.listen(ctx, callerServer, metricsAddress); err != nil {
 		return err
@@ -316,9 +323,18 @@
 	defer cancel()
 	err := callerServer.Drain(ctx)
 	if err != nil {
-		// The cancelled requests need a moment to send their final response.
 		f.cancelRequests(dispatch.ErrShutdown)
-		time.Sleep(exitMargin / 2)
+		awaitFinalResponses(callerServer)
 	}
 	f.logger.Info().Str("Event", "Stopped").Int("Running", f.frontend.Dispatcher.Running()).AnErr("Cause", err).Msg("node stopped")
 }
+
+// awaitFinalResponses waits until the cancelled requests have sent their final response, for
+// finalResponseTime at most, and closes the connections that are left.
+func awaitFinalResponses(callerServer *platform.CallerServer) {
+	ctx, cancel := context.WithTimeout(context.Background(), finalResponseTime)
+	defer cancel()
+	if callerServer.AwaitConnections(ctx) != nil {
+		_ = callerServer.Close()
+	}
+}
