--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -29,7 +29,7 @@
 		view := s.dispatcher.Views.Get()
 		now := time.Now()
 		if !s.endsInTime(now) {
-			return nil, refuseShutdown()
+			return nil, s.refuseShutdown(now)
 		}
 		candidates := s.candidates(now, view)
 		if s.hasUntried(candidates) || len(candidates) > 0 && s.attempts == 0 {
@@ -129,7 +129,7 @@
 		return nil
 	}
 	if time.Now().Before(s.callerWaitDeadline()) {
-		return refuseShutdown()
+		return s.refuseShutdown(time.Now())
 	}
 	return newRefusal(time.Now(), s.request, verdict.DeadlineTooShort, "the model was not loaded in time", time.Second)
 }
@@ -219,7 +219,7 @@
 		return newReopeningRefusal(expectedWait)
 	}
 	if !now.Add(expectedWait).After(s.callerWaitDeadline()) {
-		return refuseShutdown()
+		return s.refuseShutdown(now)
 	}
 	return newRefusal(now, s.request, verdict.NoCapacity, "the model cannot be had in time", expectedWait)
 }
--- a/dispatch/shutdown.go
+++ b/dispatch/shutdown.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -143,8 +144,17 @@
 }
 
 // refuseShutdown returns the refusal of a request that this node cannot complete before it
-// ends. Other nodes can, so that its caller need not wait.
-func refuseShutdown() *verdict.Error {
+// ends. Other nodes can, so that its caller need not wait. The log tells what was known then.
+func (s *session) refuseShutdown(now time.Time) *verdict.Error {
 	retryAfter := time.Duration(rand.Float64() * float64(maximumShutdownRetryAfter))
-	return verdict.Refuse(verdict.Draining, "the node shuts down before the request can be completed").WithRetryAfter(retryAfter)
+	e := verdict.Refuse(verdict.Draining, "the node shuts down before the request can be completed").WithRetryAfter(retryAfter)
+	e.Cause = s.dispatcher.durations.distribution(now, s.request.durationKey()).describe()
+	return e
+}
+
+// describe says how long the requests are expected to take, as the cause of a refusal.
+func (d *durationDistribution) describe() error {
+	usual, isUsualKnown := d.exceededBy(usualShare)
+	long, isLongKnown := d.exceededBy(retryableCutShare)
+	return fmt.Errorf("of the route's recent requests, %d were served; half take up to %v (known: %t), 95 %% up to %v (known: %t)", d.servedCount(), usual, isUsualKnown, long, isLongKnown)
 }
