--- a/dispatch/changedconfiguration_test.go
+++ b/dispatch/changedconfiguration_test.go
@@ -176,7 +176,10 @@
 		v.Config.Version = 2
 		return v
 	}
-	breaks := afterDelay(changeAt, streamResponse(errors.New("reset"), 1, 2))
+	breaks := func(ctx context.Context) (*Response, error) {
+		events := []Event{{ID: 1, Raw: []byte("1")}, {ID: 2, Raw: []byte("2")}}
+		return &Response{Status: 200, Verified: true, Events: &fakeEvents{err: errors.New("reset"), ctx: ctx, delay: 200 * time.Millisecond, events: events}}, nil
+	}
 	o, c, _ := serveThroughChange(t, streamRequest, changed, breaks, streamResponse(io.EOF, 3))
 	if got, want := string(c.body), "123"; o != Served || got != want {
 		t.Errorf("got %v with %q, want %v with %q", o, got, Served, want)
