--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -67,18 +67,19 @@
 }
 
 // callerWaitDeadline returns until when the caller of the request can wait for a server, at this
-// or at another node.
+// or at another node. A stream whose head was sent waits on, because its caller has heard of it.
 func (s *session) callerWaitDeadline() time.Time {
 	timeout := s.request.Deadline.Sub(s.request.ArrivedAt)
 	deadline := s.request.Deadline.Add(-min(refusalMargin, time.Duration(refusalMarginShare*float64(timeout))))
+	if s.headSent {
+		return earlier(s.resumeDeadline, deadline)
+	}
+	heldUp := min(s.request.HeldUp, maximumHeldUp)
+	deadline = deadline.Add(-min(heldUp, time.Duration(heldUpShare*float64(timeout))))
 	if s.request.Route.Kind != fleet.Streaming {
 		return deadline
 	}
-	stallDeadline := s.request.ArrivedAt.Add(s.stallTimeout() - refusalMargin)
-	if s.headSent {
-		stallDeadline = s.resumeDeadline
-	}
-	return earlier(stallDeadline, deadline)
+	return earlier(s.request.ArrivedAt.Add(s.stallTimeout()-refusalMargin-heldUp), deadline)
 }
 
 // stallTimeout returns the time without an event after which the caller of a stream is
--- a/entry/configurationread.go
+++ b/entry/configurationread.go
@@ -100,9 +100,11 @@
 	if mayPoll && !behind {
 		r.isPoll, wait = true, n.configurationPollWait(r.sentAt)
 	}
+	n.configurationReads[r] = true
 	n.mu.Unlock()
 	go func() {
 		defer cancel()
+		defer n.removeConfigurationRead(r)
 		result := configurationResult{read: r}
 		if missed {
 			// The newest record alone is smaller than all that were missed.
@@ -116,6 +118,24 @@
 	return r
 }
 
+func (n *Node) removeConfigurationRead(r *configurationRead) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.configurationReads, r)
+}
+
+// HeldUp returns how long a request that arrives now may have been on its way because a
+// configuration arrives too: on a slow link, it waits behind what the store sent before it.
+func (n *Node) HeldUp() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	longest := time.Duration(0)
+	for r := range n.configurationReads {
+		longest = max(longest, r.progress.State().ReadTime())
+	}
+	return longest
+}
+
 // configurationPollWait returns how long the next poll lets the store wait for a new
 // configuration. The caller holds mu.
 func (n *Node) configurationPollWait(now time.Time) time.Duration {
--- a/entry/node.go
+++ b/entry/node.go
@@ -156,6 +156,8 @@
 	// configurationCursor is the offset up to which this node has read the
 	// configurations.
 	configurationCursor domain.Offset
+	// configurationReads are the reads of the configuration whose results are not there yet.
+	configurationReads map[*configurationRead]bool
 	// behindSince is since when the owner has announced a configuration that this node
 	// has not read; zero if there is none. The next line about it is due behindLogGap
 	// after that.
@@ -208,7 +210,7 @@
 
 // New returns a node that is idle until Run.
 func New(o Options) *Node {
-	n := &Node{Options: o, planTrigger: make(chan struct{}, 1), traitsReported: make(chan struct{}, 1), traitsChanged: make(chan struct{}, 1), storeRecovered: make(chan struct{}), failedCalls: map[string]bool{}}
+	n := &Node{Options: o, planTrigger: make(chan struct{}, 1), traitsReported: make(chan struct{}, 1), traitsChanged: make(chan struct{}, 1), storeRecovered: make(chan struct{}), failedCalls: map[string]bool{}, configurationReads: map[*configurationRead]bool{}}
 	n.Notices.DrainBound = o.DrainBound
 	n.storeUpdates.changed = make(chan struct{})
 	n.lease.Shard = ownedShard
