--- a/commands/front.go
+++ b/commands/front.go
@@ -293,6 +293,7 @@
 // reload checks the settings file again and logs whether an address changed. The running
 // node keeps the settings that it started with.
 func (f *frontNode) reload(path string) {
+	f.frontend.Dispatcher.RecordReload(time.Now())
 	s, err := platform.LoadSettings(path)
 	if err != nil {
 		f.logger.Error().Str("Event", "ReloadFailed").Err(err).Msg("new settings are invalid; keeping the current ones")
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -123,6 +123,8 @@
 
 	// shutdown is nil until Drain is called.
 	shutdown atomic.Pointer[Shutdown]
+	// reloadedAt is when the node last read its settings again; nil if it has not.
+	reloadedAt atomic.Pointer[time.Time]
 	// durations are those of the requests that this node has passed on.
 	durations recentDurations
 
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -98,6 +98,9 @@
 		line = line.Str("Trait", fmt.Sprintf("%x", s.refusedTrait))
 	}
 	s.dispatcher.logShutdown(line, "ArrivedAfterStopMs", s.request.ArrivedAt)
+	if s.isTimingLogged(o) {
+		s.dispatcher.LogTiming(line, s.request.Timing())
+	}
 	message := "the caller has its answer"
 	if e != nil {
 		message = e.Message
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -35,6 +35,10 @@
 	// HeldUp is how long the request may have been on its way because of what this node
 	// received then. Its caller may have waited that much longer.
 	HeldUp time.Duration
+	// CallerTimeout is the time limit of the caller, without that of the route.
+	CallerTimeout time.Duration
+	// InForce is the configuration in force at the arrival.
+	InForce InForce
 	// LastEvent is the last event that the caller had received before it sent this
 	// request, 0 for none.
 	LastEvent EventID
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fleet"
@@ -11,12 +12,22 @@
 // immutable once published.
 type View struct {
 	Config *fleet.Configuration
+	// ConfigSince is when Config came into force. Views sets it.
+	ConfigSince time.Time
 	// Servers are the servers that accept new requests, by service.
 	Servers map[domain.ServiceName][]*fleet.Server
 	// Changed is closed when a newer view is published.
 	Changed chan struct{}
 }
 
+// InForce returns the version of the configuration and since when it is in force.
+func (v *View) InForce() InForce {
+	if v.Config == nil {
+		return InForce{}
+	}
+	return InForce{Version: v.Config.Version, Since: v.ConfigSince}
+}
+
 // Views holds the newest View. The zero Views holds an empty View. It is safe for
 // concurrent use.
 type Views struct {
@@ -63,6 +74,11 @@
 func (v *Views) replace(view *View) {
 	view.Changed = make(chan struct{})
 	previous := v.view
+	if previous != nil && previous.Config == view.Config {
+		view.ConfigSince = previous.ConfigSince
+	} else {
+		view.ConfigSince = time.Now()
+	}
 	v.view = view
 	if previous != nil {
 		close(previous.Changed)
