Take a stream that waits for memory for no silent server

Cause: a long event that waited for memory looked like a silence of its server, so that the stream was hedged after 1.2 s and the silence counted against the server; a body had the same right after its wait.

Change: the readers of events say that they wait, and the silence of a server counts from the end of such a wait.

What callers saw: no difference but for a second run of their request.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -28,12 +28,23 @@
 	position streamPosition
 	// buffer holds the body of the response while it is read whole; nil else.
 	buffer *buffers.Buffer
+	// hasWaited is true if the response waited for memory when the silence timer last expired.
+	hasWaited bool
 	// lastReceivedAt is when the server last sent its response head or an event; startedAt
 	// before. events is the number of those events.
 	lastReceivedAt time.Time
 	events         int
 }
 
+// waitsForMemory reports whether this node does not read the response because it has no memory for
+// it. The caller holds the session's mu.
+func (a *attempt) waitsForMemory() bool {
+	if a.buffer != nil {
+		return a.buffer.IsWaiting()
+	}
+	return a.response != nil && a.response.Events != nil && a.response.Events.IsWaiting()
+}
+
 // arrivalKind says what an attempt has received.
 type arrivalKind int
 
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -89,8 +89,11 @@
 		s.endOverlap()
 		return
 	}
-	if a := s.running[0]; a.buffer != nil && a.buffer.IsWaiting() {
-		// This node does not read, so the server is not silent.
+	a := s.running[0]
+	if waits := a.waitsForMemory(); waits || a.hasWaited {
+		// The server is not silent while this node does not read, and has the whole timeout
+		// after that.
+		a.hasWaited = waits
 		s.armSilence(time.Now())
 		return
 	}
--- a/dispatch/hedge_test.go
+++ b/dispatch/hedge_test.go
@@ -71,6 +71,8 @@
 	return event, nil
 }
 
+func (*pausingEvents) IsWaiting() bool { return false }
+
 func (e *pausingEvents) Close() {}
 
 // Guards against BUDGET: a server that was silent several times in one stream caused an attempt
--- a/dispatch/passon_test.go
+++ b/dispatch/passon_test.go
@@ -119,3 +119,32 @@
 		})
 	}
 }
+
+// waitingEvents waits for memory for a time before its only event.
+type waitingEvents struct {
+	fakeEvents
+	until time.Time
+}
+
+func (e *waitingEvents) Next() (Event, error) {
+	time.Sleep(time.Until(e.until))
+	return e.fakeEvents.Next()
+}
+
+func (e *waitingEvents) IsWaiting() bool { return time.Now().Before(e.until) }
+
+// Guards against an ejection of a sound server: a stream whose event waits for memory was taken for
+// one of a silent server.
+func TestStreamThatWaitsForMemoryIsNotHedged(t *testing.T) {
+	response := func(context.Context) (*Response, error) {
+		e := &waitingEvents{fakeEvents{events: []Event{{ID: 1, Raw: []byte("1")}}, err: io.EOF}, time.Now().Add(3 * streamIdleTimeout)}
+		return &Response{Status: 200, Verified: true, Events: e}, nil
+	}
+	got, caller, b := serve(t, streamRequest, response)
+	if got != Served || string(caller.body) != "1" {
+		t.Errorf("got outcome %v with %q, want %v with the event", got, caller.body, Served)
+	}
+	if got, want := len(b.received), 1; got != want {
+		t.Errorf("attempts: got %d, want %d", got, want)
+	}
+}
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -149,6 +149,8 @@
 // stream and another error if the stream broke.
 type Events interface {
 	Next() (Event, error)
+	// IsWaiting reports, while Next runs, whether it waits for memory and does not read.
+	IsWaiting() bool
 	Close()
 }
 
--- a/dispatch/session_test.go
+++ b/dispatch/session_test.go
@@ -68,6 +68,8 @@
 	return next, nil
 }
 
+func (*fakeEvents) IsWaiting() bool { return false }
+
 func (e *fakeEvents) Close() {}
 
 // streamResponse responds with a stream of events that ends with err.
--- a/dispatch/silence_test.go
+++ b/dispatch/silence_test.go
@@ -45,6 +45,8 @@
 	return event, nil
 }
 
+func (*silentEvents) IsWaiting() bool { return false }
+
 func (e *silentEvents) Close() {}
 
 // silentStream responds with a stream of three events that pauses after the first one.
--- a/dispatch/stream_test.go
+++ b/dispatch/stream_test.go
@@ -25,6 +25,8 @@
 	return event, nil
 }
 
+func (*arrivingEvents) IsWaiting() bool { return false }
+
 func (e *arrivingEvents) Close() {}
 
 // lossyCaller takes all that it gets and keeps nothing.
