--- a/dispatch/durations.go
+++ b/dispatch/durations.go
@@ -167,26 +167,35 @@
 }
 
 // exceededBy returns the time that at most the given share of the requests exceeds, by the
-// estimator of Kaplan and Meier. It returns false with the longest duration that is known if
-// too many requests have not been served for that.
+// estimator of Kaplan and Meier. Of a request that is not served, it is uncertain that it takes no
+// longer than the others: they make the share larger by a part of one request. It returns false
+// with the longest duration that is known if too many requests have not been served for that.
 func (d *durationDistribution) exceededBy(share float64) (time.Duration, bool) {
-	longer := 0
+	total := 0
 	for class := range d.served {
-		longer += d.served[class] + d.unserved[class]
+		total += d.served[class] + d.unserved[class]
 	}
-	exceeding, longest := 1.0, 0
+	exceeding, longer, uncertain := 1.0, total, 0
 	for class := range d.served {
 		if longer == 0 {
 			break
 		}
-		exceeding *= 1 - float64(d.served[class])/float64(longer)
+		exceeding *= 1 - float64(d.served[class])/(float64(longer)+float64(uncertain)/float64(total))
 		if exceeding <= share {
 			return upperBound(class), true
 		}
+		longer -= d.served[class] + d.unserved[class]
+		uncertain += d.unserved[class]
+	}
+	return d.longest(), false
+}
+
+// longest returns the longest duration that is known.
+func (d *durationDistribution) longest() time.Duration {
+	for class := durationClassCount - 1; class > 0; class-- {
 		if d.served[class]+d.unserved[class] > 0 {
-			longest = class
+			return upperBound(class)
 		}
-		longer -= d.served[class] + d.unserved[class]
 	}
-	return upperBound(longest), false
+	return upperBound(0)
 }
--- a/dispatch/shutdown.go
+++ b/dispatch/shutdown.go
@@ -31,6 +31,8 @@
 	// others.
 	retryableCutShare = 0.05
 	otherCutShare     = 0.01
+	// lateCutShare is that share once callers have had the time to go to other nodes.
+	lateCutShare = 0.002
 	// usualShare is the share of the requests that take longer than usual.
 	usualShare = 0.5
 )
@@ -106,11 +108,11 @@
 // latestLateStart returns the time until which a request may start that has not run, although
 // its caller has had the time to go to another node.
 func (s *session) latestLateStart(d *durationDistribution, shutdown *Shutdown) time.Time {
-	expected, ok := d.expected(0)
+	expected, ok := d.expected(lateCutShare)
 	if !ok || s.request.Route.Kind == fleet.Streaming {
 		return time.Time{}
 	}
-	return shutdown.EndsAt.Add(-expected - silenceAllowance)
+	return shutdown.EndsAt.Add(-max(expected, d.longest()) - silenceAllowance)
 }
 
 // expected returns the time that at most the given share of the requests is expected to exceed.
