--- a/dispatch/timing.go
+++ b/dispatch/timing.go
@@ -31,6 +31,8 @@
 	CallerTimeout, RouteTimeout time.Duration
 	// InForce is the configuration at the arrival.
 	InForce InForce
+	// HeldUp is Request.HeldUp.
+	HeldUp time.Duration
 }
 
 // limit returns the shorter of the time limits, 0 for none.
@@ -52,7 +54,7 @@
 
 // Timing returns the timing of the request.
 func (r *Request) Timing() Timing {
-	return Timing{ArrivedAt: r.ArrivedAt, CallerTimeout: r.CallerTimeout, RouteTimeout: r.Route.Timeout, InForce: r.InForce}
+	return Timing{ArrivedAt: r.ArrivedAt, CallerTimeout: r.CallerTimeout, RouteTimeout: r.Route.Timeout, InForce: r.InForce, HeldUp: r.HeldUp}
 }
 
 // RecordReload records that the node has read its settings again.
@@ -74,6 +76,9 @@
 	if at := d.reloadedAt.Load(); at != nil {
 		line.Int64("AfterReloadMs", now.Sub(*at).Milliseconds())
 	}
+	if t.HeldUp > 0 {
+		line.Int64("HeldUpMs", t.HeldUp.Milliseconds())
+	}
 	d.logShutdown(line, "AfterStopMs", now)
 }
 
