--- a/caller/bodydeadline_test.go
+++ b/caller/bodydeadline_test.go
@@ -19,7 +19,7 @@
 		deadline = 300 * time.Millisecond
 		byteGap  = 30 * time.Millisecond
 		// patience is how long the test waits for the end of a request that would not end by itself.
-		patience = 10 * time.Second
+		patience = 3 * time.Second
 	)
 	b := newFixture()
 	s := httptest.NewServer(b.api.Handler())
