--- a/buffers/buffer.go
+++ b/buffers/buffer.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -32,8 +33,10 @@
 	// isWhole is set once the message was read. Its chunks are not used again, since a peer may
 	// still be reading them after Release.
 	isWhole bool
-	// end ends the read that fills the buffer; nil if it must not be ended.
-	end func()
+	// end ends the read that fills the buffer; nil if it must not be ended. ending counts its
+	// call until it returns.
+	end    func()
+	ending sync.WaitGroup
 
 	// The mutex of the pool guards the fields below.
 	//
@@ -47,8 +50,9 @@
 }
 
 // NewBuffer returns an empty buffer. The pool calls end, in a goroutine of its own, if it gives
-// the message up, because it holds memory that others wait for and its sender is silent. A
-// message without end is never given up.
+// the message up, because it holds memory that others wait for and its sender is silent. ReadAll
+// does not return before end does: end may act on a connection that others use next. A message
+// without end is never given up.
 func (p *Pool) NewBuffer(end func()) *Buffer {
 	return &Buffer{pool: p, end: end}
 }
@@ -186,12 +190,11 @@
 	return errors.WithStack(err)
 }
 
-// seal returns what the message does not need to the pool, which does not give it up any more.
+// seal returns what the message does not need to the pool, which does not give it up any more, and
+// waits until a call of end has returned.
 func (b *Buffer) seal() {
-	p := b.pool
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.shrink(b, max(0, domain.Bytes(cap(b.data))+chunkSize*domain.Bytes(len(b.chunks))-FreeSize))
+	b.Shrink(domain.Bytes(cap(b.data)) + chunkSize*domain.Bytes(len(b.chunks)))
+	b.ending.Wait()
 }
 
 // Reserve makes the buffer take its size, beyond FreeSize, from the pool. The buffer must not
--- a/buffers/pool.go
+++ b/buffers/pool.go
@@ -238,7 +238,7 @@
 		if canEnd && !b.isWaiting && now.Sub(b.lastProgress) > stallTimeout {
 			b.isGivenUp = true
 			delete(p.filling, b)
-			go b.end()
+			b.ending.Go(b.end)
 		}
 	}
 }
--- a/buffers/wait_test.go
+++ b/buffers/wait_test.go
@@ -273,3 +273,37 @@
 		}
 	})
 }
+
+// Guards against a request that is cancelled for the one before it: the call that ends the read
+// of a message that is given up came after the read, on a connection that had gone on.
+func TestReadOutlastsItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := Pool{Size: 10 * chunkSize}
+		r, w := io.Pipe()
+		hasEnded := false
+		b := p.NewBuffer(func() {
+			// The sender goes on as its message is given up.
+			_ = w.Close()
+			time.Sleep(time.Second)
+			hasEnded = true
+		})
+		go func() { _, _ = w.Write(make([]byte, 2*chunkSize)) }()
+		var others sync.WaitGroup
+		others.Go(func() {
+			time.Sleep(time.Millisecond)
+			if err := p.NewBuffer(nil).Reserve(t.Context(), FreeSize+10*chunkSize); err != nil {
+				t.Error(err)
+			}
+		})
+		err := b.ReadAll(t.Context(), r, 10*chunkSize, int64(10*chunkSize))
+		if !errors.Is(err, ErrStalled) {
+			t.Errorf("got %v, want %v", err, ErrStalled)
+		}
+		if !hasEnded {
+			t.Error("the read has returned before the call that ends it")
+		}
+		b.Release()
+		others.Wait()
+		time.Sleep(time.Minute)
+	})
+}
