--- a/caller/chat.go
+++ b/caller/chat.go
@@ -165,7 +165,9 @@
 		return err
 	}
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
-	_, err = w.Write(append(body, '\n'))
+	body = append(body, '\n')
+	limitResponse(w, len(body))
+	_, err = w.Write(body)
 	if err != nil {
 		s.api.Logger.Debug().Str("Event", "AnswerNotRead").Err(err).Str("Request", string(s.call.id)).Msg("caller disconnected before the response was written")
 	}
--- a/caller/services.go
+++ b/caller/services.go
@@ -217,6 +217,7 @@
 	if outcome.ContentType != "" {
 		w.Header().Set("Content-Type", outcome.ContentType)
 	}
+	limitResponse(w, len(outcome.Body))
 	w.WriteHeader(outcome.Status)
 	_, _ = w.Write(outcome.Body)
 	return nil
