--- a/dispatch/body.go
+++ b/dispatch/body.go
@@ -28,22 +28,31 @@
 // is no memory for the whole of it. The body stays in memory until the session is closed.
 func (s *session) receiveBody(ctx context.Context, a *attempt, r *Response) {
 	defer func() { _ = r.Body.Close() }()
-	buffer := s.dispatcher.bodies.NewBuffer(func() { _ = r.Body.Close() })
-	s.setBuffer(a, buffer)
 	// A response that has no declared length, or that another one may replace, is not passed on
 	// before it is whole.
 	canPassOn := r.BodyLength > 0 && r.IsSuccess()
+	var body io.Reader = r.Body
+	giveUp := func() { _ = r.Body.Close() }
+	if canPassOn && r.BodyLength > int64(buffers.FreeSize) && !s.request.Route.IsRetryable() {
+		// Nothing can replace this response: it is passed on in place of being given up.
+		reader, interrupt := newInterruptibleReader(r.Body)
+		defer interrupt()
+		body, giveUp = reader, interrupt
+	}
+	buffer := s.dispatcher.bodies.NewBuffer(giveUp)
+	s.setBuffer(a, buffer)
 	if canPassOn {
 		buffer.Wait = passOnDelay
 	}
-	err := buffer.ReadAll(a.ctx, r.Body, maximumBody, r.BodyLength)
+	err := buffer.ReadAll(a.ctx, body, maximumBody, r.BodyLength)
 	if err == nil && s.keep(buffer) {
 		s.deliver(ctx, arrival{kind: wholeBody, attempt: a, body: buffer.Parts()})
 		return
 	}
 	defer buffer.Release()
-	if canPassOn && a.ctx.Err() == nil && stderrors.Is(err, buffers.ErrFull) {
-		s.passOn(ctx, a, r, buffer.Parts())
+	isStalled := stderrors.Is(err, buffers.ErrStalled) && !s.request.Route.IsRetryable()
+	if canPassOn && a.ctx.Err() == nil && (stderrors.Is(err, buffers.ErrFull) || isStalled) {
+		s.passOn(ctx, a, body, buffer)
 		return
 	}
 	s.deliver(ctx, arrival{kind: wholeBody, attempt: a, err: err})
@@ -66,14 +75,16 @@
 	return !s.isClosed
 }
 
-// passOn delivers a body in parts while it arrives, first what has arrived.
-func (s *session) passOn(ctx context.Context, a *attempt, r *Response, arrived [][]byte) {
-	if !s.deliver(ctx, arrival{kind: bodyPart, attempt: a, body: arrived}) {
+// passOn delivers a body in parts while it arrives, first what has arrived, whose memory it
+// releases then.
+func (s *session) passOn(ctx context.Context, a *attempt, body io.Reader, arrived *buffers.Buffer) {
+	if !s.deliver(ctx, arrival{kind: bodyPart, attempt: a, body: arrived.Parts()}) {
 		return
 	}
+	arrived.Release()
 	part := make([]byte, passOnPart)
 	for {
-		n, err := r.Body.Read(part)
+		n, err := body.Read(part)
 		if n > 0 && !s.deliver(ctx, arrival{kind: bodyPart, attempt: a, body: [][]byte{part[:n]}}) {
 			return
 		}
