--- a/dispatch/durations.go
+++ b/dispatch/durations.go
@@ -43,8 +43,8 @@
 	periodStart time.Time
 	// current and previous are the durations of the current period and of the one before.
 	current, previous map[durationKey]*durationCounts
-	// running are the requests that have not ended.
-	running map[*measuredRequest]struct{}
+	// running are the requests that have not ended; there is no empty set.
+	running map[durationKey]map[*measuredRequest]struct{}
 }
 
 // durationCounts are the numbers of durations of one period by class. They stop at their
@@ -72,25 +72,39 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.running == nil {
-		r.running = map[*measuredRequest]struct{}{}
+		r.running = map[durationKey]map[*measuredRequest]struct{}{}
+	}
+	if r.running[k] == nil {
+		r.running[k] = map[*measuredRequest]struct{}{}
 	}
 	m := &measuredRequest{key: k, startedAt: now}
-	r.running[m] = struct{}{}
+	r.running[k][m] = struct{}{}
 	return m
 }
 
+// remove removes a request that runs; nil is none. The caller holds mu.
+func (r *recentDurations) remove(m *measuredRequest) {
+	if m == nil {
+		return
+	}
+	delete(r.running[m.key], m)
+	if len(r.running[m.key]) == 0 {
+		delete(r.running, m.key)
+	}
+}
+
 // forget ends a request without a duration. It does nothing if the request has ended.
 func (r *recentDurations) forget(m *measuredRequest) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.running, m)
+	r.remove(m)
 }
 
 // end records how long a request took. One that was not served would have taken longer.
 func (r *recentDurations) end(now time.Time, m *measuredRequest, isServed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.running, m)
+	r.remove(m)
 	r.advance(now)
 	if r.current == nil {
 		r.current = map[durationKey]*durationCounts{}
@@ -118,10 +132,8 @@
 	for _, counts := range []*durationCounts{r.current[k], r.previous[k]} {
 		d.add(counts)
 	}
-	for m := range r.running {
-		if m.key == k {
-			d.unserved[durationClass(now.Sub(m.startedAt))]++
-		}
+	for m := range r.running[k] {
+		d.unserved[durationClass(now.Sub(m.startedAt))]++
 	}
 	return d
 }
