--- a/dispatch/body.go
+++ b/dispatch/body.go
@@ -15,10 +15,9 @@
 
 const (
 	// maximumBody limits the body of a response that is not a stream. The whole body is held in
-	// memory until it is complete, unless its length is declared and there is no memory for it.
+	// memory until it is complete, unless it is passed on because there is no memory for it.
 	maximumBody = 8 * domain.Mebibyte
-	// passOnDelay is how long a body of a declared length waits for memory before it is passed
-	// on while it arrives.
+	// passOnDelay is how long a body waits for memory before it is passed on while it arrives.
 	passOnDelay = 250 * time.Millisecond
 	// passOnPart is the size of the parts in which a body is passed on.
 	passOnPart = 32 * domain.Kibibyte
@@ -28,16 +27,13 @@
 // is no memory for the whole of it. The body stays in memory until the session is closed.
 func (s *session) receiveBody(ctx context.Context, a *attempt, r *Response) {
 	defer func() { _ = r.Body.Close() }()
-	// A response that has no declared length, or that another one may replace, is not passed on
-	// before it is whole.
-	canPassOn := r.BodyLength > 0 && r.IsSuccess()
+	canPassOn := s.canPassOn(r)
 	var body io.Reader = r.Body
 	giveUp := func() { _ = r.Body.Close() }
-	if canPassOn && r.BodyLength > int64(buffers.FreeSize) && !s.request.Route.IsRetryable() {
-		// Nothing can replace this response: it is passed on in place of being given up.
-		reader, interrupt := newInterruptibleReader(r.Body)
-		defer interrupt()
-		body, giveUp = reader, interrupt
+	isInterruptible := canPassOn && s.isInterruptible(r)
+	if isInterruptible {
+		body, giveUp = newInterruptibleReader(r.Body)
+		defer giveUp()
 	}
 	buffer := s.dispatcher.bodies.NewBuffer(giveUp)
 	s.setBuffer(a, buffer)
@@ -50,14 +46,26 @@
 		return
 	}
 	defer buffer.Release()
-	isStalled := stderrors.Is(err, buffers.ErrStalled) && !s.request.Route.IsRetryable()
-	if canPassOn && a.ctx.Err() == nil && (stderrors.Is(err, buffers.ErrFull) || isStalled) {
+	isInterrupted := stderrors.Is(err, buffers.ErrStalled) && isInterruptible
+	if canPassOn && a.ctx.Err() == nil && (stderrors.Is(err, buffers.ErrFull) || isInterrupted) {
 		s.passOn(ctx, a, body, buffer)
 		return
 	}
 	s.deliver(ctx, arrival{kind: wholeBody, attempt: a, err: err})
 }
 
+// canPassOn reports whether a body may be passed on before it is whole: not that of an error
+// response, nor one without a declared length that another one may replace.
+func (s *session) canPassOn(r *Response) bool {
+	return r.IsSuccess() && (r.BodyLength > 0 || !s.request.Route.IsRetryable())
+}
+
+// isInterruptible reports whether a body is passed on in place of being given up: a long one of a
+// declared length that no other one can replace.
+func (s *session) isInterruptible(r *Response) bool {
+	return r.BodyLength > int64(buffers.FreeSize) && !s.request.Route.IsRetryable()
+}
+
 // setBuffer records the buffer into which the body of an attempt is read.
 func (s *session) setBuffer(a *attempt, b *buffers.Buffer) {
 	s.mu.Lock()
