--- a/entry/configurationread.go
+++ b/entry/configurationread.go
@@ -100,8 +100,8 @@
 	if mayPoll && !behind {
 		r.isPoll, wait = true, n.configurationPollWait(r.sentAt)
 	}
-	n.configurationReads[r] = true
 	n.mu.Unlock()
+	n.addConfigurationRead(r)
 	go func() {
 		defer cancel()
 		defer n.removeConfigurationRead(r)
@@ -118,17 +118,23 @@
 	return r
 }
 
+func (n *Node) addConfigurationRead(r *configurationRead) {
+	n.configurationReadsMu.Lock()
+	defer n.configurationReadsMu.Unlock()
+	n.configurationReads[r] = true
+}
+
 func (n *Node) removeConfigurationRead(r *configurationRead) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
+	n.configurationReadsMu.Lock()
+	defer n.configurationReadsMu.Unlock()
 	delete(n.configurationReads, r)
 }
 
 // HeldUp returns how long a request that arrives now may have been on its way because a
 // configuration arrives too: on a slow link, it waits behind what the store sent before it.
 func (n *Node) HeldUp() time.Duration {
-	n.mu.Lock()
-	defer n.mu.Unlock()
+	n.configurationReadsMu.Lock()
+	defer n.configurationReadsMu.Unlock()
 	longest := time.Duration(0)
 	for r := range n.configurationReads {
 		longest = max(longest, r.progress.State().ReadTime())
--- a/entry/node.go
+++ b/entry/node.go
@@ -157,7 +157,9 @@
 	// configurations.
 	configurationCursor domain.Offset
 	// configurationReads are the reads of the configuration whose results are not there yet.
-	configurationReads map[*configurationRead]bool
+	// configurationReadsMu guards them: each request looks at them, and mu may be held for long.
+	configurationReads   map[*configurationRead]bool
+	configurationReadsMu sync.Mutex
 	// behindSince is since when the owner has announced a configuration that this node
 	// has not read; zero if there is none. The next line about it is due behindLogGap
 	// after that.
