Cut a response that is passed on at the limit of those that are held

Cause: a response without a length that may not be sent again is passed on if there is no memory for it; one without end was passed on until its deadline.

TestPassedOnResponseWithoutEndIsCutAtTheLimit ran without end before, and passes now.

--- a/dispatch/body.go
+++ b/dispatch/body.go
@@ -89,10 +89,16 @@
 	if !s.deliver(ctx, arrival{kind: bodyPart, attempt: a, body: arrived.Parts()}) {
 		return
 	}
+	size := length(arrived.Parts())
 	arrived.Release()
 	part := make([]byte, passOnPart)
 	for {
 		n, err := body.Read(part)
+		size += domain.Bytes(n)
+		if size > maximumBody {
+			s.deliver(ctx, arrival{kind: bodyEnd, attempt: a, err: errors.WithStack(buffers.ErrTooLong)})
+			return
+		}
 		if n > 0 && !s.deliver(ctx, arrival{kind: bodyPart, attempt: a, body: [][]byte{part[:n]}}) {
 			return
 		}
@@ -107,6 +113,15 @@
 	}
 }
 
+// length returns the length of a body in parts.
+func length(body [][]byte) domain.Bytes {
+	sum := 0
+	for _, part := range body {
+		sum += len(part)
+	}
+	return domain.Bytes(sum)
+}
+
 // handleBody handles the body of a response that is not a stream.
 func (s *session) handleBody(a *attempt, body [][]byte, err error) (Outcome, *verdict.Error, bool) {
 	if err != nil {
--- a/dispatch/passon_test.go
+++ b/dispatch/passon_test.go
@@ -120,6 +120,28 @@
 	}
 }
 
+// endlessBody is a body that never ends.
+type endlessBody struct{}
+
+func (endlessBody) Read(p []byte) (int, error) { return len(p), nil }
+
+func (endlessBody) Close() error { return nil }
+
+// Guards against bytes without end: a response without a length that is passed on must end at the
+// limit of those that are held whole.
+func TestPassedOnResponseWithoutEndIsCutAtTheLimit(t *testing.T) {
+	b := &fakeBackend{responses: []func(context.Context) (*Response, error){func(context.Context) (*Response, error) {
+		return &Response{Status: 200, Verified: true, Body: endlessBody{}, BodyLength: -1}, nil
+	}}}
+	got, caller, _ := serveWithoutMemory(t, b, fleet.NonIdempotent, time.Minute)
+	if want := Broken; got != want || !caller.aborted {
+		t.Errorf("got outcome %v, aborted %v, want %v", got, caller.aborted, want)
+	}
+	if got, limit := len(caller.body), int(maximumBody); got > limit {
+		t.Errorf("got %d bytes, want %d at most", got, limit)
+	}
+}
+
 // waitingEvents waits for memory for a time before its only event.
 type waitingEvents struct {
 	fakeEvents
