--- a/commands/front.go
+++ b/commands/front.go
@@ -164,7 +164,7 @@
 	f.node.OnCrashReports = dispatcher.ApplyCrashReports
 	f.node.Traits = dispatcher
 	f.frontend = &platform.Frontend{
-		Dispatcher: dispatcher, Views: &f.node.Views, IsBehind: f.node.IsConfigurationBehind, HeldUp: f.node.HeldUp,
+		Dispatcher: dispatcher, Views: &f.node.Views, IsBehind: f.node.IsConfigurationBehind, LinkDelay: f.node.LinkDelay,
 		Logger: logger, Counters: f.metrics,
 	}
 	f.frontend.Bodies.Size = messageMemory
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -30,10 +30,10 @@
 	// most refusalMarginShare of the request's timeout.
 	refusalMargin      = 150 * time.Millisecond
 	refusalMarginShare = 0.125
-	// maximumHeldUp bounds how much earlier a waiting request is refused because it may have
-	// been held up on its way, heldUpShare bounds it as a share of the request's timeout.
-	maximumHeldUp = time.Second
-	heldUpShare   = 0.25
+	// maximumLinkDelay bounds how much earlier a waiting request is refused because it may have
+	// been held up on its way, linkDelayShare bounds it as a share of the request's timeout.
+	maximumLinkDelay = time.Second
+	linkDelayShare   = 0.25
 	// resumeMargin is how long before the stall timeout a broken stream stops waiting for
 	// a server. In the rest of the time the new server sends its first event.
 	resumeMargin = 400 * time.Millisecond
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -80,7 +80,7 @@
 	}
 	line.Str("Event", "Waiting").Str("Request", string(s.request.ID)).Str("Model", string(s.request.Model)).Str("Adapter", string(s.request.Adapter)).Int("Servers", len(view.Servers[s.request.Service])).
 		Int64("ExpectedMs", expected.Milliseconds()).Int64("AtMostMs", time.Until(deadline).Milliseconds()).
-		Int64("HeldUpMs", s.request.HeldUp.Milliseconds()).Int64("Version", int64(view.Config.Version)).Msg("no server holds what the request needs")
+		Int64("LinkDelayMs", s.request.LinkDelay.Milliseconds()).Int64("Version", int64(view.Config.Version)).Msg("no server holds what the request needs")
 }
 
 // logOutcome logs how the request ended.
--- a/dispatch/linkdelay_test.go
+++ b/dispatch/linkdelay_test.go
@@ -14,7 +14,7 @@
 
 // Guards against LOST: a request that had waited on a link behind a large configuration was
 // refused after its caller had left without a response.
-func TestHeldUpRequestIsRefusedBeforeItsCallerLeaves(t *testing.T) {
+func TestLinkDelayRequestIsRefusedBeforeItsCallerLeaves(t *testing.T) {
 	plain := func() *Request {
 		r := plainRequest(fleet.NonIdempotent)
 		r.Deadline = r.ArrivedAt.Add(4 * time.Second)
@@ -28,17 +28,17 @@
 		"a stream without its model":        {coldRequest, 12 * time.Second},
 		"a request that all servers refuse": {plain, 4 * time.Second},
 	} {
-		for _, heldUp := range []time.Duration{0, 300 * time.Millisecond, time.Second} {
-			t.Run(name+" after "+heldUp.String(), func(t *testing.T) {
+		for _, linkDelay := range []time.Duration{0, 300 * time.Millisecond, time.Second} {
+			t.Run(name+" after "+linkDelay.String(), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					d := newTestDispatcher(&fakeBackend{responses: []func(context.Context) (*Response, error){refusal(Full)}})
 					d.SetBudget = unlimitedBudget
 					r := c.request()
-					r.HeldUp = heldUp
+					r.LinkDelay = linkDelay
 					if got, want := d.Serve(t.Context(), r, &fakeCaller{}), Refused; got != want {
 						t.Errorf("got %v, want %v", got, want)
 					}
-					if got, want := time.Since(r.ArrivedAt), c.wait-heldUp-timeToCaller; got > want {
+					if got, want := time.Since(r.ArrivedAt), c.wait-linkDelay-timeToCaller; got > want {
 						t.Errorf("refused after %v, want within %v", got, want)
 					}
 				})
@@ -48,10 +48,10 @@
 }
 
 // A stream whose head its caller has received is not given up sooner.
-func TestHeldUpStreamIsResumed(t *testing.T) {
+func TestLinkDelayStreamIsResumed(t *testing.T) {
 	request := func() *Request {
 		r := streamRequest()
-		r.HeldUp = time.Second
+		r.LinkDelay = time.Second
 		return r
 	}
 	late := afterDelay(1500*time.Millisecond, streamResponse(io.EOF, 3))
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -74,12 +74,12 @@
 	if s.headSent {
 		return earlier(s.resumeDeadline, deadline)
 	}
-	heldUp := min(s.request.HeldUp, maximumHeldUp)
-	deadline = deadline.Add(-min(heldUp, time.Duration(heldUpShare*float64(timeout))))
+	linkDelay := min(s.request.LinkDelay, maximumLinkDelay)
+	deadline = deadline.Add(-min(linkDelay, time.Duration(linkDelayShare*float64(timeout))))
 	if s.request.Route.Kind != fleet.Streaming {
 		return deadline
 	}
-	return earlier(s.request.ArrivedAt.Add(s.stallTimeout()-refusalMargin-heldUp), deadline)
+	return earlier(s.request.ArrivedAt.Add(s.stallTimeout()-refusalMargin-linkDelay), deadline)
 }
 
 // stallTimeout returns the time without an event after which the caller of a stream is
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -32,9 +32,9 @@
 	// ArrivedAt is when this node read the request. Deadline is the caller's deadline or
 	// the end of the route's timeout, whichever is earlier.
 	ArrivedAt, Deadline time.Time
-	// HeldUp is how long the request may have been on its way because of what this node
+	// LinkDelay is how long the request may have been on its way because of what this node
 	// received then. Its caller may have waited that much longer.
-	HeldUp time.Duration
+	LinkDelay time.Duration
 	// CallerTimeout is the time limit of the caller, without that of the route.
 	CallerTimeout time.Duration
 	// InForce is the configuration in force at the arrival.
--- a/dispatch/timing.go
+++ b/dispatch/timing.go
@@ -31,8 +31,8 @@
 	CallerTimeout, RouteTimeout time.Duration
 	// InForce is the configuration at the arrival.
 	InForce InForce
-	// HeldUp is Request.HeldUp.
-	HeldUp time.Duration
+	// LinkDelay is Request.LinkDelay.
+	LinkDelay time.Duration
 }
 
 // limit returns the shorter of the time limits, 0 for none.
@@ -54,7 +54,7 @@
 
 // Timing returns the timing of the request.
 func (r *Request) Timing() Timing {
-	return Timing{ArrivedAt: r.ArrivedAt, CallerTimeout: r.CallerTimeout, RouteTimeout: r.Route.Timeout, InForce: r.InForce, HeldUp: r.HeldUp}
+	return Timing{ArrivedAt: r.ArrivedAt, CallerTimeout: r.CallerTimeout, RouteTimeout: r.Route.Timeout, InForce: r.InForce, LinkDelay: r.LinkDelay}
 }
 
 // RecordReload records that the node has read its settings again.
@@ -76,8 +76,8 @@
 	if at := d.reloadedAt.Load(); at != nil {
 		line.Int64("AfterReloadMs", now.Sub(*at).Milliseconds())
 	}
-	if t.HeldUp > 0 {
-		line.Int64("HeldUpMs", t.HeldUp.Milliseconds())
+	if t.LinkDelay > 0 {
+		line.Int64("LinkDelayMs", t.LinkDelay.Milliseconds())
 	}
 	d.logShutdown(line, "AfterStopMs", now)
 }
--- a/entry/configuration_test.go
+++ b/entry/configuration_test.go
@@ -66,18 +66,18 @@
 
 // Guards against LOST: a node did not know that requests waited on its link behind a large
 // configuration, and refused them after their callers had left.
-func TestRequestsAreHeldUpWhileAConfigurationArrives(t *testing.T) {
+func TestRequestsAreLinkDelayWhileAConfigurationArrives(t *testing.T) {
 	runWithStoreUpdates(t, func(n *Node, p *fakePlatform) {
-		if got, want := n.HeldUp(), time.Duration(0); got != want {
+		if got, want := n.LinkDelay(), time.Duration(0); got != want {
 			t.Errorf("before: got %v, want %v", got, want)
 		}
 		p.update(func() { p.version, p.transferTime = 2, 2*time.Second })
 		time.Sleep(time.Second)
-		if got, low, high := n.HeldUp(), 900*time.Millisecond, time.Second; got < low || got > high {
+		if got, low, high := n.LinkDelay(), 900*time.Millisecond, time.Second; got < low || got > high {
 			t.Errorf("in the middle: got %v, want %v to %v", got, low, high)
 		}
 		time.Sleep(2 * time.Second)
-		if got, want := n.HeldUp(), time.Duration(0); got != want {
+		if got, want := n.LinkDelay(), time.Duration(0); got != want {
 			t.Errorf("after: got %v, want %v", got, want)
 		}
 	})
--- a/entry/configurationread.go
+++ b/entry/configurationread.go
@@ -130,9 +130,9 @@
 	delete(n.configurationReads, r)
 }
 
-// HeldUp returns how long a request that arrives now may have been on its way because a
+// LinkDelay returns how long a request that arrives now may have been on its way because a
 // configuration arrives too: on a slow link, it waits behind what the store sent before it.
-func (n *Node) HeldUp() time.Duration {
+func (n *Node) LinkDelay() time.Duration {
 	n.configurationReadsMu.Lock()
 	defer n.configurationReadsMu.Unlock()
 	longest := time.Duration(0)
--- a/entry/linkdelaylock_test.go
+++ b/entry/linkdelaylock_test.go
@@ -5,15 +5,15 @@
 	"time"
 )
 
-// Guards against requests that wait for a plan or a configuration: each request asks HeldUp, under
+// Guards against requests that wait for a plan or a configuration: each request asks LinkDelay, under
 // the lock that these hold.
-func TestHeldUpDoesNotWaitForTheNode(t *testing.T) {
+func TestLinkDelayDoesNotWaitForTheNode(t *testing.T) {
 	n := New(Options{})
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	returned := make(chan struct{})
 	go func() {
-		n.HeldUp()
+		n.LinkDelay()
 		close(returned)
 	}()
 	select {
