--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -146,7 +146,8 @@
 }
 
 // Events reads the events of a stream. Next returns io.EOF at the end of a complete
-// stream and another error if the stream broke.
+// stream and another error if the stream broke. The bytes of an event are valid until the next
+// call of Next or Close.
 type Events interface {
 	Next() (Event, error)
 	// IsWaiting reports, while Next runs, whether it waits for memory and does not read.
