--- a/buffers/pool.go
+++ b/buffers/pool.go
@@ -42,8 +42,9 @@
 // may be larger than the pool.
 //
 // A buffer may take more memory while it holds some, and several that wait for each other must
-// not do so for ever. The pool therefore keeps free what one of them, the assured one, may still
-// take, so that it does not wait and returns its memory to the others in the end.
+// not do so for ever. As in the banker's algorithm, the pool therefore keeps free what one of
+// them, the assured one, may still take, so that it does not wait and returns its memory to the
+// others in the end.
 //
 // The zero Pool is ready for use. It is safe for concurrent use and must not be copied.
 type Pool struct {
@@ -127,6 +128,7 @@
 		return nil, nil
 	}
 	p.largestClaim = max(p.largestClaim, min(b.claim, p.size()))
+	// One that holds memory goes before those that wait.
 	isFirst := len(p.waiting) == 0 || b.reserved > 0
 	if isFirst && p.hasRoom(b, size) {
 		p.grant(b, size)
