--- a/dispatch/linkdelay_test.go
+++ b/dispatch/linkdelay_test.go
@@ -14,7 +14,7 @@
 
 // Guards against LOST: a request that had waited on a link behind a large configuration was
 // refused after its caller had left without a response.
-func TestLinkDelayRequestIsRefusedBeforeItsCallerLeaves(t *testing.T) {
+func TestDelayedRequestIsRefusedBeforeItsCallerLeaves(t *testing.T) {
 	plain := func() *Request {
 		r := plainRequest(fleet.NonIdempotent)
 		r.Deadline = r.ArrivedAt.Add(4 * time.Second)
@@ -48,7 +48,7 @@
 }
 
 // A stream whose head its caller has received is not given up sooner.
-func TestLinkDelayStreamIsResumed(t *testing.T) {
+func TestDelayedStreamIsResumed(t *testing.T) {
 	request := func() *Request {
 		r := streamRequest()
 		r.LinkDelay = time.Second
--- a/entry/configuration_test.go
+++ b/entry/configuration_test.go
@@ -66,7 +66,7 @@
 
 // Guards against LOST: a node did not know that requests waited on its link behind a large
 // configuration, and refused them after their callers had left.
-func TestRequestsAreLinkDelayWhileAConfigurationArrives(t *testing.T) {
+func TestLinkDelayIsTheTimeThatAConfigurationHasBeenArriving(t *testing.T) {
 	runWithStoreUpdates(t, func(n *Node, p *fakePlatform) {
 		if got, want := n.LinkDelay(), time.Duration(0); got != want {
 			t.Errorf("before: got %v, want %v", got, want)
