--- a/lease/lease.go
+++ b/lease/lease.go
@@ -32,6 +32,10 @@
 // arrive before the next holder starts.
 const expiryMarginDivisor = 5
 
+// lateRenewalDivisor sets when renewals count as late: while less than
+// TimeToLive/lateRenewalDivisor is left of the lease.
+const lateRenewalDivisor = 3
+
 // Lease is one node's lease on one shard. The zero Lease is not held. It is not
 // safe for concurrent use.
 type Lease struct {
@@ -116,3 +120,14 @@
 // IsHeld reports whether the node holds the shard at now, also while the settle time has
 // not passed.
 func (l *Lease) IsHeld(now time.Duration) bool { return l.held && now < l.expiresAt }
+
+// IsRetained reports whether the node holds the shard, or held it until less than a time-to-live
+// ago and has not been told of another holder. The next renewal may then grant the shard again,
+// and what the node knows as its owner is worth keeping. An order needs more: see Fence.
+func (l *Lease) IsRetained(now time.Duration) bool { return l.held && now < l.expiresAt+l.TimeToLive }
+
+// IsRenewalLate reports whether the node holds the shard and the last renewals have brought no
+// response, so that the lease ends soon.
+func (l *Lease) IsRenewalLate(now time.Duration) bool {
+	return l.IsHeld(now) && l.expiresAt-now < l.TimeToLive/lateRenewalDivisor
+}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -110,3 +110,48 @@
 		}
 	}
 }
+
+// Guards against an owner that drops the links of all nodes because a renewal took long, and
+// serves all of them again when the next one grants the same shard.
+func TestExpiredLeaseIsRetainedForATimeToLive(t *testing.T) {
+	for _, serversCheckFences := range []bool{false, true} {
+		l := newTestLease(serversCheckFences)
+		l.ApplyGrant(0, 0, testGrant)
+		for _, c := range []struct {
+			at             time.Duration
+			held, retained bool
+		}{
+			{1900 * time.Millisecond, true, true},
+			{2100 * time.Millisecond, false, true},
+			{4400 * time.Millisecond, false, true},
+			{4600 * time.Millisecond, false, false},
+		} {
+			if got := l.IsHeld(c.at); got != c.held {
+				t.Errorf("held at %v: got %v, want %v", c.at, got, c.held)
+			}
+			if _, got := l.Fence(c.at); got != c.held {
+				t.Errorf("order permitted at %v: got %v, want %v", c.at, got, c.held)
+			}
+			if got := l.IsRetained(c.at); got != c.retained {
+				t.Errorf("retained at %v: got %v, want %v", c.at, got, c.retained)
+			}
+		}
+		l.ApplyGrant(2200*time.Millisecond, 2200*time.Millisecond, Grant{Generation: 8})
+		if l.IsRetained(2300 * time.Millisecond) {
+			t.Error("retained after the store has given the shard to another member")
+		}
+	}
+}
+
+func TestRenewalIsLateBeforeTheLeaseEnds(t *testing.T) {
+	l := newTestLease(true)
+	l.ApplyGrant(0, 0, testGrant)
+	for _, c := range []struct {
+		at   time.Duration
+		late bool
+	}{{time.Second, false}, {1300 * time.Millisecond, true}, {1900 * time.Millisecond, true}, {2100 * time.Millisecond, false}} {
+		if got := l.IsRenewalLate(c.at); got != c.late {
+			t.Errorf("at %v: got %v, want %v", c.at, got, c.late)
+		}
+	}
+}
