Wait for the server that has the checkpoint in place of a load from the weight store

Cause: a model was loaded from the weight store, in 6 to 10 s, on a server that could take the order at once, although the server with its checkpoint on disk would take one within a second. Change: a plan counts the delay until its server can take the order; no order is given while the best one has a delay.

--- a/placement/account.go
+++ b/placement/account.go
@@ -306,6 +306,23 @@
 	return v.confirmed && v.pendingOrder == nil && v.runningOrder == nil && !v.state.Busy && len(v.unresolvedOrders) == 0
 }
 
+// awaitsReport reports whether the server is asked for a report now or soon.
+func (v *engineView) awaitsReport(now time.Time) bool {
+	return v.pollInFlight || !v.nextPoll.IsZero() && v.nextPoll.Sub(now) <= pollInterval
+}
+
+// loadingMemory returns the memory of the model that the server is ordered to load.
+func (v *engineView) loadingMemory(e *fleet.Engine) domain.Bytes {
+	o := v.runningOrder
+	if o == nil {
+		o = v.pendingOrder
+	}
+	if o == nil || o.Operation != Load || o.Adapter != "" {
+		return 0
+	}
+	return e.Models[o.Model].Memory
+}
+
 // freeMemory returns the memory of the engine that is not used by the loaded models, by
 // model loads with an unknown outcome or by the adapter reserve.
 func (v *engineView) freeMemory(e *fleet.Engine) domain.Bytes {
--- a/placement/place.go
+++ b/placement/place.go
@@ -43,14 +43,17 @@
 	victims     []domain.ModelName
 	tier        fleet.Tier
 	costSeconds float64
+	// delay is the time until the server can probably take the first order.
+	delay time.Duration
 }
 
-// placeModel issues the next order that leads to one more replica of a model.
+// placeModel issues the next order that leads to one more replica of a model. It issues none if the
+// best server is one that cannot take the order yet.
 func (p *Planner) placeModel(now time.Time, n need, issue issueFunc) {
 	e := p.engineConfig(n.key.Service)
 	m := e.Models[n.key.Model]
 	best, found := p.bestPlan(now, n, e, m)
-	if !found {
+	if !found || best.delay > 0 {
 		return
 	}
 	p.startPlan(now, best, m, issue)
@@ -111,35 +114,54 @@
 }
 
 // bestPlan returns the plan with the lowest cost for one more replica of a model, or
-// false if there is no plan. The cost is the sum of the eviction cost, the load time and
-// the cost of the server's utilization.
+// false if there is no plan. The cost is the sum of the eviction cost, the load time,
+// the cost of the server's utilization and the delay until the server can take the order.
 func (p *Planner) bestPlan(now time.Time, n need, e *fleet.Engine, m fleet.Model) (plan, bool) {
 	var best plan
 	found := false
 	for _, v := range p.engines {
-		if v.server.Service != n.key.Service || !v.canAcceptModelOrder() || v.reservedModel != "" {
+		if v.server.Service != n.key.Service || v.reservedModel != "" {
 			continue
 		}
-		if _, isLoaded := v.state.Find(m.Name); isLoaded {
+		delay, ok := p.orderDelay(now, v)
+		if _, isLoaded := v.state.Find(m.Name); isLoaded || !ok {
 			continue
 		}
 		t := v.state.Tier(m.Name)
 		if t == fleet.InStore && !p.canLoadFromStore(now, e) || n.isPrewarm && !p.canPrewarm(now, e) {
 			continue
 		}
-		victims, cost, ok := p.selectVictims(now, v, e, m.Memory-v.freeMemory(e), n)
+		victims, cost, ok := p.selectVictims(now, v, e, m.Memory-v.freeMemory(e)+v.loadingMemory(e), n)
 		if !ok || n.isPrewarm && cost > maxCostWithoutWaiters {
 			continue
 		}
-		cost += m.LoadTime(t).Seconds() + p.utilization(v, e)*utilizationCost
+		cost += m.LoadTime(t).Seconds() + p.utilization(v, e)*utilizationCost + delay.Seconds()
 		if !found || cost < best.costSeconds || cost == best.costSeconds && v.server.ID < best.engine.server.ID {
-			best = plan{engine: v, victims: victims, tier: t, costSeconds: cost}
+			best = plan{engine: v, victims: victims, tier: t, costSeconds: cost, delay: delay}
 			found = true
 		}
 	}
 	return best, found
 }
 
+// orderDelay estimates how long a server will take no order for a model, from its orders and from
+// the report that is expected of it. It returns false if that cannot be estimated.
+func (p *Planner) orderDelay(now time.Time, v *engineView) (time.Duration, bool) {
+	switch {
+	case v.canAcceptModelOrder():
+		return 0, true
+	case len(v.unresolvedOrders) > 0:
+		return 0, false
+	case v.runningOrder != nil:
+		return max(0, v.estimatedEnd.Sub(now)) + pollInterval, true
+	case v.pendingOrder != nil:
+		return p.estimateDuration(*v.pendingOrder) + pollInterval, true
+	case !v.confirmed && !v.state.Busy && v.awaitsReport(now):
+		return pollInterval, true
+	}
+	return 0, false
+}
+
 // utilization estimates the number of requests that a server runs, divided by the number
 // that one replica should run.
 func (p *Planner) utilization(v *engineView, e *fleet.Engine) float64 {
