Send updates of the owner by rank and rate, and pass registrations on to the nodes

Cause: one small VM as the owner had its 20 Mbit/s full of news; its renewals got no response, its lease ran out, and Hub.Close dropped 294 links, which got the complete state again over the same link. 64 queued updates dropped a link too. Each change of a registration made each node read the store. Change: members of the group are the VMs that can carry the links, and standbys that miss an owner (entry/membership.go). Updates to all nodes together take 0.4 of the link; what waits for a node is one message with the newest states; a state that a node waits for goes to it at once; plans follow each other by what a cycle costs and not by the number of nodes. An expired lease ends no link for a time-to-live, and orders nothing. The owner passes changes of registrations on with their offsets. An invalid report ends its link with a logged reason.

--- a/commands/front.go
+++ b/commands/front.go
@@ -48,6 +48,16 @@
 	// firstOrderDelay is the delay between the grant of the owner's lease and the first
 	// order.
 	firstOrderDelay = 600 * time.Millisecond
+	// ownerProcessors and ownerLinkBytesPerSecond are what a VM needs to own the model engines of
+	// a large deployment: the updates to a thousand nodes, and the orders and queries of the
+	// engines. A VM with less is a standby.
+	ownerProcessors         = 0.3
+	ownerLinkBytesPerSecond = 12_000_000
+	// updateLinkShare is the fraction of the VM's link that the owner's updates to the other
+	// nodes may take. Renewals of the lease, orders and callers have the rest.
+	updateLinkShare = 0.4
+	// standbySuffix ends the name of a node that is a standby.
+	standbySuffix = "/standby"
 	// handOverMargin is the part of the grace period that is reserved for leaving the group of
 	// possible owners, after the responses to the last orders.
 	handOverMargin = 2 * time.Second
@@ -124,6 +134,10 @@
 func newFrontNode(s platform.Settings, logger zerolog.Logger) *frontNode {
 	address := net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort))
 	name := fmt.Sprintf("%s/%x", address, time.Now().UnixNano())
+	standby := isStandby(s)
+	if standby {
+		name += standbySuffix
+	}
 	store := platform.NewStore(s.StoreAddress)
 	backend := platform.NewBackend(name)
 	messageMemory := domain.Bytes(float64(s.Memory) * messageMemoryShare)
@@ -147,6 +161,9 @@
 		FirstOrderDelay:       firstOrderDelay,
 		HandOverDelay:         max(0, s.GracePeriod-handOverMargin),
 		ServersCheckFences:    s.ServersCheckFences,
+		Standby:               standby,
+		IsStandby:             isStandbyName,
+		UpdateBytesPerSecond:  int(updateLinkShare * float64(s.LinkBytesPerSecond)),
 		LoadWindow:            s.LoadWindow,
 	})
 	dispatcher := dispatch.New(dispatch.Options{
@@ -182,6 +199,14 @@
 	budget.Reserve = retryBudgetShare * float64(f.settings.RetryReserve) / float64(max(nodes, minimumBudgetNodes))
 }
 
+// isStandby reports whether the VM has too little to own the model engines of a large deployment.
+func isStandby(s platform.Settings) bool {
+	return s.Processors < ownerProcessors || s.LinkBytesPerSecond < ownerLinkBytesPerSecond
+}
+
+// isStandbyName reports whether a node's name is that of a standby.
+func isStandbyName(n domain.NodeID) bool { return strings.HasSuffix(string(n), standbySuffix) }
+
 // hubAddress returns the address of a node's hub, which is the part of its name before the
 // first slash.
 func hubAddress(n domain.NodeID) string {
--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -7,6 +7,7 @@
 
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fleet"
+	"github.com/parsleylug/parsleylug/hub"
 	"github.com/parsleylug/parsleylug/pause"
 	"github.com/parsleylug/parsleylug/transfer"
 )
@@ -80,7 +81,7 @@
 	}
 	n.config = c
 	n.configurationOffset = offset
-	n.broadcastStoreUpdate(false)
+	n.broadcastStoreUpdate(false, hub.RegistrationChanges{})
 	n.planner.Configure(c)
 	n.publishView(now)
 	if n.Counters != nil {
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -28,7 +28,7 @@
 	for ctx.Err() == nil {
 		changed := n.storeUpdateChange()
 		interval := n.RegistrationsInterval
-		if n.mustReadRegistrations(time.Now(), cursor, lastRead) {
+		if n.mustReadRegistrations(time.Now(), lastRead) {
 			changes, complete, next, err := n.Feed.Servers(ctx, cursor)
 			if ctx.Err() != nil {
 				return
@@ -113,20 +113,31 @@
 	} else {
 		changed = n.directory.Apply(now, changes)
 	}
+	n.registrationsReadAt = now
+	passed := n.passedChanges(changed, offset)
 	if len(changed) > 0 {
 		n.registrationsOffset = offset
 	}
+	n.registrationsKnown = max(n.registrationsKnown, offset)
 	n.Notices.Prune(now, n.directory.Find)
-	n.broadcastStoreUpdate(true)
+	n.broadcastStoreUpdate(true, passed)
+	if n.fence != 0 {
+		n.candidacy.RecordLinkedCandidates(n.Uptime.Now(), n.countCandidates())
+	}
 	if n.overlayStale && n.fence == 0 {
 		n.overlay, n.overlayStale = nil, false
 	}
 	usable := n.applyUsable(now)
 	n.serversSeen = n.serversSeen || usable > 0
+	n.logServerChanges(changed, usable)
+	n.triggerPlan()
+}
+
+// logServerChanges logs whose registrations changed; usable is the number of usable servers.
+func (n *Node) logServerChanges(changed []domain.ServerID, usable int) {
 	for _, id := range changed {
 		n.Logger.Debug().Str("Event", "ServerChanged").Str("Server", string(id)).Int("Usable", usable).Msg("the registration of a backend server changed")
 	}
-	n.triggerPlan()
 }
 
 // triggerPlan makes the owner plan without waiting for its interval.
--- a/entry/link.go
+++ b/entry/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -49,20 +50,24 @@
 	}
 }
 
-// isOwner reports whether this node holds the lease; it may not issue orders yet.
+// isOwner reports whether this node retains the lease. It may not be permitted to issue orders now.
 func (n *Node) isOwner() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.lease.IsHeld(n.Uptime.Now())
+	return n.lease.IsRetained(n.Uptime.Now())
 }
 
-// handleLinkLoss discards the owner's store updates, so that this node reads the
-// store itself, and marks the engine states from the owner as stale. They stay in
-// use until the registrations are read.
+// handleLinkLoss shortens the time for which the owner's last store update is fresh, after which
+// this node reads the store itself, by a random part: all nodes may have lost their links at once.
+// It marks the engine states from the owner as stale. They stay in use until the registrations are
+// read.
 func (n *Node) handleLinkLoss() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.storeUpdates.readReportedAt = time.Time{}
+	n.linkedAt = time.Time{}
+	if left := n.storeUpdateTimeLeft(time.Now()); left > 0 {
+		n.storeUpdates.readReportedAt = n.storeUpdates.readReportedAt.Add(-rand.N(left))
+	}
 	n.overlayStale = true
 	n.storeUpdates.notify()
 }
@@ -83,6 +88,9 @@
 		return false, err
 	}
 	defer link.Close()
+	n.mu.Lock()
+	n.linkedAt = time.Now()
+	n.mu.Unlock()
 	defer n.handleLinkLoss()
 	n.Logger.Info().Str("Event", "OwnerLinked").Str("Owner", string(owner)).Msg("linked to the owner")
 	ctx, cancel := context.WithCancel(ctx)
@@ -147,6 +155,10 @@
 		return
 	}
 	now := time.Now()
+	if u.CandidateCount > 0 {
+		n.candidacy.RecordLinkedCandidates(n.Uptime.Now(), u.CandidateCount)
+	}
+	n.applyRegistrationChanges(now, u.Registrations)
 	n.applyStoreUpdate(now, u.Store)
 	n.applyTraits(u.Traits, false)
 	if len(u.Servers) == 0 && len(u.CrashReports) == 0 && u.NodeCount <= n.nodeCount {
--- a/entry/news.go
+++ b/entry/news.go
@@ -11,20 +11,23 @@
 	// storeUpdateLifeIntervals is how long a store update stays fresh, as a
 	// multiple of Options.RegistrationsInterval.
 	storeUpdateLifeIntervals = 1.6
-	// maximumReadGap is the longest time between two reads of the registrations,
-	// even if the owner reports no change, because the store keeps its history
-	// for a limited time only.
-	maximumReadGap = 8 * time.Second
+	// maximumReadGap is the longest time between two reads of the registrations, even if the
+	// owner has passed on all changes. A node whose last read is older than the store's history
+	// lists all registrations.
+	maximumReadGap = 45 * time.Second
+	// maximumPassedChanges bounds the changes of registrations that the owner passes on in one
+	// update. The other nodes read more than that in the store, which has more bandwidth.
+	maximumPassedChanges = 64
 )
 
 // storeUpdates holds the latest store update of the owner. With it the other nodes
 // read only the parts of the store that have changed.
 type storeUpdates struct {
-	// readReportedAt is when the owner last reported that it had read the
-	// registrations; zero if it has not reported a read since this node linked.
+	// readReportedAt is when the owner last read the registrations as far as this node has been
+	// told; zero if it has not.
 	readReportedAt time.Time
-	// StoreUpdate holds the offsets up to which the owner saw changes. Its field
-	// RegistrationsRead is always false; readReportedAt replaces it.
+	// StoreUpdate holds the offsets up to which the owner saw changes. Its fields
+	// RegistrationsRead and ReadAge are always zero; readReportedAt replaces them.
 	hub.StoreUpdate
 	// changed is closed when an offset changes or the link to the owner is lost.
 	changed chan struct{}
@@ -36,9 +39,9 @@
 		return
 	}
 	if u.RegistrationsRead {
-		n.storeUpdates.readReportedAt = now
+		n.storeUpdates.readReportedAt = now.Add(-u.ReadAge)
 	}
-	u.RegistrationsRead = false
+	u.RegistrationsRead, u.ReadAge = false, 0
 	// A new owner may have read less than the one before.
 	u.ConfigurationOffset = max(u.ConfigurationOffset, n.storeUpdates.ConfigurationOffset)
 	if u == n.storeUpdates.StoreUpdate {
@@ -61,19 +64,45 @@
 	if n.storeUpdates.readReportedAt.IsZero() {
 		return 0
 	}
-	return max(0, time.Duration(storeUpdateLifeIntervals*float64(n.RegistrationsInterval))-now.Sub(n.storeUpdates.readReportedAt))
+	return max(0, n.storeUpdateLife()-now.Sub(n.storeUpdates.readReportedAt))
+}
+
+// storeUpdateLife returns how long a store update stays fresh.
+func (n *Node) storeUpdateLife() time.Duration {
+	return time.Duration(storeUpdateLifeIntervals * float64(n.RegistrationsInterval))
 }
 
 // hasFreshStoreUpdate reports whether the owner's store update is fresh. The caller holds
 // mu.
 func (n *Node) hasFreshStoreUpdate(now time.Time) bool { return n.storeUpdateTimeLeft(now) > 0 }
 
-// mustReadRegistrations reports whether this node must read the registrations
-// now. It last read them at lastRead, up to the offset cursor.
-func (n *Node) mustReadRegistrations(now time.Time, cursor domain.Offset, lastRead time.Time) bool {
+// mustReadRegistrations reports whether this node must read the registrations now. It last read
+// them at lastRead.
+func (n *Node) mustReadRegistrations(now, lastRead time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.fence != 0 || !n.hasFreshStoreUpdate(now) || !n.serversSeen || cursor < n.storeUpdates.RegistrationsOffset || now.Sub(lastRead) >= maximumReadGap
+	return n.fence != 0 || !n.hasFreshStoreUpdate(now) || !n.serversSeen || n.registrationsKnown < n.storeUpdates.RegistrationsOffset || now.Sub(lastRead) >= maximumReadGap
+}
+
+// passedChanges returns what the owner passes on to the other nodes after it has read changes of
+// some servers' registrations up to an offset. The caller holds mu.
+func (n *Node) passedChanges(changed []domain.ServerID, offset domain.Offset) hub.RegistrationChanges {
+	if len(changed) > maximumPassedChanges {
+		return hub.RegistrationChanges{}
+	}
+	return hub.RegistrationChanges{Previous: n.registrationsOffset, Offset: offset, Changes: n.directory.Changes(changed)}
+}
+
+// applyRegistrationChanges applies changes of registrations that the owner has read, if this node
+// knows all changes before them. Otherwise it reads them in the store. The caller holds mu.
+func (n *Node) applyRegistrationChanges(now time.Time, c hub.RegistrationChanges) {
+	if len(c.Changes) == 0 || c.Previous > n.registrationsKnown || c.Offset <= n.registrationsKnown || !n.serversSeen {
+		return
+	}
+	n.registrationsKnown = c.Offset
+	// As the next owner, this node announces them to those that have missed them.
+	n.registrationsOffset = max(n.registrationsOffset, c.Offset)
+	n.logServerChanges(n.directory.Apply(now, c.Changes), n.applyUsable(now))
 }
 
 // storeUpdateChange returns a channel that is closed when a store update shows a
@@ -84,15 +113,21 @@
 	return n.storeUpdates.changed
 }
 
+// storeUpdate returns the offsets of the last changes that this node has seen in the store. The
+// caller holds mu.
+func (n *Node) storeUpdate(registrationsRead bool) hub.StoreUpdate {
+	return hub.StoreUpdate{ConfigurationOffset: n.configurationOffset, RegistrationsOffset: n.registrationsOffset, RegistrationsRead: registrationsRead}
+}
+
 // broadcastStoreUpdate sends the other nodes the offsets of the last changes that
 // this node has seen in the store, if it is the owner. The parameter
-// registrationsRead is true if this node has just read the registrations. The
-// caller holds mu.
-func (n *Node) broadcastStoreUpdate(registrationsRead bool) {
+// registrationsRead is true if this node has just read the registrations, and c has
+// the changes that it found. The caller holds mu.
+func (n *Node) broadcastStoreUpdate(registrationsRead bool, c hub.RegistrationChanges) {
 	if n.fence == 0 {
 		return
 	}
-	u := hub.Update{Store: hub.StoreUpdate{ConfigurationOffset: n.configurationOffset, RegistrationsOffset: n.registrationsOffset, RegistrationsRead: registrationsRead}}
+	u := hub.Update{Registrations: c, CandidateCount: n.countCandidates(), Store: n.storeUpdate(registrationsRead)}
 	if u.Store.ConfigurationOffset != n.announcedOffset {
 		n.announcedOffset = u.Store.ConfigurationOffset
 		n.Logger.Info().Str("Event", "ConfigurationAnnounced").Uint64("Offset", uint64(n.announcedOffset)).Int("Links", n.Hub.LinkCount()).
--- a/entry/node.go
+++ b/entry/node.go
@@ -10,7 +10,7 @@
 
 import (
 	"context"
-	"net"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -88,7 +88,7 @@
 	// TraitLog may be nil.
 	TraitLog TraitLog
 	// Dialer opens the connections to the owner's hub.
-	Dialer *net.Dialer
+	Dialer hub.Dialer
 	// HubAddress extracts the address of a node's hub from the node's name.
 	HubAddress func(domain.NodeID) string
 	Logger     zerolog.Logger
@@ -109,6 +109,14 @@
 	// early hands over more often while nodes are stopped one after the other; one that leaves
 	// late may be killed with orders in flight.
 	HandOverDelay time.Duration
+	// Standby is set on a VM that cannot carry the links of a large deployment. It becomes a
+	// possible owner only where too few others are.
+	Standby bool
+	// IsStandby reports whether another node is a standby, from the node's name. It may be nil.
+	IsStandby func(domain.NodeID) bool
+	// UpdateBytesPerSecond bounds the rate of the updates that this node sends as the owner, to
+	// all nodes together. It is unbounded if 0.
+	UpdateBytesPerSecond int
 	// LoadWindow is the period over which loads from the weight store are limited.
 	LoadWindow time.Duration
 	// ServersCheckFences is set if the model engines reject orders with an old fencing token.
@@ -153,6 +161,13 @@
 	// current configuration. registrationsOffset is the cursor after the last
 	// read that changed the directory.
 	configurationOffset, registrationsOffset domain.Offset
+	// registrationsKnown is the offset before which this node knows all changes of
+	// registrations, from its own reads or from the owner.
+	registrationsKnown domain.Offset
+	// registrationsReadAt is when this node last read the registrations.
+	registrationsReadAt time.Time
+	// linkedAt is when this node last linked to an owner; zero while it is not linked.
+	linkedAt time.Time
 	// configurationCursor is the offset up to which this node has read the
 	// configurations.
 	configurationCursor domain.Offset
@@ -169,6 +184,12 @@
 	announcedOffset domain.Offset
 	planner         placement.Planner
 	lease           lease.Lease
+	// leaseExpired is set while this node is the owner with an expired lease.
+	leaseExpired bool
+	// candidacy decides whether this node is a member of the group; wasCandidate is its last
+	// decision.
+	candidacy    lease.Candidacy
+	wasCandidate bool
 	// fence is the fencing token under which this node is the owner; 0 while it is
 	// not.
 	fence domain.Fence
@@ -177,9 +198,11 @@
 	// ownedSince is when this node last became the owner.
 	ownedSince time.Time
 	// sentDigests contains the digests of the engine states last broadcast to the
-	// other nodes; broadcastAt is when broadcastEngineStates last ran.
-	sentDigests map[domain.ServerID]engineStateDigest
-	broadcastAt time.Time
+	// other nodes; broadcastAt is when broadcastEngineStates last ran. urgentDigests contains
+	// those sent to waiting nodes since then.
+	sentDigests   map[domain.ServerID]engineStateDigest
+	urgentDigests map[domain.ServerID]engineStateDigest
+	broadcastAt   time.Time
 	// crashReports are the crash reports that have not been sent yet: by the
 	// owner to the other nodes, by another node to the owner.
 	crashReports []suspects.Report
@@ -217,8 +240,14 @@
 	n.storeUpdates.changed = make(chan struct{})
 	n.lease.Shard = ownedShard
 	n.lease.TimeToLive, n.lease.FirstOrderDelay, n.lease.ServersCheckFences = o.TimeToLive, o.FirstOrderDelay, o.ServersCheckFences
+	n.candidacy = lease.Candidacy{Standby: o.Standby, TimeToLive: o.TimeToLive, Spread: rand.Float64()}
+	if n.IsStandby == nil {
+		n.IsStandby = func(domain.NodeID) bool { return false }
+	}
 	n.planner.LoadWindow = o.LoadWindow
+	n.Hub.BytesPerSecond = o.UpdateBytesPerSecond
 	n.Hub.OnReport = n.handleReport
+	n.Hub.OnInvalidReport = n.logInvalidReport
 	n.Hub.InitialUpdate = n.initialUpdate
 	n.Hub.AcceptsLinks = n.acceptsLinks
 	return n
@@ -227,7 +256,7 @@
 // Run runs the node's loops until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	for _, loop := range []func(context.Context){n.followConfiguration, n.followServers, n.renewMembership, n.runOwner, n.maintainLink, n.loadTraits, n.saveTraits} {
+	for _, loop := range []func(context.Context){n.followConfiguration, n.followServers, n.renewMembership, n.watchGroup, n.runOwner, n.maintainLink, n.loadTraits, n.saveTraits} {
 		g.Go(func() error {
 			loop(ctx)
 			return nil
--- a/entry/notice_test.go
+++ b/entry/notice_test.go
@@ -75,7 +75,7 @@
 func startReportHub(t *testing.T) (string, <-chan hub.Report) {
 	t.Helper()
 	reports := make(chan hub.Report, 9)
-	h := &hub.Hub{OnReport: func(r hub.Report) { reports <- r }, AcceptsLinks: func() bool { return true }, InitialUpdate: func() hub.Update { return hub.Update{} }}
+	h := &hub.Hub{OnReport: func(r hub.Report) { reports <- r }, AcceptsLinks: func() bool { return true }, InitialUpdate: func(start func(hub.Update)) { start(hub.Update{}) }}
 	s := httptest.NewServer(h)
 	t.Cleanup(s.Close)
 	t.Cleanup(h.Close)
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -15,149 +15,35 @@
 	// planInterval is the longest time that the owner waits for a trigger before
 	// it plans again.
 	planInterval = 30 * time.Millisecond
-	// minimumPlanGap is the least time between two plans; each linked node adds
-	// planGapPerNode.
+	// minimumPlanGap is the least time between two plans. It grows to cycleGapFactor times the
+	// duration of the last cycle, so that cycles leave most of the processor to requests.
 	minimumPlanGap = 4 * time.Millisecond
-	planGapPerNode = 300 * time.Microsecond
+	cycleGapFactor = 5
+	// maximumPlanGap bounds it.
+	maximumPlanGap = 100 * time.Millisecond
 	// idleInterval is how often a node checks whether it has become the owner.
 	idleInterval = 200 * time.Millisecond
-	// updateGapPerNode times the number of linked nodes is the least time between
-	// two updates of engine states, so that updates to many nodes do not use up
-	// the owner's processor.
-	updateGapPerNode = time.Millisecond
-	// leaveTimeout bounds the call that leaves the group at shutdown.
-	leaveTimeout = time.Second
-	// orderWaitTimeout bounds the wait for the responses to orders before that.
-	orderWaitTimeout = time.Second
-	// renewalsPerTimeToLive is how many times the membership is renewed within its
-	// time-to-live.
-	renewalsPerTimeToLive = 4
 	// linkGracePeriod is how long a new owner treats the number of nodes as
 	// unknown, because not all of them have linked to it yet.
 	linkGracePeriod = 4 * time.Second
-	// joinCall names the calls of joinGroup in recordStoreResult.
-	joinCall = "Join"
 	// selfCount is added to the number of linked nodes, because the owner has no link
 	// to itself.
 	selfCount = 1
 )
 
-// engineStateDigest contains the parts of a server's engine state that are
-// compared to detect a change.
-type engineStateDigest struct {
-	startedAtMs              int64
-	sequence                 uint64
-	busy                     bool
-	modelCount, adapterCount int
-}
-
-func digest(s fleet.EngineState) engineStateDigest {
-	d := engineStateDigest{startedAtMs: s.StartedAtMs, sequence: s.Sequence, busy: s.Busy, modelCount: len(s.Models)}
-	for _, m := range s.Models {
-		d.adapterCount += len(m.Adapters)
-	}
-	return d
-}
-
-// renewMembership renews this node's membership of the group, through which it may
-// become the owner, and leaves the group when the node drains or stops.
-func (n *Node) renewMembership(ctx context.Context) {
-	for ctx.Err() == nil && !n.mustHandOver(time.Now()) {
-		n.joinGroup(ctx)
-		n.awaitRenewal(ctx)
-	}
-	n.leaveGroup(context.WithoutCancel(ctx))
-}
-
-// joinGroup renews the membership and records the result.
-func (n *Node) joinGroup(ctx context.Context) {
-	sentAt := n.Uptime.Now()
-	n.mu.Lock()
-	generation := n.lease.Generation()
-	n.mu.Unlock()
-	grant, err := n.Group.Join(ctx, generation, n.TimeToLive)
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if ctx.Err() != nil {
-		return
-	}
-	n.recordStoreResult(time.Now(), joinCall, err)
-	switch {
-	case err != nil:
-		n.lease.RecordRenewalFailure(n.Uptime.Now())
-	case !n.isHandOverDue(time.Now()):
-		n.lease.ApplyGrant(sentAt, n.Uptime.Now(), grant)
-	}
-}
-
-// awaitRenewal waits until the membership must be renewed again or the node hands over. After a
-// failed renewal, it waits at most until the store recovers.
-func (n *Node) awaitRenewal(ctx context.Context) {
-	n.mu.Lock()
-	interval := n.TimeToLive / renewalsPerTimeToLive
-	if left := time.Until(n.handOverAt); n.draining && left > 0 {
-		interval = min(interval, left)
-	}
-	var recovered <-chan struct{}
-	if n.failedCalls[joinCall] {
-		recovered = n.storeRecovered
-	}
-	n.mu.Unlock()
-	pause.For(ctx, interval, recovered)
-}
-
-// mustHandOver reports whether this node leaves the group now because it drains. An owner that
-// does not reach the store keeps the lease, because no other node can take it over then.
-func (n *Node) mustHandOver(now time.Time) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.isHandOverDue(now) && (n.fence == 0 || !n.failedCalls[joinCall])
-}
-
-// isHandOverDue reports whether the node drains and its time to leave the group has come. The
-// caller holds mu.
-func (n *Node) isHandOverDue(now time.Time) bool {
-	return n.draining && !now.Before(n.handOverAt)
-}
-
-// leaveGroup ends this node's lease, waits for the responses to its orders, so that none arrives
-// at an engine after another node has become the owner, and leaves the group.
-func (n *Node) leaveGroup(ctx context.Context) {
-	n.mu.Lock()
-	n.lease.Invalidate()
-	n.mu.Unlock()
-	n.awaitOrders(ctx)
-	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
-	defer cancel()
-	if err := n.Group.Leave(ctx); err != nil {
-		n.Logger.Info().Str("Event", "LeaveFailed").Err(err).Msg("failed to leave the owner group; the membership may last until its time-to-live has passed")
-	}
-}
-
-// awaitOrders waits until no order is in flight, at most orderWaitTimeout. The lease must have
-// ended, so that no further order starts.
-func (n *Node) awaitOrders(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, orderWaitTimeout)
-	defer cancel()
-	go func() {
-		defer cancel()
-		n.ordersInFlight.Wait()
-	}()
-	<-ctx.Done()
-}
-
 // runOwner runs a cycle after each trigger, or after an interval without one. The
 // cycles issue orders while this node is the owner.
 func (n *Node) runOwner(ctx context.Context) {
 	for ctx.Err() == nil {
 		interval := idleInterval
 		var urgent <-chan struct{}
+		startedAt := time.Now()
 		if n.runOwnerCycle(ctx) {
 			interval = planInterval
 			urgent = n.Demand.Urgent()
 			// Wait for further reports, so that one plan covers the reports of many
 			// nodes.
-			pause.For(ctx, minimumPlanGap+time.Duration(n.Hub.LinkCount())*planGapPerNode, nil)
+			pause.For(ctx, min(maximumPlanGap, minimumPlanGap+cycleGapFactor*time.Since(startedAt)), nil)
 		}
 		t := time.NewTimer(interval)
 		select {
@@ -172,18 +58,18 @@
 
 // runOwnerCycle updates the ownership. If this node may issue orders as the
 // owner, it starts the planned orders and the due queries of engine states,
-// broadcasts changed engine states and returns true.
+// sends changed engine states and returns true.
 func (n *Node) runOwnerCycle(ctx context.Context) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
 	uptime := n.Uptime.Now()
-	fence, valid := n.lease.Fence(uptime)
-	n.updateOwnership(now, fence, valid)
-	if !n.lease.IsHeld(uptime) {
+	fence, mayOrder := n.lease.Fence(uptime)
+	n.updateOwnership(now, uptime)
+	if !n.lease.IsRetained(uptime) {
 		n.Hub.Close()
 	}
-	if !valid {
+	if !mayOrder {
 		return false
 	}
 	n.planner.RecordDemand(now, n.Name, n.Demand.TakeChanges(now))
@@ -194,29 +80,25 @@
 		// An order that has started is not cancelled at shutdown: the engine may carry it out.
 		go n.sendOrder(context.WithoutCancel(ctx), o, fence)
 	}
-	if now.Sub(n.broadcastAt) >= time.Duration(n.Hub.LinkCount())*updateGapPerNode {
-		n.broadcastAt = now
-		n.broadcastEngineStates(now)
-	}
+	n.sendEngineStates(now, n.lease.IsRenewalLate(uptime))
 	return true
 }
 
-// updateOwnership starts or ends this node's term as the owner when the fencing
-// token changes. If holdsLease is false, fence is ignored. The caller holds mu.
-func (n *Node) updateOwnership(now time.Time, fence domain.Fence, holdsLease bool) {
-	if !holdsLease {
-		fence = 0
-	}
-	if fence == n.fence {
+// updateOwnership starts this node's term as the owner when it may issue orders under a new
+// fencing token, and ends it when it does not retain the lease. A lease that has only expired ends
+// no term: the links, the demand and the engine states are still of use when it is granted again.
+// The caller holds mu.
+func (n *Node) updateOwnership(now time.Time, uptime time.Duration) {
+	n.logLeaseExpiry(uptime)
+	if !n.lease.IsRetained(uptime) {
+		n.endTerm()
 		return
 	}
-	n.fence = fence
-	if fence == 0 {
-		n.Logger.Info().Str("Event", "OwnershipLost").Msg("this node no longer owns the model engines")
-		n.planner.EndTerm()
-		n.sentDigests, n.overlay = nil, nil
+	fence, mayOrder := n.lease.Fence(uptime)
+	if !mayOrder || fence == n.fence {
 		return
 	}
+	n.fence = fence
 	n.Logger.Info().Str("Event", "OwnershipBegun").Uint64("Fence", uint64(fence)).Msg("this node owns the model engines")
 	n.ownedSince = now
 	n.planner.BeginTerm(now)
@@ -224,6 +106,32 @@
 	n.planner.RecordDemand(now, n.Name, n.Demand.TakeAll(now))
 }
 
+// endTerm ends this node's term as the owner, if it is in one. The caller holds mu.
+func (n *Node) endTerm() {
+	if n.fence == 0 {
+		return
+	}
+	n.fence = 0
+	n.Logger.Info().Str("Event", "OwnershipLost").Msg("this node no longer owns the model engines")
+	n.planner.EndTerm()
+	n.sentDigests, n.urgentDigests, n.overlay = nil, nil, nil
+}
+
+// logLeaseExpiry logs when the lease of this node's term expires and is held again. The caller
+// holds mu.
+func (n *Node) logLeaseExpiry(uptime time.Duration) {
+	expired := n.fence != 0 && !n.lease.IsHeld(uptime)
+	if expired == n.leaseExpired {
+		return
+	}
+	n.leaseExpired = expired
+	if expired {
+		n.Logger.Warn().Str("Event", "LeaseExpired").Int("Links", n.Hub.LinkCount()).Msg("the lease of the owner was not renewed in time; this node issues no orders")
+		return
+	}
+	n.Logger.Info().Str("Event", "LeaseExpiryEnded").Bool("Held", n.lease.IsHeld(uptime)).Msg("the lease of the owner was renewed or is lost")
+}
+
 // queryEngineState queries a server's engine state and records the result in the
 // planner.
 func (n *Node) queryEngineState(ctx context.Context, s fleet.Server) {
@@ -270,46 +178,12 @@
 	n.triggerPlan()
 }
 
-// broadcastEngineStates sends the changed engine states and the new crash reports
-// to the other nodes, and publishes a view with the new engine states on this
-// node. The caller holds mu.
-func (n *Node) broadcastEngineStates(now time.Time) {
-	states := n.planner.Snapshot()
-	if n.sentDigests == nil {
-		n.sentDigests = map[domain.ServerID]engineStateDigest{}
-	}
-	u := hub.Update{NodeCount: n.countNodes(now), CrashReports: n.crashReports, Traits: n.takeTraitReport()}
-	n.nodeCount = max(n.nodeCount, u.NodeCount)
-	n.crashReports = nil
-	for id, state := range states {
-		d := digest(state)
-		if n.sentDigests[id] == d {
-			continue
-		}
-		n.sentDigests[id] = d
-		u.Servers = append(u.Servers, hub.ServerState{ID: id, EngineState: state})
-	}
-	for id := range n.sentDigests {
-		if _, ok := states[id]; !ok {
-			delete(n.sentDigests, id)
-		}
-	}
-	if len(u.Servers) == 0 && len(u.CrashReports) == 0 && u.Traits.IsEmpty() {
-		return
-	}
-	n.overlay = states
-	n.publishView(now)
-	if err := n.Hub.Broadcast(u); err != nil {
-		n.Logger.Error().Str("Event", "UpdateFailed").Err(err).Msg("failed to encode an update for the other nodes")
-	}
-}
-
 // handleReport records the demand, the stale servers and the crash reports that
-// another node sent. It ignores the report if this node does not hold the lease.
+// another node sent. It ignores the report if this node does not retain the lease.
 func (n *Node) handleReport(r hub.Report) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !n.lease.IsHeld(n.Uptime.Now()) {
+	if !n.lease.IsRetained(n.Uptime.Now()) {
 		return
 	}
 	n.planner.RecordDemand(time.Now(), r.Node, r.Demands)
@@ -325,6 +199,11 @@
 	n.triggerPlan()
 }
 
+// logInvalidReport logs why the link to a node ends.
+func (n *Node) logInvalidReport(id domain.NodeID, err error) {
+	n.Logger.Warn().Str("Event", "ReportInvalid").Str("From", string(id)).Err(err).Msg("a node sent a report that cannot be decoded; its link ends")
+}
+
 // countNodes returns the number of linked nodes and this one. It returns 0 for an
 // unknown number if this node is not the owner, or became the owner within the
 // last linkGracePeriod. The caller holds mu.
@@ -335,25 +214,39 @@
 	return n.Hub.LinkCount() + selfCount
 }
 
-// acceptsLinks reports whether this node holds the lease, so that other nodes may
-// link to it.
-func (n *Node) acceptsLinks() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.lease.IsHeld(n.Uptime.Now())
+// countCandidates returns the number of linked nodes that are no standbys, this one included.
+func (n *Node) countCandidates() int {
+	count := 0
+	if !n.Standby {
+		count = selfCount
+	}
+	for _, id := range n.Hub.Nodes() {
+		if !n.IsStandby(id) {
+			count++
+		}
+	}
+	return count
 }
 
-// initialUpdate returns the first update for a node that has just linked: the
+// acceptsLinks reports whether this node is the owner, so that other nodes may link to it.
+func (n *Node) acceptsLinks() bool { return n.isOwner() }
+
+// initialUpdate calls start with the first update for a node that has just linked: the
 // node count and the engine states of all servers.
-func (n *Node) initialUpdate() hub.Update {
+func (n *Node) initialUpdate(start func(hub.Update)) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	u := hub.Update{NodeCount: n.countNodes(time.Now())}
+	now := time.Now()
+	u := hub.Update{NodeCount: n.countNodes(now)}
+	if age := now.Sub(n.registrationsReadAt); n.fence != 0 && age < n.RegistrationsInterval {
+		u.Store = n.storeUpdate(true)
+		u.Store.ReadAge = age
+	}
 	if n.Traits != nil {
 		u.Traits = n.Traits.TraitSnapshot()
 	}
 	for id, state := range n.planner.Snapshot() {
 		u.Servers = append(u.Servers, hub.ServerState{ID: id, EngineState: state})
 	}
-	return u
+	start(u)
 }
--- a/entry/traits_test.go
+++ b/entry/traits_test.go
@@ -75,7 +75,7 @@
 		}
 		linked := New(Options{Name: "later"})
 		linked.Traits = later
-		linked.applyUpdate(n.initialUpdate())
+		n.initialUpdate(linked.applyUpdate)
 		if !later.isRefused() {
 			t.Error("a node that links later does not refuse the trait, want it refused")
 		}
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -146,6 +146,23 @@
 	return e.server, true
 }
 
+// Changes returns the last change of each of some servers that the directory has an entry of.
+func (d *Directory) Changes(ids []domain.ServerID) []Change {
+	var changes []Change
+	for _, id := range ids {
+		e := d.entries[id]
+		if e == nil {
+			continue
+		}
+		c := Change{ID: id, Offset: e.offset}
+		if e.removedAt.IsZero() {
+			c.Server = e.server
+		}
+		changes = append(changes, c)
+	}
+	return changes
+}
+
 // IsStable reports whether the result of Usable depends on the changes alone and no
 // longer on the time. It stays false for twice reregistrationWindow after a removal, so
 // that a caller that polls it calls Usable again after the window has ended.
--- a/hub/hub_test.go
+++ b/hub/hub_test.go
@@ -94,7 +94,7 @@
 	h := &Hub{
 		OnReport:      func(r Report) { reports <- r },
 		AcceptsLinks:  owner.Load,
-		InitialUpdate: func() Update { return testUpdate },
+		InitialUpdate: func(start func(Update)) { start(testUpdate) },
 	}
 	s := httptest.NewServer(h)
 	t.Cleanup(s.Close)
--- a/hub/message.go
+++ b/hub/message.go
@@ -78,17 +78,31 @@
 	// NodeCount is the number of linked nodes plus 1 for the owner itself; 0 if it is
 	// unknown.
 	NodeCount int
+	// CandidateCount is how many of these nodes are no standbys; 0 if it is unknown.
+	CandidateCount int
 	// Store is the owner's progress in reading the platform's store; zero in an
 	// update that does not report it.
 	Store StoreUpdate
+	// Registrations are the changes of registrations that the owner has read since the last
+	// update.
+	Registrations RegistrationChanges
+}
+
+// RegistrationChanges are changes of registrations as the owner read them in the platform's store.
+// A node that knows all changes before the offset Previous knows all before Offset with them.
+type RegistrationChanges struct {
+	Previous, Offset domain.Offset
+	Changes          []fleet.Change
 }
 
 // StoreUpdate contains the offsets up to which the owner has seen changes in the
 // platform's store. A node that has read up to them need not read again.
 type StoreUpdate struct {
 	ConfigurationOffset, RegistrationsOffset domain.Offset
-	// RegistrationsRead is set if the owner has just read the registrations.
+	// RegistrationsRead is set if the owner has read the registrations; ReadAge is the time
+	// since then.
 	RegistrationsRead bool
+	ReadAge           time.Duration
 }
 
 // ServerState identifies a backend server and contains its engine state.
@@ -135,7 +149,12 @@
 	Suspects []wireSuspect
 	Nodes    int
 	News     wireStoreUpdate
-	Traits   *wireTraits
+	// Candidates and ReadAgeMilliseconds are 0 in messages of earlier versions.
+	Candidates          int
+	ReadAgeMilliseconds int64
+	Traits              *wireTraits
+	// Registrations is nil if there are no changes. Earlier versions ignore it.
+	Registrations *wireRegistrations
 }
 
 type wireStoreUpdate struct {
@@ -235,19 +254,32 @@
 
 func encodeUpdate(u Update) ([]byte, error) {
 	store := wireStoreUpdate{Configuration: uint64(u.Store.ConfigurationOffset), Registrations: uint64(u.Store.RegistrationsOffset), Read: u.Store.RegistrationsRead}
-	w := wireUpdate{Nodes: u.NodeCount, News: store, Suspects: encodeSuspects(u.CrashReports), Traits: encodeTraits(u.Traits)}
+	w := wireUpdate{Nodes: u.NodeCount, News: store, Suspects: encodeSuspects(u.CrashReports), Traits: encodeTraits(u.Traits), Registrations: encodeRegistrations(u.Registrations)}
+	w.Candidates, w.ReadAgeMilliseconds = u.CandidateCount, u.Store.ReadAge.Milliseconds()
 	for _, s := range u.Servers {
-		state := s.EngineState
-		ws := wireServer{ID: string(s.ID), Born: state.StartedAtMs, Sequence: state.Sequence, Busy: state.Busy}
-		for _, m := range state.Models {
-			ws.Models = append(ws.Models, wireLoadedModel{Model: string(m.Model), Adapters: domain.Strings(m.Adapters)})
-		}
-		w.Servers = append(w.Servers, ws)
+		w.Servers = append(w.Servers, encodeServer(s))
 	}
 	data, err := cbor.Marshal(w)
 	return data, errors.WithStack(err)
 }
 
+func encodeServer(s ServerState) wireServer {
+	state := s.EngineState
+	w := wireServer{ID: string(s.ID), Born: state.StartedAtMs, Sequence: state.Sequence, Busy: state.Busy}
+	for _, m := range state.Models {
+		w.Models = append(w.Models, wireLoadedModel{Model: string(m.Model), Adapters: domain.Strings(m.Adapters)})
+	}
+	return w
+}
+
+func (s *wireServer) decode() ServerState {
+	state := fleet.EngineState{StartedAtMs: s.Born, Sequence: s.Sequence, Busy: s.Busy}
+	for _, m := range s.Models {
+		state.Models = append(state.Models, fleet.LoadedModel{Model: domain.ModelName(m.Model), Adapters: domain.Names[domain.AdapterName](m.Adapters)})
+	}
+	return ServerState{ID: domain.ServerID(s.ID), EngineState: state}
+}
+
 // isInRange reports whether the offsets of a store update are possible.
 func (u *wireStoreUpdate) isInRange() bool {
 	return u.Configuration <= maximumOffset && u.Registrations <= maximumOffset
@@ -264,20 +296,20 @@
 	if w.Nodes >= 0 && w.Nodes <= maximumNodes {
 		u.NodeCount = w.Nodes
 	}
-	if w.News.isInRange() {
-		u.Store = StoreUpdate{ConfigurationOffset: domain.Offset(w.News.Configuration), RegistrationsOffset: domain.Offset(w.News.Registrations), RegistrationsRead: w.News.Read}
+	if w.Candidates >= 0 && w.Candidates <= maximumNodes {
+		u.CandidateCount = w.Candidates
+	}
+	if age, ok := decodeAge(w.ReadAgeMilliseconds); ok && w.News.isInRange() {
+		u.Store = StoreUpdate{ConfigurationOffset: domain.Offset(w.News.Configuration), RegistrationsOffset: domain.Offset(w.News.Registrations), RegistrationsRead: w.News.Read, ReadAge: age}
 	}
 	for _, s := range w.Servers {
 		if !s.isInRange() {
 			continue
 		}
-		state := fleet.EngineState{StartedAtMs: s.Born, Sequence: s.Sequence, Busy: s.Busy}
-		for _, m := range s.Models {
-			state.Models = append(state.Models, fleet.LoadedModel{Model: domain.ModelName(m.Model), Adapters: domain.Names[domain.AdapterName](m.Adapters)})
-		}
-		u.Servers = append(u.Servers, ServerState{ID: domain.ServerID(s.ID), EngineState: state})
+		u.Servers = append(u.Servers, s.decode())
 	}
 	u.Traits = w.Traits.decode()
+	u.Registrations = w.Registrations.decode()
 	var err error
 	u.CrashReports, err = decodeSuspects(w.Suspects)
 	return u, err
--- a/hub/oddmessage_test.go
+++ b/hub/oddmessage_test.go
@@ -29,7 +29,7 @@
 		{ID: "i", EngineState: fleet.EngineState{Sequence: 3}},
 	}}
 	h, address, reports, _ := startHub(t)
-	h.InitialUpdate = func() Update { return update }
+	h.InitialUpdate = func(start func(Update)) { start(update) }
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
 	l, err := Dial(ctx, &net.Dialer{}, address)
--- a/hub/slowlink_test.go
+++ b/hub/slowlink_test.go
@@ -22,6 +22,14 @@
 	return c.Conn.Read(buffer[:min(len(buffer), 4<<10)])
 }
 
+// slowDialer opens slow connections to a listener.
+type slowDialer struct{ listener *standin.PipeListener }
+
+func (d slowDialer) DialContext(ctx context.Context, _, _ string) (net.Conn, error) {
+	c, err := d.listener.Dial(ctx)
+	return slowConn{c}, err
+}
+
 // Guards against a node that never links: the complete state took longer to send than one
 // write may take, the link was dropped, and the next one began with the complete state again.
 func TestLinkSurvivesACompleteStateThatTakesLongToSend(t *testing.T) {
@@ -30,15 +38,12 @@
 		for i := range 5000 {
 			state.Servers = append(state.Servers, ServerState{ID: domain.ServerID(fmt.Sprintf("i-%08d", i)), EngineState: fleet.EngineState{StartedAtMs: 5, Models: []fleet.LoadedModel{{Model: "model"}}}})
 		}
-		h := &Hub{OnReport: func(Report) {}, AcceptsLinks: func() bool { return true }, InitialUpdate: func() Update { return state }}
+		h := &Hub{OnReport: func(Report) {}, AcceptsLinks: func() bool { return true }, InitialUpdate: func(start func(Update)) { start(state) }}
 		l := standin.NewPipeListener()
 		server := &http.Server{Handler: h}
 		go func() { _ = server.Serve(l) }()
 		start := time.Now()
-		link, err := dial(t.Context(), func(ctx context.Context, _, _ string) (net.Conn, error) {
-			c, err := l.Dial(ctx)
-			return slowConn{c}, err
-		}, "owner:1")
+		link, err := Dial(t.Context(), slowDialer{l}, "owner:1")
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -186,3 +186,17 @@
 	}
 	return &totalDemand{}
 }
+
+// nodesWaitingFor returns the nodes with waiting requests for keys that f accepts, once for each
+// key.
+func (d *demandTable) nodesWaitingFor(f func(ModelKey) bool) []domain.NodeID {
+	var nodes []domain.NodeID
+	for id, n := range d.nodes {
+		for k, demand := range n.keys {
+			if demand.Waiting > 0 && f(k) {
+				nodes = append(nodes, id)
+			}
+		}
+	}
+	return nodes
+}
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -372,3 +372,16 @@
 	}
 	return states
 }
+
+// WaitingNodes returns the nodes with requests that wait for a model or adapter that a server has
+// loaded. A node is returned once for each.
+func (p *Planner) WaitingNodes(id domain.ServerID) []domain.NodeID {
+	v := p.engines[id]
+	if v == nil {
+		return nil
+	}
+	return p.demands.nodesWaitingFor(func(k ModelKey) bool {
+		loaded, ok := v.state.Find(k.Model)
+		return ok && k.Service == v.server.Service && loaded.HasAdapter(k.Adapter)
+	})
+}
