--- a/lease/candidacy_test.go
+++ b/lease/candidacy_test.go
@@ -8,16 +8,19 @@
 // step is how often the tests ask a Candidacy for its decision.
 const step = 50 * time.Millisecond
 
-// joinTime returns when a node first becomes a member, or limit if it does not until then. The
+// never is what joinTime returns for a node that does not join.
+const never = time.Hour
+
+// joinTime returns when a node first becomes a member, never if it does not within that time. The
 // function observe is called before each decision.
-func joinTime(c *Candidacy, from, limit time.Duration, observe func(now time.Duration)) time.Duration {
-	for now := from; now < limit; now += step {
+func joinTime(c *Candidacy, from time.Duration, observe func(now time.Duration)) time.Duration {
+	for now := from; now < never; now += step {
 		observe(now)
 		if c.IsMember(now) {
 			return now
 		}
 	}
-	return limit
+	return never
 }
 
 func newStandby(spread float64) *Candidacy {
@@ -37,12 +40,11 @@
 // The renewals of hundreds of members cost calls, and a small one may become the owner.
 func TestStandbyWithAnOwnerDoesNotJoin(t *testing.T) {
 	c := newStandby(0)
-	limit := time.Hour
-	if got := joinTime(c, 0, limit, func(now time.Duration) {
+	if got := joinTime(c, 0, func(now time.Duration) {
 		if now >= time.Second {
 			c.RecordOwner(now)
 		}
-	}); got != limit {
+	}); got != never {
 		t.Errorf("joined after %v", got)
 	}
 }
@@ -51,7 +53,7 @@
 	for _, spread := range []float64{0, 0.5, 0.99} {
 		c := newStandby(spread)
 		c.RecordOwner(10 * time.Second)
-		got := joinTime(c, 10*time.Second, time.Hour, func(now time.Duration) {
+		got := joinTime(c, 10*time.Second, func(now time.Duration) {
 			c.RecordSurvey(now, Survey{HasOwner: true, Holders: 8, Candidates: 8})
 		})
 		if want := 10*time.Second + c.TimeToLive; got > want {
@@ -64,7 +66,7 @@
 func TestStandbyLeavesTheTakeoverToOtherMembers(t *testing.T) {
 	c := newStandby(0)
 	c.RecordOwner(10 * time.Second)
-	got := joinTime(c, 10*time.Second, time.Hour, func(now time.Duration) {
+	got := joinTime(c, 10*time.Second, func(now time.Duration) {
 		c.RecordSurvey(now, Survey{HasOwner: true, Candidates: 7, Responds: true})
 	})
 	if want := 10*time.Second + c.TimeToLive; got <= want {
@@ -78,7 +80,7 @@
 func TestStandbysOfADeploymentWithoutOthersJoin(t *testing.T) {
 	for _, spread := range []float64{0, 0.99} {
 		c := newStandby(spread)
-		got := joinTime(c, 0, time.Hour, func(now time.Duration) { c.RecordSurvey(now, Survey{}) })
+		got := joinTime(c, 0, func(now time.Duration) { c.RecordSurvey(now, Survey{}) })
 		if want := 2500 * time.Millisecond; got > want {
 			t.Errorf("spread %v: joined at %v, want %v at most", spread, got, want)
 		}
@@ -87,7 +89,7 @@
 
 func TestStandbyLeavesWhenOthersAreBack(t *testing.T) {
 	c := newStandby(0)
-	now := joinTime(c, 0, time.Hour, func(now time.Duration) { c.RecordSurvey(now, Survey{}) })
+	now := joinTime(c, 0, func(now time.Duration) { c.RecordSurvey(now, Survey{}) })
 	c.RecordGrant(now, Grant{Shards: []Shard{0}})
 	c.RecordOwner(now)
 	c.RecordLinkedCandidates(now+step, minimumCandidates-1)
@@ -109,7 +111,7 @@
 	c.RecordOwner(10 * time.Second)
 	c.RecordSurvey(11*time.Second, Survey{HasOwner: true, Holders: 8, Candidates: 8})
 	c.RecordLinkedCandidates(10*time.Second, 9)
-	now := joinTime(c, 11*time.Second, time.Hour, func(time.Duration) {})
+	now := joinTime(c, 11*time.Second, func(time.Duration) {})
 	for _, at := range []time.Duration{now + step, now + 2*idleMemberTime} {
 		if !c.IsMember(at) {
 			t.Errorf("left the group %v after it joined, by news from before", at-now)
@@ -120,7 +122,7 @@
 // Without large nodes, all standbys join when they miss the owner at once.
 func TestNeedlessStandbyLeavesOthersOfItsKind(t *testing.T) {
 	c := newStandby(0)
-	now := joinTime(c, 0, time.Hour, func(now time.Duration) { c.RecordSurvey(now, Survey{}) })
+	now := joinTime(c, 0, func(now time.Duration) { c.RecordSurvey(now, Survey{}) })
 	c.RecordSurvey(now+idleMemberTime, Survey{HasOwner: true, Holders: 8})
 	c.RecordOwner(now + idleMemberTime)
 	if c.IsMember(now + idleMemberTime) {
@@ -144,7 +146,7 @@
 		t.Error("a member without a shard stays beside enough candidates")
 	}
 	lost := now
-	now = joinTime(c, now, time.Hour, func(now time.Duration) { c.RecordSurvey(now, Survey{HasOwner: true, Holders: 8, Candidates: 8}) })
+	now = joinTime(c, now, func(now time.Duration) { c.RecordSurvey(now, Survey{HasOwner: true, Holders: 8, Candidates: 8}) })
 	if want := lost + c.TimeToLive; now > want {
 		t.Errorf("joined at %v after the loss of all at %v, want %v at most", now, lost, want)
 	}
--- a/placement/wait_test.go
+++ b/placement/wait_test.go
@@ -12,12 +12,15 @@
 
 var errTest = errors.New("no report")
 
-// onlyOnDiskOf leaves the checkpoint of a model on the disk of one server alone.
-func (cl *testCluster) onlyOnDiskOf(id domain.ServerID, m domain.ModelName) {
+// holder is the server that alone has some checkpoints on its disk.
+const holder domain.ServerID = "i03"
+
+// onlyOnDiskOfHolder leaves the checkpoint of a model on the disk of holder alone.
+func (cl *testCluster) onlyOnDiskOfHolder(m domain.ModelName) {
 	for _, s := range cl.servers {
 		var models []domain.ModelName
 		for _, d := range cl.engines[s.ID].OnDisk {
-			if d != m || s.ID == id {
+			if d != m || s.ID == holder {
 				models = append(models, d)
 			}
 		}
@@ -42,8 +45,8 @@
 // of the second one from the weight store, for which its requests waited six times as long.
 func TestRequestWaitsForTheServerThatHasTheCheckpoint(t *testing.T) {
 	cl := newTestCluster(t, 6)
-	cl.onlyOnDiskOf("i03", "m1")
-	cl.onlyOnDiskOf("i03", "m2")
+	cl.onlyOnDiskOfHolder("m1")
+	cl.onlyOnDiskOfHolder("m2")
 	cl.planner.RecordDemand(cl.now, "n", []Demand{{ModelKey: key("m1"), Waiting: 1, Arrivals: 1}, {ModelKey: key("m2"), Waiting: 1, Arrivals: 1}})
 	cl.advance(2500 * time.Millisecond)
 	for _, m := range []domain.ModelName{"m1", "m2"} {
@@ -60,11 +63,11 @@
 // the weight store on the first server that did.
 func TestNewOwnerWaitsForTheReportOfTheServerThatHasTheCheckpoint(t *testing.T) {
 	cl := newTestCluster(t, 6)
-	cl.onlyOnDiskOf("i03", "m1")
+	cl.onlyOnDiskOfHolder("m1")
 	cl.planner.BeginTerm(cl.now)
 	cl.planner.RecordDemand(cl.now, "n", []Demand{{ModelKey: key("m1"), Waiting: 1, Arrivals: 1}})
 	for _, s := range cl.planner.DuePolls(cl.now) {
-		if s.ID != "i03" {
+		if s.ID != holder {
 			cl.planner.RecordReport(cl.now, cl.now, s.ID, *cl.engines[s.ID], nil)
 		}
 	}
@@ -72,7 +75,7 @@
 		t.Errorf("orders before the report: got %d, want %d", got, want)
 	}
 	cl.now = cl.now.Add(40 * time.Millisecond)
-	cl.planner.RecordReport(cl.now, cl.now, "i03", *cl.engines["i03"], nil)
+	cl.planner.RecordReport(cl.now, cl.now, holder, *cl.engines[holder], nil)
 	cl.advance(1500 * time.Millisecond)
 	if got, want := cl.replicas("m1"), 1; got != want {
 		t.Errorf("replicas: got %d, want %d", got, want)
@@ -82,11 +85,11 @@
 // A server that does not report must not hold the load up.
 func TestModelIsLoadedElsewhereIfTheServerWithTheCheckpointIsSilent(t *testing.T) {
 	cl := newTestCluster(t, 6)
-	cl.onlyOnDiskOf("i03", "m1")
+	cl.onlyOnDiskOfHolder("m1")
 	cl.planner.BeginTerm(cl.now)
 	cl.planner.RecordDemand(cl.now, "n", []Demand{{ModelKey: key("m1"), Waiting: 1, Arrivals: 1}})
 	for _, s := range cl.planner.DuePolls(cl.now) {
-		if s.ID == "i03" {
+		if s.ID == holder {
 			cl.planner.RecordReport(cl.now, cl.now, s.ID, *cl.engines[s.ID], errTest)
 			continue
 		}
