Let nodes go on reading registrations from where the owner was

Cause: nodes that were told all changes had old cursors. At the start each node listed the empty topics ten times, and asked for the owner seven times. Change: the owner says up to where it has read; a node that knows all changes reads on from there. The engine states of a lost owner stay until newer registrations or a new owner replace them. Startup reads begin 0.4 s apart; one list of the owners serves both the link and the survey. Result: TestNodeReadsOnFromWhereTheOwnerWas, TestEngineStateOutlivesTheOwner and TestNewerRegistrationReplacesTheStateOfALostOwner.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/parsleylug/parsleylug/domain"
@@ -14,7 +15,7 @@
 	maximumRetryPause = 800 * time.Millisecond
 	// startupInterval is the first interval between reads while the node has no
 	// configuration or no usable server; it grows to maximumStartupInterval.
-	startupInterval        = 150 * time.Millisecond
+	startupInterval        = 400 * time.Millisecond
 	maximumStartupInterval = time.Second
 )
 
@@ -22,19 +23,18 @@
 // sends store updates, this node reads the registrations only after a change and
 // at least every maximumReadGap.
 func (n *Node) followServers(ctx context.Context) {
-	var cursor domain.Offset
 	var lastRead time.Time
 	startupPause := startupInterval
 	for ctx.Err() == nil {
 		changed := n.storeUpdateChange()
 		interval := n.RegistrationsInterval
 		if n.mustReadRegistrations(time.Now(), lastRead) {
-			changes, complete, next, err := n.Feed.Servers(ctx, cursor)
+			changes, complete, next, err := n.Feed.Servers(ctx, n.registrationsCursor())
 			if ctx.Err() != nil {
 				return
 			}
 			if err == nil {
-				cursor, lastRead = next, time.Now()
+				lastRead = time.Now()
 			}
 			n.applyRegistrations(changes, complete, next, err)
 			if err == nil && !n.hasSeenServers() {
@@ -48,6 +48,13 @@
 	}
 }
 
+// registrationsCursor returns the offset from which this node reads the registrations next.
+func (n *Node) registrationsCursor() domain.Offset {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.registrationsKnown
+}
+
 // awaitStoreChange waits for d, or until changed is closed by a store update or
 // the store recovers.
 func (n *Node) awaitStoreChange(ctx context.Context, d time.Duration, changed <-chan struct{}) {
@@ -124,15 +131,29 @@
 	if n.fence != 0 {
 		n.candidacy.RecordLinkedCandidates(n.Uptime.Now(), n.countCandidates())
 	}
-	if n.overlayStale && n.fence == 0 {
-		n.overlay, n.overlayStale = nil, false
-	}
+	n.dropStaleOverlay(changes, complete)
 	usable := n.applyUsable(now)
 	n.serversSeen = n.serversSeen || usable > 0
 	n.logServerChanges(changed, usable)
 	n.triggerPlan()
 }
 
+// dropStaleOverlay removes the engine states of a lost owner for which newer registrations were
+// read. The caller holds mu.
+func (n *Node) dropStaleOverlay(changes []fleet.Change, complete bool) {
+	if !n.overlayStale || n.fence != 0 {
+		return
+	}
+	if complete {
+		n.overlay, n.overlayStale = nil, false
+		return
+	}
+	n.overlay = maps.Clone(n.overlay)
+	for _, c := range changes {
+		delete(n.overlay, c.ID)
+	}
+}
+
 // logServerChanges logs whose registrations changed; usable is the number of usable servers.
 func (n *Node) logServerChanges(changed []domain.ServerID, usable int) {
 	for _, id := range changed {
--- a/entry/link.go
+++ b/entry/link.go
@@ -59,8 +59,8 @@
 
 // handleLinkLoss shortens the time for which the owner's last store update is fresh, after which
 // this node reads the store itself, by a random part: all nodes may have lost their links at once.
-// It marks the engine states from the owner as stale. They stay in use until the registrations are
-// read.
+// It marks the engine states from the owner as stale. Each stays in use until a newer registration of
+// its server is read.
 func (n *Node) handleLinkLoss() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -75,7 +75,7 @@
 // followOwner links to the current owner, sends reports and applies its updates
 // until the link breaks. It reports whether a link was established.
 func (n *Node) followOwner(ctx context.Context) (bool, error) {
-	owners, err := n.Group.Owners(ctx)
+	owners, err := n.lookUpOwners(ctx)
 	if err != nil {
 		return false, err
 	}
@@ -165,9 +165,8 @@
 		return
 	}
 	overlay := make(map[domain.ServerID]fleet.EngineState, len(n.overlay)+len(u.Servers))
-	if !n.overlayStale {
-		maps.Copy(overlay, n.overlay)
-	}
+	// A new owner may not have asked all servers yet; what the one before said of them still counts.
+	maps.Copy(overlay, n.overlay)
 	n.overlayStale = false
 	for _, s := range u.Servers {
 		overlay[s.ID] = s.EngineState
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -23,6 +23,9 @@
 	// candidacyInterval is how often a node that is no member of the group decides whether to
 	// join it, and how often it may look at the group.
 	candidacyInterval = 250 * time.Millisecond
+	// maximumOwnersAge is the age up to which a list of the owners serves for a look at the
+	// group. The attempts to link bring new ones.
+	maximumOwnersAge = 600 * time.Millisecond
 	// maximumProbes is the number of other members that a node asks for a sign of life at once.
 	maximumProbes = 3
 )
@@ -83,12 +86,42 @@
 		if !mustLook {
 			continue
 		}
-		if owners, err := n.Group.Owners(ctx); err == nil {
+		if owners, err := n.recentOwners(ctx); err == nil {
 			n.recordSurvey(n.surveyGroup(ctx, owners))
 		}
 	}
 }
 
+// ownerList is a response of the store, and when it arrived.
+type ownerList struct {
+	owners map[lease.Shard]domain.NodeID
+	at     time.Time
+}
+
+// lookUpOwners asks the store for the owners of the shards.
+func (n *Node) lookUpOwners(ctx context.Context) (map[lease.Shard]domain.NodeID, error) {
+	owners, err := n.Group.Owners(ctx)
+	if err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lastOwners = ownerList{owners, time.Now()}
+	return owners, nil
+}
+
+// recentOwners returns the owners that the last call for a link returned, or asks the store if that
+// is older than maximumOwnersAge.
+func (n *Node) recentOwners(ctx context.Context) (map[lease.Shard]domain.NodeID, error) {
+	n.mu.Lock()
+	last := n.lastOwners
+	n.mu.Unlock()
+	if !last.at.IsZero() && time.Since(last.at) < maximumOwnersAge {
+		return last.owners, nil
+	}
+	return n.lookUpOwners(ctx)
+}
+
 // surveyGroup returns what this node sees of the other members that own a shard.
 func (n *Node) surveyGroup(ctx context.Context, owners map[lease.Shard]domain.NodeID) lease.Survey {
 	owner, hasOwner := owners[ownedShard]
--- a/entry/news.go
+++ b/entry/news.go
@@ -26,8 +26,8 @@
 	// readReportedAt is when the owner last read the registrations as far as this node has been
 	// told; zero if it has not.
 	readReportedAt time.Time
-	// StoreUpdate holds the offsets up to which the owner saw changes. Its fields
-	// RegistrationsRead and ReadAge are always zero; readReportedAt replaces them.
+	// StoreUpdate holds the offsets up to which the owner saw changes. Its fields about the
+	// owner's last read are always zero; readReportedAt replaces them.
 	hub.StoreUpdate
 	// changed is closed when an offset changes or the link to the owner is lost.
 	changed chan struct{}
@@ -41,7 +41,11 @@
 	if u.RegistrationsRead {
 		n.storeUpdates.readReportedAt = now.Add(-u.ReadAge)
 	}
-	u.RegistrationsRead, u.ReadAge = false, 0
+	if u.RegistrationsRead && n.serversSeen && n.registrationsKnown >= u.RegistrationsOffset {
+		// What the owner has read beyond the last change that it passed on changes nothing here.
+		n.registrationsKnown = max(n.registrationsKnown, u.ReadOffset)
+	}
+	u.RegistrationsRead, u.ReadAge, u.ReadOffset = false, 0, 0
 	// A new owner may have read less than the one before.
 	u.ConfigurationOffset = max(u.ConfigurationOffset, n.storeUpdates.ConfigurationOffset)
 	if u == n.storeUpdates.StoreUpdate {
@@ -116,7 +120,11 @@
 // storeUpdate returns the offsets of the last changes that this node has seen in the store. The
 // caller holds mu.
 func (n *Node) storeUpdate(registrationsRead bool) hub.StoreUpdate {
-	return hub.StoreUpdate{ConfigurationOffset: n.configurationOffset, RegistrationsOffset: n.registrationsOffset, RegistrationsRead: registrationsRead}
+	u := hub.StoreUpdate{ConfigurationOffset: n.configurationOffset, RegistrationsOffset: n.registrationsOffset, RegistrationsRead: registrationsRead}
+	if registrationsRead {
+		u.ReadOffset = n.registrationsKnown
+	}
+	return u
 }
 
 // broadcastStoreUpdate sends the other nodes the offsets of the last changes that
--- a/entry/news_test.go
+++ b/entry/news_test.go
@@ -134,3 +134,48 @@
 		}
 	})
 }
+
+// The owner is lost, and the next one has not asked the server yet. Guards against a node that goes
+// back to what the registration said when the node last read it.
+func TestEngineStateOutlivesTheOwner(t *testing.T) {
+	runWithStoreUpdates(t, func(n *Node, _ *fakePlatform) {
+		loaded := fleet.EngineState{StartedAtMs: 1, Sequence: 1, Models: []fleet.LoadedModel{{Model: "m"}}}
+		n.applyUpdate(hub.Update{Servers: []hub.ServerState{{ID: "i", EngineState: loaded}}})
+		n.handleLinkLoss()
+		time.Sleep(5 * n.RegistrationsInterval)
+		n.applyUpdate(hub.Update{NodeCount: 9, Servers: []hub.ServerState{{ID: "j"}}})
+		if _, ok := n.Views.Get().Servers["s"][0].EngineState.Find("m"); !ok {
+			t.Error("the view lacks a model that the last owner knew to be loaded")
+		}
+	})
+}
+
+// A registration that was written after the owner was lost says more than the owner did.
+func TestNewerRegistrationReplacesTheStateOfALostOwner(t *testing.T) {
+	runWithStoreUpdates(t, func(n *Node, _ *fakePlatform) {
+		loaded := fleet.EngineState{StartedAtMs: 1, Sequence: 1, Models: []fleet.LoadedModel{{Model: "m"}}}
+		n.applyUpdate(hub.Update{Servers: []hub.ServerState{{ID: "i", EngineState: loaded}}})
+		n.handleLinkLoss()
+		newer := &fleet.Server{ID: "i", Service: "s", Slots: 8, State: fleet.Ready, EngineState: fleet.EngineState{StartedAtMs: 1}}
+		n.applyRegistrations([]fleet.Change{{ID: "i", Offset: 90, Server: newer}}, false, 91, nil)
+		if _, ok := n.Views.Get().Servers["s"][0].EngineState.Find("m"); ok {
+			t.Error("the view shows a model that the server no longer has")
+		}
+	})
+}
+
+// Guards against hundreds of nodes that read a minute of registrations in one moment when the owner
+// falls silent: the store took longer for it than each call may take, and each call was repeated.
+func TestNodeReadsOnFromWhereTheOwnerWas(t *testing.T) {
+	runWithStoreUpdates(t, func(n *Node, _ *fakePlatform) {
+		n.applyUpdate(hub.Update{Store: hub.StoreUpdate{RegistrationsOffset: 2, RegistrationsRead: true, ReadOffset: 7000}})
+		if got, want := n.registrationsCursor(), domain.Offset(7000); got != want {
+			t.Errorf("the next read begins at %d, want %d", got, want)
+		}
+		// The node has not got the change at 8000.
+		n.applyUpdate(hub.Update{Store: hub.StoreUpdate{RegistrationsOffset: 8000, RegistrationsRead: true, ReadOffset: 9000}})
+		if got, want := n.registrationsCursor(), domain.Offset(7000); got != want {
+			t.Errorf("the next read begins at %d, want %d, after a change that the node missed", got, want)
+		}
+	})
+}
--- a/entry/node.go
+++ b/entry/node.go
@@ -152,8 +152,8 @@
 	handOverAt time.Time
 	// overlay holds engine states that are newer than those in the registrations:
 	// on the owner those of its planner, on other nodes those that the owner
-	// sent. After the link to the owner is lost, overlayStale is set, and the
-	// overlay stays in use until the registrations are read again.
+	// sent. After the link to the owner is lost, overlayStale is set, and each state
+	// stays in use until a newer registration of its server is read.
 	overlay      map[domain.ServerID]fleet.EngineState
 	overlayStale bool
 	storeUpdates storeUpdates
@@ -190,6 +190,8 @@
 	// decision.
 	candidacy    lease.Candidacy
 	wasCandidate bool
+	// lastOwners is the last list of the owners that this node got from the store.
+	lastOwners ownerList
 	// fence is the fencing token under which this node is the owner; 0 while it is
 	// not.
 	fence domain.Fence
--- a/hub/message.go
+++ b/hub/message.go
@@ -101,8 +101,10 @@
 	ConfigurationOffset, RegistrationsOffset domain.Offset
 	// RegistrationsRead is set if the owner has read the registrations; ReadAge is the time
 	// since then.
+	// ReadOffset is the offset up to which it read.
 	RegistrationsRead bool
 	ReadAge           time.Duration
+	ReadOffset        domain.Offset
 }
 
 // ServerState identifies a backend server and contains its engine state.
@@ -149,9 +151,10 @@
 	Suspects []wireSuspect
 	Nodes    int
 	News     wireStoreUpdate
-	// Candidates and ReadAgeMilliseconds are 0 in messages of earlier versions.
+	// The fields that follow are 0 in messages of earlier versions.
 	Candidates          int
 	ReadAgeMilliseconds int64
+	ReadOffset          uint64
 	Traits              *wireTraits
 	// Registrations is nil if there are no changes. Earlier versions ignore it.
 	Registrations *wireRegistrations
@@ -255,7 +258,7 @@
 func encodeUpdate(u Update) ([]byte, error) {
 	store := wireStoreUpdate{Configuration: uint64(u.Store.ConfigurationOffset), Registrations: uint64(u.Store.RegistrationsOffset), Read: u.Store.RegistrationsRead}
 	w := wireUpdate{Nodes: u.NodeCount, News: store, Suspects: encodeSuspects(u.CrashReports), Traits: encodeTraits(u.Traits), Registrations: encodeRegistrations(u.Registrations)}
-	w.Candidates, w.ReadAgeMilliseconds = u.CandidateCount, u.Store.ReadAge.Milliseconds()
+	w.Candidates, w.ReadAgeMilliseconds, w.ReadOffset = u.CandidateCount, u.Store.ReadAge.Milliseconds(), uint64(u.Store.ReadOffset)
 	for _, s := range u.Servers {
 		w.Servers = append(w.Servers, encodeServer(s))
 	}
@@ -299,8 +302,8 @@
 	if w.Candidates >= 0 && w.Candidates <= maximumNodes {
 		u.CandidateCount = w.Candidates
 	}
-	if age, ok := decodeAge(w.ReadAgeMilliseconds); ok && w.News.isInRange() {
-		u.Store = StoreUpdate{ConfigurationOffset: domain.Offset(w.News.Configuration), RegistrationsOffset: domain.Offset(w.News.Registrations), RegistrationsRead: w.News.Read, ReadAge: age}
+	if age, ok := decodeAge(w.ReadAgeMilliseconds); ok && w.News.isInRange() && w.ReadOffset <= maximumOffset {
+		u.Store = StoreUpdate{ConfigurationOffset: domain.Offset(w.News.Configuration), RegistrationsOffset: domain.Offset(w.News.Registrations), RegistrationsRead: w.News.Read, ReadAge: age, ReadOffset: domain.Offset(w.ReadOffset)}
 	}
 	for _, s := range w.Servers {
 		if !s.isInRange() {
--- a/hub/outbox.go
+++ b/hub/outbox.go
@@ -94,7 +94,7 @@
 		return u
 	}
 	if !next.RegistrationsRead {
-		next.RegistrationsRead, next.ReadAge = u.RegistrationsRead, u.ReadAge
+		next.RegistrationsRead, next.ReadAge, next.ReadOffset = u.RegistrationsRead, u.ReadAge, u.ReadOffset
 	}
 	return next
 }
