Keep standbys out of a takeover, and leave an owner that has a successor

Change: a standby does not join while a member with a shard responds to it, unless the store names no owner; a node whose owner does not read the store looks up the owners and links to the one that the store names. Result: TestNodesLeaveAnOwnerThatIsCutFromTheStore.

--- a/entry/link.go
+++ b/entry/link.go
@@ -88,13 +88,13 @@
 		return false, err
 	}
 	defer link.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	n.mu.Lock()
-	n.linkedAt = time.Now()
+	n.linkedAt, n.linkedOwner, n.endLink = time.Now(), owner, cancel
 	n.mu.Unlock()
 	defer n.handleLinkLoss()
 	n.Logger.Info().Str("Event", "OwnerLinked").Str("Owner", string(owner)).Msg("linked to the owner")
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	go func() {
 		defer cancel()
 		n.sendReports(ctx, link)
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -26,8 +26,6 @@
 	// maximumOwnersAge is the age up to which a list of the owners serves for a look at the
 	// group. The attempts to link bring new ones.
 	maximumOwnersAge = 600 * time.Millisecond
-	// maximumProbes is the number of other members that a node asks for a sign of life at once.
-	maximumProbes = 3
 )
 
 // renewMembership renews this node's membership of the group, through which it may
@@ -76,22 +74,42 @@
 	return n.hasFreshStoreUpdate(now) || !n.linkedAt.IsZero() && now.Sub(n.linkedAt) < n.storeUpdateLife()
 }
 
-// watchGroup looks at the group while this node may have to join it, or is a member that may be
-// needless.
+// watchGroup looks at the group while this node may have to join it, is a member that may be
+// needless, or is linked to an owner that does not read the store.
 func (n *Node) watchGroup(ctx context.Context) {
-	for pause.For(ctx, candidacyInterval, nil) {
+	for pause.For(ctx, jitter(2*candidacyInterval), nil) {
 		n.mu.Lock()
-		mustLook := n.candidacy.NeedsSurvey(n.Uptime.Now())
+		mustSurvey := n.candidacy.NeedsSurvey(n.Uptime.Now())
+		mustLook := mustSurvey || !n.linkedAt.IsZero() && !n.hasWorkingOwner(time.Now())
 		n.mu.Unlock()
 		if !mustLook {
 			continue
 		}
-		if owners, err := n.recentOwners(ctx); err == nil {
+		owners, err := n.recentOwners(ctx)
+		if err != nil {
+			continue
+		}
+		n.endLinkToPredecessor(owners)
+		if mustSurvey {
 			n.recordSurvey(n.surveyGroup(ctx, owners))
 		}
 	}
 }
 
+// endLinkToPredecessor ends the link to an owner that has a successor, of which the owner cannot
+// know while it does not reach the store.
+func (n *Node) endLinkToPredecessor(owners map[lease.Shard]domain.NodeID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	owner, ok := owners[ownedShard]
+	if !ok || n.linkedAt.IsZero() || owner == n.linkedOwner || n.hasWorkingOwner(time.Now()) {
+		return
+	}
+	n.Logger.Info().Str("Event", "OwnerReplaced").Str("Owner", string(n.linkedOwner)).Str("Successor", string(owner)).
+		Msg("the linked owner does not read the store, and the store has given the engines to another node")
+	n.endLink()
+}
+
 // ownerList is a response of the store, and when it arrived.
 type ownerList struct {
 	owners map[lease.Shard]domain.NodeID
@@ -122,7 +140,8 @@
 	return n.lookUpOwners(ctx)
 }
 
-// surveyGroup returns what this node sees of the other members that own a shard.
+// surveyGroup returns what this node sees of the other members that own a shard. The store has a
+// bounded number of shards.
 func (n *Node) surveyGroup(ctx context.Context, owners map[lease.Shard]domain.NodeID) lease.Survey {
 	owner, hasOwner := owners[ownedShard]
 	s := lease.Survey{HasOwner: hasOwner}
@@ -141,13 +160,24 @@
 			others = append(others, id)
 		}
 	}
-	for _, id := range others[:min(len(others), maximumProbes)] {
-		if hub.Responds(ctx, n.Dialer, n.HubAddress(id)) {
-			s.Responds = true
-			break
+	s.Responds = n.anyResponds(ctx, others)
+	return s
+}
+
+// anyResponds reports whether one of some nodes responds.
+func (n *Node) anyResponds(ctx context.Context, nodes []domain.NodeID) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan bool, len(nodes))
+	for _, id := range nodes {
+		go func() { results <- hub.Responds(ctx, n.Dialer, n.HubAddress(id)) }()
+	}
+	for range nodes {
+		if <-results {
+			return true
 		}
 	}
-	return s
+	return false
 }
 
 func (n *Node) recordSurvey(s lease.Survey) {
--- a/entry/node.go
+++ b/entry/node.go
@@ -166,8 +166,11 @@
 	registrationsKnown domain.Offset
 	// registrationsReadAt is when this node last read the registrations.
 	registrationsReadAt time.Time
-	// linkedAt is when this node last linked to an owner; zero while it is not linked.
-	linkedAt time.Time
+	// linkedAt is when this node last linked to an owner; zero while it is not linked. While it
+	// is, linkedOwner is that node, and endLink ends the link.
+	linkedAt    time.Time
+	linkedOwner domain.NodeID
+	endLink     context.CancelFunc
 	// configurationCursor is the offset up to which this node has read the
 	// configurations.
 	configurationCursor domain.Offset
@@ -242,7 +245,7 @@
 	n.storeUpdates.changed = make(chan struct{})
 	n.lease.Shard = ownedShard
 	n.lease.TimeToLive, n.lease.FirstOrderDelay, n.lease.ServersCheckFences = o.TimeToLive, o.FirstOrderDelay, o.ServersCheckFences
-	n.candidacy = lease.Candidacy{Standby: o.Standby, TimeToLive: o.TimeToLive, Spread: rand.Float64()}
+	n.candidacy = lease.Candidacy{Standby: o.Standby, Spread: rand.Float64()}
 	if n.IsStandby == nil {
 		n.IsStandby = func(domain.NodeID) bool { return false }
 	}
--- a/entry/ownerloss_test.go
+++ b/entry/ownerloss_test.go
@@ -63,6 +63,35 @@
 	})
 }
 
+// Pattern: the owner reaches the nodes and the servers but not the store, beside hundreds of small
+// nodes. Guards against nodes that stay with it while it has a successor, and against standbys that
+// join the group meanwhile: each join may move the shard once more.
+func TestNodesLeaveAnOwnerThatIsCutFromTheStore(t *testing.T) {
+	runFleet(t, 6, 60, func(f *testFleet) {
+		cut := f.owner()
+		cut.isCut.Store(true)
+		time.Sleep(6 * time.Second)
+		linkedToCut := 0
+		for _, n := range f.nodes {
+			n.mu.Lock()
+			if !n.linkedAt.IsZero() && n.linkedOwner == cut.Name {
+				linkedToCut++
+			}
+			if n.Standby && n.wasCandidate {
+				t.Errorf("%s joined the group", n.Name)
+			}
+			n.mu.Unlock()
+		}
+		if linkedToCut > 0 {
+			t.Errorf("%d nodes are still linked to the owner that is cut, 6 s later", linkedToCut)
+		}
+		// The successor waits for the time-to-live; the nodes then have its news.
+		if got, want := f.linked(), len(f.nodes)-2; got < want {
+			t.Errorf("linked nodes: got %d, want %d", got, want)
+		}
+	})
+}
+
 // Pattern: all nodes that can carry the links are lost at once. The time to a new owner is that of
 // the loss of one member, as where all nodes are members; and those that come back own again.
 func TestStandbyTakesOverFromAllOthersAndHandsBack(t *testing.T) {
--- a/lease/candidacy.go
+++ b/lease/candidacy.go
@@ -32,7 +32,8 @@
 	// Holders is the number of members with a shard, Candidates that of those which are no
 	// standbys.
 	Holders, Candidates int
-	// Responds means that a member other than the owner has answered this node.
+	// Responds means that a member with a shard, other than the owner, has answered this node.
+	// The store then has a member to give the shard to.
 	Responds bool
 }
 
@@ -46,8 +47,6 @@
 type Candidacy struct {
 	// Standby is set on a node that cannot carry the links of a large deployment.
 	Standby bool
-	// TimeToLive is how long the store keeps a member without a renewal.
-	TimeToLive time.Duration
 	// Spread is this node's random share of joinSpread, from 0 to 1.
 	Spread float64
 
@@ -147,10 +146,9 @@
 	if c.isUnowned && now-c.unownedSince >= unownedDelay+spread {
 		return true
 	}
-	wait := unlinkedDelay
-	if c.survey.Responds {
-		// The other members take over when the time-to-live of the owner has passed.
-		wait += c.TimeToLive
+	if !c.isUnowned && c.survey.Responds {
+		// A join in the middle of a takeover could win the shard, or move it once more.
+		return false
 	}
-	return now-max(c.linkedAt, c.startedAt+startupTime) >= wait+spread
+	return now-max(c.linkedAt, c.startedAt+startupTime) >= unlinkedDelay+spread
 }
