Hand a shard over without waiting for two renewals, and keep few members in the group

The member that lost the shard acknowledged it at its next renewal, and its successor learned of it at its own. Two idle candidates left the group, which may move shards, to save two calls in 20 s. Change: a member that sees a new generation, or loses its link to the owner, renews at once; idle candidates leave only a group of more than 32. An owner tells what it has read from the grant on, not only after its first-order delay. Result: TestReassignedShardHasANewOwnerSoon (fails without), TestMembersOfASmallGroupStay.

--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -62,8 +62,10 @@
 	generation lease.Generation
 	members    []testMember
 	owners     [testShards]domain.NodeID
-	engines    map[domain.ServerID]*fleet.Server
-	nodes      []*testNode
+	// revokedFrom holds the members that have not acknowledged the loss of a shard yet.
+	revokedFrom [testShards]domain.NodeID
+	engines     map[domain.ServerID]*fleet.Server
+	nodes       []*testNode
 	// calls counts the calls to the store, joins the renewals of memberships among them.
 	calls, joins int
 	// registrationOffset is the end of the registrations; changes are those after the first listing.
@@ -238,7 +240,7 @@
 }
 
 // Join divides the shards evenly and moves as few as it can.
-func (n *testNode) Join(ctx context.Context, _ lease.Generation, ttl time.Duration) (grant lease.Grant, err error) {
+func (n *testNode) Join(ctx context.Context, generation lease.Generation, ttl time.Duration) (grant lease.Grant, err error) {
 	f := n.fleet
 	err = n.call(ctx, callBytes, func() {
 		f.joins++
@@ -251,6 +253,11 @@
 			f.members = slices.Insert(f.members, i, testMember{name: n.Name})
 		}
 		f.members[i].seenAt = now
+		for s, member := range f.revokedFrom {
+			if member == n.Name && generation >= f.generation {
+				f.revokedFrom[s] = ""
+			}
+		}
 		f.assignShards()
 		grant.Generation = f.generation
 		for s, owner := range f.owners {
@@ -263,7 +270,8 @@
 }
 
 // assignShards gives the shards of lost members to those with the fewest, and takes shards from
-// members with too many. The caller holds mu.
+// members with too many. It gives a shard that a member has lost to another one only after that
+// member has acknowledged the loss. The caller holds mu.
 func (f *testFleet) assignShards() {
 	counts := map[domain.NodeID]int{}
 	for _, m := range f.members {
@@ -274,13 +282,19 @@
 	for s, owner := range f.owners {
 		count, isMember := counts[owner]
 		if !isMember || count >= most {
-			f.owners[s], changed = "", true
+			if isMember {
+				f.revokedFrom[s] = owner
+			}
+			f.owners[s], changed = "", changed || owner != ""
 			continue
 		}
 		counts[owner]++
 	}
 	for s := range f.owners {
 		for _, m := range f.members {
+			if _, isMember := counts[f.revokedFrom[s]]; isMember {
+				break
+			}
 			if f.owners[s] == "" && counts[m.name] < most {
 				f.owners[s] = m.name
 				counts[m.name]++
@@ -292,6 +306,14 @@
 	}
 }
 
+// reassign takes the owner's shard, as the store does at times without a request.
+func (f *testFleet) reassign() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revokedFrom[ownedShard], f.owners[ownedShard] = f.owners[ownedShard], ""
+	f.generation++
+}
+
 func (n *testNode) Leave(ctx context.Context) error {
 	f := n.fleet
 	return n.call(ctx, callBytes, func() {
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -128,7 +128,7 @@
 	n.registrationsKnown = max(n.registrationsKnown, offset)
 	n.Notices.Prune(now, n.directory.Find)
 	n.broadcastStoreUpdate(true, passed)
-	if n.fence != 0 {
+	if n.retainsLease() {
 		n.candidacy.RecordLinkedCandidates(n.Uptime.Now(), n.countCandidates())
 	}
 	n.dropStaleOverlay(changes, complete)
--- a/entry/link.go
+++ b/entry/link.go
@@ -54,9 +54,12 @@
 func (n *Node) isOwner() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.lease.IsRetained(n.Uptime.Now())
+	return n.retainsLease()
 }
 
+// retainsLease is isOwner for a caller that holds mu.
+func (n *Node) retainsLease() bool { return n.lease.IsRetained(n.Uptime.Now()) }
+
 // handleLinkLoss shortens the time for which the owner's last store update is fresh, after which
 // this node reads the store itself, by a random part: all nodes may have lost their links at once.
 // It marks the engine states from the owner as stale. Each stays in use until a newer registration of
@@ -70,6 +73,7 @@
 	}
 	n.overlayStale = true
 	n.storeUpdates.notify()
+	signal(n.renewTrigger)
 }
 
 // followOwner links to the current owner, sends reports and applies its updates
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -203,13 +203,33 @@
 	case err != nil:
 		n.lease.RecordRenewalFailure(n.Uptime.Now())
 	case !n.isHandOverDue(time.Now()):
-		n.candidacy.RecordGrant(n.Uptime.Now(), grant)
-		n.lease.ApplyGrant(sentAt, n.Uptime.Now(), grant)
+		n.applyGrant(sentAt, generation, grant)
 	}
 }
 
-// awaitRenewal waits until the membership must be renewed again or the node hands over. After a
-// failed renewal, it waits at most until the store recovers.
+// applyGrant records the store's response to a membership call that was sent at sentAt with a
+// generation. The caller holds mu.
+func (n *Node) applyGrant(sentAt time.Duration, generation lease.Generation, g lease.Grant) {
+	now := n.Uptime.Now()
+	wasOwner := n.lease.IsRetained(now)
+	n.candidacy.RecordGrant(now, g)
+	n.lease.ApplyGrant(sentAt, now, g)
+	if g.Generation != generation {
+		// The store gives a shard that this member lost to another one when this member has
+		// sent the new generation.
+		signal(n.renewTrigger)
+	}
+	if isOwner := n.lease.IsRetained(now); isOwner != wasOwner {
+		// The links of a lost shard end at once. The nodes that link to a new owner need to
+		// know how far it has read the registrations.
+		n.triggerPlan()
+		n.storeUpdates.notify()
+	}
+}
+
+// awaitRenewal waits until the membership must be renewed again or the node hands over, and less
+// long after a change of the group or the loss of the owner. After a failed renewal, it waits at most
+// until the store recovers.
 func (n *Node) awaitRenewal(ctx context.Context) {
 	n.mu.Lock()
 	interval := n.TimeToLive / renewalsPerTimeToLive
@@ -221,7 +241,14 @@
 		recovered = n.storeRecovered
 	}
 	n.mu.Unlock()
-	pause.For(ctx, interval, recovered)
+	t := time.NewTimer(interval)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-recovered:
+	case <-n.renewTrigger:
+	case <-t.C:
+	}
 }
 
 // mustHandOver reports whether this node leaves the group now because it drains. An owner that
--- a/entry/news.go
+++ b/entry/news.go
@@ -85,7 +85,7 @@
 func (n *Node) mustReadRegistrations(now, lastRead time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.fence != 0 || !n.hasFreshStoreUpdate(now) || !n.serversSeen || n.registrationsKnown < n.storeUpdates.RegistrationsOffset || now.Sub(lastRead) >= maximumReadGap
+	return n.retainsLease() || !n.hasFreshStoreUpdate(now) || !n.serversSeen || n.registrationsKnown < n.storeUpdates.RegistrationsOffset || now.Sub(lastRead) >= maximumReadGap
 }
 
 // passedChanges returns what the owner passes on to the other nodes after it has read changes of
@@ -132,7 +132,7 @@
 // registrationsRead is true if this node has just read the registrations, and c has
 // the changes that it found. The caller holds mu.
 func (n *Node) broadcastStoreUpdate(registrationsRead bool, c hub.RegistrationChanges) {
-	if n.fence == 0 {
+	if !n.retainsLease() {
 		return
 	}
 	u := hub.Update{Registrations: c, CandidateCount: n.countCandidates(), Store: n.storeUpdate(registrationsRead)}
--- a/entry/node.go
+++ b/entry/node.go
@@ -234,13 +234,14 @@
 	// storeRecovered is closed, and replaced, when a call to the store succeeds
 	// after it failed the last time.
 	storeRecovered chan struct{}
-	// planTrigger makes the owner plan before its interval has passed.
-	planTrigger chan struct{}
+	// planTrigger makes the owner plan before its interval has passed. renewTrigger makes a member
+	// of the group renew its membership before its interval has passed.
+	planTrigger, renewTrigger chan struct{}
 }
 
 // New returns a node that is idle until Run.
 func New(o Options) *Node {
-	n := &Node{Options: o, planTrigger: make(chan struct{}, 1), traitsReported: make(chan struct{}, 1), traitsChanged: make(chan struct{}, 1), storeRecovered: make(chan struct{}), failedCalls: map[string]bool{}, configurationReads: map[*configurationRead]bool{}}
+	n := &Node{Options: o, planTrigger: make(chan struct{}, 1), renewTrigger: make(chan struct{}, 1), traitsReported: make(chan struct{}, 1), traitsChanged: make(chan struct{}, 1), storeRecovered: make(chan struct{}), failedCalls: map[string]bool{}, configurationReads: map[*configurationRead]bool{}}
 	n.Notices.DrainBound = o.DrainBound
 	n.storeUpdates.changed = make(chan struct{})
 	n.lease.Shard = ownedShard
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -238,7 +238,7 @@
 	defer n.mu.Unlock()
 	now := time.Now()
 	u := hub.Update{NodeCount: n.countNodes(now)}
-	if age := now.Sub(n.registrationsReadAt); n.fence != 0 && age < n.RegistrationsInterval {
+	if age := now.Sub(n.registrationsReadAt); n.retainsLease() && age < n.RegistrationsInterval {
 		u.Store = n.storeUpdate(true)
 		u.Store.ReadAge = age
 	}
--- a/entry/ownerloss_test.go
+++ b/entry/ownerloss_test.go
@@ -63,6 +63,20 @@
 	})
 }
 
+// Pattern: the store deals the shards anew without a request. Guards against seconds without an
+// owner: the old one acknowledged the loss, and the new one learned of its shard, each at its next
+// renewal.
+func TestReassignedShardHasANewOwnerSoon(t *testing.T) {
+	runFleet(t, 6, 60, func(f *testFleet) {
+		f.reassign()
+		// The loss is seen at the next renewal. Then come two calls, and the nodes link.
+		time.Sleep(testTimeToLive / renewalsPerTimeToLive)
+		if got, want := f.awaitLinks(10*time.Second), relinkInterval+200*time.Millisecond; got > want {
+			t.Errorf("all nodes are linked to a new owner after %v more, want %v at most", got, want)
+		}
+	})
+}
+
 // Pattern: the owner reaches the nodes and the servers but not the store, beside hundreds of small
 // nodes. Guards against nodes that stay with it while it has a successor, and against standbys that
 // join the group meanwhile: each join may move the shard once more.
--- a/lease/candidacy.go
+++ b/lease/candidacy.go
@@ -16,8 +16,12 @@
 	// joinSpread is the range over which the standbys that miss the owner at the same time
 	// spread their calls.
 	joinSpread = time.Second
-	// idleMemberTime is how long a member without a shard stays in the group.
+	// idleMemberTime is how long a member without a shard stays in a group of standbys, or in one
+	// with more than maximumCandidates.
 	idleMemberTime = 10 * time.Second
+	// maximumCandidates is the number of candidates up to which all of them stay members: their
+	// renewals cost little, and each change of the group may move a shard.
+	maximumCandidates = 32
 	// absenceSurveyInterval is the interval between surveys of a node that misses the owner,
 	// and how long it waits before the first. needlessSurveyInterval is that of a member that
 	// may be needless.
@@ -106,7 +110,8 @@
 func (c *Candidacy) NeedsSurvey(now time.Duration) bool {
 	sinceSurvey := now - c.surveyedAt
 	if c.isMember {
-		return c.isIdle(now) && sinceSurvey >= needlessSurveyInterval
+		mayBeNeedless := c.Standby || c.linkedCandidates > maximumCandidates
+		return mayBeNeedless && c.isIdle(now) && sinceSurvey >= needlessSurveyInterval
 	}
 	return now-max(c.linkedAt, c.startedAt) >= absenceSurveyInterval && sinceSurvey >= absenceSurveyInterval
 }
@@ -128,15 +133,20 @@
 	if c.Standby && c.candidatesAt > c.memberSince && c.linkedCandidates >= minimumCandidates {
 		return true
 	}
-	others := c.survey.Candidates
+	if !c.isIdle(now) || c.surveyedAt <= c.memberSince {
+		return false
+	}
 	if c.Standby {
-		others = c.survey.Holders
+		return c.survey.Holders >= minimumCandidates
 	}
-	return c.isIdle(now) && c.surveyedAt > c.memberSince && others >= minimumCandidates
+	return c.survey.Candidates >= minimumCandidates && c.linkedCandidates > maximumCandidates
 }
 
-// isIdle reports whether the member has had no shard for idleMemberTime.
-func (c *Candidacy) isIdle(now time.Duration) bool { return now-c.shardAt >= idleMemberTime }
+// isIdle reports whether the member has had no shard for idleMemberTime. Each node adds its part of
+// joinSpread.
+func (c *Candidacy) isIdle(now time.Duration) bool {
+	return now-c.shardAt >= idleMemberTime+time.Duration(c.Spread*float64(joinSpread))
+}
 
 func (c *Candidacy) mustJoin(now time.Duration) bool {
 	if !c.Standby && !c.hasLeft {
--- a/lease/candidacy_test.go
+++ b/lease/candidacy_test.go
@@ -133,28 +133,45 @@
 	}
 }
 
+// Pattern: a thousand equal nodes, all of which can own. Only a few need to be members.
 func TestNeedlessMemberLeavesAndReturns(t *testing.T) {
 	c := &Candidacy{}
 	c.Start(0)
+	survey := Survey{HasOwner: true, Holders: 8, Candidates: 8}
 	for now := time.Duration(0); now < idleMemberTime; now += step {
 		c.RecordOwner(now)
-		c.RecordSurvey(now, Survey{HasOwner: true, Holders: 8, Candidates: 8})
+		c.RecordLinkedCandidates(now, 1000)
+		c.RecordSurvey(now, survey)
 		if !c.IsMember(now) {
 			t.Fatalf("left after %v, want %v at least", now, idleMemberTime)
 		}
 	}
 	now := idleMemberTime + step
-	c.RecordSurvey(now, Survey{HasOwner: true, Holders: 8, Candidates: 8})
+	c.RecordSurvey(now, survey)
 	if c.IsMember(now) {
 		t.Error("a member without a shard stays beside enough candidates")
 	}
 	lost := now
-	now = joinTime(c, now, func(now time.Duration) { c.RecordSurvey(now, Survey{HasOwner: true, Holders: 8, Candidates: 8}) })
+	now = joinTime(c, now, func(now time.Duration) { c.RecordSurvey(now, survey) })
 	if want := lost + timeToLive; now > want {
 		t.Errorf("joined at %v after the loss of all at %v, want %v at most", now, lost, want)
 	}
 }
 
+// Each change of the group may move a shard, and the renewals of a few members cost little.
+func TestMembersOfASmallGroupStay(t *testing.T) {
+	c := &Candidacy{}
+	c.Start(0)
+	for now := time.Duration(0); now < time.Minute; now += step {
+		c.RecordOwner(now)
+		c.RecordLinkedCandidates(now, 18)
+		c.RecordSurvey(now, Survey{HasOwner: true, Holders: 8, Candidates: 8})
+		if !c.IsMember(now) || c.NeedsSurvey(now) {
+			t.Fatalf("after %v: member %v, needs a survey %v, want true and false", now, c.IsMember(now), c.NeedsSurvey(now))
+		}
+	}
+}
+
 // A member with a shard must not leave: the group has few of them.
 func TestMemberWithAShardStays(t *testing.T) {
 	c := &Candidacy{}
