--- a/entry/enginestates.go
+++ b/entry/enginestates.go
@@ -45,12 +45,19 @@
 	changed := n.changedEngineStates(states)
 	if !isRenewalLate && now.Sub(n.broadcastAt) >= n.updateGap() {
 		n.broadcastAt = now
+		n.countOwnerLinks(n.Hub.LinkCount())
 		n.broadcastEngineStates(now, states, changed)
 		return
 	}
 	n.sendUrgentEngineStates(now, states, changed)
 }
 
+func (n *Node) countOwnerLinks(links int) {
+	if n.Counters != nil {
+		n.Counters.SetOwnerLinks(links)
+	}
+}
+
 // updateGap returns the least time between two updates to all nodes.
 func (n *Node) updateGap() time.Duration {
 	perNode := updateGapPerNode
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -103,6 +103,9 @@
 	m.scope.Gauge("configuration_behind_seconds").Update(d.Seconds())
 }
 
+// SetOwnerLinks implements Counters.
+func (m *Metrics) SetOwnerLinks(links int) { m.scope.Gauge("owner_links").Update(float64(links)) }
+
 // CountConfigurationRead implements Counters.
 func (m *Metrics) CountConfigurationRead(result string) {
 	m.scope.Tagged(map[string]string{"result": result}).Counter("configuration_reads").Inc(1)
--- a/entry/metrics_test.go
+++ b/entry/metrics_test.go
@@ -17,6 +17,7 @@
 	m.CountKeptAway(fleet.Leaving)
 	m.CountEnd(true)
 	m.CountEndedEarly("Shutdown", false)
+	m.SetOwnerLinks(294)
 	m.CountStoreCall("read", true, 1200)
 	m.CountStoreCall("read", false, 0)
 	text := ""
@@ -33,6 +34,7 @@
 		`parsleylug_requests_ended{near_change="true"} 1`,
 		`parsleylug_requests_ended_early{ended_by="Shutdown",near_change="false"} 1`,
 		`parsleylug_requests_kept_away{restriction="Leaving"} 1`,
+		`parsleylug_owner_links 294`,
 		`parsleylug_store_calls{call="read",succeeded="true"} 1`,
 		`parsleylug_store_calls{call="read",succeeded="false"} 1`,
 		`parsleylug_store_answer_bytes{call="read",succeeded="true"} 1200`,
--- a/entry/node.go
+++ b/entry/node.go
@@ -63,6 +63,9 @@
 	// SetConfigurationBehind is called with the time for which the owner has known a
 	// newer configuration; 0 if it knows none.
 	SetConfigurationBehind(d time.Duration)
+	// SetOwnerLinks is called with the number of nodes that are linked to this one as the owner;
+	// 0 when it is no longer the owner.
+	SetOwnerLinks(links int)
 	// CountConfigurationRead counts a read that has ended by its result.
 	CountConfigurationRead(result string)
 }
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -112,6 +112,7 @@
 		return
 	}
 	n.fence = 0
+	n.countOwnerLinks(0)
 	n.Logger.Info().Str("Event", "OwnershipLost").Msg("this node no longer owns the model engines")
 	n.planner.EndTerm()
 	n.sentDigests, n.urgentDigests, n.overlay = nil, nil, nil
