Let standbys join after three times-to-live though other members respond

Cause: members that the nodes reach but that do not reach the store may stay listed there; a standby that left the takeover to them for good would leave the engines without an owner for as long as that lasts. Found by reading. Change: a standby waits for members that respond for three times-to-live.

--- a/entry/node.go
+++ b/entry/node.go
@@ -249,7 +249,7 @@
 	n.storeUpdates.changed = make(chan struct{})
 	n.lease.Shard = ownedShard
 	n.lease.TimeToLive, n.lease.FirstOrderDelay, n.lease.ServersCheckFences = o.TimeToLive, o.FirstOrderDelay, o.ServersCheckFences
-	n.candidacy = lease.Candidacy{Standby: o.Standby, Spread: rand.Float64()}
+	n.candidacy = lease.Candidacy{Standby: o.Standby, TimeToLive: o.TimeToLive, Spread: rand.Float64()}
 	if n.IsStandby == nil {
 		n.IsStandby = func(domain.NodeID) bool { return false }
 	}
--- a/lease/candidacy.go
+++ b/lease/candidacy.go
@@ -16,6 +16,8 @@
 	// joinSpread is the range over which the standbys that miss the owner at the same time
 	// spread their calls.
 	joinSpread = time.Second
+	// takeoverTimesToLive is how many times-to-live a standby leaves to members that respond.
+	takeoverTimesToLive = 3
 	// idleMemberTime is how long a member without a shard stays in a group of standbys, or in one
 	// with more than maximumCandidates.
 	idleMemberTime = 10 * time.Second
@@ -51,6 +53,8 @@
 type Candidacy struct {
 	// Standby is set on a node that cannot carry the links of a large deployment.
 	Standby bool
+	// TimeToLive is how long the store keeps a member without a renewal.
+	TimeToLive time.Duration
 	// Spread is this node's random share of joinSpread, from 0 to 1.
 	Spread float64
 
@@ -156,9 +160,11 @@
 	if c.isUnowned && now-c.unownedSince >= unownedDelay+spread {
 		return true
 	}
-	if !c.isUnowned && c.survey.Responds {
-		// A join in the middle of a takeover could win the shard, or move it once more.
-		return false
+	wait := unlinkedDelay
+	if c.survey.Responds {
+		// A join in the middle of a takeover could win the shard, or move it once more. But
+		// members that respond to this node may not reach the store.
+		wait += takeoverTimesToLive * c.TimeToLive
 	}
-	return now-max(c.linkedAt, c.startedAt+startupTime) >= unlinkedDelay+spread
+	return now-max(c.linkedAt, c.startedAt+startupTime) >= wait+spread
 }
