Review case 3: two holders order one replica within lease_ms

Replicas that do not check fence numbers get orders of two holders 0.7 to 1.4 s apart when the owner of the engines is stopped; lease_ms is 3 s. The cases of a model that left the configuration and of a path with two slashes become 4 and 5.

--- a/review/harness/case4/main.go
+++ b/review/harness/case4/main.go
@@ -1,12 +1,11 @@
-// Command case4: a request whose path begins with two slashes and has an escaped character runs
-// with another path.
+// Command case4: the operator takes a model out of the configuration that replicas still hold. The
+// owner of the engines counts no memory for it, and orders a replica to load more than it holds.
 package main
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
-	"net"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -15,51 +14,18 @@
 	"parsleylug-review/kit"
 )
 
-// server is a replica. It records the target of each request that it runs, as it was sent.
-type server struct {
-	id     string
-	record *kit.Record
-
-	mu      sync.Mutex
-	targets map[string]string
-}
+const (
+	modelMB   = 72700
+	weightsMB = 200000
+)
 
-func (s *server) serveConnection(c net.Conn) {
-	defer c.Close()
-	in := bufio.NewReader(c)
-	for {
-		line, err := in.ReadString('\n')
-		if err != nil {
-			return
-		}
-		id, instance := "", ""
-		for {
-			h, err := in.ReadString('\n')
-			if err != nil {
-				return
-			}
-			name, value, ok := strings.Cut(strings.TrimSpace(h), ":")
-			if !ok {
-				break
-			}
-			switch strings.ToLower(name) {
-			case "x-parsleylug-request-id":
-				id = strings.TrimSpace(value)
-			case "x-parsleylug-expect-instance":
-				instance = strings.TrimSpace(value)
-			}
-		}
-		if instance != s.id {
-			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nX-Parsleylug-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
-			continue
-		}
-		words := strings.Fields(line)
-		s.mu.Lock()
-		s.targets[id] = words[1]
-		s.mu.Unlock()
-		s.record.Line("replica runs %s %s, request %s", words[0], words[1], id)
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Parsleylug-Request-Id: %s\r\nX-Parsleylug-Response-Stamp: stamp-%s\r\nContent-Length: 0\r\n\r\n", id, id)
+func service(models ...string) map[string]any {
+	list := []map[string]any{}
+	for _, m := range models {
+		list = append(list, map[string]any{"name": m, "weights_mb": modelMB, "load_s": 3, "adapters": 0, "adapter_mb": 66, "warm_s": 0.6, "disk_s": 1.7})
 	}
+	return map[string]any{"name": "writer", "health_path": "/health", "max_conns": 360, "engine": map[string]any{
+		"slots": 64, "kv_capacity": 142447, "weights_mb": weightsMB, "adapter_slots": 8, "loads_per_s": 4.5, "models": list}}
 }
 
 func play(dir string, record *kit.Record) (int, error) {
@@ -67,25 +33,21 @@
 	if err != nil {
 		return 0, err
 	}
-	l, err := net.Listen("tcp", kit.IP()+":0")
-	if err != nil {
-		return 0, err
-	}
-	s := &server{id: "i-one", record: record, targets: map[string]string{}}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serveConnection(c)
-		}
-	}()
-	store.PutConfiguration(1, []kit.Route{{"name": "all", "host": "desk.example", "path_prefix": "/", "kind": "idempotent", "timeout_ms": 5000,
-		"goal_ms": 500, "priority": 1, "service": "desk", "max_attempts": 2}}, []map[string]any{{"name": "desk", "health_path": "/health", "max_conns": 96}})
 	stop := make(chan struct{})
 	defer close(stop)
-	go store.Beat(s.id, kit.Registration{Service: "desk", Address: l.Addr().String(), Zone: "z1", Version: "v1", Slots: 6, State: "ready", Born: time.Now().UnixMilli()}, stop)
+	var engines []*kit.Engine
+	for i := range 3 {
+		e := &kit.Engine{ID: fmt.Sprintf("i-%d", i), Service: "writer", LoadTime: 3 * time.Second, EventGap: 60 * time.Millisecond, Record: record, WeightsMB: weightsMB, ModelMB: modelMB}
+		if err := kit.StartEngine(e, "busy", "retired"); err != nil {
+			return 0, err
+		}
+		engines = append(engines, e)
+		go e.Beat(store, stop)
+	}
+	routes := []kit.Route{{"name": "frames", "host": "frames.example", "path_prefix": "/frames/", "kind": "streaming", "timeout_ms": 30000, "goal_ms": 4000, "priority": 1,
+		"service": "writer", "max_attempts": 1, "resumable": false, "gap_aim_ms": 250}}
+	record.Line("operator writes version 1: the models busy and retired")
+	store.PutConfiguration(1, routes, []map[string]any{service("busy", "retired")})
 	node, err := kit.NewNode(dir, "front-z1-1", store.Address, nil)
 	if err != nil {
 		return 0, err
@@ -97,32 +59,69 @@
 	if !node.AwaitReady(15 * time.Second) {
 		return 0, errors.New("the node is not ready")
 	}
-	code := kit.Held
-	for i, path := range []string{"/extracts/frame%2012", "//extracts/frame%2012", "//extracts/2026%2F12", "//extracts/{7}"} {
-		if !kit.Trouble() {
-			path = "/" + strings.TrimLeft(path, "/")
+	// The node becomes the owner of the engines, and is in touch.
+	time.Sleep(6 * time.Second)
+
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	cut, whole := 0, 0
+	client := &http.Client{Transport: &http.Transport{DisableCompression: true}, Timeout: 32 * time.Second}
+	send := func(id, model string, events int) {
+		defer wg.Done()
+		r, _ := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/frames/generate?n=%d", node.Front, events), strings.NewReader("{}"))
+		r.Host = "frames.example"
+		r.Header.Set("X-Parsleylug-Request-Id", id)
+		r.Header.Set("X-Parsleylug-Deadline-Ms", "30000")
+		r.Header.Set("X-Parsleylug-Model", model)
+		r.Header.Set("X-Parsleylug-Tokens", "400,80")
+		r.Header.Set("X-Parsleylug-Prompt-Prefix", "5c1e07a2:200,91bd3f06:200")
+		record.Line("client sends request %s for model %s", id, model)
+		response, err := client.Do(r)
+		status := 0
+		var body []byte
+		if err == nil {
+			body, err = io.ReadAll(response.Body)
+			response.Body.Close()
+			status = response.StatusCode
 		}
-		id := fmt.Sprintf("a%d", i)
-		c, err := net.Dial("tcp", node.Front)
-		if err != nil {
-			return 0, err
+		record.Line("client gets %d to request %s, %d of %d events, error %v", status, id, strings.Count(string(body), "\n\n"), events, err)
+		mu.Lock()
+		defer mu.Unlock()
+		if err != nil || status != http.StatusOK {
+			cut++
+		} else {
+			whole++
 		}
-		record.Line("client sends GET %s, request %s", path, id)
-		fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: desk.example\r\nX-Parsleylug-Request-Id: %s\r\nX-Parsleylug-Deadline-Ms: 5000\r\n\r\n", path, id)
-		r, err := http.ReadResponse(bufio.NewReader(c), nil)
-		if err != nil {
-			return 0, err
+	}
+	end := time.Now().Add(14 * time.Second)
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		for i := 0; time.Now().Before(end); i++ {
+			wg.Add(1)
+			go send(fmt.Sprintf("a%d", i), "busy", 50)
+			time.Sleep(200 * time.Millisecond)
 		}
-		record.Line("client gets %d to request %s", r.StatusCode, id)
-		_ = c.Close()
-		s.mu.Lock()
-		got, ran := s.targets[id]
-		s.mu.Unlock()
-		if ran && got != path {
-			record.Line("UNASKED: request %s with the path %s ran with the path %s", id, path, got)
+	}()
+	time.Sleep(4 * time.Second)
+	models := []string{"busy", "retired", "fresh"}
+	if kit.Trouble() {
+		models = []string{"busy", "fresh"}
+	}
+	record.Line("operator writes version 4: the models %v", models)
+	store.PutConfiguration(4, routes, []map[string]any{service(models...)})
+	time.Sleep(3 * time.Second)
+	wg.Add(1)
+	go send("b0", "fresh", 10)
+	wg.Wait()
+	code := kit.Held
+	for _, e := range engines {
+		if e.HasCrashed() {
+			record.Line("LIMIT: replica %s was ordered to load more than its weights_mb", e.ID)
 			code = kit.Broken
 		}
 	}
+	record.Line("%d answers were lost, %d were whole", cut, whole)
 	return code, nil
 }
 
--- a/review/harness/kit/engine.go
+++ b/review/harness/kit/engine.go
@@ -20,6 +20,10 @@
 	// WeightsMB is the memory for weights, ModelMB the size of each model. A replica that is ordered
 	// to load more than it holds crashes; it is never full if WeightsMB is 0.
 	WeightsMB, ModelMB int
+	// IgnoresFences is set on a replica that does not check fence numbers.
+	IgnoresFences bool
+	// OnOrder is called with each order that arrives; it may be nil.
+	OnOrder func(holder string, fence uint64, what string)
 	// OnRun is called with the ID of each request that begins to run; it may be nil.
 	OnRun func(id string)
 
@@ -112,12 +116,15 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if e.OnOrder != nil {
+		e.OnOrder(o.Holder, o.Fence, o.Opcode+" "+o.Model)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	holds := e.holds(o.Model)
 	status := http.StatusAccepted
 	switch {
-	case o.Fence < e.fence:
+	case o.Fence < e.fence && !e.IgnoresFences:
 		status = http.StatusPreconditionFailed
 	case o.Expected != nil && *o.Expected != e.sequence, e.busy:
 		status = http.StatusConflict
