--- a/review/harness/case1/main.go
+++ b/review/harness/case1/main.go
@@ -15,18 +15,24 @@
 	"parsleylug-review/kit"
 )
 
-// server is a replica. It runs each request that arrives, and loses the answer to the first run of the
-// requests in lost: it closes the connection instead.
-type server struct {
+// service has two replicas. Each runs every request that arrives. The first one loses the answer to the
+// first run of the requests in lost: it closes the connection instead.
+type service struct {
 	record *kit.Record
-	id     string
 
 	mu   sync.Mutex
 	runs map[string]int
 	lost map[string]bool
 }
 
-func (s *server) serve(l net.Listener) {
+// replica is one of them.
+type replica struct {
+	*service
+	id          string
+	losesAnswer bool
+}
+
+func (s *replica) serve(l net.Listener) {
 	for {
 		c, err := l.Accept()
 		if err != nil {
@@ -36,7 +42,7 @@
 	}
 }
 
-func (s *server) serveConnection(c net.Conn) {
+func (s *replica) serveConnection(c net.Conn) {
 	defer c.Close()
 	in := bufio.NewReader(c)
 	for {
@@ -53,11 +59,11 @@
 		time.Sleep(15 * time.Millisecond)
 		s.mu.Lock()
 		s.runs[id]++
-		n, lose := s.runs[id], s.lost[id] && s.runs[id] == 1
+		n, lose := s.runs[id], s.losesAnswer && s.lost[id] && s.runs[id] == 1
 		s.mu.Unlock()
-		s.record.Line("replica runs %s %s, request %s, run %d, connection from %s", r.Method, r.URL.Path, id, n, c.RemoteAddr())
+		s.record.Line("replica %s runs %s %s, request %s, run %d, connection from %s", s.id, r.Method, r.URL.Path, id, n, c.RemoteAddr())
 		if lose {
-			s.record.Line("replica loses the answer to run %d of request %s: it closes the connection", n, id)
+			s.record.Line("replica %s loses the answer to run %d of request %s: it closes the connection", s.id, n, id)
 			return
 		}
 		body := "booked " + id + "\n"
@@ -70,17 +76,20 @@
 	if err != nil {
 		return 0, err
 	}
-	l, err := net.Listen("tcp", kit.IP()+":0")
-	if err != nil {
-		return 0, err
+	s := &service{record: record, runs: map[string]int{}, lost: map[string]bool{}}
+	stop := make(chan struct{})
+	defer close(stop)
+	for i, id := range []string{"i-one", "i-two"} {
+		l, err := net.Listen("tcp", kit.IP()+":0")
+		if err != nil {
+			return 0, err
+		}
+		r := &replica{service: s, id: id, losesAnswer: i == 0}
+		go r.serve(l)
+		go store.Beat(id, kit.Registration{Service: "desk", Address: l.Addr().String(), Zone: "z1", Version: "v1", Slots: 6, State: "ready", Born: time.Now().UnixMilli()}, stop)
 	}
-	s := &server{record: record, id: "i-one", runs: map[string]int{}, lost: map[string]bool{}}
-	go s.serve(l)
 	store.PutConfiguration(1, []kit.Route{{"name": "book", "host": "desk.example", "path_prefix": "/book/", "kind": "non_idempotent", "timeout_ms": 5000,
 		"goal_ms": 500, "priority": 1, "service": "desk", "max_attempts": 1}}, []map[string]any{{"name": "desk", "health_path": "/health", "max_conns": 96}})
-	stop := make(chan struct{})
-	defer close(stop)
-	go store.Beat(s.id, kit.Registration{Service: "desk", Address: l.Addr().String(), Zone: "z1", Version: "v1", Slots: 6, State: "ready", Born: time.Now().UnixMilli()}, stop)
 	node, err := kit.NewNode(dir, "front-z1-1", store.Address, nil)
 	if err != nil {
 		return 0, err
@@ -107,17 +116,19 @@
 		}
 		defer response.Body.Close()
 		body, err := io.ReadAll(response.Body)
-		record.Line("client gets %d to request %s, stamp %q, body %q, %v", response.StatusCode, id, response.Header.Get("X-Parsleylug-Response-Stamp"), body, err)
+		record.Line("client gets %d to request %s, stamp %q, body %q, error %v", response.StatusCode, id, response.Header.Get("X-Parsleylug-Response-Stamp"), body, err)
 		return response.Status
 	}
-	for i := range 20 {
-		// The first of two requests one after the other opens the connection that the second uses.
-		send(fmt.Sprintf("a%d", i))
-		second := fmt.Sprintf("b%d", i)
-		s.mu.Lock()
-		s.lost[second] = kit.Trouble() && i%4 == 0
-		s.mu.Unlock()
-		send(second)
+	const groups, requests = 20, 6
+	for i := range groups {
+		// Requests one after the other use the connections of those before them.
+		for k := range requests {
+			id := fmt.Sprintf("r%d-%d", i, k)
+			s.mu.Lock()
+			s.lost[id] = kit.Trouble() && i%2 == 0 && k == requests-1
+			s.mu.Unlock()
+			send(id)
+		}
 		time.Sleep(200 * time.Millisecond)
 	}
 	code := kit.Held
