--- a/review/harness/case1/main.go
+++ b/review/harness/case1/main.go
@@ -119,18 +119,26 @@
 		record.Line("client gets %d to request %s, stamp %q, body %q, error %v", response.StatusCode, id, response.Header.Get("X-Parsleylug-Response-Stamp"), body, err)
 		return response.Status
 	}
-	const groups, requests = 20, 6
-	for i := range groups {
-		// Requests one after the other use the connections of those before them.
-		for k := range requests {
-			id := fmt.Sprintf("r%d-%d", i, k)
-			s.mu.Lock()
-			s.lost[id] = kit.Trouble() && i%2 == 0 && k == requests-1
-			s.mu.Unlock()
-			send(id)
-		}
-		time.Sleep(200 * time.Millisecond)
+	const callers, groups, requests = 2, 20, 6
+	var wg sync.WaitGroup
+	for c := range callers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := range groups {
+				// Requests one after the other use the connections of those before them.
+				for k := range requests {
+					id := fmt.Sprintf("r%d-%d-%d", c, i, k)
+					s.mu.Lock()
+					s.lost[id] = kit.Trouble() && i%2 == 0 && k == requests-1
+					s.mu.Unlock()
+					send(id)
+				}
+				time.Sleep(200 * time.Millisecond)
+			}
+		}()
 	}
+	wg.Wait()
 	code := kit.Held
 	s.mu.Lock()
 	defer s.mu.Unlock()
