--- a/review/harness/kit/engine.go
+++ b/review/harness/kit/engine.go
@@ -216,3 +216,12 @@
 		}
 	}
 }
+
+// Crash ends the replica like a process that dies: its connections are closed and it writes no
+// heartbeat any more.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	e.crashed = true
+	e.mu.Unlock()
+	_ = e.server.Close()
+}
