--- a/review/harness/case2/main.go
+++ b/review/harness/casecrash/main.go
@@ -1,4 +1,4 @@
-// Command case2: the operator puts a new service with models into the configuration and takes it
+// Command casecrash: the operator puts a new service with models into the configuration and takes it
 // back some seconds later. The node that owns the engines ends with a panic, and the streams that
 // it passes on end with it.
 package main
--- a/review/harness/case4/main.go
+++ b/review/harness/casedropped/main.go
@@ -1,4 +1,4 @@
-// Command case4: the operator takes a model out of the configuration that replicas still hold. The
+// Command casedropped: the operator takes a model out of the configuration that replicas still hold. The
 // owner of the engines counts no memory for it, and orders a replica to load more than it holds.
 package main
 
--- a/review/harness/case5/main.go
+++ b/review/harness/caselate/main.go
@@ -1,4 +1,4 @@
-// Command case5: callers go on using their connections while the node stops. Late in the grace
+// Command caselate: callers go on using their connections while the node stops. Late in the grace
 // period they send a booking that takes longer than those before, and the node passes it on and
 // breaks it off.
 package main
