--- a/review/harness/kit/store.go
+++ b/review/harness/kit/store.go
@@ -269,3 +269,24 @@
 	}
 	writeJSON(w, rows)
 }
+
+// Deal gives all partitions of a group to another member at once, without any request, and returns the
+// owner before and after.
+func (s *Store) Deal(name string) (before, after string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := s.groups[name]
+	if g == nil {
+		return "", ""
+	}
+	g.expire(time.Now())
+	before = g.owner
+	for i, o := range g.order {
+		if o == before {
+			g.owner = g.order[(i+1)%len(g.order)]
+			break
+		}
+	}
+	g.generation++
+	return before, g.owner
+}
