Types for workspaces, request sizes, prompt parts and pace

Cause: configurations with workspaces, quotas and uneven servers are to be served; the parts are built side by side and need common types. Nothing uses them yet but the rank, which is the route's priority as before without workspaces.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -93,7 +93,7 @@
 	s.running = append(s.running, a)
 	s.latestServer = server.ID
 	s.dispatcher.Demand.addRunning(s.demandKey, 1)
-	a.parameters = Attempt{Timeout: s.request.Deadline.Sub(now), LastEvent: s.order.last, Priority: s.request.Route.Priority}
+	a.parameters = Attempt{Timeout: s.request.Deadline.Sub(now), LastEvent: s.order.last, Rank: s.request.Rank}
 	return a
 }
 
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -29,6 +29,15 @@
 	Adapter domain.AdapterName
 	// Prefix identifies the shared prefix of the prompt; it may be empty.
 	Prefix string
+	// Workspace is the workspace of the caller's API key; nil if there is none.
+	Workspace *fleet.Workspace
+	// Rank orders the request among those of its service, from 0, the most urgent, to 9.
+	Rank int
+	// Size is the size of the prompt and of the response.
+	Size RequestSize
+	// PromptParts are the parts of the prompt in their order. Other prompts may share all but the
+	// last one.
+	PromptParts []PromptPart
 	// ArrivedAt is when this node read the request. Deadline is the caller's deadline or
 	// the end of the route's timeout, whichever is earlier.
 	ArrivedAt, Deadline time.Time
@@ -51,6 +60,24 @@
 	Message any
 }
 
+// RequestSize is the size of a request in tokens, as its caller states it.
+type RequestSize struct {
+	// Known is false if the caller does not state the size.
+	Known bool
+	// Prompt is the number of tokens of the prompt, MaximumOutput the largest number of tokens of
+	// the response.
+	Prompt, MaximumOutput domain.Tokens
+}
+
+// Total returns the sum of the prompt tokens and the largest number of output tokens.
+func (s RequestSize) Total() domain.Tokens { return s.Prompt + s.MaximumOutput }
+
+// PromptPart is a part of a prompt. Equal parts have equal IDs.
+type PromptPart struct {
+	ID     uint64
+	Tokens domain.Tokens
+}
+
 func (r *Request) key() placement.ModelKey {
 	return placement.ModelKey{Service: r.Service, Model: r.Model, Adapter: r.Adapter}
 }
@@ -89,8 +116,8 @@
 	// LastEvent is the last event that the caller has received; the stream resumes after
 	// it.
 	LastEvent EventID
-	// Priority ranks the request in the server's queue; 0 is the highest.
-	Priority int
+	// Rank orders the request in the server's queue, from 0, the most urgent, to 9.
+	Rank int
 }
 
 // Refusal is the reason why a backend server did not run a request.
@@ -112,6 +139,9 @@
 type Load struct {
 	Known                   bool
 	Running, Waiting, Slots int
+	// Pace is how long work takes at the server at present, relative to the usual time: 1 is
+	// usual, 2 is twice as long. It is 0 if the server did not report it.
+	Pace float64
 }
 
 // Response is the response of a backend server.
--- a/domain/ids.go
+++ b/domain/ids.go
@@ -28,6 +28,9 @@
 // TeamName is the name of a team that shares the platform.
 type TeamName string
 
+// WorkspaceName is the name of a workspace: a group of callers with API keys of their own.
+type WorkspaceName string
+
 // RequestID identifies one caller's request across nodes and backend servers.
 type RequestID string
 
--- a/fleet/configuration.go
+++ b/fleet/configuration.go
@@ -68,6 +68,8 @@
 	MaxAttempts int
 	// Resumable means that another backend server may continue a broken stream.
 	Resumable bool
+	// Public means that requests need no API key.
+	Public bool
 }
 
 // IsRetryable reports whether a request of the route may be sent again even if an earlier
@@ -124,6 +126,9 @@
 	Memory domain.Bytes
 	// AdapterSlots is the number of adapters that one engine can have loaded.
 	AdapterSlots int
+	// CacheTokens is the memory of one engine for running requests and cached parts of prompts
+	// together (KV cache); 0 if unknown.
+	CacheTokens domain.Tokens
 	// LoadsPerSecond is the rate of loads from the weight store that the store permits,
 	// over all servers.
 	LoadsPerSecond float64
@@ -152,11 +157,17 @@
 // Configuration is one version of the operator's configuration. It is immutable
 // after Index.
 type Configuration struct {
-	Version      Version
-	Routes       []Route
-	Services     map[domain.ServiceName]Service
-	Limits       ClientLimits
+	Version  Version
+	Routes   []Route
+	Services map[domain.ServiceName]Service
+	Limits   ClientLimits
+	// Workspaces is empty if requests need no API key.
+	Workspaces   []Workspace
 	routesByHost map[string][]*Route
+	// workspacesByKey holds the workspaces by the hashes of their keys. The priorities are sorted
+	// and distinct.
+	workspacesByKey                      map[KeyHash]*Workspace
+	workspacePriorities, routePriorities []int
 }
 
 // Index computes the derived fields. It must be called once, before the configuration is
@@ -172,6 +183,7 @@
 		r := &c.Routes[i]
 		c.routesByHost[r.Host] = append(c.routesByHost[r.Host], r)
 	}
+	c.indexWorkspaces()
 }
 
 func (e *Engine) setAdapterReserve() {
