placement: keep what the platform placed, and find the concurrency of loads from below

Cause: before the first request all rates are 0, and pre-warming evicted the spare replicas of popular models first: 2 of 12 replicas were left in a test. It emptied ten servers at once for loads that the weight store did not permit, and up to four loads shared a store that runs one at full speed, so that each blocked its server for about a minute. A new owner took busy models for idle. Change: a replica of a model without requests costs more to evict the more replicas there are; planned loads from the store count like running ones; the number of loads at once starts low where loads are long, and rises when loads run at full speed; rates of a new owner are scaled up; late responses justify a costlier eviction.

--- a/placement/demand.go
+++ b/placement/demand.go
@@ -17,6 +17,8 @@
 	// overloadLateShare is the share of late responses above which a model counts as
 	// overloaded and gets another replica.
 	overloadLateShare = 0.1
+	// minimumObservation is the shortest time over which a request rate is computed.
+	minimumObservation = 2 * time.Second
 	// nodeReportTimeout is how long the demand that a node has reported counts without a
 	// new report.
 	nodeReportTimeout = 3 * time.Second
@@ -65,12 +67,21 @@
 	// lastScaleOutAt is when a replica was last added because of late responses.
 	lastScaleOutAt time.Time
 	// lastUsedAt is when a report last showed an arrival, a waiting request or a running
-	// attempt.
+	// attempt; zero if none has.
 	lastUsedAt time.Time
+	// observedSince is when the owner received its first report of any demand.
+	observedSince time.Time
 }
 
-// rateAt returns the request rate per second at now.
+// rateAt returns the request rate per second at now. The decaying sum of a new owner lacks the
+// requests before its first report and is scaled up, so that a busy model does not look idle
+// after a change of the owner.
 func (t *totalDemand) rateAt(now time.Time) float64 {
+	return t.decayedRateAt(now) / (1 - math.Exp(-max(now.Sub(t.observedSince), minimumObservation).Seconds()/rateTimeConstant.Seconds()))
+}
+
+// decayedRateAt returns the exponentially decaying sum from which the request rate follows.
+func (t *totalDemand) decayedRateAt(now time.Time) float64 {
 	return t.rate * math.Exp(-now.Sub(t.rateUpdatedAt).Seconds()/rateTimeConstant.Seconds())
 }
 
@@ -90,6 +101,8 @@
 type demandTable struct {
 	nodes  map[domain.NodeID]nodeDemand
 	totals map[ModelKey]*totalDemand
+	// observedSince is when the first report with demand was recorded.
+	observedSince time.Time
 }
 
 // nodeDemand is the demand that one node last reported. keys holds the keys with waiting
@@ -133,13 +146,16 @@
 func (d *demandTable) add(now time.Time, k ModelKey, waitingChange, runningChange, arrivals int) {
 	t := d.totals[k]
 	if t == nil {
-		t = &totalDemand{rateUpdatedAt: now}
+		if d.observedSince.IsZero() {
+			d.observedSince = now
+		}
+		t = &totalDemand{rateUpdatedAt: now, observedSince: d.observedSince}
 		d.totals[k] = t
 	}
 	t.waiting += waitingChange
 	t.running += runningChange
 	if arrivals > 0 {
-		t.rate = t.rateAt(now) + float64(arrivals)/rateTimeConstant.Seconds()
+		t.rate = t.decayedRateAt(now) + float64(arrivals)/rateTimeConstant.Seconds()
 		t.rateUpdatedAt = now
 	}
 	if arrivals > 0 || t.running > 0 || t.waiting > 0 {
--- a/placement/pace.go
+++ b/placement/pace.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// initialConcurrency is the number of loads from the weight store that run at once
-	// until a slow load is measured.
+	// initialConcurrency bounds the number of loads from the weight store that run at once
+	// until a load is measured.
 	initialConcurrency = 4
 	// rateShare is the share of the weight store's load rate that an owner uses. In the
 	// first window of its term it uses firstWindowRateShare, because loads that the
@@ -23,6 +23,9 @@
 	// a load counts as slow. A slow load means that too many loads share the weight
 	// store.
 	slowLoadRatio = 1.25
+	// maximumLoadDuration is how long a load should take at most. Requests that wait longer than
+	// that for a model have mostly been abandoned.
+	maximumLoadDuration = 22 * time.Second
 	// loadTrackingTimeout is how long a load from the weight store counts as running if
 	// its end is not reported.
 	loadTrackingTimeout = 30 * time.Second
@@ -42,8 +45,10 @@
 type storeLimiter struct {
 	// running holds the loads that have not finished.
 	running []storeLoad
-	// measuredConcurrency is the concurrency limit derived from the latest slow load; 0
-	// until there is a slow load.
+	// longestLoad is the longest load time of the configured models at full speed; 0 if unknown.
+	longestLoad time.Duration
+	// measuredConcurrency is the concurrency limit derived from the latest measured load; 0
+	// until there is one.
 	measuredConcurrency int
 	// starts holds the start times of the loads within the latest window.
 	starts []time.Time
@@ -57,17 +62,25 @@
 	s.running, s.starts, s.termStartedAt = nil, nil, now
 }
 
+// concurrencyLimit returns how many loads may run at once. Until a load is measured, it is the
+// number whose duration stays within maximumLoadDuration even if the weight store runs only one at
+// full speed: a load blocks its server for the requests that wait for the checkpoints there.
 func (s *storeLimiter) concurrencyLimit() int {
-	if s.measuredConcurrency == 0 {
-		return initialConcurrency
+	if s.measuredConcurrency > 0 {
+		return s.measuredConcurrency
 	}
-	return s.measuredConcurrency
+	return min(initialConcurrency, max(1, int(maximumLoadDuration/max(s.longestLoad, time.Second))))
 }
 
 // canStart reports whether a load may start at now; rate is the number of loads per
 // second that the weight store permits, measured over a window.
 func (s *storeLimiter) canStart(now time.Time, rate float64, window time.Duration) bool {
-	if len(s.running) >= s.concurrencyLimit() {
+	return s.canStartBeside(now, rate, window, 0)
+}
+
+// canStartBeside is canStart beside a number of loads that are planned and have not started.
+func (s *storeLimiter) canStartBeside(now time.Time, rate float64, window time.Duration, planned int) bool {
+	if len(s.running)+planned >= s.concurrencyLimit() {
 		return false
 	}
 	share := rateShare
@@ -75,7 +88,7 @@
 		share = firstWindowRateShare
 	}
 	s.starts = slices.DeleteFunc(s.starts, func(t time.Time) bool { return now.Sub(t) > window })
-	return len(s.starts) < max(1, int(share*rate*window.Seconds()))
+	return len(s.starts)+planned < max(1, int(share*rate*window.Seconds()))
 }
 
 func (s *storeLimiter) recordStart(now time.Time, id domain.ServerID, m domain.ModelName) {
@@ -89,7 +102,8 @@
 }
 
 // recordFinish removes a finished load from the running loads. If the load was slow, the
-// concurrency limit becomes the number of loads that would have run at full speed. Other
+// concurrency limit becomes the number of loads that would have run at full speed. If it ran at
+// full speed beside as many loads as the limit permits, the limit rises by one. Other
 // orders than loads of models from the weight store are ignored.
 func (s *storeLimiter) recordFinish(_ time.Time, o Order, duration time.Duration, m fleet.Model) {
 	if o.Operation != Load || o.Adapter != "" || o.tier != fleet.InStore {
@@ -101,8 +115,11 @@
 		return
 	}
 	ratio := duration.Seconds() / m.StoreLoadTime.Seconds()
-	if ratio > slowLoadRatio {
+	switch {
+	case ratio > slowLoadRatio:
 		s.measuredConcurrency = max(1, int(float64(concurrentLoads)/ratio+0.5))
+	case concurrentLoads >= s.concurrencyLimit():
+		s.measuredConcurrency = concurrentLoads + 1
 	}
 }
 
--- a/placement/place.go
+++ b/placement/place.go
@@ -16,6 +16,9 @@
 	// spareReplicaCost is the eviction cost of a replica that the demand does not
 	// require, in seconds per unit of the request rate of each replica.
 	spareReplicaCost = 1.0
+	// unobservedReplicaCost is the eviction cost, in seconds, of a model without requests so far,
+	// for each of its replicas: the platform has placed popular models on more servers.
+	unobservedReplicaCost = 0.05
 	// busyReplicaCost is the eviction cost, in seconds, that is added for a last replica
 	// whose model has running or waiting requests, and for any other replica if its model
 	// is overloaded or needs all its replicas: the unload waits for the running requests.
@@ -23,6 +26,10 @@
 	// maxCostWithoutWaiters is the highest eviction cost, in seconds, at which a model is
 	// loaded that no request waits for.
 	maxCostWithoutWaiters = 2.5
+	// lateResponseCost is the eviction cost, in seconds, that each late response a second of a
+	// model justifies for another replica, up to maxCostForLateResponses.
+	lateResponseCost        = 2.0
+	maxCostForLateResponses = 8.0
 	// serversPerPrewarm is the number of servers that there must be for each running load
 	// from the weight store before another load starts for pre-warming: a load occupies
 	// its server.
@@ -67,6 +74,9 @@
 	if len(selected.victims) > 0 {
 		if v.reservedModel == "" {
 			v.reservedModel, v.reservedUntil = m.Name, now.Add(reservationTimeout)
+			if selected.tier == fleet.InStore {
+				p.plannedStoreLoads++
+			}
 		}
 		issue(v, Order{Operation: Unload, Model: selected.victims[0]})
 		return
@@ -128,7 +138,7 @@
 			continue
 		}
 		t := v.state.Tier(m.Name)
-		if t == fleet.InStore && !p.canLoadFromStore(now, e) || n.isPrewarm && !p.canPrewarm(now, e) {
+		if t == fleet.InStore && !p.canPlanStoreLoad(now, e) || n.isPrewarm && !p.canPrewarm(now, e) {
 			continue
 		}
 		victims, cost, ok := p.selectVictims(now, v, e, m.Memory-v.freeMemory(e)+v.loadingMemory(e), n)
@@ -209,7 +219,7 @@
 	if missingMemory > 0 {
 		return nil, 0, false
 	}
-	if n.waitingRequests == 0 && cost > maxCostWithoutWaiters {
+	if n.waitingRequests == 0 && cost > n.maximumEvictionCost() {
 		return nil, 0, false
 	}
 	return victims, cost, true
@@ -223,8 +233,10 @@
 	c := evictionCandidate{model: m, memory: e.Models[m].Memory, lastUsedAt: t.lastUsedAt}
 	rate := t.rateAt(now)
 	switch {
+	case replicas > 1 && t.lastUsedAt.IsZero():
+		c.costSeconds = unobservedReplicaCost * float64(replicas)
 	case replicas <= 1:
-		c.costSeconds = 0.05 + rate*lastReplicaCost
+		c.costSeconds = unobservedReplicaCost + rate*lastReplicaCost
 		if t.running+t.waiting > 0 {
 			c.costSeconds += busyReplicaCost + 10*float64(t.waiting)
 		}
@@ -259,16 +271,41 @@
 // canLoadFromStore reports whether the limits of the weight store permit another
 // load.
 func (p *Planner) canLoadFromStore(now time.Time, e *fleet.Engine) bool {
-	window := p.LoadWindow
-	if window <= 0 {
-		window = defaultLoadWindow
+	return p.storeLoads.canStart(now, e.LoadsPerSecond, p.loadWindow())
+}
+
+// canPlanStoreLoad reports whether the limits of the weight store permit another load beside those
+// for which a server is reserved. Without this, servers would be emptied for loads that cannot start.
+func (p *Planner) canPlanStoreLoad(now time.Time, e *fleet.Engine) bool {
+	return p.storeLoads.canStartBeside(now, e.LoadsPerSecond, p.loadWindow(), p.plannedStoreLoads)
+}
+
+func (p *Planner) loadWindow() time.Duration {
+	if p.LoadWindow <= 0 {
+		return defaultLoadWindow
+	}
+	return p.LoadWindow
+}
+
+// countPlannedStoreLoads recounts plannedStoreLoads.
+func (p *Planner) countPlannedStoreLoads() {
+	p.plannedStoreLoads = 0
+	for _, v := range p.engines {
+		if v.reservedModel != "" && v.state.Tier(v.reservedModel) == fleet.InStore {
+			p.plannedStoreLoads++
+		}
 	}
-	return p.storeLoads.canStart(now, e.LoadsPerSecond, window)
 }
 
 // canPrewarm reports whether a load from the weight store may start now for pre-warming.
 func (p *Planner) canPrewarm(now time.Time, e *fleet.Engine) bool {
-	return p.canLoadFromStore(now, e) && len(p.storeLoads.running) < len(p.engines)/serversPerPrewarm
+	return p.canPlanStoreLoad(now, e) && len(p.storeLoads.running)+p.plannedStoreLoads < len(p.engines)/serversPerPrewarm
+}
+
+// maximumEvictionCost returns the highest eviction cost, in seconds, for a replica that no request
+// waits for. It rises with the late responses that the replica would relieve.
+func (n need) maximumEvictionCost() float64 {
+	return max(maxCostWithoutWaiters, min(maxCostForLateResponses, lateResponseCost*n.lateRate))
 }
 
 // prewarmNeeds lists the models whose checkpoint no server has cached, if pre-warming
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -32,10 +32,24 @@
 	// recounted for each plan.
 	replicaCounts map[ModelKey]int
 	storeLoads    storeLimiter
+	// plannedStoreLoads is the number of servers that are reserved for a load from the weight
+	// store.
+	plannedStoreLoads int
 }
 
 // Configure sets the current configuration.
-func (p *Planner) Configure(c *fleet.Configuration) { p.config = c }
+func (p *Planner) Configure(c *fleet.Configuration) {
+	p.config = c
+	p.storeLoads.longestLoad = 0
+	for _, s := range c.Services {
+		if s.Engine == nil {
+			continue
+		}
+		for _, m := range s.Engine.Models {
+			p.storeLoads.longestLoad = max(p.storeLoads.longestLoad, m.StoreLoadTime)
+		}
+	}
+}
 
 // BeginTerm starts a term of this node as owner. The effects of orders from earlier terms
 // are unknown until the servers report.
@@ -202,6 +216,7 @@
 	p.countReplicas()
 	p.retryUnresolvedOrders(issue)
 	p.continueReservations(now, issue)
+	p.countPlannedStoreLoads()
 	for _, n := range p.needs(now) {
 		if n.key.Adapter != "" {
 			p.placeAdapter(now, n, issue)
@@ -253,8 +268,8 @@
 	// period with waiting requests started; zero if no request waits.
 	waitingRequests int
 	waitingSince    time.Time
-	// rate is the request rate per second.
-	rate float64
+	// rate is the request rate per second, lateRate that of late responses.
+	rate, lateRate float64
 	// isPrewarm is true for a pre-warming load, for which no request waits.
 	isPrewarm bool
 	// replicas is the number of replicas that plannedReplicas returned.
@@ -274,7 +289,7 @@
 		if _, ok := e.Models[k.Model]; !ok {
 			continue
 		}
-		n := need{key: k, waitingRequests: t.waiting, waitingSince: t.waitingSince, rate: t.rateAt(now), replicas: replicas[k]}
+		n := need{key: k, waitingRequests: t.waiting, waitingSince: t.waitingSince, rate: t.rateAt(now), lateRate: t.lateRateAt(now), replicas: replicas[k]}
 		if k.Adapter != "" {
 			if t.waiting > 0 && replicas[k] == 0 {
 				list = append(list, n)
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -38,6 +38,12 @@
 // with 60 GB each. The engines have the checkpoints of all models except the last ten on
 // disk.
 func newTestCluster(t *testing.T, n int) *testCluster {
+	t.Helper()
+	return newPlacedCluster(t, n, func(int) []fleet.LoadedModel { return nil })
+}
+
+// newPlacedCluster is newTestCluster with engines that have models loaded at the start.
+func newPlacedCluster(t *testing.T, n int, loaded func(engine int) []fleet.LoadedModel) *testCluster {
 	t.Helper()
 	e := &fleet.Engine{Slots: 64, Memory: 200 * gigabyte, AdapterSlots: 2, LoadsPerSecond: 4.5, Models: map[domain.ModelName]fleet.Model{}}
 	var modelsOnDisk []domain.ModelName
@@ -60,8 +66,8 @@
 	cl.planner.Configure(c)
 	for i := range n {
 		id := domain.ServerID(fmt.Sprintf("i%02d", i))
-		cl.servers = append(cl.servers, &fleet.Server{ID: id, Service: "s", Slots: 64, State: fleet.Ready, EngineState: fleet.EngineState{StartedAtMs: 1, OnDisk: modelsOnDisk}})
-		cl.engines[id] = &fleet.EngineState{StartedAtMs: 1, OnDisk: modelsOnDisk}
+		cl.servers = append(cl.servers, &fleet.Server{ID: id, Service: "s", Slots: 64, State: fleet.Ready, EngineState: fleet.EngineState{StartedAtMs: 1, OnDisk: modelsOnDisk, Models: loaded(i)}})
+		cl.engines[id] = &fleet.EngineState{StartedAtMs: 1, OnDisk: modelsOnDisk, Models: loaded(i)}
 	}
 	cl.planner.SetServers(cl.now, cl.servers)
 	cl.planner.BeginTerm(cl.now)
