placement: no requests to a model that is being unloaded, and busy models stay

Cause: a server that is ordered to unload waits for the requests of the model, and its reports list the model until then. A single request for a rare model evicted a model with several requests a second if its checkpoint was on that server's disk. Change: a model whose unload runs is not listed; the eviction cost of a spare replica counts its running requests; waiting requests justify an eviction cost by their number and the time that they wait; pre-warming leaves one load from the weight store to models that are asked for. Result: the new tests fail before, placement passes.

--- a/placement/account.go
+++ b/placement/account.go
@@ -152,6 +152,10 @@
 	if v.runningOrder != nil && !s.Busy {
 		v.runningOrder = nil
 	}
+	if v.runningOrder != nil && v.runningOrder.Operation == Unload {
+		// The server still lists the model while its last requests run, and rejects new ones.
+		v.removeModel(v.runningOrder.Model)
+	}
 	if s.Busy && v.runningOrder == nil && v.nextPoll.IsZero() {
 		v.nextPoll = now.Add(pollInterval)
 	}
--- a/placement/place.go
+++ b/placement/place.go
@@ -20,8 +20,9 @@
 	// for each of its replicas: the platform has placed popular models on more servers.
 	unobservedReplicaCost = 0.05
 	// busyReplicaCost is the eviction cost, in seconds, that is added for a last replica
-	// whose model has running or waiting requests, and for any other replica if its model
-	// is overloaded or needs all its replicas: the unload waits for the running requests.
+	// whose model has running or waiting requests, for any other replica if its model
+	// is overloaded or needs all its replicas, and for a spare replica that probably runs a
+	// request: the unload waits for the running requests.
 	busyReplicaCost = 3.0
 	// maxCostWithoutWaiters is the highest eviction cost, in seconds, at which a model is
 	// loaded that no request waits for.
@@ -30,6 +31,10 @@
 	// model justifies for another replica, up to maxCostForLateResponses.
 	lateResponseCost        = 2.0
 	maxCostForLateResponses = 8.0
+	// maxCostPerWaiter is the highest eviction cost, in seconds, for each waiting request, to which
+	// maxCostPerSecondWaited is added for each second that the oldest has waited.
+	maxCostPerWaiter       = 10.0
+	maxCostPerSecondWaited = 5.0
 	// serversPerPrewarm is the number of servers that there must be for each running load
 	// from the weight store before another load starts for pre-warming: a load occupies
 	// its server.
@@ -114,7 +119,7 @@
 			continue
 		}
 		k := ModelKey{Service: v.server.Service, Model: m.Name}
-		victims, _, ok := p.selectVictims(now, v, e, m.Memory-v.freeMemory(e), need{key: k, waitingRequests: max(1, p.demands.total(k).waiting)})
+		victims, _, ok := p.selectVictims(now, v, e, m.Memory-v.freeMemory(e), need{key: k, waitingRequests: max(1, p.demands.total(k).waiting), waitingSince: v.reservedUntil.Add(-reservationTimeout)})
 		if !ok {
 			v.reservedModel = ""
 			continue
@@ -219,7 +224,7 @@
 	if missingMemory > 0 {
 		return nil, 0, false
 	}
-	if n.waitingRequests == 0 && cost > n.maximumEvictionCost() {
+	if cost > n.maximumEvictionCost(now) {
 		return nil, 0, false
 	}
 	return victims, cost, true
@@ -243,7 +248,8 @@
 	case t.isOverloaded(now) || p.requiredReplicas(t, e) >= replicas:
 		c.costSeconds = busyReplicaCost + rate*lastReplicaCost/float64(replicas)
 	default:
-		c.costSeconds = rate * spareReplicaCost / float64(replicas)
+		running := float64(t.running) / float64(replicas)
+		c.costSeconds = rate*spareReplicaCost/float64(replicas) + busyReplicaCost*min(1, running)
 	}
 	return c
 }
@@ -297,15 +303,29 @@
 	}
 }
 
-// canPrewarm reports whether a load from the weight store may start now for pre-warming.
+// canPrewarm reports whether a load from the weight store may start now for pre-warming. Once there
+// are requests, it leaves one load to models that they ask for.
 func (p *Planner) canPrewarm(now time.Time, e *fleet.Engine) bool {
-	return p.canPlanStoreLoad(now, e) && len(p.storeLoads.running)+p.plannedStoreLoads < len(p.engines)/serversPerPrewarm
+	loads := len(p.storeLoads.running) + p.plannedStoreLoads
+	if !p.demands.observedSince.IsZero() && loads+1 >= p.storeLoads.concurrencyLimit() {
+		return false
+	}
+	return p.canPlanStoreLoad(now, e) && loads < len(p.engines)/serversPerPrewarm
 }
 
-// maximumEvictionCost returns the highest eviction cost, in seconds, for a replica that no request
-// waits for. It rises with the late responses that the replica would relieve.
-func (n need) maximumEvictionCost() float64 {
-	return max(maxCostWithoutWaiters, min(maxCostForLateResponses, lateResponseCost*n.lateRate))
+// maximumEvictionCost returns the highest eviction cost, in seconds, for one more replica. Without
+// waiting requests it rises with the late responses that the replica would relieve. With waiting
+// requests it rises with their number, so that a busy model does not make way for a single request,
+// and with the time for which they have waited, so that no model is starved.
+func (n need) maximumEvictionCost(now time.Time) float64 {
+	if n.waitingRequests == 0 {
+		return max(maxCostWithoutWaiters, min(maxCostForLateResponses, lateResponseCost*n.lateRate))
+	}
+	cost := maxCostPerWaiter * float64(n.waitingRequests)
+	if !n.waitingSince.IsZero() {
+		cost += maxCostPerSecondWaited * now.Sub(n.waitingSince).Seconds()
+	}
+	return cost
 }
 
 // prewarmNeeds lists the models whose checkpoint no server has cached, if pre-warming
--- a/placement/startup_test.go
+++ b/placement/startup_test.go
@@ -105,8 +105,54 @@
 // requests now and then. Guards against an overloaded replica that gets no help for that reason.
 func TestLateResponsesJustifyACostlierEviction(t *testing.T) {
 	for rate, want := range map[float64]float64{0: maxCostWithoutWaiters, 1: maxCostWithoutWaiters, 3: 6, 100: maxCostForLateResponses} {
-		if got := (need{lateRate: rate}).maximumEvictionCost(); got != want {
+		if got := (need{lateRate: rate}).maximumEvictionCost(start); got != want {
 			t.Errorf("%v late responses a second: got a cost of %v, want %v", rate, got, want)
 		}
 	}
 }
+
+// Pattern: an unload that waits for the last requests of its model. Guards against nodes that keep
+// sending requests for the model there, which the server rejects: its reports still list it.
+func TestModelThatIsBeingUnloadedIsNotListed(t *testing.T) {
+	now := start
+	v := engineView{state: fleet.EngineState{Models: []fleet.LoadedModel{{Model: "m0"}, {Model: "m1"}}}, confirmed: true}
+	v.applyOutcome(now, now, Order{Operation: Unload, Model: "m0"}, Accepted, unloadTime)
+	report := fleet.EngineState{Sequence: 1, Busy: true, Models: []fleet.LoadedModel{{Model: "m0"}, {Model: "m1"}}}
+	now = now.Add(time.Second)
+	v.applyState(now, now, report, true)
+	if _, ok := v.state.Find("m0"); ok {
+		t.Error("got the model listed while it is being unloaded, want it removed")
+	}
+	if _, ok := v.state.Find("m1"); !ok {
+		t.Error("got the other model removed, want it listed")
+	}
+	report.Busy, report.Models = false, report.Models[1:]
+	now = now.Add(time.Second)
+	v.applyState(now, now, report, true)
+	if v.runningOrder != nil {
+		t.Error("got an unload that runs after the server has reported its end")
+	}
+}
+
+// Pattern: one request for a rare model whose checkpoint is on the disk of the only server of a
+// busy model. Guards against the eviction of the busy model, and against a rare model that is never
+// loaded.
+func TestBusyModelDoesNotMakeWayForOneRequest(t *testing.T) {
+	p := &Planner{}
+	busy, rare := key("m0"), key("m1")
+	now := start
+	for range 50 {
+		p.RecordDemand(now, "n", []Demand{{ModelKey: busy, Running: 10, Arrivals: 2}})
+		now = now.Add(200 * time.Millisecond)
+	}
+	p.replicaCounts = map[ModelKey]int{busy: 1}
+	v := &engineView{server: fleet.Server{Service: "s"}, state: fleet.EngineState{Models: []fleet.LoadedModel{{Model: "m0"}}}}
+	e := &fleet.Engine{Slots: 64, Models: map[domain.ModelName]fleet.Model{"m0": {Name: "m0", Memory: gigabyte}}}
+	n := need{key: rare, waitingRequests: 1, waitingSince: now}
+	if victims, _, ok := p.selectVictims(now, v, e, gigabyte, n); ok {
+		t.Errorf("got %v evicted for one request, want nothing", victims)
+	}
+	if _, _, ok := p.selectVictims(now.Add(20*time.Second), v, e, gigabyte, n); !ok {
+		t.Error("got nothing evicted for a request that waits for 20 s, want the busy model")
+	}
+}
