--- a/hub/message.go
+++ b/hub/message.go
@@ -15,6 +15,7 @@
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fleet"
 	"github.com/parsleylug/parsleylug/placement"
+	"github.com/parsleylug/parsleylug/serverload"
 	"github.com/parsleylug/parsleylug/suspects"
 )
 
@@ -55,6 +56,8 @@
 	// LeavingServers are the servers that the node has learned from their responses to be
 	// leaving, since its last report. The first report over a link lists all of them.
 	LeavingServers []LeavingServer
+	// Loads are the loads of servers that the node has heard of since its last report.
+	Loads []serverload.Shared
 }
 
 // LeavingServer is a backend server that said that it leaves. Age is the time since the
@@ -86,6 +89,8 @@
 	// Registrations are the changes of registrations that the owner has read since the last
 	// update.
 	Registrations RegistrationChanges
+	// Loads are the loads of servers that have changed most since the last update.
+	Loads []serverload.Shared
 }
 
 // RegistrationChanges are changes of registrations as the owner read them in the platform's store.
@@ -123,6 +128,7 @@
 	Doubted  []string
 	Leaving  []wireLeaving
 	Traits   *wireTraits
+	Loads    []wireLoad `cbor:",omitempty"`
 }
 
 type wireLeaving struct {
@@ -158,6 +164,7 @@
 	Traits              *wireTraits
 	// Registrations is nil if there are no changes. Earlier versions ignore it.
 	Registrations *wireRegistrations
+	Loads         []wireLoad `cbor:",omitempty"`
 }
 
 type wireStoreUpdate struct {
@@ -202,6 +209,7 @@
 	for _, l := range r.LeavingServers {
 		w.Leaving = append(w.Leaving, wireLeaving{ID: string(l.ID), Born: l.StartedAtMs, AgeMilliseconds: l.Age.Milliseconds()})
 	}
+	w.Loads = encodeLoads(r.Loads)
 	data, err := cbor.Marshal(w)
 	return data, errors.WithStack(err)
 }
@@ -229,7 +237,7 @@
 		i := fleet.Incarnation{ID: domain.ServerID(l.ID), StartedAtMs: l.Born}
 		r.LeavingServers = append(r.LeavingServers, LeavingServer{Incarnation: i, Age: time.Duration(l.AgeMilliseconds) * time.Millisecond})
 	}
-	r.Traits = w.Traits.decode()
+	r.Traits, r.Loads = w.Traits.decode(), decodeLoads(w.Loads)
 	var err error
 	r.CrashReports, err = decodeSuspects(w.Suspects)
 	return r, err
@@ -258,6 +266,7 @@
 func encodeUpdate(u Update) ([]byte, error) {
 	store := wireStoreUpdate{Configuration: uint64(u.Store.ConfigurationOffset), Registrations: uint64(u.Store.RegistrationsOffset), Read: u.Store.RegistrationsRead}
 	w := wireUpdate{Nodes: u.NodeCount, News: store, Suspects: encodeSuspects(u.CrashReports), Traits: encodeTraits(u.Traits), Registrations: encodeRegistrations(u.Registrations)}
+	w.Loads = encodeLoads(u.Loads)
 	w.Candidates, w.ReadAgeMilliseconds, w.ReadOffset = u.CandidateCount, u.Store.ReadAge.Milliseconds(), uint64(u.Store.ReadOffset)
 	for _, s := range u.Servers {
 		w.Servers = append(w.Servers, encodeServer(s))
@@ -312,7 +321,7 @@
 		u.Servers = append(u.Servers, s.decode())
 	}
 	u.Traits = w.Traits.decode()
-	u.Registrations = w.Registrations.decode()
+	u.Registrations, u.Loads = w.Registrations.decode(), decodeLoads(w.Loads)
 	var err error
 	u.CrashReports, err = decodeSuspects(w.Suspects)
 	return u, err
