placement: a new replica of a used model goes to a faster server

Cause: servers of one service are unevenly fast, and plans did not weigh it. Change: Planner.Pace; a plan for a model in use costs 0.3 s more for each usual time more that work takes at the server. Result: with equal load times the fastest server is chosen, a checkpoint in memory still decides before it.

--- a/placement/place.go
+++ b/placement/place.go
@@ -32,6 +32,10 @@
 	// requests on that server, and the server loads no adapter during the load of the
 	// model.
 	utilizationCost = 1.5
+	// paceCost is the cost, in seconds, of placing a model that requests use on a server whose work
+	// takes twice the usual time. It decides between servers with about equal load times only: a
+	// load from another tier takes seconds longer.
+	paceCost = 0.3
 	// minAdapterIdleTime is how long an adapter stays loaded after its last request
 	// before another adapter can replace it.
 	minAdapterIdleTime = 500 * time.Millisecond
@@ -115,7 +119,7 @@
 
 // bestPlan returns the plan with the lowest cost for one more replica of a model, or
 // false if there is no plan. The cost is the sum of the eviction cost, the load time,
-// the cost of the server's utilization and the delay until the server can take the order.
+// the costs of the server's utilization and pace and the delay until the server can take the order.
 func (p *Planner) bestPlan(now time.Time, n need, e *fleet.Engine, m fleet.Model) (plan, bool) {
 	var best plan
 	found := false
@@ -135,7 +139,7 @@
 		if !ok || n.isPrewarm && cost > maxCostWithoutWaiters {
 			continue
 		}
-		cost += m.LoadTime(t).Seconds() + p.utilization(v, e)*utilizationCost + delay.Seconds()
+		cost += m.LoadTime(t).Seconds() + p.utilization(v, e)*utilizationCost + delay.Seconds() + p.paceCost(v, n)
 		if !found || cost < best.costSeconds || cost == best.costSeconds && v.server.ID < best.engine.server.ID {
 			best = plan{engine: v, victims: victims, tier: t, costSeconds: cost, delay: delay}
 			found = true
@@ -144,6 +148,18 @@
 	return best, found
 }
 
+// paceCost returns the cost of a server's pace for a model that requests use or wait for.
+func (p *Planner) paceCost(v *engineView, n need) float64 {
+	if p.Pace == nil || n.isPrewarm {
+		return 0
+	}
+	pace := p.Pace(&v.server)
+	if pace <= 0 {
+		return 0
+	}
+	return paceCost * (pace - 1)
+}
+
 // orderDelay estimates how long a server will take no order for a model, from its orders and from
 // the report that is expected of it. It returns false if that cannot be estimated.
 func (p *Planner) orderDelay(now time.Time, v *engineView) (time.Duration, bool) {
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -24,6 +24,9 @@
 	// LoadWindow is the period over which the weight store measures the load rate. If it
 	// is zero, defaultLoadWindow applies.
 	LoadWindow time.Duration
+	// Pace returns how long work takes at a server, relative to the usual time, over the last
+	// seconds; 0 if it is unknown. It may be nil.
+	Pace func(*fleet.Server) float64
 
 	config  *fleet.Configuration
 	engines map[domain.ServerID]*engineView
