entry: nodes share the loads of servers over the owner's link

Cause: a node hears of a server two or three times a minute in its own responses, so its view is stale. Reports with loads only start no plan. The test fleet has a Loads at each node.

--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -82,6 +82,7 @@
 	host  *standin.Host
 	log   *eventCounter
 	stop  context.CancelFunc
+	loads tableLoads
 	// isCut makes the store silent for this node.
 	isCut atomic.Bool
 }
@@ -147,6 +148,7 @@
 		RegistrationsInterval: 1333 * time.Millisecond, DrainBound: 4 * time.Second, TimeToLive: testTimeToLive,
 		FirstOrderDelay: 600 * time.Millisecond, ServersCheckFences: true, HandOverDelay: 6 * time.Second, LoadWindow: 5 * time.Second,
 	})
+	n.Loads = &n.loads
 	serveHub(n.host, n.Node)
 	ctx, stop := context.WithCancel(f.ctx)
 	n.stop = stop
--- a/entry/link.go
+++ b/entry/link.go
@@ -113,8 +113,8 @@
 	}
 }
 
-// sendReports sends the owner this node's demand, crash reports, stale servers and
-// leaving servers. The first report has the complete demand and all leaving servers,
+// sendReports sends the owner this node's demand, crash reports, stale servers,
+// leaving servers and loads of servers. The first report has the complete demand and all leaving servers,
 // later ones only the changes.
 // After a second without a report, it sends an empty one.
 func (n *Node) sendReports(ctx context.Context, l *hub.Link) {
@@ -128,10 +128,11 @@
 	for {
 		leaving, lastLeaving = n.leavingServers(time.Now(), lastLeaving)
 		n.mu.Lock()
-		r := hub.Report{Node: n.Name, Demands: demands, CrashReports: n.crashReports, Traits: n.takeTraitReport(), StaleServers: n.staleServers, LeavingServers: leaving}
+		loads := n.takeLoads(time.Now())
+		r := hub.Report{Node: n.Name, Demands: demands, CrashReports: n.crashReports, Traits: n.takeTraitReport(), StaleServers: n.staleServers, LeavingServers: leaving, Loads: loads}
 		n.crashReports, n.staleServers = nil, nil
 		n.mu.Unlock()
-		if len(demands) > 0 || len(r.CrashReports) > 0 || !r.Traits.IsEmpty() || len(r.StaleServers) > 0 || len(leaving) > 0 || time.Since(lastSent) > time.Second {
+		if len(demands) > 0 || len(r.CrashReports) > 0 || !r.Traits.IsEmpty() || len(r.StaleServers) > 0 || len(leaving) > 0 || hasReports(loads) || time.Since(lastSent) > time.Second {
 			if err := l.Send(ctx, r); err != nil {
 				return
 			}
@@ -165,6 +166,9 @@
 	n.applyRegistrationChanges(now, u.Registrations)
 	n.applyStoreUpdate(now, u.Store)
 	n.applyTraits(u.Traits, false)
+	if n.Loads != nil {
+		n.Loads.ApplyLoads(now, u.Loads)
+	}
 	if len(u.Servers) == 0 && len(u.CrashReports) == 0 && u.NodeCount <= n.nodeCount {
 		return
 	}
--- a/entry/node.go
+++ b/entry/node.go
@@ -143,6 +143,8 @@
 	// Traits holds what this node knows of traits of requests that crash servers. It may be
 	// nil.
 	Traits Traits
+	// Loads holds what this node knows of the load of servers. It may be nil.
+	Loads Loads
 
 	mu        sync.Mutex
 	directory fleet.Directory
@@ -240,6 +242,8 @@
 	// planTrigger makes the owner plan before its interval has passed. renewTrigger makes a member
 	// of the group renew its membership before its interval has passed.
 	planTrigger, renewTrigger chan struct{}
+	// loadsSentAt is when this node, as the owner, last sent loads of servers to all nodes.
+	loadsSentAt time.Time
 }
 
 // New returns a node that is idle until Run.
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -76,11 +76,13 @@
 	for _, s := range n.planner.DuePolls(now) {
 		go n.queryEngineState(ctx, s)
 	}
+	n.setPaces(now)
 	for _, o := range n.planner.PlanOrders(now) {
 		// An order that has started is not cancelled at shutdown: the engine may carry it out.
 		go n.sendOrder(context.WithoutCancel(ctx), o, fence)
 	}
 	n.sendEngineStates(now, n.lease.IsRenewalLate(uptime))
+	n.sendLoads(now, n.lease.IsRenewalLate(uptime))
 	return true
 }
 
@@ -194,9 +196,15 @@
 	n.recordReportedLeaving(time.Now(), r.LeavingServers)
 	n.addCrashReports(r.CrashReports)
 	n.applyTraits(r.Traits, true)
+	if n.Loads != nil {
+		n.Loads.MergeLoads(time.Now(), r.Loads)
+	}
 	if len(r.CrashReports) > 0 && n.OnCrashReports != nil {
 		n.OnCrashReports(r.CrashReports)
 	}
+	if hasOnlyLoads(r) {
+		return
+	}
 	n.triggerPlan()
 }
 
