--- a/commands/front.go
+++ b/commands/front.go
@@ -180,6 +180,7 @@
 	backend.OnNotice = f.node.RecordNotice
 	f.node.OnCrashReports = dispatcher.ApplyCrashReports
 	f.node.Traits = dispatcher
+	f.node.Loads = dispatcher
 	f.frontend = &platform.Frontend{
 		Dispatcher: dispatcher, Views: &f.node.Views, IsBehind: f.node.IsConfigurationBehind, LinkDelay: f.node.LinkDelay,
 		Logger: logger, Counters: f.metrics,
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -182,7 +182,7 @@
 	s.logAttempt(a, result)
 	s.latestEnd = endCause(a.ctx)
 	a.cancel(nil)
-	s.dispatcher.chooser.release(a.server.ID)
+	s.dispatcher.chooser.end(time.Now(), a, s.request, result == "Answered")
 	s.dispatcher.Demand.addRunning(s.demandKey, -1)
 }
 
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -9,28 +8,16 @@
 	"github.com/parsleylug/parsleylug/fleet"
 	"github.com/parsleylug/parsleylug/placement"
 	"github.com/parsleylug/parsleylug/retries"
+	"github.com/parsleylug/parsleylug/serverload"
 )
 
 const (
-	// fullSlotsCost is the estimated delay of a request at a server with every slot in
-	// use. fullSlotsCost divided by the number of slots is the cost of each other request
-	// at the server.
-	fullSlotsCost = 150 * time.Millisecond
-	// minimumRequestCost is the lower bound of the cost of each other request at the
-	// server: the prefill of a prompt is interleaved with the token generation of the
-	// other requests.
-	minimumRequestCost = 8 * time.Millisecond
-	// queuedRequestSlots is the load of a queued request, as a number of running
-	// requests.
-	queuedRequestSlots = 2.0
 	// otherRegionCost is the cost of a server in another region, otherZoneCost that of one
 	// in another availability zone of the same region.
 	otherRegionCost = 25 * time.Millisecond
 	otherZoneCost   = 2 * time.Millisecond
 	// warmUpCost is the cost of a server that is still warming up after its start.
 	warmUpCost = 100 * time.Millisecond
-	// cachedPrefixGain is the time saved at a server that has the prompt's prefix cached.
-	cachedPrefixGain = 12 * time.Millisecond
 	// loadReportLifetime is how long a load report of a server is used.
 	loadReportLifetime = 1500 * time.Millisecond
 	// responseTimeLifetime is how long a measured response time is used. Its weight
@@ -39,10 +26,6 @@
 	// newestResponseTimeWeight is the weight of the newest response time in the moving
 	// average.
 	newestResponseTimeWeight = 0.3
-	// maximumRandomCost bounds the random cost that is added to each server. Nodes do not
-	// see each other's requests. Without a random cost, all nodes would choose the same
-	// one of several equal servers.
-	maximumRandomCost = 8 * time.Millisecond
 	// unresponsiveResponseTime is the response time assumed for a server that did not
 	// respond to a request.
 	unresponsiveResponseTime = 2 * time.Second
@@ -67,6 +50,9 @@
 	// responseTimeAt.
 	responseTime   time.Duration
 	responseTimeAt time.Time
+	// key and service are those of the run of the server that an attempt was last sent to.
+	key     serverload.Key
+	service domain.ServiceName
 	// prefixes holds the prompt prefixes of the requests that this node sent to the
 	// server, with the time of the latest request.
 	prefixes map[string]time.Time
@@ -78,9 +64,15 @@
 // chooser selects servers by estimated delay and tracks their load and failures. The zero
 // chooser is ready for use. It is safe for concurrent use.
 type chooser struct {
+	// cacheTokens returns the memory of a server of a service in tokens, 0 if it is unknown. It may
+	// be nil.
+	cacheTokens func(domain.ServiceName) domain.Tokens
+
 	mu       sync.Mutex
 	loads    map[domain.ServerID]*load
 	breakers retries.Breakers
+	// table holds the load that the servers and the other nodes report.
+	table serverload.Table
 }
 
 // loadOf returns the load of a server and creates it if needed. The caller holds mu.
@@ -113,37 +105,29 @@
 	return otherRegionCost
 }
 
-// choose returns the candidate with the lowest cost and counts an attempt in flight
+// choose returns the candidate with the lowest estimated delay and counts an attempt in flight
 // there. It returns nil if there are no candidates. Servers in avoidedServers rank after
 // all others. Among the avoided and among the other servers, those removed by outlier
 // ejection rank last.
-func (c *chooser) choose(now time.Time, here location, candidates []*fleet.Server, prefix string, avoidedServers map[domain.ServerID]bool) (*fleet.Server, choiceInputs) {
+func (c *chooser) choose(now time.Time, here location, candidates []*fleet.Server, r *Request, avoidedServers map[domain.ServerID]bool) (*fleet.Server, choiceInputs) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var best *fleet.Server
-	var bestCost time.Duration
-	bestRank := 0
-	meanResponseTime := c.meanResponseTime(now, candidates)
-	for _, s := range candidates {
-		rank := 0
-		if avoidedServers[s.ID] {
-			rank += 2
-		}
-		if c.breakers.IsEjected(now, s.ID) {
-			rank++
-		}
-		cost := c.cost(now, here, s, prefix, meanResponseTime) + rand.N(maximumRandomCost)
-		if best == nil || rank < bestRank || rank == bestRank && cost < bestCost {
-			best, bestCost, bestRank = s, cost, rank
-		}
-	}
-	if best == nil {
+	if len(candidates) == 0 {
 		return nil, choiceInputs{}
 	}
+	var best *fleet.Server
+	inputs := choiceInputs{candidates: len(candidates)}
+	if c.hasPaced(now, candidates) {
+		best = c.chooseByEstimate(now, here, candidates, r, avoidedServers, &inputs)
+	} else {
+		best = c.chooseUnpaced(now, here, candidates, r.Prefix, avoidedServers)
+	}
 	l := c.loadOf(best.ID)
-	inputs := choiceInputs{candidates: len(candidates), attemptsInFlight: l.attemptsInFlight, otherLoad: l.otherLoad, loadAge: min(now.Sub(l.reportedAt), time.Hour)}
+	inputs.attemptsInFlight, inputs.otherLoad, inputs.loadAge = l.attemptsInFlight, l.otherLoad, min(now.Sub(l.reportedAt), time.Hour)
 	l.attemptsInFlight++
-	l.addPrefix(now, prefix)
+	l.key, l.service = serverload.KeyOf(best), best.Service
+	c.table.Send(now, l.key, best.Service, r.tokens())
+	l.addPrefix(now, r.Prefix)
 	return best, inputs
 }
 
@@ -159,47 +143,6 @@
 	l.prefixes[prefix] = now
 }
 
-// hasRecentResponseTime reports whether the response time was measured recently. The time
-// assumed for an unresponsive server does not count as a measurement.
-func (l *load) hasRecentResponseTime(now time.Time) bool {
-	return l.responseTime != unresponsiveResponseTime && now.Sub(l.responseTimeAt) < responseTimeLifetime
-}
-
-// meanResponseTime returns the mean response time of the candidates with a recent
-// measurement, or 0 if no candidate has one. The caller holds mu.
-func (c *chooser) meanResponseTime(now time.Time, candidates []*fleet.Server) time.Duration {
-	var sum time.Duration
-	measuredServers := 0
-	for _, s := range candidates {
-		if l := c.loadOf(s.ID); l.hasRecentResponseTime(now) {
-			sum += l.responseTime
-			measuredServers++
-		}
-	}
-	return sum / time.Duration(max(1, measuredServers))
-}
-
-// cost estimates the delay of a request at a server. As the measured response time of the
-// server ages, meanResponseTime replaces it, so that a server is not preferred for lack
-// of data. The caller holds mu.
-func (c *chooser) cost(now time.Time, here location, s *fleet.Server, prefix string, meanResponseTime time.Duration) time.Duration {
-	l := c.loadOf(s.ID)
-	otherRequests := float64(l.attemptsInFlight)
-	if now.Sub(l.reportedAt) < loadReportLifetime {
-		otherRequests += l.otherLoad
-	}
-	cost := here.cost(s.Zone) + time.Duration(otherRequests*float64(max(minimumRequestCost, fullSlotsCost/time.Duration(max(1, s.Slots)))))
-	if s.WarmUpRemaining > 0 {
-		cost += warmUpCost
-	}
-	weight := max(0, 1-float64(now.Sub(l.responseTimeAt))/float64(responseTimeLifetime))
-	cost += time.Duration(weight*float64(l.responseTime)+(1-weight)*float64(meanResponseTime)) / 2
-	if _, ok := l.prefixes[prefix]; ok && prefix != "" {
-		cost -= cachedPrefixGain
-	}
-	return cost
-}
-
 // recordMissing records that a server refused a request because it lacks the model or
 // adapter, although this node's view shows them as loaded there.
 func (c *chooser) recordMissing(now time.Time, id domain.ServerID, k placement.ModelKey) {
@@ -226,19 +169,23 @@
 	return ok
 }
 
-// release removes one attempt from those in flight at a server.
+// release removes one attempt that was not sent from those in flight at a server.
 func (c *chooser) release(id domain.ServerID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.loadOf(id).attemptsInFlight--
+	l := c.loadOf(id)
+	l.attemptsInFlight--
+	c.table.End(time.Now(), l.key, l.service, 0)
 }
 
 // recordResponse records the response time of a server and the load that it reported.
-func (c *chooser) recordResponse(now time.Time, id domain.ServerID, responseTime time.Duration, reported Load) {
+func (c *chooser) recordResponse(now time.Time, s *fleet.Server, r *Request, responseTime time.Duration, reported Load) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.breakers.RecordSuccess(now, id)
-	l := c.loadOf(id)
+	c.breakers.RecordSuccess(now, s.ID)
+	c.recordReport(now, s, reported)
+	c.recordFirstEvent(now, s, r, responseTime)
+	l := c.loadOf(s.ID)
 	if l.responseTimeAt.IsZero() || now.Sub(l.responseTimeAt) > responseTimeLifetime {
 		l.responseTime = responseTime
 	} else {
@@ -284,9 +231,11 @@
 
 // recordOverload records that a server refused a request for lack of room. Its load is
 // then assumed to be at least queuedRequestSlots times the number of its slots.
-func (c *chooser) recordOverload(now time.Time, s *fleet.Server) {
+func (c *chooser) recordOverload(now time.Time, s *fleet.Server, reported Load) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.recordReport(now, s, reported)
+	c.table.RecordFull(now, serverload.KeyOf(s))
 	l := c.loadOf(s.ID)
 	l.otherLoad = max(l.otherLoad, queuedRequestSlots*float64(s.Slots))
 	l.reportedAt = now
--- a/dispatch/choose_test.go
+++ b/dispatch/choose_test.go
@@ -23,7 +23,7 @@
 	for range nodes {
 		c := &chooser{}
 		for range 2 {
-			s, _ := c.choose(now, location{zone: "z"}, list, "", nil)
+			s, _ := c.choose(now, location{zone: "z"}, list, &Request{}, nil)
 			requests[s.ID]++
 		}
 	}
@@ -48,9 +48,9 @@
 		list = append(list, &fleet.Server{ID: domain.ServerID(fmt.Sprint("far", i)), Service: "engines", Slots: 12, Zone: "y"})
 	}
 	c := &chooser{}
-	c.recordResponse(now, near.ID, 120*time.Millisecond, Load{})
+	c.recordResponse(now, near, &Request{}, 120*time.Millisecond, Load{})
 	for range 20 {
-		s, _ := c.choose(now.Add(time.Second), location{zone: "z", regions: map[domain.Zone]domain.Region{"z": "r", "y": "q"}}, list, "", nil)
+		s, _ := c.choose(now.Add(time.Second), location{zone: "z", regions: map[domain.Zone]domain.Region{"z": "r", "y": "q"}}, list, &Request{}, nil)
 		c.release(s.ID)
 		if s != near {
 			t.Fatalf("got server %s in another region, want the nearby one", s.ID)
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/parsleylug/parsleylug/serverload"
 	"github.com/parsleylug/parsleylug/verdict"
 )
 
@@ -46,6 +47,9 @@
 	attemptsInFlight int
 	otherLoad        float64
 	loadAge          time.Duration
+	// estimate is the estimated delay at the server, if isEstimated.
+	estimate    serverload.Estimate
+	isEstimated bool
 	// keptAway describes the servers that were left out because of a restriction.
 	keptAway string
 }
@@ -58,6 +62,9 @@
 		line = line.Str("KeptAway", a.inputs.keptAway)
 	}
 	s.dispatcher.logShutdown(line, "StartedAfterStopMs", a.startedAt)
+	if e := a.inputs.estimate; a.inputs.isEstimated {
+		line = line.Int64("QueueMs", e.Queue.Milliseconds()).Int64("PrefillMs", e.Prefill.Milliseconds()).Int64("DistanceMs", e.Distance.Milliseconds())
+	}
 	line.Str("Event", "Attempt").Str("Request", string(s.request.ID)).Str("Server", string(a.server.ID)).Str("Zone", string(a.server.Zone)).Str("Result", result).
 		Int("Number", a.number).Int("Candidates", a.inputs.candidates).Int("InFlight", a.inputs.attemptsInFlight).Float64("Others", a.inputs.otherLoad).
 		Int64("OthersAgeMs", a.inputs.loadAge.Milliseconds()).
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -249,7 +249,7 @@
 		return nil
 	}
 	here := location{zone: s.dispatcher.Zone, regions: s.dispatcher.Regions}
-	server, inputs := s.dispatcher.chooser.choose(now, here, candidates, s.request.Prefix, s.avoidedServers)
+	server, inputs := s.dispatcher.chooser.choose(now, here, candidates, s.request, s.avoidedServers)
 	inputs.keptAway = s.keptAway.text(now)
 	s.choiceInputs = inputs
 	return server
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -34,7 +34,7 @@
 		candidates := s.candidates(now, view)
 		if s.hasUntried(candidates) || len(candidates) > 0 && s.attempts == 0 {
 			here := location{zone: s.dispatcher.Zone, regions: s.dispatcher.Regions}
-			server, inputs := s.dispatcher.chooser.choose(now, here, candidates, s.request.Prefix, s.avoidedServers)
+			server, inputs := s.dispatcher.chooser.choose(now, here, candidates, s.request, s.avoidedServers)
 			inputs.keptAway = s.keptAway.text(now)
 			s.choiceInputs = inputs
 			return server, nil
--- a/dispatch/response.go
+++ b/dispatch/response.go
@@ -59,7 +59,7 @@
 	now := time.Now()
 	s.countRun()
 	a.response, a.lastReceivedAt = r, now
-	s.dispatcher.chooser.recordResponse(now, a.server.ID, now.Sub(a.startedAt), r.Load)
+	s.dispatcher.chooser.recordResponse(now, a.server, s.request, now.Sub(a.startedAt), r.Load)
 	s.endSilence(a)
 	goesOn := r.Events != nil || r.IsSuccess() && !s.headSent
 	if len(s.running) > 1 && goesOn {
@@ -71,7 +71,7 @@
 func (s *session) handleRefusal(a *attempt, r *Response) *verdict.Error {
 	s.endFailed(a, r.Refusal.String())
 	if r.Refusal == Full {
-		s.dispatcher.chooser.recordOverload(time.Now(), a.server)
+		s.dispatcher.chooser.recordOverload(time.Now(), a.server, r.Load)
 	}
 	if r.Refusal == Elsewhere {
 		s.dispatcher.chooser.recordMissing(time.Now(), a.server.ID, s.request.key())
