lease: orders of two owners are lease_ms apart where servers check no fences

Cause: a new owner gave its first order 0.6 s after its grant whether the servers check fences or not, while the former one may go on for up to 2 s until a renewal tells it of its loss. Change: with a LeaseBound, an owner gives orders for half of the time-to-live after a renewal was sent, and a new one waits for this half, the 700 ms that bound an order, and lease_ms. An owner that gets the shard back before another one could have ordered goes on at once. Its term begins with the grant: it queries the engines and serves the links meanwhile, and queries them again before the first order. Where servers check fences nothing changes. A new owner's first order comes 4.9 s after its grant at lease_ms = 3 s.

--- a/commands/front.go
+++ b/commands/front.go
@@ -46,7 +46,7 @@
 	// holders.
 	memberTTLShare = 0.83
 	// firstOrderDelay is the delay between the grant of the owner's lease and the first
-	// order.
+	// order where the servers check fencing tokens.
 	firstOrderDelay = 600 * time.Millisecond
 	// ownerProcessors and ownerLinkBytesPerSecond are what a VM needs to own the model engines of
 	// a large deployment: the updates to a thousand nodes, and the orders and queries of the
@@ -138,6 +138,7 @@
 	if standby {
 		name += standbySuffix
 	}
+	orderDelay, leaseBound := ownerDelays(s)
 	store := platform.NewStore(s.StoreAddress)
 	backend := platform.NewBackend(name)
 	messageMemory := domain.Bytes(float64(s.Memory) * messageMemoryShare)
@@ -158,7 +159,8 @@
 		RegistrationsInterval: s.DrainBound / registrationReadsPerDrain,
 		DrainBound:            s.DrainBound,
 		TimeToLive:            max(s.MinimumMemberTTL, time.Duration(memberTTLShare*float64(s.LeaseBound))),
-		FirstOrderDelay:       firstOrderDelay,
+		FirstOrderDelay:       orderDelay,
+		LeaseBound:            leaseBound,
 		HandOverDelay:         max(0, s.GracePeriod-handOverMargin),
 		ServersCheckFences:    s.ServersCheckFences,
 		Standby:               standby,
@@ -199,6 +201,15 @@
 	budget.Reserve = retryBudgetShare * float64(f.settings.RetryReserve) / float64(max(nodes, minimumBudgetNodes))
 }
 
+// ownerDelays returns the delay before the first order of a new owner, and the least time between
+// the orders of two owners if the servers do not keep them apart by their fencing tokens.
+func ownerDelays(s platform.Settings) (firstOrder, leaseBound time.Duration) {
+	if s.ServersCheckFences {
+		return firstOrderDelay, 0
+	}
+	return platform.OrderTimeout, s.LeaseBound
+}
+
 // isStandby reports whether the VM has too little to own the model engines of a large deployment.
 func isStandby(s platform.Settings) bool {
 	return s.Processors < ownerProcessors || s.LinkBytesPerSecond < ownerLinkBytesPerSecond
--- a/entry/node.go
+++ b/entry/node.go
@@ -106,8 +106,11 @@
 	TimeToLive time.Duration
 	// FirstOrderDelay is the delay between the grant of the lease and the first order.
 	// It separates the first order in time from the last order of the previous
-	// owner.
+	// owner. With a LeaseBound, it is the longest time that an order is in flight.
 	FirstOrderDelay time.Duration
+	// LeaseBound is the least time between the last order of an owner and the first of the next.
+	// It is 0 if ServersCheckFences is set.
+	LeaseBound time.Duration
 	// HandOverDelay is how long a node that drains stays in the group. An owner that leaves
 	// early hands over more often while nodes are stopped one after the other; one that leaves
 	// late may be killed with orders in flight.
@@ -199,8 +202,8 @@
 	// lastOwners is the last list of the owners that this node got from the store.
 	lastOwners ownerList
 	// fence is the fencing token under which this node is the owner; 0 while it is
-	// not.
-	fence domain.Fence
+	// not. orderFence is the one under which it last issued orders.
+	fence, orderFence domain.Fence
 	// ordersInFlight counts the orders without a response.
 	ordersInFlight sync.WaitGroup
 	// ownedSince is when this node last became the owner.
@@ -248,7 +251,7 @@
 	n.Notices.DrainBound = o.DrainBound
 	n.storeUpdates.changed = make(chan struct{})
 	n.lease.Shard = ownedShard
-	n.lease.TimeToLive, n.lease.FirstOrderDelay, n.lease.ServersCheckFences = o.TimeToLive, o.FirstOrderDelay, o.ServersCheckFences
+	n.lease.TimeToLive, n.lease.FirstOrderDelay, n.lease.LeaseBound, n.lease.ServersCheckFences = o.TimeToLive, o.FirstOrderDelay, o.LeaseBound, o.ServersCheckFences
 	n.candidacy = lease.Candidacy{Standby: o.Standby, TimeToLive: o.TimeToLive, Spread: rand.Float64()}
 	if n.IsStandby == nil {
 		n.IsStandby = func(domain.NodeID) bool { return false }
--- a/entry/node_test.go
+++ b/entry/node_test.go
@@ -48,6 +48,8 @@
 	leaveOrders     int
 	ordersInFlight  int
 	joinsAfterLeave int
+	// polls counts the queries of the engine state.
+	polls int
 	// registrationReads and configurationReads count the reads that reached the store.
 	registrationReads, configurationReads int
 	// drainsAtChange makes the registration of the engine change to draining at
@@ -188,6 +190,7 @@
 func (p *fakePlatform) QueryEngineState(context.Context, fleet.Server) (fleet.EngineState, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.polls++
 	return p.engineState, nil
 }
 
@@ -254,13 +257,19 @@
 // run starts a node on a fakePlatform, calls f and shuts the node down. It checks
 // that the node leaves the group.
 func run(t *testing.T, serversCheckFences bool, f func(n *Node, p *fakePlatform, c *clock)) {
+	t.Helper()
+	runWith(t, Options{FirstOrderDelay: 500 * time.Millisecond, ServersCheckFences: serversCheckFences}, f)
+}
+
+// runWith is run with the options of the lease.
+func runWith(t *testing.T, o Options, f func(n *Node, p *fakePlatform, c *clock)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		p := &fakePlatform{version: 1, generation: 4, shards: []lease.Shard{0}, engineState: fleet.EngineState{StartedAtMs: 1, OnDisk: []domain.ModelName{"m"}}}
 		c := &clock{start: time.Now()}
 		n := New(Options{
 			Name: "n", Feed: p, Group: p, Engines: p, Uptime: c, Logger: zerolog.Nop(),
-			RegistrationsInterval: 800 * time.Millisecond, TimeToLive: 2500 * time.Millisecond, FirstOrderDelay: 500 * time.Millisecond, ServersCheckFences: serversCheckFences, HandOverDelay: 6 * time.Second,
+			RegistrationsInterval: 800 * time.Millisecond, TimeToLive: 2500 * time.Millisecond, FirstOrderDelay: o.FirstOrderDelay, LeaseBound: o.LeaseBound, ServersCheckFences: o.ServersCheckFences, HandOverDelay: 6 * time.Second,
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error)
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -56,9 +56,9 @@
 	}
 }
 
-// runOwnerCycle updates the ownership. If this node may issue orders as the
-// owner, it starts the planned orders and the due queries of engine states,
-// sends changed engine states and returns true.
+// runOwnerCycle updates the ownership. If this node's term as the owner has begun, it starts the
+// due queries of engine states and, if it may issue orders, the planned orders, sends changed
+// engine states and returns true.
 func (n *Node) runOwnerCycle(ctx context.Context) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -69,23 +69,39 @@
 	if !n.lease.IsRetained(uptime) {
 		n.Hub.Close()
 	}
-	if !mayOrder {
+	if _, hasBegun := n.lease.Term(uptime); !hasBegun {
 		return false
 	}
 	n.planner.RecordDemand(now, n.Name, n.Demand.TakeChanges(now))
+	if mayOrder {
+		n.beginOrders(now, uptime)
+	}
 	for _, s := range n.planner.DuePolls(now) {
 		go n.queryEngineState(ctx, s)
 	}
-	for _, o := range n.planner.PlanOrders(now) {
-		// An order that has started is not cancelled at shutdown: the engine may carry it out.
-		go n.sendOrder(context.WithoutCancel(ctx), o, fence)
+	if mayOrder {
+		for _, o := range n.planner.PlanOrders(now) {
+			// An order that has started is not cancelled at shutdown: the engine may carry it out.
+			go n.sendOrder(context.WithoutCancel(ctx), o, fence)
+		}
 	}
 	n.sendEngineStates(now, n.lease.IsRenewalLate(uptime))
 	return true
 }
 
-// updateOwnership starts this node's term as the owner when it may issue orders under a new
-// fencing token, and ends it when it does not retain the lease. A lease that has only expired ends
+// beginOrders makes the owner query the engine states again before its first order under a fencing
+// token: with a LeaseBound, the previous owner may have issued orders after this node's term began.
+// The caller holds mu.
+func (n *Node) beginOrders(now time.Time, uptime time.Duration) {
+	if n.LeaseBound == 0 || n.fence == n.orderFence {
+		return
+	}
+	n.orderFence = n.fence
+	n.planner.BeginOrders(now, now.Add(n.lease.PredecessorEnd()-uptime))
+}
+
+// updateOwnership starts this node's term as the owner when the term of the lease begins under a
+// new fencing token, and ends it when it does not retain the lease. A lease that has only expired ends
 // no term: the links, the demand and the engine states are still of use when it is granted again.
 // The caller holds mu.
 func (n *Node) updateOwnership(now time.Time, uptime time.Duration) {
@@ -94,8 +110,8 @@
 		n.endTerm()
 		return
 	}
-	fence, mayOrder := n.lease.Fence(uptime)
-	if !mayOrder || fence == n.fence {
+	fence, hasBegun := n.lease.Term(uptime)
+	if !hasBegun || fence == n.fence {
 		return
 	}
 	n.fence = fence
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -36,6 +36,12 @@
 // TimeToLive/lateRenewalDivisor is left of the lease.
 const lateRenewalDivisor = 3
 
+// orderWindowDivisor sets how long a holder with a LeaseBound may issue orders after the last
+// renewal that succeeded was sent: TimeToLive/orderWindowDivisor, which is two intervals between
+// renewals. A new holder has to wait for as long, because the former one may not know yet that it
+// has lost the shard.
+const orderWindowDivisor = 2
+
 // Lease is one node's lease on one shard. The zero Lease is not held. It is not
 // safe for concurrent use.
 type Lease struct {
@@ -45,6 +51,10 @@
 	// FirstOrderDelay is how long a new holder waits before its first order. It separates the
 	// orders of two successive holders.
 	FirstOrderDelay time.Duration
+	// LeaseBound is the least time between the last order of a holder and the first order of the
+	// next. FirstOrderDelay then is the longest time that an order is in flight. It is needed
+	// where the servers check no fencing tokens; 0 if there is no such bound.
+	LeaseBound time.Duration
 	// ServersCheckFences means that the backend servers reject orders with an old fencing
 	// token. The holder then keeps its lease while it cannot reach the store: as soon as
 	// there is a newer holder, the servers reject the orders of this one.
@@ -56,10 +66,13 @@
 	// lease is invalidated. The lease can be expired nevertheless.
 	held  bool
 	fence domain.Fence
-	// acquiredAt is when the grant was received that started the settle time. expiresAt is
-	// when the lease expires unless it is renewed.
-	acquiredAt time.Duration
-	expiresAt  time.Duration
+	// firstOrderAt is the end of the settle time, and no other node issues an order after
+	// predecessorEnd. renewedAt is when the last call was sent to
+	// which the store responded with the shard. expiresAt is when the lease expires unless it is
+	// renewed.
+	firstOrderAt, predecessorEnd time.Duration
+	renewedAt                    time.Duration
+	expiresAt                    time.Duration
 }
 
 // Generation returns the last generation received, which the node sends with the next
@@ -79,13 +92,42 @@
 		return
 	}
 	if !l.held || l.isExpiredGrant(sentAt, receivedAt) {
+		l.predecessorEnd = receivedAt
+		if !l.isLastToOrder(receivedAt) {
+			l.predecessorEnd = receivedAt + l.orderWindow()
+			l.firstOrderAt = receivedAt + l.settleTime()
+		}
 		l.held = true
-		l.acquiredAt = receivedAt
 		l.fence = domain.Fence(g.Generation)
 	}
+	l.renewedAt = sentAt
 	l.expiresAt = sentAt + l.TimeToLive - l.TimeToLive/expiryMarginDivisor
 }
 
+// orderWindow is how long after the sending of a renewal the holder may issue orders.
+func (l *Lease) orderWindow() time.Duration {
+	if l.LeaseBound == 0 {
+		return l.TimeToLive - l.TimeToLive/expiryMarginDivisor
+	}
+	return l.TimeToLive / orderWindowDivisor
+}
+
+// settleTime is the time between a grant and the first order.
+func (l *Lease) settleTime() time.Duration {
+	if l.LeaseBound == 0 {
+		return l.FirstOrderDelay
+	}
+	return l.orderWindow() + l.FirstOrderDelay + l.LeaseBound
+}
+
+// isLastToOrder reports whether no other node can have issued an order since this one last could,
+// so that a grant received at receivedAt starts no settle time. A node that got the shard after
+// renewedAt had to wait for the settle time, and lost the shard before receivedAt.
+func (l *Lease) isLastToOrder(receivedAt time.Duration) bool {
+	isSettled := l.fence != 0 && l.renewedAt >= l.firstOrderAt
+	return l.LeaseBound > 0 && isSettled && receivedAt+l.orderWindow() < l.renewedAt+l.settleTime()
+}
+
 // isExpiredGrant reports whether the lease expired before the store handled a renewal. If the
 // servers do not check fencing tokens, it also does so where the lease may have expired: the
 // store may have granted the shard to another holder meanwhile.
@@ -105,18 +147,35 @@
 	}
 }
 
-// Invalidate ends the lease. It is called after a server rejected the fencing token.
-func (l *Lease) Invalidate() { l.held = false }
+// Invalidate ends the lease. It is called after a server rejected the fencing token, and before
+// the node leaves the group.
+func (l *Lease) Invalidate() { l.held, l.fence = false, 0 }
 
 // Fence returns the fencing token for an order that is issued at now, and whether the
 // order is permitted.
 func (l *Lease) Fence(now time.Duration) (domain.Fence, bool) {
-	if !l.held || now >= l.expiresAt || now < l.acquiredAt+l.FirstOrderDelay {
+	if !l.held || now >= l.expiresAt || now < l.firstOrderAt {
+		return 0, false
+	}
+	if l.LeaseBound > 0 && now >= l.renewedAt+l.orderWindow() {
 		return 0, false
 	}
 	return l.fence, true
 }
 
+// Term returns the fencing token of the holder's term, and whether the term has begun. With a
+// LeaseBound, it begins with the grant, so that the long settle time is of use for what needs no
+// order.
+func (l *Lease) Term(now time.Duration) (domain.Fence, bool) {
+	if l.LeaseBound > 0 && l.IsHeld(now) {
+		return l.fence, true
+	}
+	return l.Fence(now)
+}
+
+// PredecessorEnd returns when the last order of an earlier term was issued at the latest.
+func (l *Lease) PredecessorEnd() time.Duration { return l.predecessorEnd }
+
 // IsHeld reports whether the node holds the shard at now, also while the settle time has
 // not passed.
 func (l *Lease) IsHeld(now time.Duration) bool { return l.held && now < l.expiresAt }
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -39,12 +39,16 @@
 
 // BeginTerm starts a term of this node as owner. The effects of orders from earlier terms
 // are unknown until the servers report.
-func (p *Planner) BeginTerm(now time.Time) {
+func (p *Planner) BeginTerm(now time.Time) { p.BeginOrders(now, now) }
+
+// BeginOrders begins the time of a term in which this node may issue orders. The previous owner
+// issued none after predecessorEnd.
+func (p *Planner) BeginOrders(now, predecessorEnd time.Time) {
 	for _, v := range p.engines {
 		v.confirmed, v.pendingOrder, v.runningOrder = false, nil, nil
 		v.nextPoll = now
 	}
-	p.storeLoads.reset(now)
+	p.storeLoads.reset(predecessorEnd)
 }
 
 // EndTerm ends the term of this node as owner. It discards the demand, which the nodes
