placement: order adapters only within the memory of an engine

Cause: placeAdapter looked at the adapter slots and not at the memory. Change: an adapter is ordered only where a slot and memory for it are free. Otherwise an idle adapter is unloaded first, or, if there is none and memory is short, a model whose eviction costs little. TestUnknownOutcomeBlocksOtherOrders calls the moved freeMemory, its check is unchanged.

--- a/placement/account.go
+++ b/placement/account.go
@@ -311,42 +311,21 @@
 	return v.pollInFlight || !v.nextPoll.IsZero() && v.nextPoll.Sub(now) <= pollInterval
 }
 
-// loadingMemory returns the memory of the model that the server is ordered to load.
-func (v *engineView) loadingMemory(e *fleet.Engine) domain.Bytes {
-	o := v.runningOrder
-	if o == nil {
-		o = v.pendingOrder
-	}
-	if o == nil || o.Operation != Load || o.Adapter != "" {
-		return 0
-	}
-	return e.Models[o.Model].Memory
-}
-
-// freeMemory returns the memory of the engine that is not used by the loaded models, by
-// model loads with an unknown outcome or by the adapter reserve.
-func (v *engineView) freeMemory(e *fleet.Engine) domain.Bytes {
-	free := e.Memory - e.AdapterReserve
-	for _, loaded := range v.state.Models {
-		free -= e.Models[loaded.Model].Memory
-	}
-	for _, u := range v.unresolvedOrders {
-		if u.order.Operation == Load && u.order.Adapter == "" {
-			free -= e.Models[u.order.Model].Memory
-		}
-	}
-	return free
-}
-
 // usedAdapterSlots returns the number of adapters that are loaded or being loaded.
 func (v *engineView) usedAdapterSlots() int {
 	n := 0
 	for _, loaded := range v.state.Models {
-		n += len(loaded.Adapters)
-		for _, a := range loaded.LoadingAdapters {
-			if !slices.Contains(loaded.Adapters, a) {
-				n++
-			}
+		n += usedAdapterSlots(loaded)
+	}
+	return n
+}
+
+// usedAdapterSlots returns the number of adapters of a model that are loaded or being loaded.
+func usedAdapterSlots(m fleet.LoadedModel) int {
+	n := len(m.Adapters)
+	for _, a := range m.LoadingAdapters {
+		if !slices.Contains(m.Adapters, a) {
+			n++
 		}
 	}
 	return n
--- /dev/null
+++ b/placement/memory_test.go
@@ -0,0 +1,97 @@
+package placement
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/parsleylug/parsleylug/domain"
+	"github.com/parsleylug/parsleylug/fleet"
+)
+
+// newMemoryCluster returns a cluster of one engine that has models loaded which the platform placed
+// at its start, and whose orders are checked against its memory by the given sizes.
+func newMemoryCluster(t *testing.T, memory domain.Bytes, sizes map[domain.ModelName]domain.Bytes, loaded ...domain.ModelName) *testCluster {
+	t.Helper()
+	cl := newTestCluster(t, 1)
+	cl.configure(memory, sizes)
+	engine := cl.engines["i00"]
+	for _, m := range loaded {
+		engine.Models = append(engine.Models, fleet.LoadedModel{Model: m})
+	}
+	cl.respond = func(o Order) Outcome {
+		if used := usedMemory(engine, sizes) + orderedMemory(o, sizes); used > memory {
+			t.Errorf("%v %s/%s: got %d bytes in use, want %d at most", o.Operation, o.Model, o.Adapter, used, memory)
+		}
+		return Accepted
+	}
+	cl.planner.BeginTerm(cl.now)
+	cl.advance(0)
+	return cl
+}
+
+const testAdapterMemory = gigabyte / 10
+
+// configure lists models with their sizes, which have adapters of 0.1 GB.
+func (cl *testCluster) configure(memory domain.Bytes, sizes map[domain.ModelName]domain.Bytes, without ...domain.ModelName) {
+	e := &fleet.Engine{Slots: 64, Memory: memory, AdapterSlots: 8, LoadsPerSecond: 4.5, Models: map[domain.ModelName]fleet.Model{}}
+	for name, size := range sizes {
+		if !slices.Contains(without, name) {
+			e.Models[name] = fleet.Model{Name: name, Memory: size, DiskLoadTime: time.Second, StoreLoadTime: time.Second, MemoryLoadTime: time.Second, AdapterMemory: testAdapterMemory}
+		}
+	}
+	c := &fleet.Configuration{Services: map[domain.ServiceName]fleet.Service{"s": {Name: "s", Engine: e}}}
+	c.Index()
+	cl.planner.Configure(c)
+}
+
+func usedMemory(s *fleet.EngineState, sizes map[domain.ModelName]domain.Bytes) domain.Bytes {
+	var used domain.Bytes
+	for _, m := range s.Models {
+		used += sizes[m.Model] + domain.Bytes(len(m.Adapters))*testAdapterMemory
+	}
+	return used
+}
+
+func orderedMemory(o Order, sizes map[domain.ModelName]domain.Bytes) domain.Bytes {
+	switch {
+	case o.Operation == Unload:
+		return 0
+	case o.Adapter != "":
+		return testAdapterMemory
+	}
+	return sizes[o.Model]
+}
+
+// request makes a request wait for an adapter, and run once it is loaded.
+func (cl *testCluster) requestAdapter(m domain.ModelName, a domain.AdapterName) (loaded bool) {
+	k := ModelKey{Service: "s", Model: m, Adapter: a}
+	cl.planner.RecordDemand(cl.now, "n", []Demand{{ModelKey: k, Waiting: 1, Arrivals: 1}})
+	cl.advance(2 * time.Second)
+	cl.planner.RecordDemand(cl.now, "n", []Demand{{ModelKey: k}})
+	state, _ := cl.engines["i00"].Find(m)
+	return state.HasAdapter(a)
+}
+
+// Guards against LIMIT: where models that the platform placed leave little memory, adapters were
+// ordered beyond it, and the engine crashed.
+func TestAdaptersStayWithinMemory(t *testing.T) {
+	sizes := map[domain.ModelName]domain.Bytes{"m0": 100 * gigabyte, "m1": 100*gigabyte - 2*testAdapterMemory}
+	cl := newMemoryCluster(t, 200*gigabyte, sizes, "m0", "m1")
+	for _, a := range []domain.AdapterName{"a0", "a1", "a2"} {
+		if !cl.requestAdapter("m0", a) {
+			t.Errorf("adapter %s is not loaded", a)
+		}
+		cl.advance(time.Second)
+	}
+}
+
+// Guards against requests that wait in vain: without room for a single adapter, an idle model has to
+// make room.
+func TestIdleModelMakesRoomForAnAdapter(t *testing.T) {
+	sizes := map[domain.ModelName]domain.Bytes{"m0": 100 * gigabyte, "m1": 100 * gigabyte}
+	cl := newMemoryCluster(t, 200*gigabyte, sizes, "m0", "m1")
+	if !cl.requestAdapter("m0", "a0") {
+		t.Error("the adapter is not loaded")
+	}
+}
--- a/placement/place.go
+++ b/placement/place.go
@@ -32,9 +32,6 @@
 	// requests on that server, and the server loads no adapter during the load of the
 	// model.
 	utilizationCost = 1.5
-	// minAdapterIdleTime is how long an adapter stays loaded after its last request
-	// before another adapter can replace it.
-	minAdapterIdleTime = 500 * time.Millisecond
 )
 
 // plan is a way to load a model on one server; victims are the models to evict first.
@@ -104,7 +101,7 @@
 			continue
 		}
 		k := ModelKey{Service: v.server.Service, Model: m.Name}
-		victims, _, ok := p.selectVictims(now, v, e, m.Memory-v.freeMemory(e), need{key: k, waitingRequests: max(1, p.demands.total(k).waiting)})
+		victims, _, ok := p.selectVictims(now, v, e, m.Memory-p.freeMemory(v, e), need{key: k, waitingRequests: max(1, p.demands.total(k).waiting)})
 		if !ok {
 			v.reservedModel = ""
 			continue
@@ -131,7 +128,7 @@
 		if t == fleet.InStore && !p.canLoadFromStore(now, e) || n.isPrewarm && !p.canPrewarm(now, e) {
 			continue
 		}
-		victims, cost, ok := p.selectVictims(now, v, e, m.Memory-v.freeMemory(e)+v.loadingMemory(e), n)
+		victims, cost, ok := p.selectVictims(now, v, e, m.Memory-p.freeMemory(v, e)+p.loadingMemory(v, e), n)
 		if !ok || n.isPrewarm && cost > maxCostWithoutWaiters {
 			continue
 		}
@@ -191,7 +188,9 @@
 	}
 	candidates := make([]evictionCandidate, 0, len(v.state.Models))
 	for _, loaded := range v.state.Models {
-		candidates = append(candidates, p.evictionCandidate(now, v, e, loaded.Model))
+		if loaded.Model != n.key.Model {
+			candidates = append(candidates, p.evictionCandidate(now, v, e, loaded.Model))
+		}
 	}
 	slices.SortFunc(candidates, func(a, b evictionCandidate) int {
 		return cmp.Or(cmp.Compare(a.costSeconds, b.costSeconds), a.lastUsedAt.Compare(b.lastUsedAt), cmp.Compare(a.model, b.model))
@@ -308,57 +307,3 @@
 	}
 	return hasCheckpoint
 }
-
-// placeAdapter issues the next order that leads to a loaded adapter. Of the servers that
-// have its model loaded, it selects the one with the fewest adapter slots in use. If all
-// slots there are in use, it unloads the least recently used adapter first.
-func (p *Planner) placeAdapter(now time.Time, n need, issue issueFunc) {
-	var best *engineView
-	e := p.engineConfig(n.key.Service)
-	for _, v := range p.engines {
-		if v.server.Service != n.key.Service || !v.canAcceptModelOrder() || len(v.loadingAdapters) >= maxLoadingAdapters {
-			continue
-		}
-		if _, ok := v.state.Find(n.key.Model); !ok {
-			continue
-		}
-		if best == nil || v.usedAdapterSlots() < best.usedAdapterSlots() ||
-			v.usedAdapterSlots() == best.usedAdapterSlots() && v.server.ID < best.server.ID {
-			best = v
-		}
-	}
-	if best == nil {
-		return
-	}
-	if best.usedAdapterSlots() < e.AdapterSlots {
-		issue(best, Order{Operation: Load, Model: n.key.Model, Adapter: n.key.Adapter})
-		return
-	}
-	if k, ok := p.leastRecentlyUsedAdapter(now, best); ok {
-		issue(best, Order{Operation: Unload, Model: k.Model, Adapter: k.Adapter})
-	}
-}
-
-// leastRecentlyUsedAdapter returns the idle adapter of a server that was not used for the
-// longest time, or false if no adapter has been idle for minAdapterIdleTime.
-func (p *Planner) leastRecentlyUsedAdapter(now time.Time, v *engineView) (ModelKey, bool) {
-	var oldest ModelKey
-	var oldestUse time.Time
-	found := false
-	for _, loaded := range v.state.Models {
-		for _, a := range loaded.Adapters {
-			k := ModelKey{Service: v.server.Service, Model: loaded.Model, Adapter: a}
-			if _, isLoading := v.loadingAdapters[k]; isLoading {
-				continue
-			}
-			t := p.demands.total(k)
-			if t.waiting > 0 || t.running > 0 || now.Sub(t.lastUsedAt) < minAdapterIdleTime {
-				continue
-			}
-			if !found || t.lastUsedAt.Before(oldestUse) {
-				oldest, oldestUse, found = k, t.lastUsedAt, true
-			}
-		}
-	}
-	return oldest, found
-}
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -293,7 +293,7 @@
 	cl.planner.RecordDemand(cl.now, "n", []Demand{{ModelKey: key("m1"), Waiting: 1, Arrivals: 1}})
 	cl.advance(500 * time.Millisecond)
 	v := cl.planner.engines["i00"]
-	freeMemory := v.freeMemory(cl.planner.engineConfig("s"))
+	freeMemory := cl.planner.freeMemory(v, cl.planner.engineConfig("s"))
 	if got, limit := freeMemory, 140*gigabyte; got > limit {
 		t.Errorf("free memory: got %d, want %d at most while the outcome of a load is unknown", got, limit)
 	}
