placement: loaded models that are no longer listed count their memory

Cause: the memory of a loaded model was looked up in the configuration in force, so that one which had left it counted nothing. Change: the planner keeps the sizes of models that former configurations listed while a server has them loaded. Models that no configuration listed since the node started count together with all memory that the others leave. Unlisted models that run nothing are the first to be unloaded when room is needed. The reports of the test cluster are copies now, as decoded ones are.

--- a/placement/memory_test.go
+++ b/placement/memory_test.go
@@ -95,3 +95,65 @@
 		t.Error("the adapter is not loaded")
 	}
 }
+
+// request makes a request wait for a model for a time, and reports whether it is loaded then.
+func (cl *testCluster) request(m domain.ModelName, d time.Duration) bool {
+	cl.planner.RecordDemand(cl.now, "n", []Demand{{ModelKey: key(m), Waiting: 1, Arrivals: 1}})
+	cl.advance(d)
+	cl.planner.RecordDemand(cl.now, "n", []Demand{{ModelKey: key(m)}})
+	return cl.replicas(m) > 0
+}
+
+// Guards against LIMIT: a loaded model that the configuration no longer lists counted no memory. It
+// is the first to make room, also before models that nobody asks for.
+func TestUnlistedModelCountsItsMemory(t *testing.T) {
+	sizes := map[domain.ModelName]domain.Bytes{"m0": 70 * gigabyte, "m1": 60 * gigabyte, "m2": 60 * gigabyte, "m3": 60 * gigabyte}
+	cl := newMemoryCluster(t, 200*gigabyte, sizes, "m0", "m1", "m2")
+	cl.configure(200*gigabyte, sizes, "m2")
+	if !cl.request("m3", 3*time.Second) {
+		t.Error("the requested model is not loaded")
+	}
+	if got, want := []int{cl.replicas("m0"), cl.replicas("m1"), cl.replicas("m2")}, []int{1, 1, 0}; !slices.Equal(got, want) {
+		t.Errorf("replicas of the other models: got %v, want %v", got, want)
+	}
+}
+
+// Guards against LIMIT: an owner that starts does not know the size of a model that was taken from the
+// configuration before. It may need all memory that the other models leave.
+func TestUnlistedModelOfUnknownSize(t *testing.T) {
+	sizes := map[domain.ModelName]domain.Bytes{"m0": 70 * gigabyte, "m1": 60 * gigabyte, "m2": 69 * gigabyte, "m3": 60 * gigabyte}
+	for name, unlisted := range map[string][]domain.ModelName{"one": {"m2"}, "two": {"m1", "m2"}} {
+		cl := newTestCluster(t, 1)
+		cl.planner = Planner{}
+		cl.configure(200*gigabyte, sizes, unlisted...)
+		cl.planner.SetServers(cl.now, cl.servers)
+		engine := cl.engines["i00"]
+		engine.Models = []fleet.LoadedModel{{Model: "m0"}, {Model: "m1"}, {Model: "m2"}}
+		cl.respond = func(o Order) Outcome {
+			if used := usedMemory(engine, sizes) + orderedMemory(o, sizes); used > 200*gigabyte {
+				t.Errorf("%s: %v %s/%s: got %d bytes in use, want %d at most", name, o.Operation, o.Model, o.Adapter, used, 200*gigabyte)
+			}
+			return Accepted
+		}
+		if !cl.request("m3", 3*time.Second) {
+			t.Errorf("%s: the requested model is not loaded", name)
+		}
+		if got, want := cl.replicas("m0"), 1; got != want {
+			t.Errorf("%s: replicas of the listed model: got %d, want %d", name, got, want)
+		}
+	}
+}
+
+// A model that requests still use is no better to unload than others.
+func TestUnlistedModelInUseStays(t *testing.T) {
+	sizes := map[domain.ModelName]domain.Bytes{"m0": 70 * gigabyte, "m1": 60 * gigabyte, "m2": 60 * gigabyte, "m3": 60 * gigabyte}
+	cl := newMemoryCluster(t, 200*gigabyte, sizes, "m0", "m1", "m2")
+	cl.planner.RecordDemand(cl.now, "n", []Demand{{ModelKey: key("m2"), Running: 1, Arrivals: 1}})
+	cl.configure(200*gigabyte, sizes, "m2")
+	if !cl.request("m3", 2500*time.Millisecond) {
+		t.Error("the requested model is not loaded")
+	}
+	if got, want := cl.replicas("m2"), 1; got != want {
+		t.Errorf("replicas of the model in use: got %d, want %d", got, want)
+	}
+}
--- a/placement/place.go
+++ b/placement/place.go
@@ -176,10 +176,12 @@
 	memory      domain.Bytes
 	costSeconds float64
 	lastUsedAt  time.Time
+	// isUseless is set on a model that the configuration does not list and that runs nothing.
+	isUseless bool
 }
 
 // selectVictims returns the models to evict from a server to free missingMemory, and the
-// total cost in seconds. It selects models with a low eviction cost first. It returns
+// total cost in seconds. It selects models that the configuration does not list first, and then those with a low eviction cost. It returns
 // false if the memory cannot be freed, or if no request waits for the model and the cost
 // is above maxCostWithoutWaiters.
 func (p *Planner) selectVictims(now time.Time, v *engineView, e *fleet.Engine, missingMemory domain.Bytes, n need) ([]domain.ModelName, float64, bool) {
@@ -193,7 +195,7 @@
 		}
 	}
 	slices.SortFunc(candidates, func(a, b evictionCandidate) int {
-		return cmp.Or(cmp.Compare(a.costSeconds, b.costSeconds), a.lastUsedAt.Compare(b.lastUsedAt), cmp.Compare(a.model, b.model))
+		return cmp.Or(-compareBool(a.isUseless, b.isUseless), cmp.Compare(a.costSeconds, b.costSeconds), a.lastUsedAt.Compare(b.lastUsedAt), cmp.Compare(a.model, b.model))
 	})
 	var victims []domain.ModelName
 	cost := 0.0
@@ -219,9 +221,12 @@
 	k := ModelKey{Service: v.server.Service, Model: m}
 	t := p.demands.total(k)
 	replicas := p.replicaCount(k)
-	c := evictionCandidate{model: m, memory: e.Models[m].Memory, lastUsedAt: t.lastUsedAt}
+	c := evictionCandidate{model: m, memory: p.loadedMemory(v, e, m), lastUsedAt: t.lastUsedAt}
+	_, isListed := e.Models[m]
 	rate := t.rateAt(now)
 	switch {
+	case !isListed && t.running == 0:
+		c.isUseless = true
 	case replicas <= 1:
 		c.costSeconds = 0.05 + rate*lastReplicaCost
 		if t.running+t.waiting > 0 {
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -28,6 +28,9 @@
 	config  *fleet.Configuration
 	engines map[domain.ServerID]*engineView
 	demands demandTable
+	// formerSizes holds the sizes of the listed models, and of loaded ones that a former
+	// configuration listed.
+	formerSizes map[ModelKey]modelSize
 	// replicaCounts is the number of engines that have each model or adapter loaded,
 	// recounted for each plan.
 	replicaCounts map[ModelKey]int
@@ -35,7 +38,10 @@
 }
 
 // Configure sets the current configuration.
-func (p *Planner) Configure(c *fleet.Configuration) { p.config = c }
+func (p *Planner) Configure(c *fleet.Configuration) {
+	p.recordSizes(c)
+	p.config = c
+}
 
 // BeginTerm starts a term of this node as owner. The effects of orders from earlier terms
 // are unknown until the servers report.
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -76,7 +77,9 @@
 	for end := cl.now.Add(d); ; cl.now = cl.now.Add(tick) {
 		cl.finishOrders()
 		for _, s := range cl.planner.DuePolls(cl.now) {
-			cl.planner.RecordReport(cl.now, cl.now, s.ID, *cl.engines[s.ID], nil)
+			report := *cl.engines[s.ID]
+			report.Models = slices.Clone(report.Models)
+			cl.planner.RecordReport(cl.now, cl.now, s.ID, report, nil)
 		}
 		for _, o := range cl.planner.PlanOrders(cl.now) {
 			cl.executeOrder(o)
