placement: a service may leave the configuration during a reservation

Cause: continueReservations took the engine configuration of a reserved server's service for granted. Change: the reservation ends if the service has no engine configuration.

--- a/placement/place.go
+++ b/placement/place.go
@@ -76,21 +76,21 @@
 }
 
 // continueReservations issues the next order on each reserved server. It removes a
-// reservation that has expired, or whose model is loaded, is no longer configured or
-// cannot get enough memory.
+// reservation that has expired, or whose service or model is no longer configured, or whose
+// model is loaded or cannot get enough memory.
 func (p *Planner) continueReservations(now time.Time, issue issueFunc) {
 	for _, v := range p.engines {
 		if v.reservedModel == "" {
 			continue
 		}
-		if now.After(v.reservedUntil) {
+		e := p.engineConfig(v.server.Service)
+		if e == nil || now.After(v.reservedUntil) {
 			v.reservedModel = ""
 			continue
 		}
 		if !v.canAcceptModelOrder() {
 			continue
 		}
-		e := p.engineConfig(v.server.Service)
 		m, ok := e.Models[v.reservedModel]
 		if _, isLoaded := v.state.Find(m.Name); isLoaded || !ok {
 			v.reservedModel = ""
