--- a/placement/account.go
+++ b/placement/account.go
@@ -216,10 +216,11 @@
 
 // addAdapter adds an adapter to a loaded model in the view.
 func (v *engineView) addAdapter(m domain.ModelName, a domain.AdapterName) {
+	// The old slices may be shared with a snapshot.
+	v.state.Models = slices.Clone(v.state.Models)
 	for i := range v.state.Models {
 		loaded := &v.state.Models[i]
 		if loaded.Model == m && !slices.Contains(loaded.Adapters, a) {
-			// The old slice may be shared with a snapshot.
 			loaded.Adapters = append(slices.Clone(loaded.Adapters), a)
 		}
 	}
