--- a/placement/memory_test.go
+++ b/placement/memory_test.go
@@ -11,17 +11,17 @@
 
 // newMemoryCluster returns a cluster of one engine that has models loaded which the platform placed
 // at its start, and whose orders are checked against its memory by the given sizes.
-func newMemoryCluster(t *testing.T, memory domain.Bytes, sizes map[domain.ModelName]domain.Bytes, loaded ...domain.ModelName) *testCluster {
+func newMemoryCluster(t *testing.T, sizes map[domain.ModelName]domain.Bytes, loaded ...domain.ModelName) *testCluster {
 	t.Helper()
 	cl := newTestCluster(t, 1)
-	cl.configure(memory, sizes)
+	cl.configure(sizes)
 	engine := cl.engines["i00"]
 	for _, m := range loaded {
 		engine.Models = append(engine.Models, fleet.LoadedModel{Model: m})
 	}
 	cl.respond = func(o Order) Outcome {
-		if used := usedMemory(engine, sizes) + orderedMemory(o, sizes); used > memory {
-			t.Errorf("%v %s/%s: got %d bytes in use, want %d at most", o.Operation, o.Model, o.Adapter, used, memory)
+		if used := usedMemory(engine, sizes) + orderedMemory(o, sizes); used > testMemory {
+			t.Errorf("%v %s/%s: got %d bytes in use, want %d at most", o.Operation, o.Model, o.Adapter, used, testMemory)
 		}
 		return Accepted
 	}
@@ -30,11 +30,14 @@
 	return cl
 }
 
-const testAdapterMemory = gigabyte / 10
+const (
+	testMemory        = 200 * gigabyte
+	testAdapterMemory = gigabyte / 10
+)
 
 // configure lists models with their sizes, which have adapters of 0.1 GB.
-func (cl *testCluster) configure(memory domain.Bytes, sizes map[domain.ModelName]domain.Bytes, without ...domain.ModelName) {
-	e := &fleet.Engine{Slots: 64, Memory: memory, AdapterSlots: 8, LoadsPerSecond: 4.5, Models: map[domain.ModelName]fleet.Model{}}
+func (cl *testCluster) configure(sizes map[domain.ModelName]domain.Bytes, without ...domain.ModelName) {
+	e := &fleet.Engine{Slots: 64, Memory: testMemory, AdapterSlots: 8, LoadsPerSecond: 4.5, Models: map[domain.ModelName]fleet.Model{}}
 	for name, size := range sizes {
 		if !slices.Contains(without, name) {
 			e.Models[name] = fleet.Model{Name: name, Memory: size, DiskLoadTime: time.Second, StoreLoadTime: time.Second, MemoryLoadTime: time.Second, AdapterMemory: testAdapterMemory}
@@ -77,7 +80,7 @@
 // ordered beyond it, and the engine crashed.
 func TestAdaptersStayWithinMemory(t *testing.T) {
 	sizes := map[domain.ModelName]domain.Bytes{"m0": 100 * gigabyte, "m1": 100*gigabyte - 2*testAdapterMemory}
-	cl := newMemoryCluster(t, 200*gigabyte, sizes, "m0", "m1")
+	cl := newMemoryCluster(t, sizes, "m0", "m1")
 	for _, a := range []domain.AdapterName{"a0", "a1", "a2"} {
 		if !cl.requestAdapter("m0", a) {
 			t.Errorf("adapter %s is not loaded", a)
@@ -90,7 +93,7 @@
 // make room.
 func TestIdleModelMakesRoomForAnAdapter(t *testing.T) {
 	sizes := map[domain.ModelName]domain.Bytes{"m0": 100 * gigabyte, "m1": 100 * gigabyte}
-	cl := newMemoryCluster(t, 200*gigabyte, sizes, "m0", "m1")
+	cl := newMemoryCluster(t, sizes, "m0", "m1")
 	if !cl.requestAdapter("m0", "a0") {
 		t.Error("the adapter is not loaded")
 	}
@@ -108,8 +111,8 @@
 // is the first to make room, also before models that nobody asks for.
 func TestUnlistedModelCountsItsMemory(t *testing.T) {
 	sizes := map[domain.ModelName]domain.Bytes{"m0": 70 * gigabyte, "m1": 60 * gigabyte, "m2": 60 * gigabyte, "m3": 60 * gigabyte}
-	cl := newMemoryCluster(t, 200*gigabyte, sizes, "m0", "m1", "m2")
-	cl.configure(200*gigabyte, sizes, "m2")
+	cl := newMemoryCluster(t, sizes, "m0", "m1", "m2")
+	cl.configure(sizes, "m2")
 	if !cl.request("m3", 3*time.Second) {
 		t.Error("the requested model is not loaded")
 	}
@@ -125,13 +128,13 @@
 	for name, unlisted := range map[string][]domain.ModelName{"one": {"m2"}, "two": {"m1", "m2"}} {
 		cl := newTestCluster(t, 1)
 		cl.planner = Planner{}
-		cl.configure(200*gigabyte, sizes, unlisted...)
+		cl.configure(sizes, unlisted...)
 		cl.planner.SetServers(cl.now, cl.servers)
 		engine := cl.engines["i00"]
 		engine.Models = []fleet.LoadedModel{{Model: "m0"}, {Model: "m1"}, {Model: "m2"}}
 		cl.respond = func(o Order) Outcome {
-			if used := usedMemory(engine, sizes) + orderedMemory(o, sizes); used > 200*gigabyte {
-				t.Errorf("%s: %v %s/%s: got %d bytes in use, want %d at most", name, o.Operation, o.Model, o.Adapter, used, 200*gigabyte)
+			if used := usedMemory(engine, sizes) + orderedMemory(o, sizes); used > testMemory {
+				t.Errorf("%s: %v %s/%s: got %d bytes in use, want %d at most", name, o.Operation, o.Model, o.Adapter, used, testMemory)
 			}
 			return Accepted
 		}
@@ -147,9 +150,9 @@
 // A model that requests still use is no better to unload than others.
 func TestUnlistedModelInUseStays(t *testing.T) {
 	sizes := map[domain.ModelName]domain.Bytes{"m0": 70 * gigabyte, "m1": 60 * gigabyte, "m2": 60 * gigabyte, "m3": 60 * gigabyte}
-	cl := newMemoryCluster(t, 200*gigabyte, sizes, "m0", "m1", "m2")
+	cl := newMemoryCluster(t, sizes, "m0", "m1", "m2")
 	cl.planner.RecordDemand(cl.now, "n", []Demand{{ModelKey: key("m2"), Running: 1, Arrivals: 1}})
-	cl.configure(200*gigabyte, sizes, "m2")
+	cl.configure(sizes, "m2")
 	if !cl.request("m3", 2500*time.Millisecond) {
 		t.Error("the requested model is not loaded")
 	}
--- a/placement/reservation_test.go
+++ b/placement/reservation_test.go
@@ -12,7 +12,7 @@
 // configuration while a server was reserved.
 func TestServiceLeavesDuringAReservation(t *testing.T) {
 	sizes := map[domain.ModelName]domain.Bytes{"m0": 70 * gigabyte, "m1": 60 * gigabyte, "m2": 60 * gigabyte, "m3": 60 * gigabyte}
-	cl := newMemoryCluster(t, 200*gigabyte, sizes, "m0", "m1", "m2")
+	cl := newMemoryCluster(t, sizes, "m0", "m1", "m2")
 	cl.planner.RecordDemand(cl.now, "n", []Demand{{ModelKey: key("m3"), Waiting: 1, Arrivals: 1}})
 	cl.advance(0)
 	if got, want := cl.planner.engines["i00"].reservedModel, domain.ModelName("m3"); got != want {
--- a/placement/snapshot_test.go
+++ b/placement/snapshot_test.go
@@ -10,7 +10,7 @@
 // without the lock of the owner.
 func TestSnapshotDoesNotChange(t *testing.T) {
 	sizes := map[domain.ModelName]domain.Bytes{"m0": 70 * gigabyte, "m1": 60 * gigabyte}
-	cl := newMemoryCluster(t, 200*gigabyte, sizes, "m0", "m1")
+	cl := newMemoryCluster(t, sizes, "m0", "m1")
 	snapshot := cl.planner.Snapshot()["i00"]
 	k := key("m0")
 	k.Adapter = "a0"
