httponce: no request without a body is sent a second time

Cause: the transport of net/http sends a request without a body again after a lost response on a kept connection, if its method is GET, HEAD, OPTIONS or TRACE or if it has the header Idempotency-Key or X-Idempotency-Key. The body of TestRequestIsNeverReplayed moved to checkNoReplay; it also requires now that the server gets no transfer encoding.

--- a/httponce/client_test.go
+++ b/httponce/client_test.go
@@ -46,7 +46,7 @@
 			return
 		}
 		io.Copy(io.Discard, r.Body)
-		if r.URL.Path == "/counted" && r.Header.Get("Idempotency-Key") == "k" {
+		if r.URL.Path == "/counted" && r.Header.Get("Idempotency-Key")+r.Header.Get("X-Idempotency-Key") == "k" && len(r.TransferEncoding) == 0 {
 			countedRequests.Add(1)
 		}
 		if n == 0 {
@@ -68,30 +68,47 @@
 func TestRequestIsNeverReplayed(t *testing.T) {
 	for _, method := range []string{"POST", "PUT", "DELETE", "GET"} {
 		for _, body := range []string{"", "frame 12"} {
-			t.Run(method+" "+body, func(t *testing.T) {
-				var countedRequests atomic.Int64
-				address := droppingServer(t, &countedRequests)
-				pooled := &Client{HTTP: &http.Client{Transport: &http.Transport{}}}
-				first, err := pooled.Do(request(t, method, "http://"+address+"/first", body))
-				if err != nil {
-					t.Fatal(err)
-				}
-				first.Body.Close()
-				_, err = pooled.Do(request(t, method, "http://"+address+"/counted", body))
-				if err == nil {
-					t.Fatal("got a response, want an error")
-				}
-				if got, want := verdict.Of(err).Verdict, verdict.MayHaveRun; got != want {
-					t.Errorf("got verdict %v, want %v", got, want)
-				}
-				if got, want := countedRequests.Load(), int64(1); got != want {
-					t.Errorf("got %d requests at the server, want %d", got, want)
-				}
-			})
+			t.Run(method+" "+body, func(t *testing.T) { checkNoReplay(t, method, body, "Idempotency-Key") })
 		}
 	}
 }
 
+// Guards against TWICE: net/http also sends a request without a body again if it has the header
+// X-Idempotency-Key, or if its method is HEAD, OPTIONS or TRACE.
+func TestRequestWithoutBodyIsNeverReplayed(t *testing.T) {
+	for _, method := range []string{"POST", "PUT", "PATCH", "DELETE", "GET", "HEAD", "OPTIONS", "TRACE", "PROPFIND", "BOOK"} {
+		for _, header := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
+			t.Run(method+" "+header, func(t *testing.T) { checkNoReplay(t, method, "", header) })
+		}
+	}
+}
+
+// checkNoReplay checks that a request reaches a server once which closes a kept connection instead of
+// responding to it.
+func checkNoReplay(t *testing.T, method, body, header string) {
+	t.Helper()
+	var countedRequests atomic.Int64
+	address := droppingServer(t, &countedRequests)
+	pooled := &Client{HTTP: &http.Client{Transport: &http.Transport{}}}
+	first, err := pooled.Do(request(t, method, "http://"+address+"/first", body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	first.Body.Close()
+	counted := request(t, method, "http://"+address+"/counted", body)
+	counted.Header = http.Header{header: {"k"}}
+	_, err = pooled.Do(counted)
+	if err == nil {
+		t.Fatal("got a response, want an error")
+	}
+	if got, want := verdict.Of(err).Verdict, verdict.MayHaveRun; got != want {
+		t.Errorf("got verdict %v, want %v", got, want)
+	}
+	if got, want := countedRequests.Load(), int64(1); got != want {
+		t.Errorf("got %d requests at the server, want %d", got, want)
+	}
+}
+
 func TestDefaultTransportReplays(t *testing.T) {
 	var countedRequests atomic.Int64
 	address := droppingServer(t, &countedRequests)
@@ -231,3 +248,25 @@
 		response.Body.Close()
 	}
 }
+
+// Guards against a change of the request by what keeps the transport from sending it again.
+func TestRequestWithoutBodyIsSentAsIs(t *testing.T) {
+	for method, want := range map[string]string{
+		"GET":   "GET /a HTTP/1.1\r\nHost: h\r\nUser-Agent: \r\nx-idempotency-key: k\r\n\r\n",
+		"TRACE": "TRACE /a HTTP/1.1\r\nHost: h\r\nUser-Agent: \r\nx-idempotency-key: k\r\n\r\n",
+		"POST":  "POST /a HTTP/1.1\r\nHost: h\r\nUser-Agent: \r\nContent-Length: 0\r\nx-idempotency-key: k\r\n\r\n",
+	} {
+		r, err := http.NewRequestWithContext(t.Context(), method, "http://h/a", http.NoBody)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Header = http.Header{"X-Idempotency-Key": {"k"}, "User-Agent": {" "}}
+		var sent strings.Builder
+		if err := singleUse(r).Write(&sent); err != nil {
+			t.Fatal(err)
+		}
+		if got := sent.String(); got != want {
+			t.Errorf("%s: got %q, want %q", method, got, want)
+		}
+	}
+}
