fleet: servers that drained before they left are no sign of an outage

Cause: the directory counted the removals of all servers of the last 2 s when it looked for an outage of the store, also of those that had registered as draining. Change: removals of servers that drained before do not count.

--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -10,8 +10,9 @@
 	// reregistrationWindow is the time that servers have to register again after an
 	// outage of the store in which their registrations expired.
 	reregistrationWindow = 2 * time.Second
-	// massRemovalShare is the smallest share of the registrations whose removal within
-	// reregistrationWindow indicates an outage of the store and not servers that leave.
+	// massRemovalShare is the smallest share of the registrations, those of removed servers
+	// included, whose removal within reregistrationWindow indicates an outage of the store and not
+	// servers that leave.
 	massRemovalShare = 0.34
 	// removalRetention is how long the directory keeps the entry of a removed server.
 	removalRetention = time.Minute
@@ -176,14 +177,14 @@
 }
 
 // isStoreOutageLikely reports whether an outage of the store is the likely cause of the
-// recent removals.
+// recent removals. Servers that drained before leave for another reason.
 func (d *Directory) isStoreOutageLikely(now time.Time) bool {
 	if !d.storeFailedAt.IsZero() && now.Sub(d.storeFailedAt) < reregistrationWindow {
 		return true
 	}
 	recentRemovals := 0
 	for _, e := range d.entries {
-		if !e.removedAt.IsZero() && now.Sub(e.removedAt) < reregistrationWindow {
+		if !e.removedAt.IsZero() && !e.isDraining && now.Sub(e.removedAt) < reregistrationWindow {
 			recentRemovals++
 		}
 	}
--- a/fleet/directory_test.go
+++ b/fleet/directory_test.go
@@ -108,3 +108,34 @@
 		}
 	}
 }
+
+// Guards against DRAIN: a quarter of the servers drained and was removed, and as it was gone a second
+// quarter was removed without draining. The directory took both for an outage of the store and kept
+// the second one.
+func TestRemovalOfDrainedServersIsNoOutage(t *testing.T) {
+	var d Directory
+	ids := []domain.ServerID{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"}
+	offset := domain.Offset(0)
+	apply := func(at time.Duration, change func(domain.ServerID, domain.Offset) Change, ids ...domain.ServerID) {
+		for _, id := range ids {
+			offset++
+			d.Apply(start.Add(at), []Change{change(id, offset)})
+		}
+	}
+	apply(0, readyChange, ids...)
+	apply(time.Second, func(id domain.ServerID, o domain.Offset) Change {
+		c := readyChange(id, o)
+		c.Server.State = Draining
+		return c
+	}, ids[:3]...)
+	apply(4*time.Second, removalChange, ids[:3]...)
+	apply(4100*time.Millisecond, removalChange, ids[3:6]...)
+	if got, want := countUsable(&d, start.Add(4100*time.Millisecond)), 6; got != want {
+		t.Errorf("usable: got %d, want %d", got, want)
+	}
+	// The rest is gone at once: no scaling in explains that.
+	apply(10*time.Second, removalChange, ids[6:]...)
+	if got, want := countUsable(&d, start.Add(10*time.Second)), 6; got != want {
+		t.Errorf("usable after an outage: got %d, want %d", got, want)
+	}
+}
