serverload: estimate which prompt parts servers have cached

Change: by server, the leading parts of prompts with their last use and the tokens read since; Draw considers the best server with a cached beginning and, where none is known, the home of the prompt by rendezvous hashing; both only below half of the slots and memory. The tests of serverload pass.

--- a/serverload/estimate.go
+++ b/serverload/estimate.go
@@ -46,6 +46,7 @@
 	Prompt, Size domain.Tokens
 	// CacheTokens is the memory of one server of the service in tokens, 0 if it is unknown.
 	CacheTokens domain.Tokens
+	Prefixes    Prefixes
 }
 
 // Estimate is the estimated delay of a request at a server as the sum of its terms.
@@ -93,7 +94,7 @@
 }
 
 // HasRoom reports whether the server has a free slot and enough free memory for a request.
-func (s State) HasRoom(r Request) bool {
+func (s State) HasRoom(r *Request) bool {
 	if s.IsFull || s.Requests >= float64(s.Slots) {
 		return false
 	}
@@ -102,7 +103,7 @@
 
 // FreeCapacity returns the rate of requests that the server can take beyond its present ones,
 // relative to that of one slot at the usual pace. It is positive also if the server is full.
-func (s State) FreeCapacity(r Request) float64 {
+func (s State) FreeCapacity(r *Request) float64 {
 	const least = 0.25
 	return max(least, float64(s.Slots)-s.InUse(r.CacheTokens)) / s.Pace
 }
@@ -118,7 +119,7 @@
 
 // Estimate estimates the delay of a request at a server at the given distance that has a number of
 // its prompt tokens cached.
-func (t *Table) Estimate(s State, r Request, cached domain.Tokens, distance time.Duration) Estimate {
+func (t *Table) Estimate(s State, r *Request, cached domain.Tokens, distance time.Duration) Estimate {
 	service := t.service(r.Service)
 	full := max(minimumFullServerCost, time.Duration(fullServerShare*float64(service.meanServiceTime())))
 	share := min(1, s.InUse(r.CacheTokens)/float64(s.Slots))
@@ -128,69 +129,81 @@
 	return e
 }
 
+// Candidate is a server that a Draw considers.
+type Candidate struct {
+	Index int
+	// Rank goes before everything else; the lowest is chosen.
+	Rank int
+	// Weight is positive.
+	Weight   float64
+	Estimate Estimate
+	// Cached is the number of prompt tokens that the server has probably cached. MayPreferCache is
+	// true if it may be chosen for them.
+	Cached         domain.Tokens
+	MayPreferCache bool
+	// HomeOrder orders the servers by how probably other nodes send them prompts with the same
+	// beginning; the lowest first. It is 0 if the prompt has no part that others share.
+	HomeOrder uint64
+}
+
 // Draw chooses one of the servers that it is given one after the other: it draws two at random in
 // proportion to their weights, among those of the lowest rank, and takes the second one if its
-// estimate is lower by minimumGain. Nodes that have the same view thus choose different servers. The zero Draw is ready for
-// use.
+// estimate is lower by minimumGain. Nodes that have the same view thus choose different servers. The
+// zero Draw is ready for use.
 type Draw struct {
-	rank int
-	// first and second have the lowest keys so far, cached has the most cached tokens.
-	first, second, cached drawn
+	// first and second have the lowest keys so far. Of those that may be preferred for their cache,
+	// cached has the lowest estimate and home comes first in the HomeOrder.
+	first, second, cached, home drawn
 }
 
 // drawn is one server in a Draw. The zero drawn is none.
 type drawn struct {
-	isSet    bool
-	index    int
-	key      float64
-	cached   domain.Tokens
-	estimate Estimate
+	Candidate
+	isSet bool
+	key   float64
 }
 
-// Consider adds the server with the given index. The weight is positive, random is a random number
-// in [0,1).
-func (d *Draw) Consider(index, rank int, weight float64, cached domain.Tokens, e Estimate, random float64) {
-	if d.first.isSet && rank > d.rank {
+// Consider adds a server. The random number is in [0,1).
+func (d *Draw) Consider(c *Candidate, random float64) {
+	if d.first.isSet && c.Rank > d.first.Rank {
 		return
 	}
-	if rank < d.rank || !d.first.isSet {
-		*d = Draw{rank: rank}
+	if d.first.isSet && c.Rank < d.first.Rank {
+		*d = Draw{}
 	}
 	// The two lowest of such keys are a weighted draw without replacement.
-	c := drawn{isSet: true, index: index, key: -math.Log(1-random) / weight, cached: cached, estimate: e}
+	next := drawn{Candidate: *c, isSet: true, key: -math.Log(1-random) / c.Weight}
 	switch {
-	case !d.first.isSet || c.key < d.first.key:
-		d.first, d.second = c, d.first
-	case !d.second.isSet || c.key < d.second.key:
-		d.second = c
+	case !d.first.isSet || next.key < d.first.key:
+		d.first, d.second = next, d.first
+	case !d.second.isSet || next.key < d.second.key:
+		d.second = next
+	}
+	if c.Cached > 0 && c.MayPreferCache && (!d.cached.isSet || c.Estimate.Total() < d.cached.Estimate.Total()) {
+		d.cached = next
 	}
-	if cached > 0 && (!d.cached.isSet || e.Total() < d.cached.estimate.Total()) {
-		d.cached = c
+	if c.HomeOrder > 0 && c.MayPreferCache && (!d.home.isSet || c.HomeOrder < d.home.HomeOrder) {
+		d.home = next
 	}
 }
 
 // Rank returns the lowest rank of the servers considered, 0 if there were none.
-func (d *Draw) Rank() int { return d.rank }
-
-// Choice is the result of a Draw.
-type Choice struct {
-	Index    int
-	Estimate Estimate
-	// Cached is the number of prompt tokens that the server has probably cached. IsByCache is true
-	// if the server was considered for them only.
-	Cached    domain.Tokens
-	IsByCache bool
-}
+func (d *Draw) Rank() int { return d.first.Rank }
 
 // Choose returns the chosen server, or false if there was none. Beside the two drawn ones, it
-// considers the best server that has a beginning of the prompt cached.
-func (d *Draw) Choose() (Choice, bool) {
-	best, isByCache := d.first, false
-	if d.second.isSet && d.second.estimate.Total()+minimumGain < best.estimate.Total() {
-		best = d.second
+// considers the best one with a beginning of the prompt in its cache, and the home of the prompt, at
+// which a delay by the given saving is accepted; isByCache is true if one of these
+// was chosen.
+func (d *Draw) Choose(saving time.Duration) (chosen Candidate, isByCache, ok bool) {
+	best := &d.first
+	if d.second.isSet && d.second.Estimate.Total()+minimumGain < best.Estimate.Total() {
+		best = &d.second
+	}
+	if d.cached.isSet && d.cached.Cached > best.Cached && d.cached.Estimate.Total() < best.Estimate.Total() {
+		return d.cached.Candidate, true, true
 	}
-	if d.cached.isSet && d.cached.estimate.Total() < best.estimate.Total() {
-		best, isByCache = d.cached, true
+	if d.home.isSet && best.Cached == 0 && d.home.Estimate.Total() < best.Estimate.Total()+saving {
+		return d.home.Candidate, true, true
 	}
-	return Choice{Index: best.index, Estimate: best.estimate, Cached: best.cached, IsByCache: isByCache}, best.isSet
+	return best.Candidate, false, best.isSet
 }
--- a/serverload/estimate_test.go
+++ b/serverload/estimate_test.go
@@ -13,7 +13,7 @@
 	var table Table
 	table.Record(start, 1, Report{Running: 24, Waiting: 5, Slots: 24, Pace: 1.6})
 	table.Record(start, 2, Report{Running: 23, Slots: 24, Pace: 1})
-	r := Request{Service: testService, Prompt: 1000}
+	r := &Request{Service: testService, Prompt: 1000}
 	full, free := table.State(start, 1, testService, 24), table.State(start, 2, testService, 24)
 	e := table.Estimate(full, r, 0, 2*time.Millisecond)
 	if got, want := table.Wait(full, testService), 400*time.Millisecond; got != want {
@@ -67,13 +67,13 @@
 	for range 87 {
 		var table Table
 		var draw Draw
-		r := Request{Service: testService}
+		r := &Request{Service: testService}
 		for i, n := range running {
 			table.Record(start, Key(i), Report{Running: n, Slots: 24, Pace: 1})
 			s := table.State(start, Key(i), testService, 24)
-			draw.Consider(i, 0, s.FreeCapacity(r), 0, table.Estimate(s, r, 0, 0), random.Float64())
+			draw.Consider(&Candidate{Index: i, Weight: s.FreeCapacity(r), Estimate: table.Estimate(s, r, 0, 0)}, random.Float64())
 		}
-		choice, ok := draw.Choose()
+		choice, _, ok := draw.Choose(0)
 		if !ok {
 			t.Fatal("got no server")
 		}
@@ -98,13 +98,13 @@
 			if i == n%6 {
 				rank, e = 1, Estimate{Queue: time.Second}
 			}
-			draw.Consider(i, rank, 1+9*float64(rank), 100, e, random.Float64())
+			draw.Consider(&Candidate{Index: i, Rank: rank, Weight: 1 + 9*float64(rank), Estimate: e, Cached: 100, MayPreferCache: true}, random.Float64())
 		}
-		if c, _ := draw.Choose(); c.Index != n%6 {
+		if c, _, _ := draw.Choose(0); c.Index != n%6 {
 			t.Fatalf("got server %d, want %d, the only one of the lowest rank", c.Index, n%6)
 		}
 	}
-	if _, ok := (&Draw{}).Choose(); ok {
+	if _, _, ok := (&Draw{}).Choose(0); ok {
 		t.Error("a draw without servers: got one, want none")
 	}
 }
@@ -116,15 +116,15 @@
 			for i := range n {
 				table.Record(start, Key(i), Report{Running: i % 24, Slots: 24, Pace: 1})
 			}
-			r := Request{Service: testService, Prompt: 1000, Size: 1100, CacheTokens: 100_000}
+			r := &Request{Service: testService, Prompt: 1000, Size: 1100, CacheTokens: 100_000}
 			b.ReportAllocs()
 			for b.Loop() {
 				var draw Draw
 				for i := range n {
 					s := table.State(start, Key(i), testService, 24)
-					draw.Consider(i, 0, s.FreeCapacity(r), 0, table.Estimate(s, r, 0, 0), rand.Float64())
+					draw.Consider(&Candidate{Index: i, Weight: s.FreeCapacity(r), Estimate: table.Estimate(s, r, 0, 0)}, rand.Float64())
 				}
-				draw.Choose()
+				_, _, _ = draw.Choose(0)
 			}
 		})
 	}
--- a/serverload/service.go
+++ b/serverload/service.go
@@ -101,7 +101,9 @@
 	// serviceTime is the mean time of a request at a server in seconds, size the mean size of the
 	// requests in tokens.
 	serviceTime, size runningMean
-	prefill           prefillLine
+	// uncached is the mean number of tokens that a request adds to the cache of its server.
+	uncached runningMean
+	prefill  prefillLine
 }
 
 // meanServiceTime returns the mean service time.
--- a/serverload/share.go
+++ b/serverload/share.go
@@ -16,6 +16,9 @@
 	// that the other nodes know that it still holds.
 	minimumChange   = 0.03
 	refreshInterval = 800 * time.Millisecond
+	// minimumLearnedChange is the least change of a learned pace that the owner sends. It varies
+	// by its samples.
+	minimumLearnedChange = 0.1
 	// maximumOwnLoads bounds the reports of servers that a node sends to the owner in one message.
 	maximumOwnLoads = 256
 )
@@ -144,7 +147,9 @@
 func (s *server) changeSinceBroadcast(now time.Time, isShared bool) (float64, bool) {
 	b, size := &s.broadcast, 0.0
 	if pace := s.learned.value(now); pace > 0 && s.pace.at.IsZero() {
-		size += math.Abs(pace - b.learnedPace)
+		if change := math.Abs(pace - b.learnedPace); change >= minimumLearnedChange {
+			size += change
+		}
 	}
 	isNew := s.reportedAt.After(b.reportedAt) && now.Sub(s.reportedAt) < ReportLifetime && isShared
 	if isNew {
--- a/serverload/simulation_test.go
+++ b/serverload/simulation_test.go
@@ -20,9 +20,19 @@
 	simWarmUp     = 4 * time.Second
 	simTime       = 16 * time.Second
 	simShareEvery = 250 * time.Millisecond
-	// simChanges is what an owner with a link of 10 Mbit/s may send to 86 nodes at once.
-	simChanges = 30
-	simNetwork = 6 * time.Millisecond
+	simNetwork    = 6 * time.Millisecond
+	// simChanges is what an owner with a link of 10 Mbit/s may send to 86 nodes at once, and
+	// simPrefixes what it sends in place of an eighth of them.
+	simChanges  = 30
+	simPrefixes = 5
+	// Each prompt has simSharedPart tokens that one in simPrompts of its model share, and
+	// simPrivatePart of its own. A response has simOutput tokens.
+	simPrompts     = 12
+	simSharedPart  = 700
+	simPrivatePart = 300
+	simOutput      = 100
+	simSize        = simSharedPart + simPrivatePart + simOutput
+	simCacheTokens = 90_000
 )
 
 // simEvent is something that happens at a time.
@@ -48,8 +58,31 @@
 	running int
 	queue   []func(time.Time)
 	pace    float64
+	// tokensRead counts the tokens added to the cache; readAt is its value at the last use of each
+	// shared part.
+	tokensRead int
+	readAt     map[uint64]int
 }
 
+// read adds a prompt to the cache, and returns the tokens of its shared part that were not there.
+// The parts that were not used for the longest time yield.
+func (s *simServer) read(part uint64) int {
+	uncached := 0
+	if at, ok := s.readAt[part]; !ok || s.tokensRead-at > simCacheTokens-simSize*s.running {
+		uncached = simSharedPart
+	}
+	s.tokensRead += uncached + simPrivatePart + simOutput
+	s.readAt[part] = s.tokensRead
+	return uncached
+}
+
+// simMode says what nodes share and use.
+type simMode struct{ sharesLoads, usesCaches, sharesCaches bool }
+
+// simResult has the share of rejected sendings, the load of the busiest server over the mean and the
+// share of the tokens of shared parts that were read anew.
+type simResult struct{ rejected, busiest, reread float64 }
+
 type simulation struct {
 	random  *rand.Rand
 	events  simEvents
@@ -59,7 +92,9 @@
 	models [simModels][]Key
 	// use is the work of the requests at the usual pace over the slots.
 	use              float64
+	mode             simMode
 	sent, rejected   int
+	read, reread     int
 	samples, busiest float64
 }
 
@@ -76,44 +111,59 @@
 func (s *simulation) arrive(now time.Time) {
 	rate := s.use * simServers * simSlots
 	s.after(now, time.Duration(s.random.ExpFloat64()*float64(time.Second)/rate), s.arrive)
-	s.send(now, &s.tables[s.random.IntN(simNodes)], s.models[s.random.IntN(simModels)], 3)
+	m := s.random.IntN(simModels)
+	part := uint64(m*simPrompts + s.random.IntN(simPrompts))
+	r := &Request{Service: testService, Prompt: simSharedPart + simPrivatePart, Size: simSize, CacheTokens: simCacheTokens}
+	if s.mode.usesCaches {
+		r.Prefixes = NewPrefixes("m", "")
+		r.Prefixes.Add(part, simSharedPart, false)
+		r.Prefixes.Add(s.random.Uint64(), simPrivatePart, true)
+	}
+	s.send(now, &s.tables[s.random.IntN(simNodes)], s.models[m], r, part, 3)
 }
 
-func (s *simulation) send(now time.Time, t *Table, candidates []Key, attempts int) {
-	r := Request{Service: testService, Prompt: 1000, Size: 1100}
+// choose returns the server for a request.
+func (s *simulation) choose(now time.Time, t *Table, candidates []Key, r *Request) Key {
 	var draw Draw
 	for i, k := range candidates {
-		state, rank := t.State(now, k, testService, simSlots), 0
+		state := t.State(now, k, testService, simSlots)
+		cached := t.Cached(now, k, state, r)
+		c := Candidate{Index: i, Weight: state.FreeCapacity(r), Estimate: t.Estimate(state, r, cached, 0), Cached: cached, MayPreferCache: state.MayPreferCache(r), HomeOrder: r.Prefixes.HomeOrder(k)}
 		if !state.HasRoom(r) {
-			rank = 1
+			c.Rank = 1
 		}
-		draw.Consider(i, rank, state.FreeCapacity(r), 0, t.Estimate(state, r, 0, 0), s.random.Float64())
+		draw.Consider(&c, s.random.Float64())
 	}
-	choice, _ := draw.Choose()
-	k := candidates[choice.Index]
+	chosen, _, _ := draw.Choose(t.Saving(r))
+	return candidates[chosen.Index]
+}
+
+func (s *simulation) send(now time.Time, t *Table, candidates []Key, r *Request, part uint64, attempts int) {
+	k := s.choose(now, t, candidates, r)
 	t.Send(now, k, testService, r.Size)
 	s.after(now, simNetwork, func(now time.Time) {
-		server, measured := &s.servers[k], now.Sub(start) > simWarmUp
-		if measured {
+		server := &s.servers[k]
+		isRejected := server.running == simSlots && len(server.queue) == simQueue
+		if now.Sub(start) > simWarmUp {
 			s.sent++
-		}
-		if server.running == simSlots && len(server.queue) == simQueue {
-			if measured {
+			if isRejected {
 				s.rejected++
 			}
-			report := s.report(k)
-			s.after(now, simNetwork, func(now time.Time) {
-				t.End(now, k, testService, r.Size)
-				t.Record(now, k, report)
-				t.RecordFull(now, k)
-				if attempts > 1 {
-					s.send(now, t, candidates, attempts-1)
-				}
-			})
+		}
+		if !isRejected {
+			server.queue = append(server.queue, func(now time.Time) { s.run(now, t, k, r, part) })
+			s.startQueued(now, server)
 			return
 		}
-		server.queue = append(server.queue, func(now time.Time) { s.run(now, t, k) })
-		s.startQueued(now, server)
+		report := s.report(k)
+		s.after(now, simNetwork, func(now time.Time) {
+			t.End(now, k, testService, r.Size)
+			t.Record(now, k, report)
+			t.RecordFull(now, k)
+			if attempts > 1 {
+				s.send(now, t, candidates, r, part, attempts-1)
+			}
+		})
 	})
 }
 
@@ -127,29 +177,48 @@
 }
 
 // run runs a request. The node hears of the server's load with the first event.
-func (s *simulation) run(now time.Time, t *Table, k Key) {
+func (s *simulation) run(now time.Time, t *Table, k Key, r *Request, part uint64) {
 	server := &s.servers[k]
+	uncached := server.read(part)
+	if now.Sub(start) > simWarmUp {
+		s.read += simSharedPart
+		s.reread += uncached
+	}
 	slowness := server.pace * (0.8 + 0.4*float64(server.running)/simSlots)
-	s.after(now, time.Duration(slowness*80*float64(time.Millisecond)), func(now time.Time) {
+	firstEvent := time.Duration(slowness * float64(30+(uncached+simPrivatePart)/20) * float64(time.Millisecond))
+	s.after(now, firstEvent, func(now time.Time) {
 		report := s.report(k)
-		s.after(now, simNetwork, func(now time.Time) { t.Record(now, k, report) })
+		s.after(now, simNetwork, func(now time.Time) {
+			t.Record(now, k, report)
+			t.RecordRead(now, k, simSlots, r)
+		})
 	})
-	s.after(now, time.Duration(slowness*(0.5+s.random.Float64())*float64(simWork)), func(now time.Time) {
+	s.after(now, firstEvent+time.Duration(slowness*(0.5+s.random.Float64()-0.08)*float64(simWork)), func(now time.Time) {
 		server.running--
 		s.startQueued(now, server)
-		s.after(now, simNetwork, func(now time.Time) { t.End(now, k, testService, 1100) })
+		s.after(now, simNetwork, func(now time.Time) { t.End(now, k, testService, r.Size) })
 	})
 }
 
-// share lets a node report to the owner, node 0, which sends what has changed to all nodes.
+// share lets each node report to the owner, node 0, which sends to all nodes what has changed.
 func (s *simulation) share(now time.Time) {
 	s.after(now, simShareEvery, s.share)
-	changes := s.tables[0].TakeChanges(now, simChanges)
+	var prefixes []SharedPrefix
+	if s.mode.sharesCaches {
+		prefixes = s.tables[0].TakePrefixes(now, simPrefixes)
+	}
+	changes := s.tables[0].TakeChanges(now, simChanges-len(prefixes)*3/4)
 	for i := 1; i < simNodes; i++ {
-		s.after(now, simNetwork, func(now time.Time) { s.tables[i].Apply(now, changes) })
+		s.after(now, simNetwork, func(now time.Time) {
+			s.tables[i].Apply(now, changes)
+			s.tables[i].ApplyPrefixes(now, prefixes, false)
+		})
 		s.after(now, time.Duration(s.random.Int64N(int64(simShareEvery))), func(now time.Time) {
-			own := s.tables[i].TakeOwn(now)
-			s.after(now, simNetwork, func(now time.Time) { s.tables[0].Merge(now, own) })
+			loads, read := s.tables[i].TakeOwn(now), s.tables[i].TakePrefixes(now, simPrefixes)
+			s.after(now, simNetwork, func(now time.Time) {
+				s.tables[0].Merge(now, loads)
+				s.tables[0].ApplyPrefixes(now, read, true)
+			})
 		})
 	}
 }
@@ -170,11 +239,11 @@
 	s.busiest += float64(most) * simServers / float64(max(1, total))
 }
 
-// play returns the share of rejected sendings and the mean load of the busiest server over the mean.
-func play(seed uint64, use float64, isShared bool) (rejected, busiest float64) {
-	s := &simulation{random: rand.New(rand.NewPCG(seed, 0)), use: use}
+// play plays the load with one use of the slots.
+func play(seed uint64, use float64, mode simMode) simResult {
+	s := &simulation{random: rand.New(rand.NewPCG(seed, 0)), use: use, mode: mode}
 	for i := range s.servers {
-		s.servers[i].pace = 1
+		s.servers[i].pace, s.servers[i].readAt = 1, map[uint64]int{}
 	}
 	for m := range s.models {
 		for _, k := range s.random.Perm(simServers)[:simReplicas] {
@@ -183,7 +252,7 @@
 	}
 	s.after(start, 0, s.arrive)
 	s.after(start, 0, s.change)
-	if isShared {
+	if mode.sharesLoads {
 		s.after(start, 0, s.share)
 	}
 	for len(s.events) > 0 {
@@ -193,7 +262,20 @@
 		}
 		e.do(e.at)
 	}
-	return float64(s.rejected) / float64(s.sent), s.busiest / s.samples
+	return simResult{float64(s.rejected) / float64(s.sent), s.busiest / s.samples, float64(s.reread) / float64(s.read)}
+}
+
+// playSeeds returns the mean of three seeds.
+func playSeeds(use float64, mode simMode) simResult {
+	const seeds = 3
+	var sum simResult
+	for seed := range uint64(seeds) {
+		r := play(seed, use, mode)
+		sum.rejected += r.rejected / seeds
+		sum.busiest += r.busiest / seeds
+		sum.reread += r.reread / seeds
+	}
+	return sum
 }
 
 // Pattern: 87 nodes send 720 or 864 requests a second to 60 servers of 24 slots, four servers for a
@@ -201,25 +283,37 @@
 // are in use to 0.7 on average and to more at the servers of five or more models. Guards against
 // shared reports that make the nodes herd, and against missing the page's bounds.
 func TestSharedReportsSpreadTheLoadOf87Nodes(t *testing.T) {
-	const seeds = 3
 	for _, use := range []float64{0.5, 0.6} {
-		var rejected, busiest [2]float64
-		for seed := range uint64(seeds) {
-			for i, isShared := range []bool{false, true} {
-				r, b := play(seed, use, isShared)
-				rejected[i] += r / seeds
-				busiest[i] += b / seeds
-			}
-		}
-		t.Logf("use %.1f: rejected sendings %.4f without and %.4f with shared reports; busiest over mean %.2f and %.2f", use, rejected[0], rejected[1], busiest[0], busiest[1])
-		if got, want := rejected[1], 0.03; got > want {
+		without, with := playSeeds(use, simMode{}), playSeeds(use, simMode{sharesLoads: true})
+		t.Logf("use %.1f: without shared reports %.4f, with them %.4f", use, without, with)
+		if got, want := with.rejected, 0.03; got > want {
 			t.Errorf("use %.1f: rejected sendings with shared reports: got %.4f, want %.2f at most", use, got, want)
 		}
-		if got, want := rejected[1], rejected[0]/3; got > want {
+		if got, want := with.rejected, without.rejected/3; got > want {
 			t.Errorf("use %.1f: rejected sendings with shared reports: got %.4f, want a third of those without, %.4f, at most", use, got, want)
 		}
-		if got, want := busiest[1], 2.0; got > want {
+		if got, want := with.busiest, 2.0; got > want {
 			t.Errorf("use %.1f: busiest server over the mean with shared reports: got %.2f, want %.1f at most", use, got, want)
 		}
 	}
 }
+
+// Pattern: as above, where a server keeps what it has read for some seconds. Guards against caches
+// that are not used, and against nodes that herd at the server with the cached part.
+func TestCachesAreUsedWithoutHerding(t *testing.T) {
+	for _, use := range []float64{0.3, 0.5, 0.6} {
+		without := playSeeds(use, simMode{sharesLoads: true})
+		own := playSeeds(use, simMode{sharesLoads: true, usesCaches: true})
+		shared := playSeeds(use, simMode{sharesLoads: true, usesCaches: true, sharesCaches: true})
+		if got, want := shared.rejected, max(0.03, without.rejected); got > want {
+			t.Errorf("use %.1f: rejected sendings: got %.4f, want %.4f at most", use, got, want)
+		}
+		if got, want := shared.reread, 1.1*without.reread; got > want {
+			t.Errorf("use %.1f: shared tokens read anew: got %.4f, want %.4f at most", use, got, want)
+		}
+		if got, want := shared.reread, without.reread/2; use < 0.4 && got > want {
+			t.Errorf("use %.1f: shared tokens read anew: got %.4f, want half of those without caches, %.4f, at most", use, got, want)
+		}
+		t.Logf("use %.1f: caches not used %.4f, own knowledge %.4f, shared knowledge %.4f", use, without, own, shared)
+	}
+}
--- a/serverload/table.go
+++ b/serverload/table.go
@@ -88,6 +88,7 @@
 	unsent   learnedPace
 	// broadcast is what the owner has last sent to the other nodes.
 	broadcast broadcastState
+	cache     prefixCache
 	usedAt    time.Time
 }
 
@@ -99,6 +100,8 @@
 	sweptAt  time.Time
 	// pacedAt is when a server last reported its pace.
 	pacedAt time.Time
+	// unsentParts are the uses of prompt parts that wait to be sent, the newest last.
+	unsentParts []SharedPrefix
 }
 
 // server returns the entry of a server and creates it if needed.
--- a/serverload/table_test.go
+++ b/serverload/table_test.go
@@ -122,12 +122,12 @@
 	table.Record(start, 1, Report{Running: 20, Slots: 24, Pace: 1})
 	now := start.Add(10 * time.Millisecond)
 	table.RecordFull(now, 1)
-	if table.State(now, 1, testService, 24).HasRoom(Request{}) {
+	if table.State(now, 1, testService, 24).HasRoom(&Request{}) {
 		t.Error("after a rejection: got room, want none")
 	}
 	now = now.Add(10 * time.Millisecond)
 	table.Record(now, 1, Report{Running: 23, Slots: 24, Pace: 1})
-	if !table.State(now, 1, testService, 24).HasRoom(Request{}) {
+	if !table.State(now, 1, testService, 24).HasRoom(&Request{}) {
 		t.Error("after a newer report with a free slot: got no room, want room")
 	}
 }
@@ -148,7 +148,7 @@
 		size domain.Tokens
 		want bool
 	}{{1000, true}, {3000, false}} {
-		r := Request{Service: testService, Size: c.size, CacheTokens: 60_000}
+		r := &Request{Service: testService, Size: c.size, CacheTokens: 60_000}
 		if got := state.HasRoom(r); got != c.want {
 			t.Errorf("room for a request of %d tokens beside 58,000 of 60,000: got %v, want %v", c.size, got, c.want)
 		}
