hub: cached prompt parts in reports and updates

Cause: nodes are to share which prompt parts servers have cached. Change: Report.Prefixes and Update.Prefixes, 15 bytes a part, at most 4096 each; ages out of range are dropped one by one. Result: the tests of hub pass.

--- a/hub/loads.go
+++ b/hub/loads.go
@@ -13,6 +13,10 @@
 	LoadBytes = 20
 	// UpdateBytes is the size of an update without content and of the packet around it.
 	UpdateBytes = 160
+	// PrefixBytes is the size of a cached prompt part in a message at most.
+	PrefixBytes = 15
+	// maximumPrefixes bounds the cached prompt parts in one message.
+	maximumPrefixes = 4096
 	// maximumLoads bounds the loads of servers in one message.
 	maximumLoads = 4096
 	// maximumReportedRequests bounds the numbers of requests of a server.
@@ -78,6 +82,42 @@
 		l.AgeMilliseconds >= 0 && l.AgeMilliseconds <= maximumAge.Milliseconds()
 }
 
+// wirePrefix is a serverload.SharedPrefix.
+type wirePrefix struct {
+	_               struct{} `cbor:",toarray"`
+	Server, Hash    uint32
+	AgeMilliseconds int64
+}
+
+func encodePrefixes(list []serverload.SharedPrefix) []wirePrefix {
+	var w []wirePrefix
+	for _, p := range list {
+		w = append(w, wirePrefix{Server: uint32(p.Server), Hash: uint32(p.Hash), AgeMilliseconds: p.Age.Milliseconds()})
+	}
+	return w
+}
+
+// decodePrefixes returns the cached prompt parts whose ages are in range, maximumPrefixes at most.
+func decodePrefixes(w []wirePrefix) []serverload.SharedPrefix {
+	var list []serverload.SharedPrefix
+	for _, p := range w[:min(len(w), maximumPrefixes)] {
+		if age, ok := decodeAge(p.AgeMilliseconds); ok {
+			list = append(list, serverload.SharedPrefix{Server: serverload.Key(p.Server), Hash: serverload.PrefixHash(p.Hash), Age: age})
+		}
+	}
+	return list
+}
+
+// mergedPrefixes returns the cached prompt parts of two updates, the latest ones if they are too many
+// for one message. It does not change list.
+func mergedPrefixes(list, next []serverload.SharedPrefix) []serverload.SharedPrefix {
+	if len(list) == 0 {
+		return next
+	}
+	merged := append(append([]serverload.SharedPrefix{}, next...), list...)
+	return merged[:min(len(merged), maximumPrefixes)]
+}
+
 // mergedLoads returns the loads with the effect of list and then of next: the later one of each
 // server. It does not change list.
 func mergedLoads(list, next []serverload.Shared) []serverload.Shared {
--- a/hub/loads_test.go
+++ b/hub/loads_test.go
@@ -33,6 +33,36 @@
 	}
 }
 
+// Guards against cached prompt parts that are lost or changed on the way, ages without bound, and
+// more bytes than the owner counts.
+func TestPrefixesPassInMessages(t *testing.T) {
+	want := []serverload.SharedPrefix{{Server: 7, Hash: math.MaxUint32, Age: 59 * time.Second}, {Server: math.MaxUint32, Hash: math.MaxUint32, Age: 0}}
+	report, err := encodeReport(Report{Node: "n", Prefixes: want})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := decodeReport(report); err != nil || !reflect.DeepEqual(got.Prefixes, want) {
+		t.Errorf("report: got %+v and %v, want %+v", got.Prefixes, err, want)
+	}
+	update, err := encodeUpdate(Update{Prefixes: want})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := decodeUpdate(update); err != nil || !reflect.DeepEqual(got.Prefixes, want) {
+		t.Errorf("update: got %+v and %v, want %+v", got.Prefixes, err, want)
+	}
+	longest, err := cbor.Marshal(wirePrefix{Server: math.MaxUint32, Hash: math.MaxUint32, AgeMilliseconds: 60_000})
+	if err != nil || len(longest) > PrefixBytes {
+		t.Errorf("bytes of a part: got %d and %v, want %d at most", len(longest), err, PrefixBytes)
+	}
+	if got := decodePrefixes([]wirePrefix{{AgeMilliseconds: -1}, {AgeMilliseconds: math.MaxInt64}}); len(got) != 0 {
+		t.Errorf("ages out of range: got %+v, want none", got)
+	}
+	if got := len(mergedPrefixes(make([]serverload.SharedPrefix, maximumPrefixes), want)); got != maximumPrefixes {
+		t.Errorf("parts of many queued updates: got %d, want %d", got, maximumPrefixes)
+	}
+}
+
 // Guards against numbers of another node that no server can have, against a list without end, and
 // against a link that ends because of them.
 func TestLoadsOutOfRangeAreDropped(t *testing.T) {
--- a/hub/message.go
+++ b/hub/message.go
@@ -58,6 +58,8 @@
 	LeavingServers []LeavingServer
 	// Loads are the loads of servers that the node has heard of since its last report.
 	Loads []serverload.Shared
+	// Prefixes are the prompt parts that servers have cached as the node has learned since then.
+	Prefixes []serverload.SharedPrefix
 }
 
 // LeavingServer is a backend server that said that it leaves. Age is the time since the
@@ -91,6 +93,8 @@
 	Registrations RegistrationChanges
 	// Loads are the loads of servers that have changed most since the last update.
 	Loads []serverload.Shared
+	// Prefixes are the prompt parts that servers have cached as the owner has learned since then.
+	Prefixes []serverload.SharedPrefix
 }
 
 // RegistrationChanges are changes of registrations as the owner read them in the platform's store.
@@ -128,7 +132,8 @@
 	Doubted  []string
 	Leaving  []wireLeaving
 	Traits   *wireTraits
-	Loads    []wireLoad `cbor:",omitempty"`
+	Loads    []wireLoad   `cbor:",omitempty"`
+	Prefixes []wirePrefix `cbor:",omitempty"`
 }
 
 type wireLeaving struct {
@@ -164,7 +169,8 @@
 	Traits              *wireTraits
 	// Registrations is nil if there are no changes. Earlier versions ignore it.
 	Registrations *wireRegistrations
-	Loads         []wireLoad `cbor:",omitempty"`
+	Loads         []wireLoad   `cbor:",omitempty"`
+	Prefixes      []wirePrefix `cbor:",omitempty"`
 }
 
 type wireStoreUpdate struct {
@@ -209,7 +215,7 @@
 	for _, l := range r.LeavingServers {
 		w.Leaving = append(w.Leaving, wireLeaving{ID: string(l.ID), Born: l.StartedAtMs, AgeMilliseconds: l.Age.Milliseconds()})
 	}
-	w.Loads = encodeLoads(r.Loads)
+	w.Loads, w.Prefixes = encodeLoads(r.Loads), encodePrefixes(r.Prefixes)
 	data, err := cbor.Marshal(w)
 	return data, errors.WithStack(err)
 }
@@ -237,7 +243,7 @@
 		i := fleet.Incarnation{ID: domain.ServerID(l.ID), StartedAtMs: l.Born}
 		r.LeavingServers = append(r.LeavingServers, LeavingServer{Incarnation: i, Age: time.Duration(l.AgeMilliseconds) * time.Millisecond})
 	}
-	r.Traits, r.Loads = w.Traits.decode(), decodeLoads(w.Loads)
+	r.Traits, r.Loads, r.Prefixes = w.Traits.decode(), decodeLoads(w.Loads), decodePrefixes(w.Prefixes)
 	var err error
 	r.CrashReports, err = decodeSuspects(w.Suspects)
 	return r, err
@@ -266,7 +272,7 @@
 func encodeUpdate(u Update) ([]byte, error) {
 	store := wireStoreUpdate{Configuration: uint64(u.Store.ConfigurationOffset), Registrations: uint64(u.Store.RegistrationsOffset), Read: u.Store.RegistrationsRead}
 	w := wireUpdate{Nodes: u.NodeCount, News: store, Suspects: encodeSuspects(u.CrashReports), Traits: encodeTraits(u.Traits), Registrations: encodeRegistrations(u.Registrations)}
-	w.Loads = encodeLoads(u.Loads)
+	w.Loads, w.Prefixes = encodeLoads(u.Loads), encodePrefixes(u.Prefixes)
 	w.Candidates, w.ReadAgeMilliseconds, w.ReadOffset = u.CandidateCount, u.Store.ReadAge.Milliseconds(), uint64(u.Store.ReadOffset)
 	for _, s := range u.Servers {
 		w.Servers = append(w.Servers, encodeServer(s))
@@ -321,7 +327,7 @@
 		u.Servers = append(u.Servers, s.decode())
 	}
 	u.Traits = w.Traits.decode()
-	u.Registrations, u.Loads = w.Registrations.decode(), decodeLoads(w.Loads)
+	u.Registrations, u.Loads, u.Prefixes = w.Registrations.decode(), decodeLoads(w.Loads), decodePrefixes(w.Prefixes)
 	var err error
 	u.CrashReports, err = decodeSuspects(w.Suspects)
 	return u, err
--- a/hub/outbox.go
+++ b/hub/outbox.go
@@ -85,6 +85,7 @@
 		u.Store = u.Store.followedBy(m.update.Store)
 		u.Registrations = u.Registrations.followedBy(m.update.Registrations)
 		u.Loads = mergedLoads(u.Loads, m.update.Loads)
+		u.Prefixes = mergedPrefixes(u.Prefixes, m.update.Prefixes)
 	}
 	return u
 }
