--- a/commands/front.go
+++ b/commands/front.go
@@ -176,6 +176,7 @@
 		ReportStaleEngineState: f.node.RefreshEngineState,
 		ResponseMemory:         messageMemory,
 		Counters:               f.metrics,
+		CacheCounters:          f.metrics,
 	})
 	backend.OnNotice = f.node.RecordNotice
 	f.node.OnCrashReports = dispatcher.ApplyCrashReports
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -95,6 +95,8 @@
 	// buffers.DefaultSize.
 	ResponseMemory domain.Bytes
 	Counters
+	// CacheCounters may be nil.
+	CacheCounters
 }
 
 // Counters count the outcomes of requests and the results of attempts. They are safe for
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/serverload"
 	"github.com/parsleylug/parsleylug/verdict"
 )
@@ -50,6 +51,10 @@
 	// estimate is the estimated delay at the server, if isEstimated.
 	estimate    serverload.Estimate
 	isEstimated bool
+	// cachedTokens are the prompt tokens that the server has probably cached. isByCache is true if
+	// the server was chosen for them.
+	cachedTokens domain.Tokens
+	isByCache    bool
 	// keptAway describes the servers that were left out because of a restriction.
 	keptAway string
 }
@@ -63,7 +68,7 @@
 	}
 	s.dispatcher.logShutdown(line, "StartedAfterStopMs", a.startedAt)
 	if e := a.inputs.estimate; a.inputs.isEstimated {
-		line = line.Int64("QueueMs", e.Queue.Milliseconds()).Int64("PrefillMs", e.Prefill.Milliseconds()).Int64("DistanceMs", e.Distance.Milliseconds())
+		line = line.Int64("QueueMs", e.Queue.Milliseconds()).Int64("PrefillMs", e.Prefill.Milliseconds()).Int64("DistanceMs", e.Distance.Milliseconds()).Int64("CachedTokens", int64(a.inputs.cachedTokens)).Bool("ByCache", a.inputs.isByCache)
 	}
 	line.Str("Event", "Attempt").Str("Request", string(s.request.ID)).Str("Server", string(a.server.ID)).Str("Zone", string(a.server.Zone)).Str("Result", result).
 		Int("Number", a.number).Int("Candidates", a.inputs.candidates).Int("InFlight", a.inputs.attemptsInFlight).Float64("Others", a.inputs.otherLoad).
--- a/dispatch/loads.go
+++ b/dispatch/loads.go
@@ -132,7 +132,7 @@
 // chooseByEstimate returns the candidate that the draw of package serverload chooses. There is at
 // least one. The caller holds mu.
 func (c *chooser) chooseByEstimate(now time.Time, here location, candidates []*fleet.Server, r *Request, avoidedServers map[domain.ServerID]bool, inputs *choiceInputs) *fleet.Server {
-	request := serverload.Request{Service: candidates[0].Service, Prompt: r.promptTokens(), Size: r.tokens(), CacheTokens: c.memoryOf(candidates[0].Service)}
+	request := c.loadRequest(r, candidates[0].Service)
 	var draw serverload.Draw
 	for i := range min(len(candidates), maximumConsidered) {
 		index := sampleIndex(i, len(candidates))
@@ -143,8 +143,9 @@
 			c.consider(now, here, &draw, index, s, &request, avoidedServers)
 		}
 	}
-	choice, _ := draw.Choose()
+	choice, isByCache, _ := draw.Choose(c.table.Saving(&request))
 	inputs.estimate, inputs.isEstimated = choice.Estimate, true
+	inputs.cachedTokens, inputs.isByCache = choice.Cached, isByCache
 	return candidates[choice.Index]
 }
 
@@ -152,11 +153,12 @@
 func (c *chooser) consider(now time.Time, here location, draw *serverload.Draw, index int, s *fleet.Server, r *serverload.Request, avoidedServers map[domain.ServerID]bool) {
 	state := c.table.State(now, serverload.KeyOf(s), s.Service, s.Slots)
 	rank := c.rank(now, s, avoidedServers)
-	if !state.HasRoom(*r) {
+	if !state.HasRoom(r) {
 		rank += noRoomRank
 	}
 	distance := here.cost(s.Zone)
-	e := c.table.Estimate(state, *r, 0, distance)
+	cached := c.table.Cached(now, serverload.KeyOf(s), state, r)
+	e := c.table.Estimate(state, r, cached, distance)
 	if s.WarmUpRemaining > 0 {
 		e.Queue += warmUpCost
 	}
@@ -164,14 +166,14 @@
 		weight := max(0, 1-float64(now.Sub(l.responseTimeAt))/float64(responseTimeLifetime))
 		e.Queue += time.Duration(weight * float64(unresponsiveCost))
 	}
-	weight := state.FreeCapacity(*r)
+	weight := state.FreeCapacity(r)
 	switch distance {
 	case otherZoneCost:
 		weight *= otherZoneWeight
 	case otherRegionCost:
 		weight *= otherRegionWeight
 	}
-	draw.Consider(index, rank, weight, 0, e, rand.Float64())
+	draw.Consider(&serverload.Candidate{Index: index, Rank: rank, Weight: weight, Estimate: e, Cached: cached, MayPreferCache: state.MayPreferCache(r), HomeOrder: r.Prefixes.HomeOrder(serverload.KeyOf(s))}, rand.Float64())
 }
 
 // recordReport records the load that a server reported. The caller holds mu.
@@ -181,9 +183,28 @@
 	}
 }
 
-// recordFirstEvent records the time to the first event of a request. The caller holds mu.
+// recordFirstEvent records the time to the first event of a request, after which its server has read
+// the prompt. The caller holds mu.
 func (c *chooser) recordFirstEvent(now time.Time, s *fleet.Server, r *Request, took time.Duration) {
-	c.table.RecordFirstEvent(now, serverload.KeyOf(s), s.Service, r.promptTokens(), took)
+	key, request := serverload.KeyOf(s), c.loadRequest(r, s.Service)
+	cached := c.table.Cached(now, key, c.table.State(now, key, s.Service, s.Slots), &request)
+	c.table.RecordFirstEvent(now, key, s.Service, max(0, request.Prompt-cached), took)
+	if c.table.IsPaced(now, key) {
+		c.table.RecordRead(now, key, s.Slots, &request)
+	}
+}
+
+// loadRequest returns what package serverload needs to know of a request for a service.
+func (c *chooser) loadRequest(r *Request, name domain.ServiceName) serverload.Request {
+	request := serverload.Request{Service: name, Prompt: r.promptTokens(), Size: r.tokens(), CacheTokens: c.memoryOf(name)}
+	if len(r.PromptParts) == 0 {
+		return request
+	}
+	request.Prefixes = serverload.NewPrefixes(r.Model, r.Adapter)
+	for i, p := range r.PromptParts[:min(len(r.PromptParts), serverload.MaximumParts)] {
+		request.Prefixes.Add(p.ID, p.Tokens, i == len(r.PromptParts)-1)
+	}
+	return request
 }
 
 // end removes an attempt from those in flight at its server. If the response is complete, it records
@@ -229,6 +250,37 @@
 	return d.chooser.table.TakeChanges(now, maximum)
 }
 
+// TakePrefixes returns the cached prompt parts that the other nodes should be told of, at most the
+// given number.
+func (d *Dispatcher) TakePrefixes(now time.Time, maximum int) []serverload.SharedPrefix {
+	d.chooser.mu.Lock()
+	defer d.chooser.mu.Unlock()
+	return d.chooser.table.TakePrefixes(now, maximum)
+}
+
+// ApplyPrefixes applies what another node has told of cached prompt parts. mustPassOn is true on the
+// owner, which tells all nodes.
+func (d *Dispatcher) ApplyPrefixes(now time.Time, list []serverload.SharedPrefix, mustPassOn bool) {
+	d.chooser.mu.Lock()
+	defer d.chooser.mu.Unlock()
+	d.chooser.table.ApplyPrefixes(now, list, mustPassOn)
+}
+
+// CacheCounters count what the prompt parts that servers have cached are estimated to save. They are
+// safe for concurrent use.
+type CacheCounters interface {
+	// CountCachedTokens counts the prompt tokens of a request that its server had probably cached.
+	// isByCache is true if the server was chosen for them.
+	CountCachedTokens(tokens domain.Tokens, isByCache bool)
+}
+
+// countCache counts what the cache of the server of an attempt has saved.
+func (d *Dispatcher) countCache(a *attempt) {
+	if d.CacheCounters != nil && (a.inputs.cachedTokens > 0 || a.inputs.isByCache) {
+		d.CountCachedTokens(a.inputs.cachedTokens, a.inputs.isByCache)
+	}
+}
+
 // UsualPace returns the mean pace of a server over the last seconds, or 0 if it is unknown.
 func (d *Dispatcher) UsualPace(now time.Time, s *fleet.Server) float64 {
 	d.chooser.mu.Lock()
--- a/dispatch/response.go
+++ b/dispatch/response.go
@@ -60,6 +60,7 @@
 	s.countRun()
 	a.response, a.lastReceivedAt = r, now
 	s.dispatcher.chooser.recordResponse(now, a.server, s.request, now.Sub(a.startedAt), r.Load)
+	s.dispatcher.countCache(a)
 	s.endSilence(a)
 	goesOn := r.Events != nil || r.IsSuccess() && !s.headSent
 	if len(s.running) > 1 && goesOn {
--- a/entry/link.go
+++ b/entry/link.go
@@ -128,8 +128,8 @@
 	for {
 		leaving, lastLeaving = n.leavingServers(time.Now(), lastLeaving)
 		n.mu.Lock()
-		loads := n.takeLoads(time.Now())
-		r := hub.Report{Node: n.Name, Demands: demands, CrashReports: n.crashReports, Traits: n.takeTraitReport(), StaleServers: n.staleServers, LeavingServers: leaving, Loads: loads}
+		loads, prefixes := n.takeLoads(time.Now())
+		r := hub.Report{Node: n.Name, Demands: demands, CrashReports: n.crashReports, Traits: n.takeTraitReport(), StaleServers: n.staleServers, LeavingServers: leaving, Loads: loads, Prefixes: prefixes}
 		n.crashReports, n.staleServers = nil, nil
 		n.mu.Unlock()
 		if len(demands) > 0 || len(r.CrashReports) > 0 || !r.Traits.IsEmpty() || len(r.StaleServers) > 0 || len(leaving) > 0 || hasReports(loads) || time.Since(lastSent) > time.Second {
@@ -166,9 +166,7 @@
 	n.applyRegistrationChanges(now, u.Registrations)
 	n.applyStoreUpdate(now, u.Store)
 	n.applyTraits(u.Traits, false)
-	if n.Loads != nil {
-		n.Loads.ApplyLoads(now, u.Loads)
-	}
+	n.applyLoads(now, u)
 	if len(u.Servers) == 0 && len(u.CrashReports) == 0 && u.NodeCount <= n.nodeCount {
 		return
 	}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -75,6 +75,14 @@
 	m.scope.Tagged(map[string]string{"refused": strconv.FormatBool(refused)}).Counter("trait_decisions").Inc(1)
 }
 
+// CountCachedTokens implements dispatch.CacheCounters.
+func (m *Metrics) CountCachedTokens(tokens domain.Tokens, isByCache bool) {
+	m.scope.Counter("prompt_tokens_cached").Inc(int64(tokens))
+	if isByCache {
+		m.scope.Counter("requests_chosen_by_cache").Inc(1)
+	}
+}
+
 // CountRejected implements platform.FrontCounters.
 func (m *Metrics) CountRejected(reason verdict.Reason) {
 	m.scope.Tagged(map[string]string{"reason": reason.String()}).Counter("requests_rejected").Inc(1)
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -196,9 +196,7 @@
 	n.recordReportedLeaving(time.Now(), r.LeavingServers)
 	n.addCrashReports(r.CrashReports)
 	n.applyTraits(r.Traits, true)
-	if n.Loads != nil {
-		n.Loads.MergeLoads(time.Now(), r.Loads)
-	}
+	n.mergeLoads(time.Now(), r)
 	if len(r.CrashReports) > 0 && n.OnCrashReports != nil {
 		n.OnCrashReports(r.CrashReports)
 	}
