Workspaces and keys: decoding, the check, removed keys over the owner's link

Cause: keys were not read, so that each request was forwarded with its key and requests without one ran. The benchmark BenchmarkApplyConfiguration has a clock, without which it panicked.

--- a/commands/front.go
+++ b/commands/front.go
@@ -146,7 +146,7 @@
 	store.Counters = f.metrics
 	f.node = entry.New(entry.Options{
 		Name:                  domain.NodeID(name),
-		Feed:                  &platform.Feed{Store: store, Logger: logger},
+		Feed:                  &platform.Feed{Store: store, Logger: logger, IgnoresWorkspaces: s.IgnoresWorkspaces},
 		Group:                 &platform.Group{Store: store, Member: name},
 		Engines:               backend,
 		TraitLog:              &platform.TraitLog{Store: store},
@@ -165,6 +165,8 @@
 		IsStandby:             isStandbyName,
 		UpdateBytesPerSecond:  int(updateLinkShare * float64(s.LinkBytesPerSecond)),
 		LoadWindow:            s.LoadWindow,
+		ConfigurationBound:    s.ConfigurationBound,
+		RevokeBound:           s.RevokeBound,
 	})
 	dispatcher := dispatch.New(dispatch.Options{
 		Zone: s.Zone, Regions: s.Regions,
@@ -177,11 +179,12 @@
 		ResponseMemory:         messageMemory,
 		Counters:               f.metrics,
 	})
+	backend.Views = &f.node.Views
 	backend.OnNotice = f.node.RecordNotice
 	f.node.OnCrashReports = dispatcher.ApplyCrashReports
 	f.node.Traits = dispatcher
 	f.frontend = &platform.Frontend{
-		Dispatcher: dispatcher, Views: &f.node.Views, IsBehind: f.node.IsConfigurationBehind, LinkDelay: f.node.LinkDelay,
+		Dispatcher: dispatcher, Views: &f.node.Views, IsBehind: f.node.IsConfigurationBehind, Keys: f.node, LinkDelay: f.node.LinkDelay,
 		Logger: logger, Counters: f.metrics,
 	}
 	f.frontend.Bodies.Size = messageMemory
--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -32,7 +32,7 @@
 			retryPause = min(2*retryPause, maximumRetryPause)
 			continue
 		}
-		n.applyConfigurationRead(r.config, r.next, r.progress)
+		n.applyConfigurationRead(r)
 		if n.needsConfiguration() && r.next <= r.read.cursor {
 			// The store has none yet, or serves an old state.
 			pause.For(ctx, startupPause, nil)
@@ -59,16 +59,16 @@
 // read. The caller holds mu.
 func (n *Node) isBehind() bool { return n.storeUpdates.ConfigurationOffset > n.configurationCursor }
 
-// applyConfigurationRead applies the result of a read of the configurations up to next.
-// The parameter c is nil if the read returned none.
-func (n *Node) applyConfigurationRead(c *fleet.Configuration, next domain.Offset, read transfer.State) {
+// applyConfigurationRead applies the result of a read of the configurations.
+func (n *Node) applyConfigurationRead(r configurationResult) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
-	if c != nil && (n.config == nil || c.Version > n.config.Version) {
-		n.applyConfiguration(now, c, next, read)
+	n.confirmByRead(r)
+	if c := r.config; c != nil && (n.config == nil || c.Version > n.config.Version) {
+		n.applyConfiguration(now, c, r.next, r.progress)
 	}
-	n.configurationCursor = max(n.configurationCursor, next)
+	n.configurationCursor = max(n.configurationCursor, r.next)
 	n.updateBehind(now)
 }
 
@@ -79,7 +79,9 @@
 	if n.config != nil {
 		previous = n.config.Version
 	}
+	n.recordRemovedKeys(n.config, c)
 	n.config = c
+	n.updateRevoked()
 	n.configurationOffset = offset
 	n.broadcastStoreUpdate(false, hub.RegistrationChanges{})
 	n.planner.Configure(c)
--- a/entry/configurationread.go
+++ b/entry/configurationread.go
@@ -26,9 +26,11 @@
 
 // configurationRead is one call that reads the configurations after a cursor.
 type configurationRead struct {
-	cursor   domain.Offset
-	isPoll   bool
-	sentAt   time.Time
+	cursor domain.Offset
+	isPoll bool
+	sentAt time.Time
+	// wait is how long the store may wait for a new configuration.
+	wait     time.Duration
 	progress transfer.Progress
 	cancel   context.CancelFunc
 	// recovered is closed when the store recovers after the call was sent.
@@ -43,6 +45,8 @@
 	next     domain.Offset
 	progress transfer.State
 	err      error
+	// asOf is an uptime at which the store had no other configurations after the cursor.
+	asOf time.Duration
 }
 
 // readConfiguration reads the configurations after this node's cursor: it polls for a new
@@ -96,10 +100,10 @@
 	r := &configurationRead{cursor: n.configurationCursor, sentAt: time.Now(), cancel: cancel, recovered: n.storeRecovered}
 	behind := n.isBehind()
 	missed := n.storeUpdates.ConfigurationOffset > r.cursor+1
-	wait := time.Duration(0)
 	if mayPoll && !behind {
-		r.isPoll, wait = true, n.configurationPollWait(r.sentAt)
+		r.isPoll, r.wait = true, n.configurationPollWait(r.sentAt)
 	}
+	sentAt := n.Uptime.Now()
 	n.mu.Unlock()
 	n.addConfigurationRead(r)
 	go func() {
@@ -110,7 +114,12 @@
 			// The newest record alone is smaller than all that were missed.
 			result.config, result.next, result.err = n.Feed.NewestConfiguration(ctx, r.cursor, &r.progress)
 		} else {
-			result.config, result.next, result.err = n.Feed.Configuration(ctx, r.cursor, wait, &r.progress)
+			result.config, result.next, result.err = n.Feed.Configuration(ctx, r.cursor, r.wait, &r.progress)
+		}
+		result.asOf = sentAt
+		if result.config == nil && n.Uptime.Now()-sentAt >= r.wait {
+			// The store responds to a poll without a result at the end of its wait.
+			result.asOf = sentAt + r.wait
 		}
 		result.progress = r.progress.State()
 		results <- result
@@ -145,9 +154,12 @@
 // configurationPollWait returns how long the next poll lets the store wait for a new
 // configuration. The caller holds mu.
 func (n *Node) configurationPollWait(now time.Time) time.Duration {
-	if n.hasFreshStoreUpdate(now) && n.config != nil {
+	if n.hasFreshStoreUpdate(now) && n.config != nil && !n.needsConfirmation() {
 		return longPollWait
 	}
+	if n.hasWorkspaces() {
+		return n.keyPollWait()
+	}
 	return pollWait
 }
 
@@ -161,6 +173,9 @@
 	if !r.isPoll || r.progress.HasBegun() {
 		return false
 	}
+	if n.needsConfirmation() && now.Sub(r.sentAt) > pollCheckInterval {
+		return true
+	}
 	if !n.behindSince.IsZero() && now.Sub(n.behindSince) >= lostPollDelay {
 		return true
 	}
--- a/entry/link.go
+++ b/entry/link.go
@@ -164,6 +164,7 @@
 	}
 	n.applyRegistrationChanges(now, u.Registrations)
 	n.applyStoreUpdate(now, u.Store)
+	n.applyKeyUpdate(u.Keys)
 	n.applyTraits(u.Traits, false)
 	if len(u.Servers) == 0 && len(u.CrashReports) == 0 && u.NodeCount <= n.nodeCount {
 		return
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -15,21 +16,32 @@
 	"github.com/parsleylug/parsleylug/verdict"
 )
 
-// metricsInterval is how often the counts are passed to the reporter.
-const metricsInterval = 2 * time.Second
+const (
+	// metricsInterval is how often the counts are passed to the reporter.
+	metricsInterval = 2 * time.Second
+	// maximumCountedWorkspaces bounds the workspaces that are counted each, for the memory and the
+	// size of the metrics.
+	maximumCountedWorkspaces = 64
+	// otherWorkspaces is the label of all workspaces beyond that.
+	otherWorkspaces = "_others"
+)
 
 // Metrics counts requests, attempts and calls to the store, for Prometheus.
 // Create it with NewMetrics.
 type Metrics struct {
 	scope    tally.Scope
 	reporter prometheus.Reporter
+
+	mu sync.Mutex
+	// workspaces are those that are counted by their names, at most maximumCountedWorkspaces.
+	workspaces map[domain.WorkspaceName]bool
 }
 
 // NewMetrics returns metrics that Handler serves.
 func NewMetrics() *Metrics {
 	r := prometheus.NewReporter(prometheus.Options{})
 	scope, _ := tally.NewRootScope(tally.ScopeOptions{Prefix: "parsleylug", CachedReporter: r, Separator: prometheus.DefaultSeparator}, metricsInterval)
-	return &Metrics{scope: scope, reporter: r}
+	return &Metrics{scope: scope, reporter: r, workspaces: map[domain.WorkspaceName]bool{}}
 }
 
 // Handler serves the metrics in the Prometheus text format.
@@ -85,6 +97,23 @@
 	m.scope.Tagged(map[string]string{"ended_by": end.String()}).Counter("responses_unfinished").Inc(1)
 }
 
+// CountWorkspaceRequest implements platform.FrontCounters.
+func (m *Metrics) CountWorkspaceRequest(w domain.WorkspaceName, outcome string) {
+	m.scope.Tagged(map[string]string{"workspace": m.workspaceLabel(w), "outcome": outcome}).Counter("workspace_requests").Inc(1)
+}
+
+// workspaceLabel returns the label for a workspace: its name for the first
+// maximumCountedWorkspaces, otherWorkspaces for all others.
+func (m *Metrics) workspaceLabel(w domain.WorkspaceName) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.workspaces[w] && len(m.workspaces) >= maximumCountedWorkspaces {
+		return otherWorkspaces
+	}
+	m.workspaces[w] = true
+	return string(w)
+}
+
 // CountStoreCall implements platform.StoreCounters.
 func (m *Metrics) CountStoreCall(call string, succeeded bool, responseBytes int) {
 	s := m.scope.Tagged(map[string]string{"call": call, "succeeded": strconv.FormatBool(succeeded)})
--- a/entry/news.go
+++ b/entry/news.go
@@ -135,7 +135,7 @@
 	if !n.retainsLease() {
 		return
 	}
-	u := hub.Update{Registrations: c, CandidateCount: n.countCandidates(), Store: n.storeUpdate(registrationsRead)}
+	u := hub.Update{Registrations: c, CandidateCount: n.countCandidates(), Store: n.storeUpdate(registrationsRead), Keys: n.newKeyUpdate()}
 	if u.Store.ConfigurationOffset != n.announcedOffset {
 		n.announcedOffset = u.Store.ConfigurationOffset
 		n.Logger.Info().Str("Event", "ConfigurationAnnounced").Uint64("Offset", uint64(n.announcedOffset)).Int("Links", n.Hub.LinkCount()).
--- a/entry/node.go
+++ b/entry/node.go
@@ -13,6 +13,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -122,6 +123,9 @@
 	UpdateBytesPerSecond int
 	// LoadWindow is the period over which loads from the weight store are limited.
 	LoadWindow time.Duration
+	// ConfigurationBound is the longest time until a configuration that the store has acknowledged
+	// must be in force, RevokeBound the same for API keys that it withdraws.
+	ConfigurationBound, RevokeBound time.Duration
 	// ServersCheckFences is set if the model engines reject orders with an old fencing token.
 	ServersCheckFences bool
 }
@@ -181,6 +185,10 @@
 	// configurationReadsMu guards them: each request looks at them, and mu may be held for long.
 	configurationReads   map[*configurationRead]bool
 	configurationReadsMu sync.Mutex
+	// keys is what this node knows of API keys beyond its configuration. The keys that it must not
+	// accept are in revoked, nil for none, which is replaced under mu.
+	keys    keyState
+	revoked atomic.Pointer[revokedKeys]
 	// behindSince is since when the owner has announced a configuration that this node
 	// has not read; zero if there is none. The next line about it is due behindLogGap
 	// after that.
--- a/entry/node_test.go
+++ b/entry/node_test.go
@@ -64,6 +64,8 @@
 	transfers    int
 	// While refuseRegistrations is set, the store refuses to list the registrations.
 	refuseRegistrations bool
+	// keys returns the API keys of a version of the configuration; nil if it has no workspaces.
+	keys func(fleet.Version) []string
 }
 
 var errStore = errors.New("the store is down")
@@ -103,7 +105,7 @@
 			if err := p.transfer(ctx, progress); err != nil {
 				return nil, after, err
 			}
-			return testConfiguration(version), domain.Offset(version), nil
+			return p.withKeys(testConfiguration(version)), domain.Offset(version), nil
 		}
 		if !time.Now().Before(end) || !pause.For(ctx, 50*time.Millisecond, nil) {
 			return nil, after, ctx.Err()
@@ -111,6 +113,20 @@
 	}
 }
 
+// withKeys adds a workspace with the keys of the configuration's version.
+func (p *fakePlatform) withKeys(c *fleet.Configuration) *fleet.Configuration {
+	if p.keys == nil {
+		return c
+	}
+	w := fleet.Workspace{Name: "w"}
+	for _, k := range p.keys(c.Version) {
+		w.Keys = append(w.Keys, fleet.HashKey(k))
+	}
+	c.Workspaces = []fleet.Workspace{w}
+	c.Index()
+	return c
+}
+
 func (p *fakePlatform) NewestConfiguration(ctx context.Context, _ domain.Offset, progress *transfer.Progress) (*fleet.Configuration, domain.Offset, error) {
 	return p.Configuration(ctx, 0, 0, progress)
 }
@@ -260,6 +276,7 @@
 		c := &clock{start: time.Now()}
 		n := New(Options{
 			Name: "n", Feed: p, Group: p, Engines: p, Uptime: c, Logger: zerolog.Nop(),
+			ConfigurationBound: 4 * time.Second, RevokeBound: 5 * time.Second,
 			RegistrationsInterval: 800 * time.Millisecond, TimeToLive: 2500 * time.Millisecond, FirstOrderDelay: 500 * time.Millisecond, ServersCheckFences: serversCheckFences, HandOverDelay: 6 * time.Second,
 		})
 		ctx, cancel := context.WithCancel(t.Context())
@@ -378,8 +395,8 @@
 func TestOlderConfigurationIsIgnored(t *testing.T) {
 	run(t, true, func(n *Node, p *fakePlatform, _ *clock) {
 		time.Sleep(time.Second)
-		n.applyConfigurationRead(testConfiguration(7), 7, transfer.State{})
-		n.applyConfigurationRead(testConfiguration(3), 8, transfer.State{})
+		n.applyConfigurationRead(configurationResult{read: &configurationRead{}, config: testConfiguration(7), next: 7})
+		n.applyConfigurationRead(configurationResult{read: &configurationRead{}, config: testConfiguration(3), next: 8})
 		if got, want := n.Views.Get().Config.Version, fleet.Version(7); got != want {
 			t.Errorf("version: got %d, want %d", got, want)
 		}
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -243,6 +243,9 @@
 		u.Store = n.storeUpdate(true)
 		u.Store.ReadAge = age
 	}
+	if n.retainsLease() {
+		u.Keys = n.keyUpdate(0)
+	}
 	if n.Traits != nil {
 		u.Traits = n.Traits.TraitSnapshot()
 	}
--- a/entry/standstill_test.go
+++ b/entry/standstill_test.go
@@ -10,7 +10,6 @@
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fleet"
 	"github.com/parsleylug/parsleylug/placement"
-	"github.com/parsleylug/parsleylug/transfer"
 )
 
 // The size of a large fleet.
@@ -38,8 +37,8 @@
 
 // newFleetNode returns a node that knows the registrations of a large fleet.
 func newFleetNode() *Node {
-	n := New(Options{Name: "n", Logger: zerolog.Nop(), DrainBound: 4 * time.Second})
-	n.applyConfigurationRead(fleetConfiguration(1), 1, transfer.State{})
+	n := New(Options{Name: "n", Logger: zerolog.Nop(), DrainBound: 4 * time.Second, Uptime: &clock{start: time.Now()}})
+	n.applyConfigurationRead(configurationResult{read: &configurationRead{}, config: fleetConfiguration(1), next: 1})
 	var changes []fleet.Change
 	for i := range fleetServers {
 		s := &fleet.Server{ID: domain.ServerID(fmt.Sprintf("i-%d", i)), Service: "s", Slots: 12, State: fleet.Ready, EngineState: fleet.EngineState{StartedAtMs: 1}}
@@ -61,7 +60,7 @@
 		next := newest
 		next.Version++
 		newest = next
-		n.applyConfigurationRead(&next, 2, transfer.State{})
+		n.applyConfigurationRead(configurationResult{read: &configurationRead{}, config: &next, next: 2})
 		if n.Views.Get().Config != &next {
 			b.Fatal("the configuration is not in force")
 		}
--- a/fleet/workspace.go
+++ b/fleet/workspace.go
@@ -55,6 +55,23 @@
 // FindWorkspace returns the workspace that holds an API key, or nil if none does.
 func (c *Configuration) FindWorkspace(h KeyHash) *Workspace { return c.workspacesByKey[h] }
 
+// RemovedKeys returns the API keys of the configuration that the newer one does not have. It returns
+// none if the newer one needs no keys.
+func (c *Configuration) RemovedKeys(newer *Configuration) []KeyHash {
+	if !newer.HasWorkspaces() {
+		return nil
+	}
+	var removed []KeyHash
+	for i := range c.Workspaces {
+		for _, h := range c.Workspaces[i].Keys {
+			if newer.FindWorkspace(h) == nil {
+				removed = append(removed, h)
+			}
+		}
+	}
+	return removed
+}
+
 // indexWorkspaces computes the derived fields of the workspaces.
 func (c *Configuration) indexWorkspaces() {
 	c.workspacesByKey = make(map[KeyHash]*Workspace, len(c.Workspaces))
--- a/hub/message.go
+++ b/hub/message.go
@@ -86,6 +86,8 @@
 	// Registrations are the changes of registrations that the owner has read since the last
 	// update.
 	Registrations RegistrationChanges
+	// Keys are the API keys that the newest versions of the configuration removed.
+	Keys KeyUpdate
 }
 
 // RegistrationChanges are changes of registrations as the owner read them in the platform's store.
@@ -158,6 +160,8 @@
 	Traits              *wireTraits
 	// Registrations is nil if there are no changes. Earlier versions ignore it.
 	Registrations *wireRegistrations
+	// Keys is nil if there is nothing to say of keys. Earlier versions ignore it.
+	Keys *wireKeys
 }
 
 type wireStoreUpdate struct {
@@ -259,6 +263,7 @@
 	store := wireStoreUpdate{Configuration: uint64(u.Store.ConfigurationOffset), Registrations: uint64(u.Store.RegistrationsOffset), Read: u.Store.RegistrationsRead}
 	w := wireUpdate{Nodes: u.NodeCount, News: store, Suspects: encodeSuspects(u.CrashReports), Traits: encodeTraits(u.Traits), Registrations: encodeRegistrations(u.Registrations)}
 	w.Candidates, w.ReadAgeMilliseconds, w.ReadOffset = u.CandidateCount, u.Store.ReadAge.Milliseconds(), uint64(u.Store.ReadOffset)
+	w.Keys = encodeKeys(u.Keys)
 	for _, s := range u.Servers {
 		w.Servers = append(w.Servers, encodeServer(s))
 	}
@@ -313,6 +318,7 @@
 	}
 	u.Traits = w.Traits.decode()
 	u.Registrations = w.Registrations.decode()
+	u.Keys = w.Keys.decode()
 	var err error
 	u.CrashReports, err = decodeSuspects(w.Suspects)
 	return u, err
