--- a/hub/message.go
+++ b/hub/message.go
@@ -95,6 +95,8 @@
 	Loads []serverload.Shared
 	// Prefixes are the prompt parts that servers have cached as the owner has learned since then.
 	Prefixes []serverload.SharedPrefix
+	// Keys are the API keys that the newest versions of the configuration removed.
+	Keys KeyUpdate
 }
 
 // RegistrationChanges are changes of registrations as the owner read them in the platform's store.
@@ -171,6 +173,8 @@
 	Registrations *wireRegistrations
 	Loads         []wireLoad   `cbor:",omitempty"`
 	Prefixes      []wirePrefix `cbor:",omitempty"`
+	// Keys is nil if there is nothing to say of keys. Earlier versions ignore it.
+	Keys *wireKeys
 }
 
 type wireStoreUpdate struct {
@@ -274,6 +278,7 @@
 	w := wireUpdate{Nodes: u.NodeCount, News: store, Suspects: encodeSuspects(u.CrashReports), Traits: encodeTraits(u.Traits), Registrations: encodeRegistrations(u.Registrations)}
 	w.Loads, w.Prefixes = encodeLoads(u.Loads), encodePrefixes(u.Prefixes)
 	w.Candidates, w.ReadAgeMilliseconds, w.ReadOffset = u.CandidateCount, u.Store.ReadAge.Milliseconds(), uint64(u.Store.ReadOffset)
+	w.Keys = encodeKeys(u.Keys)
 	for _, s := range u.Servers {
 		w.Servers = append(w.Servers, encodeServer(s))
 	}
@@ -328,6 +333,7 @@
 	}
 	u.Traits = w.Traits.decode()
 	u.Registrations, u.Loads, u.Prefixes = w.Registrations.decode(), decodeLoads(w.Loads), decodePrefixes(w.Prefixes)
+	u.Keys = w.Keys.decode()
 	var err error
 	u.CrashReports, err = decodeSuspects(w.Suspects)
 	return u, err
--- a/hub/outbox.go
+++ b/hub/outbox.go
@@ -86,6 +86,7 @@
 		u.Registrations = u.Registrations.followedBy(m.update.Registrations)
 		u.Loads = mergedLoads(u.Loads, m.update.Loads)
 		u.Prefixes = mergedPrefixes(u.Prefixes, m.update.Prefixes)
+		u.Keys = u.Keys.followedBy(m.update.Keys)
 	}
 	return u
 }
