dispatch: no late start of a booking by estimate on a node that stops

Cause: a request that came late in the grace period was started if the slowest recent one of its route and a second more would end in time. Change: once callers have had the time to go to other nodes, a non-idempotent request is started only if its deadline is before the end of the node, as streams are. Idempotent ones, which their callers may repeat, are started by estimate in the first half of that time only.

--- a/dispatch/shutdown.go
+++ b/dispatch/shutdown.go
@@ -42,8 +42,9 @@
 // A request that has not run is refused at once unless it is expected to end before EndsAt,
 // because other nodes can serve it. Until WaitUntil, a small share of the recent requests of its
 // route may have been slower than that. After WaitUntil, callers have had the time to go to other
-// nodes: a stream is started only if its deadline is before EndsAt, any other request also if the
-// slowest recent one would end in time.
+// nodes: a request is started only if its deadline is before EndsAt, an idempotent one until the
+// middle between WaitUntil and EndsAt also if the slowest recent one would end in time. Recent
+// requests do not say how long a single one takes, and only what is idempotent may be repeated.
 type Shutdown struct {
 	// BegunAt is when the node got the signal to stop.
 	BegunAt time.Time
@@ -106,13 +107,14 @@
 }
 
 // latestLateStart returns the time until which a request may start that has not run, although
-// its caller has had the time to go to another node.
+// its caller has had the time to go to another node and its deadline is after EndsAt.
 func (s *session) latestLateStart(d *durationDistribution, shutdown *Shutdown) time.Time {
 	expected, ok := d.expected(lateCutShare)
-	if !ok || s.request.Route.Kind == fleet.Streaming {
+	if !ok || s.request.Route.Kind != fleet.Idempotent {
 		return time.Time{}
 	}
-	return shutdown.EndsAt.Add(-max(expected, d.longest()) - silenceAllowance)
+	middle := shutdown.WaitUntil.Add(shutdown.EndsAt.Sub(shutdown.WaitUntil) / 2)
+	return earlier(middle, shutdown.EndsAt.Add(-max(expected, d.longest())-silenceAllowance))
 }
 
 // expected returns the time that at most the given share of the requests is expected to exceed.
--- a/dispatch/shutdown_test.go
+++ b/dispatch/shutdown_test.go
@@ -212,7 +212,9 @@
 }
 
 // What has not run is started early if it will almost certainly end in time, and late only if no
-// recent one was slower; a stream late only if its caller gets the end of it in any case.
+// recent one was slower and half of the late time is left; a stream or a non-idempotent request late
+// only if its caller gets the end of it in any case. Guards against bookings that were cut: one that
+// came 5.7 s after the signal took 2.5 s, where recent ones had taken 30 ms.
 func TestShutdownStartsRequestsByTheTimeThatIsLeft(t *testing.T) {
 	for _, test := range []struct {
 		name    string
@@ -233,6 +235,11 @@
 		{"late request, duration unknown", idempotentRequest, 0, 20 * time.Second, 4 * time.Second, Refused},
 		{"late request, fast before", idempotentRequest, time.Second, 20 * time.Second, 5 * time.Second, Served},
 		{"late request, slow before", idempotentRequest, 2 * time.Second, 20 * time.Second, 5 * time.Second, Refused},
+		{"late request, very fast before", idempotentRequest, 30 * time.Millisecond, 20 * time.Second, 5700 * time.Millisecond, Refused},
+		{"late booking, very fast before", bookingRequest, 30 * time.Millisecond, 20 * time.Second, 5700 * time.Millisecond, Refused},
+		{"late booking, fast before", bookingRequest, time.Second, 20 * time.Second, 4 * time.Second, Refused},
+		{"late booking with a short deadline", bookingRequest, 0, 2 * time.Second, 5 * time.Second, Served},
+		{"early booking, fast before", bookingRequest, time.Second, 20 * time.Second, 2 * time.Second, Served},
 		{"late request with a short deadline", idempotentRequest, 0, 2 * time.Second, 5 * time.Second, Served},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -256,6 +263,8 @@
 
 func idempotentRequest() *Request { return plainRequest(fleet.Idempotent) }
 
+func bookingRequest() *Request { return plainRequest(fleet.NonIdempotent) }
+
 // A model that no node can have in time is no reason to retry at once at another node.
 func TestShutdownSaysWhyAModelIsNotWaitedFor(t *testing.T) {
 	for timeout, want := range map[time.Duration]verdict.Reason{time.Second: verdict.NoCapacity, 12 * time.Second: verdict.Draining} {
