entry: nodes that start or link know the contents that crash servers

Cause: the crashes of request contents were in the memory of each process alone. Change: contents that crashed two servers or more are in the first message over a link in both directions. The owner saves them in the topic keyed.parsleylug.contents, and a node reads them before it is ready, for 3 s at most. An owner saves from the beginning of its term, since that may now be long before its first order.

--- a/commands/front.go
+++ b/commands/front.go
@@ -151,6 +151,7 @@
 		Group:                 &platform.Group{Store: store, Member: name},
 		Engines:               backend,
 		TraitLog:              &platform.TraitLog{Store: store},
+		ContentLog:            &platform.ContentLog{Store: store},
 		Uptime:                platform.Uptime{},
 		Dialer:                platform.Dialer(time.Second),
 		HubAddress:            hubAddress,
@@ -181,7 +182,7 @@
 	})
 	backend.OnNotice = f.node.RecordNotice
 	f.node.OnCrashReports = dispatcher.ApplyCrashReports
-	f.node.Traits = dispatcher
+	f.node.Traits, f.node.Contents = dispatcher, dispatcher
 	f.frontend = &platform.Frontend{
 		Dispatcher: dispatcher, Views: &f.node.Views, IsBehind: f.node.IsConfigurationBehind, LinkDelay: f.node.LinkDelay,
 		Logger: logger, Counters: f.metrics,
--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -66,6 +66,25 @@
 	return d.crashes.traits.Snapshot(time.Now())
 }
 
+// RestoreContents implements entry.Contents.
+func (d *Dispatcher) RestoreContents(records []suspects.ContentRecord) bool {
+	d.crashes.mu.Lock()
+	isNew := d.crashes.contents.Restore(time.Now(), records)
+	d.crashes.mu.Unlock()
+	if isNew {
+		// Requests that wait may be refused now.
+		d.Views.Refresh()
+	}
+	return isNew
+}
+
+// ContentSnapshot implements entry.Contents.
+func (d *Dispatcher) ContentSnapshot() []suspects.ContentRecord {
+	d.crashes.mu.Lock()
+	defer d.crashes.mu.Unlock()
+	return d.crashes.contents.Snapshot(time.Now())
+}
+
 // standing returns whether a request content now runs as usual, in isolation or not at
 // all.
 func (d *Dispatcher) standing(c suspects.Content) suspects.Standing {
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -2,8 +2,8 @@
 
 import "github.com/parsleylug/parsleylug/suspects"
 
-// maximumPendingReports bounds the crash reports that wait for a link to the owner. What is
-// dropped is lost for request contents; the first report over a link has all traits again.
+// maximumPendingReports bounds the crash reports that wait for a link to the owner. The first
+// report over a link has all traits again, and the contents that crashed several servers.
 const maximumPendingReports = 1024
 
 // ReportCrash reports a request content that crashed a backend server to the other nodes.
@@ -15,6 +15,7 @@
 
 // addCrashReports adds reports to those that have not been sent. The caller holds mu.
 func (n *Node) addCrashReports(reports []suspects.Report) {
+	n.noteCrashReports(reports)
 	room := max(0, maximumPendingReports-len(n.crashReports))
 	n.crashReports = append(n.crashReports, reports[:min(room, len(reports))]...)
 }
--- a/entry/link.go
+++ b/entry/link.go
@@ -114,8 +114,8 @@
 }
 
 // sendReports sends the owner this node's demand, crash reports, stale servers and
-// leaving servers. The first report has the complete demand and all leaving servers,
-// later ones only the changes.
+// leaving servers. The first report has the complete demand, all leaving servers and the request
+// contents that crashed servers, later ones only the changes.
 // After a second without a report, it sends an empty one.
 func (n *Node) sendReports(ctx context.Context, l *hub.Link) {
 	demands := n.Demand.TakeAll(time.Now())
@@ -125,13 +125,15 @@
 	var leaving []hub.LeavingServer
 	var lastLeaving fleet.NoticeNumber
 	n.resetTraitReport()
+	contents := n.contentSnapshot()
 	for {
 		leaving, lastLeaving = n.leavingServers(time.Now(), lastLeaving)
 		n.mu.Lock()
-		r := hub.Report{Node: n.Name, Demands: demands, CrashReports: n.crashReports, Traits: n.takeTraitReport(), StaleServers: n.staleServers, LeavingServers: leaving}
+		r := hub.Report{Node: n.Name, Demands: demands, CrashReports: n.crashReports, Traits: n.takeTraitReport(), Contents: contents, StaleServers: n.staleServers, LeavingServers: leaving}
+		contents = nil
 		n.crashReports, n.staleServers = nil, nil
 		n.mu.Unlock()
-		if len(demands) > 0 || len(r.CrashReports) > 0 || !r.Traits.IsEmpty() || len(r.StaleServers) > 0 || len(leaving) > 0 || time.Since(lastSent) > time.Second {
+		if len(demands) > 0 || len(r.CrashReports) > 0 || !r.Traits.IsEmpty() || len(r.Contents) > 0 || len(r.StaleServers) > 0 || len(leaving) > 0 || time.Since(lastSent) > time.Second {
 			if err := l.Send(ctx, r); err != nil {
 				return
 			}
@@ -165,6 +167,8 @@
 	n.applyRegistrationChanges(now, u.Registrations)
 	n.applyStoreUpdate(now, u.Store)
 	n.applyTraits(u.Traits, false)
+	n.restoreContents(u.Contents)
+	n.noteCrashReports(u.CrashReports)
 	if len(u.Servers) == 0 && len(u.CrashReports) == 0 && u.NodeCount <= n.nodeCount {
 		return
 	}
--- a/entry/node.go
+++ b/entry/node.go
@@ -88,8 +88,9 @@
 	Group   Group
 	Engines Engines
 	Uptime  Uptime
-	// TraitLog may be nil.
-	TraitLog TraitLog
+	// TraitLog and ContentLog may be nil.
+	TraitLog   TraitLog
+	ContentLog ContentLog
 	// Dialer opens the connections to the owner's hub.
 	Dialer hub.Dialer
 	// HubAddress extracts the address of a node's hub from the node's name.
@@ -143,9 +144,10 @@
 	// this node's own. Each identifies a request content that crashed a backend
 	// server. OnCrashReports may be nil.
 	OnCrashReports func([]suspects.Report)
-	// Traits holds what this node knows of traits of requests that crash servers. It may be
-	// nil.
-	Traits Traits
+	// Traits holds what this node knows of traits of requests that crash servers, Contents what
+	// it knows of contents. They may be nil.
+	Traits   Traits
+	Contents Contents
 
 	mu        sync.Mutex
 	directory fleet.Directory
@@ -229,6 +231,8 @@
 	// with the number of their refusals there; 0 if it is unknown. At most
 	// maximumStoredTraits.
 	storedTraits map[suspects.Trait]int
+	// stored is what this node knows of the contents in the store.
+	stored storedContents
 	// staleServers are the servers that lack a model or adapter listed in their
 	// cached engine state. The next report passes them to the owner.
 	staleServers []domain.ServerID
@@ -249,7 +253,7 @@
 func New(o Options) *Node {
 	n := &Node{Options: o, planTrigger: make(chan struct{}, 1), renewTrigger: make(chan struct{}, 1), traitsReported: make(chan struct{}, 1), traitsChanged: make(chan struct{}, 1), storeRecovered: make(chan struct{}), failedCalls: map[string]bool{}, configurationReads: map[*configurationRead]bool{}}
 	n.Notices.DrainBound = o.DrainBound
-	n.storeUpdates.changed = make(chan struct{})
+	n.storeUpdates.changed, n.stored.changed = make(chan struct{}), make(chan struct{}, 1)
 	n.lease.Shard = ownedShard
 	n.lease.TimeToLive, n.lease.FirstOrderDelay, n.lease.LeaseBound, n.lease.ServersCheckFences = o.TimeToLive, o.FirstOrderDelay, o.LeaseBound, o.ServersCheckFences
 	n.candidacy = lease.Candidacy{Standby: o.Standby, TimeToLive: o.TimeToLive, Spread: rand.Float64()}
@@ -268,7 +272,7 @@
 // Run runs the node's loops until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	for _, loop := range []func(context.Context){n.followConfiguration, n.followServers, n.renewMembership, n.watchGroup, n.runOwner, n.maintainLink, n.loadTraits, n.saveTraits} {
+	for _, loop := range []func(context.Context){n.followConfiguration, n.followServers, n.renewMembership, n.watchGroup, n.runOwner, n.maintainLink, n.loadTraits, n.saveTraits, n.loadContents, n.saveContents} {
 		g.Go(func() error {
 			loop(ctx)
 			return nil
@@ -281,7 +285,7 @@
 func (n *Node) IsReady() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.config != nil && n.serversSeen && !n.draining && (n.traitsLoaded || n.TraitLog == nil)
+	return n.config != nil && n.serversSeen && !n.draining && (n.traitsLoaded || n.TraitLog == nil) && (n.stored.isLoaded || n.ContentLog == nil)
 }
 
 // IsConfigurationBehind reports whether the owner has announced a configuration that this
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -119,6 +119,7 @@
 	n.ownedSince = now
 	n.planner.BeginTerm(now)
 	signal(n.traitsChanged)
+	signal(n.stored.changed)
 	n.planner.RecordDemand(now, n.Name, n.Demand.TakeAll(now))
 }
 
@@ -208,6 +209,7 @@
 		n.planner.RequestPoll(time.Now(), id)
 	}
 	n.recordReportedLeaving(time.Now(), r.LeavingServers)
+	n.restoreContents(r.Contents)
 	n.addCrashReports(r.CrashReports)
 	n.applyTraits(r.Traits, true)
 	if len(r.CrashReports) > 0 && n.OnCrashReports != nil {
@@ -262,6 +264,7 @@
 	if n.Traits != nil {
 		u.Traits = n.Traits.TraitSnapshot()
 	}
+	u.Contents = n.contentSnapshot()
 	for id, state := range n.planner.Snapshot() {
 		u.Servers = append(u.Servers, hub.ServerState{ID: id, EngineState: state})
 	}
--- a/entry/traitlog.go
+++ b/entry/traitlog.go
@@ -90,7 +90,7 @@
 			return
 		case <-n.traitsChanged:
 		}
-		for ctx.Err() == nil && n.mayOrder() {
+		for ctx.Err() == nil && n.isInTerm() {
 			if err := n.saveChangedTraits(ctx); err == nil {
 				break
 			}
@@ -101,13 +101,13 @@
 	}
 }
 
-// mayOrder reports whether this node is the owner and may issue orders. A node that was paused
+// isInTerm reports whether this node's term as the owner has begun. A node that was paused
 // asks the lease, which may have run out meanwhile.
-func (n *Node) mayOrder() bool {
+func (n *Node) isInTerm() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	_, valid := n.lease.Fence(n.Uptime.Now())
-	return valid
+	_, hasBegun := n.lease.Term(n.Uptime.Now())
+	return hasBegun
 }
 
 // saveChangedTraits saves what differs from what the store has as far as this node knows, and
--- a/hub/hub_test.go
+++ b/hub/hub_test.go
@@ -23,6 +23,8 @@
 	Refusals:    []suspects.TraitRefusal{{Trait: 3, Number: 2, Remaining: 10 * time.Minute}},
 }
 
+var testContents = []suspects.ContentRecord{{Content: suspects.Content{3}, Crashes: []suspects.ContentCrash{{Server: "i", Age: time.Second, AfterToken: true}, {Server: "k", Isolated: true}}}}
+
 var testReport = Report{
 	Node:           "n",
 	Demands:        []placement.Demand{{ModelKey: placement.ModelKey{Service: "s", Model: "m", Adapter: "a"}, Waiting: 1, Running: 2, Arrivals: 3, LateResponses: 4}},
@@ -30,11 +32,13 @@
 	StaleServers:   []domain.ServerID{"i"},
 	LeavingServers: []LeavingServer{{Incarnation: fleet.Incarnation{ID: "i", StartedAtMs: 5}, Age: 1500 * time.Millisecond}},
 	Traits:         testTraits,
+	Contents:       testContents,
 }
 
 var testUpdate = Update{
 	NodeCount: 3,
 	Traits:    testTraits,
+	Contents:  testContents,
 	Store:     StoreUpdate{ConfigurationOffset: 7, RegistrationsOffset: 9, RegistrationsRead: true},
 	Servers: []ServerState{{ID: "i", EngineState: fleet.EngineState{
 		StartedAtMs: 5, Sequence: 6, Busy: true,
--- a/hub/message.go
+++ b/hub/message.go
@@ -49,6 +49,9 @@
 	// Traits is what the node has learned of the traits of requests since its last report. The
 	// first report over a link has all that the node knows.
 	Traits suspects.TraitReport
+	// Contents are the request contents that crashed several servers, in the first report over a
+	// link.
+	Contents []suspects.ContentRecord
 	// StaleServers are the servers that lack a model or adapter listed in the
 	// node's cached engine state. The owner queries their engine state again.
 	StaleServers []domain.ServerID
@@ -75,6 +78,9 @@
 	// Traits is what the owner has learned of the traits of requests since the last update.
 	// The first update over a link has all that the owner knows.
 	Traits suspects.TraitReport
+	// Contents are the request contents that crashed several servers, in the first update over a
+	// link.
+	Contents []suspects.ContentRecord
 	// NodeCount is the number of linked nodes plus 1 for the owner itself; 0 if it is
 	// unknown.
 	NodeCount int
@@ -123,6 +129,8 @@
 	Doubted  []string
 	Leaving  []wireLeaving
 	Traits   *wireTraits
+	// Contents is missing in messages of earlier versions.
+	Contents []wireContent
 }
 
 type wireLeaving struct {
@@ -156,8 +164,9 @@
 	ReadAgeMilliseconds int64
 	ReadOffset          uint64
 	Traits              *wireTraits
-	// Registrations is nil if there are no changes. Earlier versions ignore it.
+	// Registrations is nil if there are no changes. Earlier versions ignore it and Contents.
 	Registrations *wireRegistrations
+	Contents      []wireContent
 }
 
 type wireStoreUpdate struct {
@@ -192,7 +201,7 @@
 }
 
 func encodeReport(r Report) ([]byte, error) {
-	w := wireReport{Node: string(r.Node), Suspects: encodeSuspects(r.CrashReports), Doubted: domain.Strings(r.StaleServers), Traits: encodeTraits(r.Traits)}
+	w := wireReport{Node: string(r.Node), Suspects: encodeSuspects(r.CrashReports), Doubted: domain.Strings(r.StaleServers), Traits: encodeTraits(r.Traits), Contents: encodeContents(r.Contents)}
 	for _, d := range r.Demands {
 		w.Demands = append(w.Demands, wireDemand{
 			Service: string(d.Service), Model: string(d.Model), Adapter: string(d.Adapter),
@@ -229,7 +238,7 @@
 		i := fleet.Incarnation{ID: domain.ServerID(l.ID), StartedAtMs: l.Born}
 		r.LeavingServers = append(r.LeavingServers, LeavingServer{Incarnation: i, Age: time.Duration(l.AgeMilliseconds) * time.Millisecond})
 	}
-	r.Traits = w.Traits.decode()
+	r.Traits, r.Contents = w.Traits.decode(), decodeContents(w.Contents)
 	var err error
 	r.CrashReports, err = decodeSuspects(w.Suspects)
 	return r, err
@@ -257,7 +266,7 @@
 
 func encodeUpdate(u Update) ([]byte, error) {
 	store := wireStoreUpdate{Configuration: uint64(u.Store.ConfigurationOffset), Registrations: uint64(u.Store.RegistrationsOffset), Read: u.Store.RegistrationsRead}
-	w := wireUpdate{Nodes: u.NodeCount, News: store, Suspects: encodeSuspects(u.CrashReports), Traits: encodeTraits(u.Traits), Registrations: encodeRegistrations(u.Registrations)}
+	w := wireUpdate{Nodes: u.NodeCount, News: store, Suspects: encodeSuspects(u.CrashReports), Traits: encodeTraits(u.Traits), Registrations: encodeRegistrations(u.Registrations), Contents: encodeContents(u.Contents)}
 	w.Candidates, w.ReadAgeMilliseconds, w.ReadOffset = u.CandidateCount, u.Store.ReadAge.Milliseconds(), uint64(u.Store.ReadOffset)
 	for _, s := range u.Servers {
 		w.Servers = append(w.Servers, encodeServer(s))
@@ -311,7 +320,7 @@
 		}
 		u.Servers = append(u.Servers, s.decode())
 	}
-	u.Traits = w.Traits.decode()
+	u.Traits, u.Contents = w.Traits.decode(), decodeContents(w.Contents)
 	u.Registrations = w.Registrations.decode()
 	var err error
 	u.CrashReports, err = decodeSuspects(w.Suspects)
--- a/hub/outbox.go
+++ b/hub/outbox.go
@@ -76,6 +76,7 @@
 		}
 		u.CrashReports = append(u.CrashReports, m.update.CrashReports...)
 		u.Traits.Append(m.update.Traits)
+		u.Contents = append(u.Contents, m.update.Contents...)
 		if m.update.NodeCount > 0 {
 			u.NodeCount = m.update.NodeCount
 		}
--- a/suspects/list.go
+++ b/suspects/list.go
@@ -225,17 +225,17 @@
 
 // addCrash adds a crash to those of a content. If it is a crash that is already recorded,
 // the two are merged: the merged crash is isolated if either is, and afterToken only if
-// both are. If the content already has maximumCrashes crashes, the new
+// both are. If the content already has maximumCrashes crashes, a later
 // crash replaces the last of them.
 func (l *List) addCrash(now time.Time, c Content, k crash) {
 	e := l.contents[c]
 	if e == nil {
 		e = l.insert(now, c)
 	}
-	e.latestCrashAt = now
+	e.latestCrashAt = later(e.latestCrashAt, k.at)
 	for i := range e.crashes {
 		o := &e.crashes[i]
-		if o.server == k.server && now.Sub(o.at) < sameCrashWindow {
+		if o.server == k.server && k.at.Sub(o.at).Abs() < sameCrashWindow {
 			o.isolated = o.isolated || k.isolated
 			o.afterToken = o.afterToken && k.afterToken
 			return
@@ -245,7 +245,16 @@
 		e.crashes = append(e.crashes, k)
 		return
 	}
-	e.crashes[len(e.crashes)-1] = k
+	if last := len(e.crashes) - 1; k.at.After(e.crashes[last].at) {
+		e.crashes[last] = k
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // insert adds a content to the list. If the list is full, it evicts another content
