suspects: servers lost at one moment and completed contents are no evidence

Change: a crash is reported with its time, when the connection broke, and how long the requests with each trait had run. It does not count again for a trait if a request with it ran on the server already as another server with the trait crashed up to 0.5 s before, and not at all if that other server ran no request with it. A request that crashes servers reaches the next one only after that. A content that one attempt answers whole is cleared at all nodes, and its crashes until 10 s after that do not count. TestCrashWithAKnownCauseSuspectsNoOtherRequest gives the same crashes by the new type.

--- a/caller/isolation.go
+++ b/caller/isolation.go
@@ -156,7 +156,7 @@
 		return
 	}
 	a.isolation.mu.Lock()
-	report, wasSuspected := a.isolation.suspects.RecordCompletion(s.call.content)
+	report, wasSuspected := a.isolation.suspects.RecordCompletion(time.Now(), s.call.content)
 	traitReport, decisions := a.isolation.traits.RecordCompletion(time.Now(), s.call.traits)
 	a.isolation.mu.Unlock()
 	a.reportTraits(traitReport, decisions)
--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -30,7 +30,13 @@
 	contents suspects.List
 	traits   suspects.Traits
 	// checks holds, for each server whose crash is being checked, the requests that ran there.
-	checks map[domain.ServerID][]crashedRequest
+	checks map[domain.ServerID]*crashCheck
+}
+
+// crashCheck is a check whether a server has crashed, to which a connection broke at brokenAt.
+type crashCheck struct {
+	brokenAt time.Time
+	requests []crashedRequest
 }
 
 // crashedRequest is a request that ran on a server when the connection to it broke.
@@ -38,6 +44,8 @@
 	id      domain.RequestID
 	content suspects.Content
 	traits  []suspects.Trait
+	// ran is how long it had run there.
+	ran time.Duration
 	// afterToken is true if the caller had received part of the response.
 	afterToken bool
 }
@@ -131,18 +139,23 @@
 	return newRefusal(now, s.request, verdict.Quarantined, "a part of the prompt was in requests on several servers when they crashed", remaining)
 }
 
-// recordCompletion records that one attempt generated the whole response, so that no trait of the
-// request crashes each server.
+// recordCompletion records that one attempt generated the whole response, so that neither the
+// content nor a trait of the request crashes each server.
 func (s *session) recordCompletion(a *attempt) {
-	if a.parameters.LastEvent > 0 || len(s.request.Traits) == 0 {
+	if a.parameters.LastEvent > 0 {
 		return
 	}
 	d := s.dispatcher
+	now := time.Now()
 	d.crashes.mu.Lock()
-	report, decisions := d.crashes.traits.RecordCompletion(time.Now(), s.request.Traits)
+	cleared, wasSuspected := d.crashes.contents.RecordCompletion(now, s.request.Content)
+	report, decisions := d.crashes.traits.RecordCompletion(now, s.request.Traits)
 	d.crashes.mu.Unlock()
 	d.publishDecisions(decisions)
 	d.reportTraits(report)
+	if wasSuspected && d.ReportCrash != nil {
+		d.ReportCrash(cleared)
+	}
 }
 
 // checkCrash checks whether the server of a broken attempt still accepts connections. One check
@@ -150,13 +163,15 @@
 func (d *Dispatcher) checkCrash(s *fleet.Server, r crashedRequest) {
 	d.crashes.mu.Lock()
 	defer d.crashes.mu.Unlock()
-	requests, isChecked := d.crashes.checks[s.ID]
-	if len(requests) < maximumRequestsPerCrash {
-		d.crashes.checks[s.ID] = append(requests, r)
-	}
+	check, isChecked := d.crashes.checks[s.ID]
 	if !isChecked {
+		check = &crashCheck{brokenAt: time.Now()}
+		d.crashes.checks[s.ID] = check
 		go d.confirmCrash(s)
 	}
+	if len(check.requests) < maximumRequestsPerCrash {
+		check.requests = append(check.requests, r)
+	}
 }
 
 // confirmCrash records and reports the crash of a server that does not accept connections.
@@ -166,31 +181,27 @@
 	defer cancel()
 	err := d.Backend.Reach(ctx, s)
 	d.crashes.mu.Lock()
-	requests := d.crashes.checks[s.ID]
+	check := d.crashes.checks[s.ID]
 	delete(d.crashes.checks, s.ID)
 	d.crashes.mu.Unlock()
 	if err != nil {
-		d.recordCrash(time.Now(), s.ID, requests)
+		d.recordCrash(time.Now(), s.ID, check)
 	}
 }
 
 // recordCrash records that a server crashed while it ran requests of this node, and reports it
 // to the other nodes.
-func (d *Dispatcher) recordCrash(now time.Time, id domain.ServerID, requests []crashedRequest) {
+func (d *Dispatcher) recordCrash(now time.Time, id domain.ServerID, check *crashCheck) {
 	d.chooser.recordFailure(now, id, true)
-	var traits []suspects.Trait
-	for _, r := range requests {
-		traits = append(traits, r.traits...)
-	}
 	d.crashes.mu.Lock()
-	report, decisions := d.crashes.traits.RecordCrash(now, id, traits)
-	contents := make([]suspects.Report, 0, len(requests))
-	for _, r := range requests {
+	report, decisions := d.crashes.traits.RecordTraitCrash(now, check.traitCrash(now, id))
+	contents := make([]suspects.Report, 0, len(check.requests))
+	for _, r := range check.requests {
 		contents = append(contents, d.crashes.contents.RecordCrash(now, r.content, id, false, r.afterToken))
 	}
 	d.crashes.mu.Unlock()
 	d.CountCrash()
-	d.logCrash(id, requests, contents)
+	d.logCrash(id, check.requests, contents)
 	d.publishDecisions(decisions)
 	d.reportTraits(report)
 	if d.ReportCrash == nil {
@@ -201,6 +212,21 @@
 	}
 }
 
+// traitCrash returns the crash of a server with the traits of the requests that ran there.
+func (c *crashCheck) traitCrash(now time.Time, id domain.ServerID) suspects.TraitCrash {
+	k := suspects.TraitCrash{Server: id, Age: now.Sub(c.brokenAt)}
+	longest := map[suspects.Trait]time.Duration{}
+	for _, r := range c.requests {
+		for _, t := range r.traits {
+			longest[t] = max(longest[t], r.ran)
+		}
+	}
+	for t, ran := range longest {
+		k.Traits, k.Ran = append(k.Traits, t), append(k.Ran, ran)
+	}
+	return k
+}
+
 // reportTraits passes a report that is not empty on to the other nodes.
 func (d *Dispatcher) reportTraits(r suspects.TraitReport) {
 	if d.ReportTraits != nil && !r.IsEmpty() {
--- a/dispatch/crashes_test.go
+++ b/dispatch/crashes_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fleet"
 	"github.com/parsleylug/parsleylug/retries"
 	"github.com/parsleylug/parsleylug/suspects"
@@ -123,13 +124,66 @@
 		d := newTestDispatcher(&fakeBackend{})
 		refuseTestTrait(d)
 		content := suspects.Content{1}
-		d.recordCrash(time.Now(), "a", []crashedRequest{{id: "bad", traits: []suspects.Trait{testTrait}}, {id: "sound", content: content}})
+		d.recordCrash(time.Now(), "a", &crashCheck{time.Now(), []crashedRequest{{id: "bad", traits: []suspects.Trait{testTrait}}, {id: "sound", content: content}}})
 		if got, want := d.standing(content), suspects.Clean; got != want {
 			t.Errorf("got %v, want %v", got, want)
 		}
-		d.recordCrash(time.Now(), "b", []crashedRequest{{id: "sound", content: content}})
+		d.recordCrash(time.Now(), "b", &crashCheck{time.Now(), []crashedRequest{{id: "sound", content: content}}})
 		if got, want := d.standing(content), suspects.Suspected; got != want {
 			t.Errorf("after a crash without a known cause: got %v, want %v", got, want)
 		}
 	})
 }
+
+// Guards against DENIED: a content that ran on two servers as these crashed was refused for a minute,
+// and for a day after four crashes, although it was served whole all the time, such as a much used
+// GET.
+func TestContentThatCompletesIsCleared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDispatcher(&fakeBackend{responses: []func(context.Context) (*Response, error){bodyResponse(200, "ok")}})
+		var reports []suspects.Report
+		d.ReportCrash = func(r suspects.Report) { reports = append(reports, r) }
+		r := plainRequest(fleet.Idempotent)
+		r.Content = suspects.Content{1}
+		crash := func(servers ...domain.ServerID) {
+			for _, id := range servers {
+				d.recordCrash(time.Now(), id, &crashCheck{time.Now(), []crashedRequest{{id: "sound", content: r.Content}}})
+			}
+		}
+		crash("a")
+		if got, want := d.Serve(t.Context(), r, &fakeCaller{}), Served; got != want {
+			t.Fatalf("got %v, want %v", got, want)
+		}
+		if got, want := d.standing(r.Content), suspects.Clean; got != want {
+			t.Errorf("after a completion: got %v, want %v", got, want)
+		}
+		if len(reports) != 2 || reports[1].Crashes != 0 || reports[1].Content != r.Content {
+			t.Errorf("got reports %+v, want the crash and the end of the suspicion", reports)
+		}
+		crash("b", "c")
+		if got, want := d.standing(r.Content), suspects.Clean; got != want {
+			t.Errorf("two crashes shortly after a completion: got %v, want %v", got, want)
+		}
+		time.Sleep(time.Minute)
+		crash("d", "e")
+		if got, want := d.standing(r.Content), suspects.Refused; got != want {
+			t.Errorf("two crashes a minute after a completion: got %v, want %v", got, want)
+		}
+	})
+}
+
+// A stream that is resumed at another server is no proof: the part before may be what crashes
+// servers.
+func TestResumptionClearsNoContent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDispatcher(&fakeBackend{responses: []func(context.Context) (*Response, error){streamResponse(errors.New("reset"), 1), streamResponse(io.EOF, 2)}})
+		r := streamRequest()
+		r.Content = suspects.Content{1}
+		d.recordCrash(time.Now(), "a", &crashCheck{time.Now(), []crashedRequest{{id: "other", content: r.Content}}})
+		d.Serve(t.Context(), r, &fakeCaller{})
+		time.Sleep(time.Second)
+		if got, want := d.standing(r.Content), suspects.Suspected; got != want {
+			t.Errorf("got %v, want %v", got, want)
+		}
+	})
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -149,7 +149,7 @@
 	}
 	d := &Dispatcher{Options: o, budgets: map[domain.ServiceName]*retries.WindowBudget{}}
 	d.bodies.Size = o.ResponseMemory
-	d.crashes.checks = map[domain.ServerID][]crashedRequest{}
+	d.crashes.checks = map[domain.ServerID]*crashCheck{}
 	d.crashes.contents.IsExplained = d.crashes.traits.IsExplained
 	return d
 }
--- a/dispatch/response.go
+++ b/dispatch/response.go
@@ -38,7 +38,7 @@
 // node or the path may be cut.
 func (s *session) suspectCrash(a *attempt, err error) {
 	if !stderrors.Is(err, syscall.ETIMEDOUT) {
-		s.dispatcher.checkCrash(a.server, crashedRequest{id: s.request.ID, content: s.request.Content, traits: s.request.Traits, afterToken: s.headSent})
+		s.dispatcher.checkCrash(a.server, crashedRequest{id: s.request.ID, content: s.request.Content, traits: s.request.Traits, ran: time.Since(a.startedAt), afterToken: s.headSent})
 	}
 }
 
--- a/hub/hub_test.go
+++ b/hub/hub_test.go
@@ -18,7 +18,7 @@
 )
 
 var testTraits = suspects.TraitReport{
-	Crashes:     []suspects.TraitCrash{{Server: "i", Age: 70 * time.Millisecond, Traits: []suspects.Trait{1, 1 << 63}}},
+	Crashes:     []suspects.TraitCrash{{Server: "i", Age: 70 * time.Millisecond, Traits: []suspects.Trait{1, 1 << 63}, Ran: []time.Duration{time.Second, 0}}},
 	Completions: []suspects.TraitCompletion{{Trait: 2, Age: time.Second}},
 	Refusals:    []suspects.TraitRefusal{{Trait: 3, Number: 2, Remaining: 10 * time.Minute}},
 }
--- a/hub/traits.go
+++ b/hub/traits.go
@@ -12,7 +12,10 @@
 
 // wireTraits is a suspects.TraitReport; nil if it is empty.
 type wireTraits struct {
-	Crashes     []wireTraitCrash
+	Crashes []wireTraitCrash
+	// Runs has, for each of the crashes, how long the requests with its traits had run, in
+	// milliseconds. It is missing in messages of earlier versions.
+	Runs        [][]int64
 	Completions []wireTraitCompletion
 	Refusals    []wireTraitRefusal
 }
@@ -47,6 +50,7 @@
 		for _, t := range c.Traits {
 			k.Traits = append(k.Traits, uint64(t))
 		}
+		w.Runs = append(w.Runs, milliseconds(c.Ran))
 		w.Crashes = append(w.Crashes, k)
 	}
 	for _, c := range r.Completions {
@@ -64,7 +68,7 @@
 	if w == nil {
 		return r
 	}
-	for _, k := range w.Crashes {
+	for i, k := range w.Crashes {
 		age, ok := decodeAge(k.AgeMilliseconds)
 		if !ok || k.Server == "" {
 			continue
@@ -73,6 +77,9 @@
 		for _, t := range k.Traits {
 			c.Traits = append(c.Traits, suspects.Trait(t))
 		}
+		if i < len(w.Runs) {
+			c.Ran = decodeRuns(w.Runs[i], len(k.Traits))
+		}
 		r.Crashes = append(r.Crashes, c)
 	}
 	for _, c := range w.Completions {
@@ -88,6 +95,24 @@
 	return r
 }
 
+func milliseconds(durations []time.Duration) []int64 {
+	var w []int64
+	for _, d := range durations {
+		w = append(w, d.Milliseconds())
+	}
+	return w
+}
+
+// decodeRuns returns at most count durations. What is out of range counts as unknown.
+func decodeRuns(w []int64, count int) []time.Duration {
+	var runs []time.Duration
+	for _, ms := range w[:min(len(w), count)] {
+		d, _ := decodeAge(ms)
+		runs = append(runs, d)
+	}
+	return runs
+}
+
 // decodeAge returns a time in a message, or false if it is out of range.
 func decodeAge(milliseconds int64) (time.Duration, bool) {
 	if milliseconds < 0 || milliseconds > maximumAge.Milliseconds() {
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -145,6 +145,7 @@
 		Server domain.ServerID  `cbor:"1,keyasint,omitempty"`
 		Age    time.Duration    `cbor:"2,keyasint,omitempty"`
 		Traits []suspects.Trait `cbor:"3,keyasint,omitempty"`
+		Ran    []time.Duration  `cbor:"4,keyasint,omitempty"`
 	}
 	wireTraitCompletion struct {
 		Trait suspects.Trait `cbor:"1,keyasint,omitempty"`
--- a/suspects/contentrecord.go
+++ b/suspects/contentrecord.go
@@ -40,7 +40,7 @@
 func (l *List) Snapshot(now time.Time) []ContentRecord {
 	var records []ContentRecord
 	for c, e := range l.contents {
-		if len(e.crashes) < CrashLimit || now.Sub(e.latestCrashAt) >= entryLifetime {
+		if l.countCrashes(c, e).all < CrashLimit || now.Sub(e.latestCrashAt) >= entryLifetime {
 			continue
 		}
 		r := ContentRecord{Content: c}
@@ -67,7 +67,7 @@
 		for _, k := range r.Crashes[:min(len(r.Crashes), maximumCrashes)] {
 			at := now.Add(-max(0, k.Age))
 			isKnown := slices.ContainsFunc(known, func(o crash) bool { return o.server == k.Server && o.at.Sub(at).Abs() < restoredCrashWindow })
-			if isKnown || now.Sub(at) >= entryLifetime {
+			if isKnown || l.isExempt(r.Content, at) || now.Sub(at) >= entryLifetime {
 				continue
 			}
 			l.addCrash(now, r.Content, crash{server: k.Server, at: at, isolated: k.Isolated, afterToken: k.AfterToken})
--- a/suspects/contentrecord_test.go
+++ b/suspects/contentrecord_test.go
@@ -81,3 +81,31 @@
 		}
 	})
 }
+
+// Guards against DENIED: a node that had missed that a content completed told its crashes to others
+// that knew it, and the content was refused again.
+func TestClearedContentIsNotRestored(t *testing.T) {
+	var l, other List
+	c := Content{1}
+	l.RecordCrash(start, c, "e1", false, false)
+	l.RecordCrash(start.Add(5*time.Second), c, "e2", false, false)
+	now := start.Add(10 * time.Second)
+	snapshot := l.Snapshot(now)
+	other.Restore(now, snapshot)
+	report, _ := l.RecordCompletion(now, c)
+	other.ApplyReports(now, []Report{report})
+	for name, list := range map[string]*List{"completed there": &l, "cleared by a report": &other} {
+		if list.Restore(now, snapshot) || len(list.Snapshot(now)) > 0 {
+			t.Errorf("%s: got the content restored, want it clean", name)
+		}
+	}
+	if got, want := len(l.completions), 1; got != want {
+		t.Errorf("completions: got %d, want %d", got, want)
+	}
+	for i := range 2 * maximumContentCompletions {
+		l.RecordCompletion(now, Content{2, byte(i), byte(i >> 8)})
+	}
+	if got, want := len(l.completions), maximumContentCompletions; got > want {
+		t.Errorf("completions: got %d, want %d at most", got, want)
+	}
+}
--- a/suspects/list.go
+++ b/suspects/list.go
@@ -51,7 +51,9 @@
 // Bounds of a List.
 const (
 	maximumContents = 4096
-	maximumCrashes  = 4
+	// maximumContentCompletions bounds the completed contents that are remembered.
+	maximumContentCompletions = 4096
+	maximumCrashes            = 4
 	// sameCrashWindow is the time within which two reports that name the same server
 	// count as reports of one crash.
 	sameCrashWindow = 3 * time.Second
@@ -82,6 +84,9 @@
 	IsExplained func(s domain.ServerID, at time.Time) bool
 
 	contents map[Content]*crashRecord
+	// completions is when a content was last known to run to completion. Crashes until
+	// completionLifetime later do not count, as for traits.
+	completions map[Content]time.Time
 }
 
 // crashRecord holds the crashes of one content.
@@ -141,7 +146,7 @@
 func (l *List) countCrashes(c Content, e *crashRecord) crashCounts {
 	var n crashCounts
 	for _, k := range e.crashes {
-		if l.IsExplained != nil && l.IsExplained(k.server, k.at) {
+		if l.isExempt(c, k.at) || l.IsExplained != nil && l.IsExplained(k.server, k.at) {
 			continue
 		}
 		n.all++
@@ -203,12 +208,26 @@
 
 // RecordCompletion removes a content that ran to completion from the list. It returns the
 // report for the other nodes, or false if no crash of the content was recorded.
-func (l *List) RecordCompletion(c Content) (Report, bool) {
-	if l.contents[c] == nil {
-		return Report{}, false
-	}
+func (l *List) RecordCompletion(now time.Time, c Content) (Report, bool) {
+	wasSuspected := l.contents[c] != nil
+	l.clear(now, c)
+	return Report{Content: c}, wasSuspected
+}
+
+// clear removes a content that ran to completion from the list.
+func (l *List) clear(now time.Time, c Content) {
 	delete(l.contents, c)
-	return Report{Content: c}, true
+	if l.completions == nil {
+		l.completions = map[Content]time.Time{}
+	}
+	makeRoom(l.completions, maximumContentCompletions, timeItself)
+	l.completions[c] = now
+}
+
+// isExempt reports whether a content had completed shortly before a time, or later.
+func (l *List) isExempt(c Content, at time.Time) bool {
+	completedAt, ok := l.completions[c]
+	return ok && at.Sub(completedAt) < completionLifetime
 }
 
 // ApplyReports records the crashes that other nodes report. A report with 0 crashes removes
@@ -216,7 +235,7 @@
 func (l *List) ApplyReports(now time.Time, reports []Report) {
 	for _, r := range reports {
 		if r.Crashes == 0 {
-			delete(l.contents, r.Content)
+			l.clear(now, r.Content)
 			continue
 		}
 		l.addCrash(now, r.Content, crash{server: r.Server, at: now, isolated: r.Isolated, afterToken: r.AfterToken})
--- a/suspects/list_test.go
+++ b/suspects/list_test.go
@@ -36,7 +36,7 @@
 	if got, _ := l.Standing(later, c); got != Suspected {
 		t.Errorf("got %v after the refusal, want Suspected", got)
 	}
-	if _, ok := l.RecordCompletion(c); !ok {
+	if _, ok := l.RecordCompletion(later, c); !ok {
 		t.Error("got no report for the content that completed")
 	}
 	if got, _ := l.Standing(later, c); got != Clean {
--- a/suspects/traitreport.go
+++ b/suspects/traitreport.go
@@ -22,6 +22,17 @@
 	// Age is the time since the crash.
 	Age    time.Duration
 	Traits []Trait
+	// Ran is how long the request with the trait at the same index had run at the longest. It is
+	// shorter than Traits if that is unknown.
+	Ran []time.Duration
+}
+
+// ran returns how long the longest request with a trait had run; 0 if that is unknown.
+func (c *TraitCrash) ran(i int) time.Duration {
+	if i >= len(c.Ran) {
+		return 0
+	}
+	return c.Ran[i]
 }
 
 // TraitCompletion says that a request with a trait ran to completion.
@@ -67,9 +78,9 @@
 	for _, c := range r.Crashes {
 		at := now.Add(-c.Age)
 		s.answerExempt(now, at, c.Traits, &answer)
-		if added, isNew := s.addCrash(at, c.Server, c.Traits); isNew || len(added) > 0 {
-			news.Crashes = append(news.Crashes, TraitCrash{Server: c.Server, Age: c.Age, Traits: added})
-			decisions = append(decisions, s.renewRefusals(now, at, added)...)
+		if added, isNew := s.addCrash(at, c); isNew || len(added.Traits) > 0 {
+			news.Crashes = append(news.Crashes, added)
+			decisions = append(decisions, s.renewRefusals(now, at, added.Traits)...)
 		}
 	}
 	for _, c := range r.Refusals {
@@ -108,7 +119,7 @@
 	var r TraitReport
 	for _, k := range s.crashes {
 		if age := now.Sub(k.at); age < snapshotCrashAge {
-			r.Crashes = append(r.Crashes, TraitCrash{Server: k.server, Age: max(0, age), Traits: slices.Clone(k.traits)})
+			r.Crashes = append(r.Crashes, TraitCrash{Server: k.server, Age: max(0, age), Traits: slices.Clone(k.traits), Ran: slices.Clone(k.ran)})
 		}
 	}
 	for t, f := range s.refusals {
--- a/suspects/traits.go
+++ b/suspects/traits.go
@@ -12,7 +12,7 @@
 type Trait uint64
 
 // Numbers of crashes after which a trait is refused. They count since the last request with
-// the trait that ran to completion.
+// the trait that ran to completion. Servers that are lost at one moment count as one crash.
 const (
 	// traitCrashLimit applies to the trait that explains the most crashes, if it explains at
 	// least half of them.
@@ -32,6 +32,12 @@
 	// completionReportInterval is the least time between two reports that requests with a
 	// trait complete.
 	completionReportInterval = time.Second
+	// eventLength is the longest time between the crashes of servers that are lost at one moment,
+	// as the nodes see them.
+	eventLength = 500 * time.Millisecond
+	// minimumRanNews is how much longer a request with a trait must have run than is known to be
+	// news.
+	minimumRanNews = 100 * time.Millisecond
 	// snapshotCrashAge is the age up to which crashes are part of a snapshot.
 	snapshotCrashAge = time.Minute
 )
@@ -58,11 +64,12 @@
 }
 
 // traitCrash is one crash of a server. Its traits are sorted and hold none that was exempt
-// at the crash.
+// at the crash; ran has as many entries, see TraitCrash.
 type traitCrash struct {
 	server domain.ServerID
 	at     time.Time
 	traits []Trait
+	ran    []time.Duration
 }
 
 func (k *traitCrash) has(t Trait) bool {
@@ -145,7 +152,7 @@
 	for i := range s.crashes {
 		k := &s.crashes[i]
 		if n, ok := slices.BinarySearch(k.traits, t); ok && !k.at.After(at.Add(completionLifetime)) {
-			k.traits = slices.Delete(k.traits, n, n+1)
+			k.traits, k.ran = slices.Delete(k.traits, n, n+1), slices.Delete(k.ran, n, n+1)
 		}
 	}
 	if s.refusals[t] == nil {
@@ -161,15 +168,21 @@
 	return ok && at.Sub(completedAt) < completionLifetime
 }
 
-// RecordCrash records that a server crashed while requests with the traits ran there. It
-// returns the report for the other nodes.
+// RecordCrash records that a server crashed while requests with the traits ran there, for an
+// unknown time. It returns the report for the other nodes.
 func (s *Traits) RecordCrash(now time.Time, server domain.ServerID, traits []Trait) (TraitReport, []Decision) {
+	return s.RecordTraitCrash(now, TraitCrash{Server: server, Traits: traits})
+}
+
+// RecordTraitCrash records the crash of a server. It returns the report for the other nodes.
+func (s *Traits) RecordTraitCrash(now time.Time, c TraitCrash) (TraitReport, []Decision) {
 	var r TraitReport
-	added, isNew := s.addCrash(now, server, traits)
-	if isNew || len(added) > 0 {
-		r.Crashes = []TraitCrash{{Server: server, Traits: added}}
+	at := now.Add(-c.Age)
+	added, isNew := s.addCrash(at, c)
+	if isNew || len(added.Traits) > 0 {
+		r.Crashes = []TraitCrash{added}
 	}
-	decisions := append(s.renewRefusals(now, now, added), s.decide(now)...)
+	decisions := append(s.renewRefusals(now, at, added.Traits), s.decide(now)...)
 	for _, d := range decisions {
 		if f := s.refusals[d.Trait]; f != nil {
 			r.Refusals = append(r.Refusals, TraitRefusal{Trait: d.Trait, Number: f.number, Remaining: f.until.Sub(now)})
@@ -178,26 +191,41 @@
 	return r, decisions
 }
 
-// addCrash adds the traits that are not exempt to a crash, and returns those that are new
-// there. It reports whether the crash itself is new. Reports of the crash of one server within
-// sameCrashWindow are about one crash.
-func (s *Traits) addCrash(at time.Time, server domain.ServerID, traits []Trait) (added []Trait, isNew bool) {
-	i := slices.IndexFunc(s.crashes, func(k traitCrash) bool { return k.server == server && k.at.Sub(at).Abs() < sameCrashWindow })
+// addCrash adds the traits that are not exempt to a crash at a time, and returns those that are
+// new there or had run for longer than known. It reports whether the crash itself is new. Reports
+// of the crash of one server within sameCrashWindow are about one crash.
+func (s *Traits) addCrash(at time.Time, c TraitCrash) (added TraitCrash, isNew bool) {
+	i := slices.IndexFunc(s.crashes, func(k traitCrash) bool { return k.server == c.Server && k.at.Sub(at).Abs() < sameCrashWindow })
 	if i < 0 {
-		i, isNew = s.insertCrash(at, server), true
+		i, isNew = s.insertCrash(at, c.Server), true
 	}
+	added = TraitCrash{Server: c.Server, Age: c.Age}
 	k := &s.crashes[i]
-	for _, t := range traits {
-		n, ok := slices.BinarySearch(k.traits, t)
-		if ok || len(k.traits) >= maximumTraitsPerCrash || s.isExempt(t, at) {
+	for i, t := range c.Traits {
+		if s.isExempt(t, at) || !k.add(t, c.ran(i)) {
 			continue
 		}
-		k.traits = slices.Insert(k.traits, n, t)
-		added = append(added, t)
+		added.Traits, added.Ran = append(added.Traits, t), append(added.Ran, c.ran(i))
 	}
 	return added, isNew
 }
 
+// add adds a trait with which a request had run for a time. It returns false if that is no news.
+func (k *traitCrash) add(t Trait, ran time.Duration) bool {
+	n, ok := slices.BinarySearch(k.traits, t)
+	switch {
+	case ok && ran < k.ran[n]+minimumRanNews:
+		return false
+	case ok:
+		k.ran[n] = ran
+	case len(k.traits) >= maximumTraitsPerCrash:
+		return false
+	default:
+		k.traits, k.ran = slices.Insert(k.traits, n, t), slices.Insert(k.ran, n, ran)
+	}
+	return true
+}
+
 // insertCrash adds a crash without traits in the order of time and returns its index. If there
 // are too many crashes, it removes the oldest one.
 func (s *Traits) insertCrash(at time.Time, server domain.ServerID) int {
@@ -228,8 +256,12 @@
 }
 
 // traitCounts are the crashes that count for one trait: the number of those that it explains,
-// and the number of all crashes before the first of them.
-type traitCounts struct{ explained, before int }
+// and the number of all crashes before the first of them. eventAt is when the latest of those
+// crashes was that counts.
+type traitCounts struct {
+	explained, before int
+	eventAt           time.Time
+}
 
 // findCulprits returns the traits that explain the most crashes, if these are enough.
 func (s *Traits) findCulprits() []Trait {
@@ -252,25 +284,58 @@
 	return nil
 }
 
-// countUnexplained counts the crashes that no refused trait explains, for each trait and in all.
+// countUnexplained counts the crashes that no refused trait explains, for each trait and in all. A
+// crash that counts for none of its traits does not count at all.
+//
+// A request that crashes servers reaches the next one after it has crashed the one before. So a
+// crash does not count for a trait if a request with it ran on the server already as another
+// server crashed within eventLength before: with the trait, both are one event, and without it, both
+// have another cause.
 func (s *Traits) countUnexplained() (counts map[Trait]*traitCounts, total int) {
 	counts = map[Trait]*traitCounts{}
-	for i := range s.crashes {
-		k := &s.crashes[i]
-		if s.hasRefused(k) {
-			continue
-		}
-		for _, t := range k.traits {
-			if counts[t] == nil {
-				counts[t] = &traitCounts{before: total}
+	unexplained := slices.DeleteFunc(slices.Clone(s.crashes), func(k traitCrash) bool { return s.hasRefused(&k) })
+	for i := range unexplained {
+		k := &unexplained[i]
+		isCounted := len(k.traits) == 0
+		for n, t := range k.traits {
+			c := counts[t]
+			if c == nil {
+				c = &traitCounts{before: total}
+				counts[t] = c
+			}
+			isSameEvent := k.at.Sub(c.eventAt) <= eventLength && k.at.Add(-k.ran[n]).Before(c.eventAt)
+			if isSameEvent || hasOtherCause(unexplained, i, n) {
+				continue
 			}
-			counts[t].explained++
+			c.explained++
+			c.eventAt = k.at
+			isCounted = true
+		}
+		if isCounted {
+			total++
 		}
-		total++
 	}
 	return counts, total
 }
 
+// hasOtherCause reports whether a server without the trait with index n of crash i was lost
+// together with the server of that crash, while requests ran on both.
+func hasOtherCause(crashes []traitCrash, i, n int) bool {
+	k := &crashes[i]
+	t, startedAt := k.traits[n], k.at.Add(-k.ran[n])
+	for j := range crashes {
+		other := &crashes[j]
+		switch {
+		case j == i || other.at.Sub(k.at).Abs() > eventLength || len(other.ran) == 0 || other.has(t):
+		case j < i && startedAt.Before(other.at):
+			return true
+		case j > i && other.at.Add(-slices.Min(other.ran)).Before(k.at):
+			return true
+		}
+	}
+	return false
+}
+
 // crashedServers returns the servers whose crashes a trait explains.
 func (s *Traits) crashedServers(t Trait) []domain.ServerID {
 	var servers []domain.ServerID
--- a/trace/player.go
+++ b/trace/player.go
@@ -212,7 +212,7 @@
 	case "Learned":
 		p.suspects.ApplyReports(now, []suspects.Report{{Content: c, Crashes: e.Crashes, Server: e.Server, Isolated: e.Alone, AfterToken: e.Begun}})
 	case "Completed":
-		_, wasSuspected := p.suspects.RecordCompletion(c)
+		_, wasSuspected := p.suspects.RecordCompletion(now, c)
 		return allowedOutcome(wasSuspected), true, nil
 	case "Standing":
 		s, left := p.suspects.Standing(now, c)
