service: an answer without a valid status is no response

Cause: on our own interface any status that net/http parses was passed on: 600 to 999 reached the caller, and one below 200 made net/http panic, so that the caller's connection was closed without a response. Change: a status outside of 200 to 599 is an error with an unknown outcome, as on the users' platform. Result: TestOddStatusIsNoResponse got responses with the statuses 0, 1, 99, 101, 600 and 999, and passes.

--- a/service/client.go
+++ b/service/client.go
@@ -20,6 +20,9 @@
 // MaximumBody limits the body of a response from a service.
 const MaximumBody = 16 * domain.Mebibyte
 
+// maximumStatus is the largest status that HTTP defines a class for.
+const maximumStatus = 599
+
 // Request is one call to a service.
 type Request struct {
 	Method string
@@ -108,8 +111,11 @@
 }
 
 // readResponse reads the whole response. The response header shows that the service ran the
-// call, so errors have the verdict Ran.
+// call, so errors have the verdict Ran. A status that HTTP has no class for shows nothing.
 func readResponse(r *http.Response) (Response, error) {
+	if r.StatusCode < http.StatusOK || r.StatusCode > maximumStatus {
+		return Response{}, verdict.UnknownOutcome(verdict.BackendFailed, "the service's answer has no valid status", nil)
+	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, int64(MaximumBody)+1))
 	if err != nil {
 		return Response{}, responseLost("the service's answer broke off", errors.WithStack(err))
--- a/service/client_test.go
+++ b/service/client_test.go
@@ -121,3 +121,17 @@
 		}
 	})
 }
+
+// Guards against MIXED: an answer with a status that HTTP does not define reached the caller as a
+// response, or made net/http close the caller's connection without one.
+func TestOddStatusIsNoResponse(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "101", "150", "199", "600", "999", "20", "abc", ""} {
+		var requestCount atomic.Int64
+		var client Client
+		address := newRawServer(t, &requestCount, "HTTP/1.1 "+status+" Odd\r\nContent-Length: 2\r\n\r\nno")
+		response, err := client.Do(t.Context(), address, Request{Method: "POST", Path: "/bookings"})
+		if want := verdict.MayHaveRun; err == nil || verdict.Of(err).Verdict != want {
+			t.Errorf("%q: got response %+v and %v, want %v", status, response, err, want)
+		}
+	}
+}
