--- a/entry/loads.go
+++ b/entry/loads.go
@@ -79,7 +79,7 @@
 
 // hasOnlyLoads reports whether a report changes nothing that orders are planned by.
 func hasOnlyLoads(r hub.Report) bool {
-	return len(r.Loads)+len(r.Prefixes) > 0 && len(r.Demands) == 0 && len(r.StaleServers) == 0 && len(r.LeavingServers) == 0 && len(r.CrashReports) == 0 && r.Traits.IsEmpty()
+	return len(r.Loads)+len(r.Prefixes) > 0 && len(r.Demands) == 0 && len(r.StaleServers) == 0 && len(r.LeavingServers) == 0 && len(r.CrashReports) == 0 && len(r.Contents) == 0 && r.Traits.IsEmpty()
 }
 
 // sendLoads sends the changed loads of servers to all nodes, unless isRenewalLate is set: the
