Quotas of workspaces over all nodes: ledger, allowance and wiring

Cause: no quota is enforced, so workspaces run far more than their rate and burst allow. Change: package quota with the owner's Ledger and each node's Allowance; messages in hub/quota.go; entry connects them; dispatch charges a request before its first attempt and refuses with 429, or 503 if the node does not know. Reason QuotaUnknown is new.

--- a/caller/refusal.go
+++ b/caller/refusal.go
@@ -58,7 +58,7 @@
 	case verdict.DeadlinePassed:
 		return http.StatusGatewayTimeout
 	case verdict.DeadlineTooShort, verdict.QueueFull, verdict.NoCapacity, verdict.LogUnavailable,
-		verdict.Draining, verdict.NotReady, verdict.ModelPaused:
+		verdict.Draining, verdict.NotReady, verdict.ModelPaused, verdict.QuotaUnknown:
 		return http.StatusServiceUnavailable
 	default:
 		return http.StatusInternalServerError
--- a/commands/front.go
+++ b/commands/front.go
@@ -22,6 +22,7 @@
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/entry"
 	"github.com/parsleylug/parsleylug/platform"
+	"github.com/parsleylug/parsleylug/quota"
 	"github.com/parsleylug/parsleylug/retries"
 )
 
@@ -165,11 +166,13 @@
 		IsStandby:             isStandbyName,
 		UpdateBytesPerSecond:  int(updateLinkShare * float64(s.LinkBytesPerSecond)),
 		LoadWindow:            s.LoadWindow,
+		QuotaTerms:            quota.Terms{Window: s.QuotaWindow, Tolerance: s.QuotaTolerance, Slack: s.QuotaSlack},
 	})
 	dispatcher := dispatch.New(dispatch.Options{
 		Zone: s.Zone, Regions: s.Regions,
 		Views: &f.node.Views, Demand: &f.node.Demand, Notices: &f.node.Notices,
 		Backend: backend, Logger: logger,
+		Quota:                  f.node.Quota(),
 		SetBudget:              f.setRetryBudget,
 		ReportCrash:            f.node.ReportCrash,
 		ReportTraits:           f.node.ReportTraits,
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -82,6 +82,8 @@
 	// SetBudget sets the length, ratio and reserve of a service's retry budget. It is
 	// called before each use of the budget.
 	SetBudget func(*retries.WindowBudget)
+	// Quota charges the requests of workspaces to their quotas. Nil means that there are none.
+	Quota Quota
 	// ReportCrash sends the other nodes a report about a request content that was running
 	// on a server when it crashed. It may be nil.
 	ReportCrash func(suspects.Report)
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -97,6 +97,9 @@
 	if s.refusedTrait != 0 {
 		line = line.Str("Trait", fmt.Sprintf("%x", s.refusedTrait))
 	}
+	if s.quotaCharge != nil {
+		line = line.Str("Workspace", string(s.quotaCharge.Workspace)).Float64("QuotaAmount", s.quotaCharge.Amount).Str("QuotaBasis", s.quotaDecision.Basis)
+	}
 	s.dispatcher.logShutdown(line, "ArrivedAfterStopMs", s.request.ArrivedAt)
 	if s.isTimingLogged(o) {
 		s.dispatcher.LogTiming(line, s.request.Timing())
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -87,6 +87,10 @@
 	// gets it if no attempt succeeds.
 	errorResponse *Response
 	errorBody     [][]byte
+	// quotaCharge is what the request is charged; nil if it has no quota. quotaDecision is the latest
+	// decision on it.
+	quotaCharge   *QuotaCharge
+	quotaDecision QuotaDecision
 	// refusedTrait is the trait for which the request was refused; 0 if it was not.
 	refusedTrait suspects.Trait
 	// bodies hold the responses that were read whole. They are released when the session is
@@ -102,6 +106,7 @@
 	}
 	s.settled.L = &s.mu
 	s.demandKey = r.demandKey(d.Views.Get())
+	s.quotaCharge = d.quotaCharge(r)
 	return s
 }
 
@@ -124,13 +129,9 @@
 func (d *Dispatcher) Serve(ctx context.Context, r *Request, c Caller) Outcome {
 	s := newSession(d, r, c)
 	defer s.close()
-	if s.refuseSuspect() == nil {
-		d.Demand.countArrival(s.demandKey)
-	}
-	d.countRequest(r.Service)
 	withDeadline, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	outcome, err := s.run(withDeadline)
+	outcome, err := s.serveWithinQuota(withDeadline)
 	s.recordDuration(time.Now(), outcome)
 	if ctx.Err() != nil && outcome != Served && !stderrors.Is(context.Cause(ctx), ErrShutdown) {
 		outcome = Left
@@ -168,6 +169,13 @@
 			s.dispatcher.chooser.release(server.ID)
 			return s.fail(ctx, e)
 		}
+		if s.attempts == 0 {
+			// The request may have waited since it was charged.
+			if e := s.takeQuota(ctx); e != nil {
+				s.dispatcher.chooser.release(server.ID)
+				return s.fail(ctx, e)
+			}
+		}
 		if s.attempts > 0 && !s.dispatcher.spendRetry(s.request.Service) {
 			s.dispatcher.chooser.release(server.ID)
 			return s.fail(ctx, newRefusal(time.Now(), s.request, verdict.NoCapacity, "the budget for repeated sendings is used up", time.Second))
@@ -232,7 +240,7 @@
 // refuse ends a request that did not run at any server. Its caller is expected to retry
 // it.
 func (s *session) refuse(e *verdict.Error) (Outcome, *verdict.Error) {
-	if e.Reason != verdict.Quarantined {
+	if e.Reason != verdict.Quarantined && e.Reason != verdict.LimitReached {
 		s.dispatcher.Demand.countRefusal(s.demandKey, time.Now())
 	}
 	s.caller.WriteError(e)
--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -83,6 +83,7 @@
 	n.configurationOffset = offset
 	n.broadcastStoreUpdate(false, hub.RegistrationChanges{})
 	n.planner.Configure(c)
+	n.quotas.configure(c)
 	n.publishView(now)
 	if n.Counters != nil {
 		n.Counters.SetConfiguration(c.Version, offset)
--- a/entry/link.go
+++ b/entry/link.go
@@ -65,6 +65,7 @@
 // It marks the engine states from the owner as stale. Each stays in use until a newer registration of
 // its server is read.
 func (n *Node) handleLinkLoss() {
+	n.quotas.unlink()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.linkedAt = time.Time{}
@@ -97,6 +98,7 @@
 	n.mu.Lock()
 	n.linkedAt, n.linkedOwner, n.endLink = time.Now(), owner, cancel
 	n.mu.Unlock()
+	n.quotas.link()
 	defer n.handleLinkLoss()
 	n.Logger.Info().Str("Event", "OwnerLinked").Str("Owner", string(owner)).Msg("linked to the owner")
 	go func() {
@@ -109,6 +111,7 @@
 			n.Logger.Info().Str("Event", "OwnerLinkLost").Str("Owner", string(owner)).Err(err).Msg("the link to the owner is lost")
 			return true, err
 		}
+		n.quotas.apply(u.Grants)
 		n.applyUpdate(u)
 	}
 }
@@ -128,10 +131,10 @@
 	for {
 		leaving, lastLeaving = n.leavingServers(time.Now(), lastLeaving)
 		n.mu.Lock()
-		r := hub.Report{Node: n.Name, Demands: demands, CrashReports: n.crashReports, Traits: n.takeTraitReport(), StaleServers: n.staleServers, LeavingServers: leaving}
+		r := hub.Report{Node: n.Name, Demands: demands, CrashReports: n.crashReports, Traits: n.takeTraitReport(), StaleServers: n.staleServers, LeavingServers: leaving, Uses: n.quotas.report()}
 		n.crashReports, n.staleServers = nil, nil
 		n.mu.Unlock()
-		if len(demands) > 0 || len(r.CrashReports) > 0 || !r.Traits.IsEmpty() || len(r.StaleServers) > 0 || len(leaving) > 0 || time.Since(lastSent) > time.Second {
+		if len(demands) > 0 || len(r.CrashReports) > 0 || !r.Traits.IsEmpty() || len(r.StaleServers) > 0 || len(leaving) > 0 || !r.Uses.IsEmpty() || time.Since(lastSent) > time.Second {
 			if err := l.Send(ctx, r); err != nil {
 				return
 			}
@@ -142,6 +145,8 @@
 			return
 		case <-n.Demand.Urgent():
 			pause.For(ctx, reportBatchDelay, nil)
+		case <-n.quotas.urgent:
+			pause.For(ctx, n.quotas.reportDelay(lastSent), nil)
 		case <-n.traitsReported:
 			pause.For(ctx, reportBatchDelay, nil)
 		case <-ticker.C:
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -110,3 +110,13 @@
 func (m *Metrics) CountConfigurationRead(result string) {
 	m.scope.Tagged(map[string]string{"result": result}).Counter("configuration_reads").Inc(1)
 }
+
+// CountQuotaDecision implements Counters.
+func (m *Metrics) CountQuotaDecision(basis string) {
+	m.scope.Tagged(map[string]string{"basis": basis}).Counter("quota_decisions").Inc(1)
+}
+
+// SetContendedWorkspaces implements Counters.
+func (m *Metrics) SetContendedWorkspaces(workspaces int) {
+	m.scope.Gauge("quota_contended_workspaces").Update(float64(workspaces))
+}
--- a/entry/node.go
+++ b/entry/node.go
@@ -25,6 +25,7 @@
 	"github.com/parsleylug/parsleylug/lease"
 	"github.com/parsleylug/parsleylug/pause"
 	"github.com/parsleylug/parsleylug/placement"
+	"github.com/parsleylug/parsleylug/quota"
 	"github.com/parsleylug/parsleylug/suspects"
 	"github.com/parsleylug/parsleylug/transfer"
 )
@@ -68,6 +69,11 @@
 	SetOwnerLinks(links int)
 	// CountConfigurationRead counts a read that has ended by its result.
 	CountConfigurationRead(result string)
+	// CountQuotaDecision counts a decision on a request with a quota by what it is based on.
+	CountQuotaDecision(basis string)
+	// SetContendedWorkspaces is called at the owner with the number of workspaces for whose
+	// requests the nodes have to ask.
+	SetContendedWorkspaces(workspaces int)
 }
 
 // Traits holds what a node knows of traits of requests that crash servers.
@@ -124,6 +130,8 @@
 	LoadWindow time.Duration
 	// ServersCheckFences is set if the model engines reject orders with an old fencing token.
 	ServersCheckFences bool
+	// QuotaTerms say by how much workspaces may exceed their quotas.
+	QuotaTerms quota.Terms
 }
 
 // Node follows the platform's store and acts as the owner of the model engines
@@ -143,6 +151,7 @@
 	// Traits holds what this node knows of traits of requests that crash servers. It may be
 	// nil.
 	Traits Traits
+	quotas *quotas
 
 	mu        sync.Mutex
 	directory fleet.Directory
@@ -259,6 +268,7 @@
 	n.Hub.OnInvalidReport = n.logInvalidReport
 	n.Hub.InitialUpdate = n.initialUpdate
 	n.Hub.AcceptsLinks = n.acceptsLinks
+	n.quotas = newQuotas(&n.Options)
 	return n
 }
 
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -66,6 +66,7 @@
 	uptime := n.Uptime.Now()
 	fence, mayOrder := n.lease.Fence(uptime)
 	n.updateOwnership(now, uptime)
+	n.updateQuotas()
 	if !n.lease.IsRetained(uptime) {
 		n.Hub.Close()
 	}
@@ -182,6 +183,7 @@
 // handleReport records the demand, the stale servers and the crash reports that
 // another node sent. It ignores the report if this node does not retain the lease.
 func (n *Node) handleReport(r hub.Report) {
+	n.recordQuotaReport(r)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if !n.lease.IsRetained(n.Uptime.Now()) {
@@ -237,8 +239,10 @@
 func (n *Node) initialUpdate(start func(hub.Update)) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.quotas.orderMu.Lock()
+	defer n.quotas.orderMu.Unlock()
 	now := time.Now()
-	u := hub.Update{NodeCount: n.countNodes(now)}
+	u := hub.Update{NodeCount: n.countNodes(now), Grants: n.quotas.allNews()}
 	if age := now.Sub(n.registrationsReadAt); n.retainsLease() && age < n.RegistrationsInterval {
 		u.Store = n.storeUpdate(true)
 		u.Store.ReadAge = age
--- a/hub/message.go
+++ b/hub/message.go
@@ -15,6 +15,7 @@
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fleet"
 	"github.com/parsleylug/parsleylug/placement"
+	"github.com/parsleylug/parsleylug/quota"
 	"github.com/parsleylug/parsleylug/suspects"
 )
 
@@ -55,6 +56,8 @@
 	// LeavingServers are the servers that the node has learned from their responses to be
 	// leaving, since its last report. The first report over a link lists all of them.
 	LeavingServers []LeavingServer
+	// Uses is what the node tells of the quotas of workspaces since its last report.
+	Uses quota.Report
 }
 
 // LeavingServer is a backend server that said that it leaves. Age is the time since the
@@ -86,6 +89,8 @@
 	// Registrations are the changes of registrations that the owner has read since the last
 	// update.
 	Registrations RegistrationChanges
+	// Grants is what the owner tells of the quotas of workspaces since the last update.
+	Grants quota.News
 }
 
 // RegistrationChanges are changes of registrations as the owner read them in the platform's store.
@@ -123,6 +128,8 @@
 	Doubted  []string
 	Leaving  []wireLeaving
 	Traits   *wireTraits
+	// Uses is nil if the node tells nothing. Earlier versions ignore it.
+	Uses *wireQuotaReport `cbor:",omitempty"`
 }
 
 type wireLeaving struct {
@@ -158,6 +165,8 @@
 	Traits              *wireTraits
 	// Registrations is nil if there are no changes. Earlier versions ignore it.
 	Registrations *wireRegistrations
+	// Grants is nil if the owner tells nothing. Earlier versions ignore it.
+	Grants *wireQuotaNews `cbor:",omitempty"`
 }
 
 type wireStoreUpdate struct {
@@ -192,7 +201,7 @@
 }
 
 func encodeReport(r Report) ([]byte, error) {
-	w := wireReport{Node: string(r.Node), Suspects: encodeSuspects(r.CrashReports), Doubted: domain.Strings(r.StaleServers), Traits: encodeTraits(r.Traits)}
+	w := wireReport{Node: string(r.Node), Suspects: encodeSuspects(r.CrashReports), Doubted: domain.Strings(r.StaleServers), Traits: encodeTraits(r.Traits), Uses: encodeQuotaReport(r.Uses)}
 	for _, d := range r.Demands {
 		w.Demands = append(w.Demands, wireDemand{
 			Service: string(d.Service), Model: string(d.Model), Adapter: string(d.Adapter),
@@ -230,6 +239,7 @@
 		r.LeavingServers = append(r.LeavingServers, LeavingServer{Incarnation: i, Age: time.Duration(l.AgeMilliseconds) * time.Millisecond})
 	}
 	r.Traits = w.Traits.decode()
+	r.Uses = w.Uses.decode()
 	var err error
 	r.CrashReports, err = decodeSuspects(w.Suspects)
 	return r, err
@@ -257,7 +267,7 @@
 
 func encodeUpdate(u Update) ([]byte, error) {
 	store := wireStoreUpdate{Configuration: uint64(u.Store.ConfigurationOffset), Registrations: uint64(u.Store.RegistrationsOffset), Read: u.Store.RegistrationsRead}
-	w := wireUpdate{Nodes: u.NodeCount, News: store, Suspects: encodeSuspects(u.CrashReports), Traits: encodeTraits(u.Traits), Registrations: encodeRegistrations(u.Registrations)}
+	w := wireUpdate{Nodes: u.NodeCount, News: store, Suspects: encodeSuspects(u.CrashReports), Traits: encodeTraits(u.Traits), Registrations: encodeRegistrations(u.Registrations), Grants: encodeQuotaNews(u.Grants)}
 	w.Candidates, w.ReadAgeMilliseconds, w.ReadOffset = u.CandidateCount, u.Store.ReadAge.Milliseconds(), uint64(u.Store.ReadOffset)
 	for _, s := range u.Servers {
 		w.Servers = append(w.Servers, encodeServer(s))
@@ -313,6 +323,7 @@
 	}
 	u.Traits = w.Traits.decode()
 	u.Registrations = w.Registrations.decode()
+	u.Grants = w.Grants.decode()
 	var err error
 	u.CrashReports, err = decodeSuspects(w.Suspects)
 	return u, err
--- a/hub/outbox.go
+++ b/hub/outbox.go
@@ -84,6 +84,7 @@
 		}
 		u.Store = u.Store.followedBy(m.update.Store)
 		u.Registrations = u.Registrations.followedBy(m.update.Registrations)
+		u.Grants = u.Grants.FollowedBy(m.update.Grants)
 	}
 	return u
 }
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -85,8 +85,8 @@
 	if got.Verdict != verdict.MayHaveRun || got.Reason != verdict.Unknown {
 		t.Errorf("got %+v, want MayHaveRun and Unknown", got)
 	}
-	for r := verdict.Unknown; r <= verdict.ModelPaused; r++ {
-		if got := enumByName(r.String(), verdict.ModelPaused); got != r {
+	for r := verdict.Unknown; r <= verdict.QuotaUnknown; r++ {
+		if got := enumByName(r.String(), verdict.QuotaUnknown); got != r {
 			t.Errorf("got %v, want %v", got, r)
 		}
 	}
--- a/peer/decode.go
+++ b/peer/decode.go
@@ -138,7 +138,7 @@
 func failedFromWire(w wireFailed) Failed {
 	return Failed{
 		Verdict:    enumByName(w.Verdict, verdict.Ran),
-		Reason:     enumByName(w.Reason, verdict.ModelPaused),
+		Reason:     enumByName(w.Reason, verdict.QuotaUnknown),
 		Message:    w.Message,
 		RetryAfter: w.RetryAfter,
 	}
--- /dev/null
+++ b/quota/pool.go
@@ -0,0 +1,122 @@
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// freeLevel and askLevel are the levels, as shares of the capacity, at which nodes begin to admit
+	// freely and to ask. At askLevel the bucket still holds what usual requests use until the nodes
+	// know.
+	freeLevel = 0.6
+	askLevel  = 0.35
+	// freeRequests and askRequests are the same as multiples of the largest recent request: where a
+	// few requests empty the bucket, the nodes always ask.
+	freeRequests = 6
+	askRequests  = 3
+	// minimumAskTime is how long nodes ask at least, so that the modes do not change with each
+	// request.
+	minimumAskTime = 3 * time.Second
+	// largestHalfLife is how long the largest recent request takes to count half.
+	largestHalfLife = time.Minute
+	// boundShare is the part of the bound up to which the owner grants. The rest is for requests
+	// that run later than they were charged.
+	boundShare = 0.98
+	// freeBoundShare is the part of the bound up to which nodes admit freely.
+	freeBoundShare = 0.85
+	// calmShare is the part of what the rate allows in a window up to which the use is calm.
+	calmShare = 0.75
+	// levelStep is the change of a level, as a share of the capacity, that the nodes are told.
+	levelStep = 0.1
+)
+
+// pool is the part of a workspace's bucket that belongs to the linked nodes.
+type pool struct {
+	limit    Limit
+	terms    Terms
+	capacity float64
+	level    float64
+	at       time.Duration
+	free     bool
+	askSince time.Duration
+	largest  float64
+	history  history
+	// sent is the level that the nodes were told last; isSent is false before that.
+	sent   Level
+	isSent bool
+}
+
+// refill adds the part of the rate that belongs to the linked nodes for the time since the last
+// refill.
+func (p *pool) refill(now time.Duration, part float64) {
+	p.history.advance(now, p.terms.Window)
+	elapsed := max(0, now-p.at)
+	p.at = max(p.at, now)
+	p.level = max(p.level, min(p.capacity*part, p.level+p.limit.Rate*part*elapsed.Seconds()))
+	p.largest *= math.Exp2(-elapsed.Seconds() / largestHalfLife.Seconds())
+}
+
+// charge takes an amount that a node has admitted, which may leave the pool in debt.
+func (p *pool) charge(now time.Duration, amount float64) {
+	p.largest = max(p.largest, amount)
+	p.level -= amount
+	p.history.add(now, p.terms.Window, amount)
+}
+
+// refund gives back an amount.
+func (p *pool) refund(now time.Duration, amount, part float64) {
+	p.level = max(p.level, min(p.capacity*part, p.level+amount))
+	p.history.remove(now, p.terms.Window, amount)
+}
+
+// grant charges an amount if the pool has it, and otherwise returns the time in which it may have
+// it. A request larger than the burst needs a full bucket.
+func (p *pool) grant(now time.Duration, amount, part float64) (bool, time.Duration) {
+	p.largest = max(p.largest, amount)
+	if p.history.sum+amount > boundShare*p.terms.Bound(p.limit)*part {
+		return false, p.terms.Window / historySlots
+	}
+	if missing := min(amount, p.limit.Burst*part) - p.level; missing > 0 {
+		return false, retryAfter(missing, p.limit.Rate*part)
+	}
+	p.charge(now, amount)
+	return true, 0
+}
+
+// updateMode decides whether nodes may admit freely and reports whether that has changed.
+func (p *pool) updateMode(now time.Duration, part float64) bool {
+	used, bound := p.history.sum, p.terms.Bound(p.limit)*part
+	switch {
+	case p.free && (p.level < max(askLevel*p.capacity, askRequests*p.largest)*part || used > freeBoundShare*bound):
+		p.free, p.askSince = false, now
+		return true
+	case !p.free && now-p.askSince >= minimumAskTime && p.level >= max(freeLevel*p.capacity, freeRequests*p.largest)*part && used <= freeBoundShare*bound:
+		p.free = true
+		return true
+	}
+	return false
+}
+
+// state returns the level, scaled up to all nodes.
+func (p *pool) state(part float64) Level {
+	isCalm := p.history.sum <= calmShare*part*p.limit.Rate*p.terms.Window.Seconds()
+	return Level{Workspace: p.limit.Workspace, Amount: p.level / part, Free: p.free, Calm: isCalm}
+}
+
+// mustSend reports whether the nodes have to be told of the level.
+func (p *pool) mustSend(l Level) bool {
+	return !p.isSent || l.Free != p.sent.Free || l.Calm != p.sent.Calm || math.Abs(l.Amount-p.sent.Amount) > levelStep*p.capacity
+}
+
+// setLimit changes the limit. A lower one binds one window after it is in force, and what was used
+// under the former one is no debt.
+func (p *pool) setLimit(l Limit, part float64) {
+	isLower := l.Rate < p.limit.Rate || l.Burst < p.limit.Burst
+	p.limit, p.capacity, p.isSent = l, p.terms.capacity(l), false
+	if isLower {
+		p.history = history{}
+		p.level = max(0, p.level)
+	}
+	p.level = min(p.level, p.capacity*part)
+}
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -46,7 +46,7 @@
 	DeadlineTooShort                // 503: the estimated wait exceeds the deadline
 	DeadlinePassed                  // 504
 	QueueFull                       // 503
-	LimitReached                    // 429: a limit of the team or the model is reached
+	LimitReached                    // 429: a limit of the team, the workspace or the model is reached
 	NoCapacity                      // 503: no permit or memory is available in time
 	LogUnavailable                  // 503: the request needs the platform's log, which is down
 	Draining                        // 503: this node is shutting down
@@ -58,6 +58,7 @@
 	KeyReused                       // 422: the idempotency key was used with another body
 	NotReady                        // 503: no configuration is confirmed to be current
 	ModelPaused                     // 503: an operator paused the model
+	QuotaUnknown                    // 503: this node does not know whether the quota has room
 )
 
 // Error is the error of a refused or failed request. The zero Error has the reason
--- a/verdict/verdict_string.go
+++ b/verdict/verdict_string.go
@@ -50,11 +50,12 @@
 	_ = x[KeyReused-19]
 	_ = x[NotReady-20]
 	_ = x[ModelPaused-21]
+	_ = x[QuotaUnknown-22]
 }
 
-const _Reason_name = "UnknownBadRequestBodyTooLargeUnauthenticatedForbiddenUnknownModelUnknownServiceDeadlineTooShortDeadlinePassedQueueFullLimitReachedNoCapacityLogUnavailableDrainingQuarantinedBackendFailedStreamBrokenCommandInProgressCommandInDoubtKeyReusedNotReadyModelPaused"
+const _Reason_name = "UnknownBadRequestBodyTooLargeUnauthenticatedForbiddenUnknownModelUnknownServiceDeadlineTooShortDeadlinePassedQueueFullLimitReachedNoCapacityLogUnavailableDrainingQuarantinedBackendFailedStreamBrokenCommandInProgressCommandInDoubtKeyReusedNotReadyModelPausedQuotaUnknown"
 
-var _Reason_index = [...]uint16{0, 7, 17, 29, 44, 53, 65, 79, 95, 109, 118, 130, 140, 154, 162, 173, 186, 198, 215, 229, 238, 246, 257}
+var _Reason_index = [...]uint16{0, 7, 17, 29, 44, 53, 65, 79, 95, 109, 118, 130, 140, 154, 162, 173, 186, 198, 215, 229, 238, 246, 257, 269}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
