--- a/quota/shares_sim_test.go
+++ b/quota/shares_sim_test.go
@@ -57,11 +57,7 @@
 		})
 	}
 	for i := group; i < len(s.nodes); i += groups {
-		size := simFrameBytes + 6
-		for _, w := range s.workspaces {
-			size += len(w.limit.Workspace) + 9
-		}
-		s.nodes[i].bytes += 2 * size
+		s.nodes[i].bytes += 2 * (simMessageBytes + simEntryBytes*len(s.workspaces))
 	}
 }
 
--- a/quota/simulation_test.go
+++ b/quota/simulation_test.go
@@ -17,8 +17,11 @@
 	// simReportInterval and simIdleReport are those of package entry.
 	simReportInterval = 250 * time.Millisecond
 	simIdleReport     = time.Second
-	// simFrameBytes is the overhead of one message: TCP, IP and WebSocket headers.
-	simFrameBytes = 66
+	// simMessageBytes is the size of one message without entries: 52 bytes of IPv4 and TCP, as much for
+	// the acknowledgement, 8 of WebSocket, and 120 of CBOR (TestQuotaMessageSizes of package hub).
+	// simEntryBytes is the size of one workspace, ask or answer in it.
+	simMessageBytes = 52 + 52 + 8 + 120
+	simEntryBytes   = 20
 	// simUsualShare is the usual use as a part of the rate.
 	simUsualShare = 1 / 1.8
 	simMeanSize   = 1500
@@ -185,11 +188,7 @@
 
 func (s *simulation) sendNews(n *simNode, news News) {
 	ledger := s.ledger
-	size := simFrameBytes + 8
-	for _, l := range news.Levels {
-		size += len(l.Workspace) + 9
-	}
-	n.bytes += size + 9*len(news.Answers)
+	n.bytes += simMessageBytes + simEntryBytes*(len(news.Levels)+len(news.Answers))
 	n.fromOwner = max(n.fromOwner, s.now+s.delay())
 	s.after(n.fromOwner-s.now, func() { s.receiveNews(n, ledger, news) })
 }
@@ -254,11 +253,10 @@
 		return
 	}
 	n.lastReport = s.now
-	size := simFrameBytes + 6
+	n.bytes += simMessageBytes
 	for _, u := range r.Uses {
-		size += len(u.Workspace) + 14 + 9*len(u.Asks)
+		n.bytes += simEntryBytes * (1 + len(u.Asks))
 	}
-	n.bytes += size
 	s.messages++
 	ledger := s.ledger
 	n.toOwner = max(n.toOwner, s.now+s.delay())
