quota: owners say that they do not know only for one window, and do not scale debts

Cause: a lost node made the owner answer 503 instead of 429 for ten minutes; a debt that one node had was shown as that of all. Change: Unknown is answered within one window after a loss or the begin of a term; levels below zero are not scaled up.

--- a/dispatch/quota_test.go
+++ b/dispatch/quota_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/parsleylug/parsleylug/fleet"
+	"github.com/parsleylug/parsleylug/placement"
 	"github.com/parsleylug/parsleylug/verdict"
 )
 
@@ -23,6 +24,8 @@
 	amount                  float64
 	// refuseAgain refuses a request that asks a second time.
 	refuseAgain bool
+	// demand is the demand of the node after the request.
+	demand []placement.Demand
 }
 
 func (q *fakeQuota) Take(_ context.Context, c *QuotaCharge, maximumWait time.Duration) QuotaDecision {
@@ -51,29 +54,29 @@
 }
 
 // serveWithQuota serves one request of a workspace with a quota.
-func serveWithQuota(t *testing.T, q *fakeQuota, newRequest func() *Request, responses ...func(context.Context) (*Response, error)) (Outcome, *fakeCaller, *fakeBackend, *Dispatcher) {
+func serveWithQuota(t *testing.T, q *fakeQuota, newRequest func() *Request, responses ...func(context.Context) (*Response, error)) (Outcome, *fakeCaller, *fakeBackend) {
 	t.Helper()
 	b := &fakeBackend{responses: responses}
 	c := &fakeCaller{}
 	var o Outcome
-	var d *Dispatcher
 	synctest.Test(t, func(t *testing.T) {
-		d = newTestDispatcher(b)
+		d := newTestDispatcher(b)
 		d.Quota = q
 		r := newRequest()
 		r.Workspace = &fleet.Workspace{Name: "w", Quota: fleet.Quota{Rate: 10, Burst: 10}}
 		o = d.Serve(t.Context(), r, c)
 		synctest.Wait()
+		q.demand = d.Demand.TakeAll(time.Now())
 		time.Sleep(time.Second)
 	})
-	return o, c, b, d
+	return o, c, b
 }
 
 // Guards against a request beyond its quota that is sent, counts in the demand or retry budget, or is
 // told to come back before the quota has room.
 func TestRequestBeyondItsQuotaIsRefused(t *testing.T) {
 	q := &fakeQuota{decision: QuotaDecision{RetryAfter: 3 * time.Second}}
-	o, c, b, d := serveWithQuota(t, q, streamRequest, bodyResponse(200, "x"))
+	o, c, b := serveWithQuota(t, q, streamRequest, bodyResponse(200, "x"))
 	if e := c.writtenError; o != Refused || e == nil || e.Reason != verdict.LimitReached || e.Verdict != verdict.NotRun {
 		t.Fatalf("got %v and %v, want a refusal with LimitReached", o, e)
 	}
@@ -83,15 +86,15 @@
 	if len(b.received) != 0 || q.refunds != 0 {
 		t.Errorf("got %d attempts and %d refunds, want none", len(b.received), q.refunds)
 	}
-	if demand := d.Demand.TakeAll(time.Now()); len(demand) != 0 {
-		t.Errorf("got demand %+v, want none", demand)
+	if len(q.demand) != 0 {
+		t.Errorf("got demand %+v, want none", q.demand)
 	}
 }
 
 // Guards against a 429 from a node that does not know whether the quota has room.
 func TestRequestWithUnknownQuotaIsRefused(t *testing.T) {
 	q := &fakeQuota{decision: QuotaDecision{IsUnknown: true}}
-	_, c, b, _ := serveWithQuota(t, q, idempotentRequest, bodyResponse(200, "x"))
+	_, c, b := serveWithQuota(t, q, idempotentRequest, bodyResponse(200, "x"))
 	if e := c.writtenError; e == nil || e.Reason != verdict.QuotaUnknown || e.Verdict != verdict.NotRun || e.RetryAfter <= 0 || len(b.received) != 0 {
 		t.Errorf("got %v and %d attempts, want QuotaUnknown without an attempt", e, len(b.received))
 	}
@@ -113,7 +116,7 @@
 		"reached no server":      {[]func(context.Context) (*Response, error){failedAttempt(verdict.NotRun)}, 1},
 	} {
 		q := &fakeQuota{decision: QuotaDecision{IsAdmitted: true}}
-		o, _, b, _ := serveWithQuota(t, q, idempotentRequest, c.responses...)
+		o, _, b := serveWithQuota(t, q, idempotentRequest, c.responses...)
 		if q.charges != 1 || q.refunds != c.refunds {
 			t.Errorf("%s (%v, %d attempts): got %d charges and %d refunds, want 1 and %d", name, o, len(b.received), q.charges, q.refunds, c.refunds)
 		}
@@ -129,7 +132,7 @@
 		r.Model, r.Deadline = "cold", time.Now().Add(time.Second)
 		return r
 	}
-	_, _, b, _ := serveWithQuota(t, q, cold, bodyResponse(200, "x"))
+	_, _, b := serveWithQuota(t, q, cold, bodyResponse(200, "x"))
 	if len(b.received) != 0 || q.refunds != 1 {
 		t.Errorf("got %d attempts and %d refunds, want none and 1", len(b.received), q.refunds)
 	}
@@ -139,7 +142,7 @@
 // the first attempt, and a refusal then is final.
 func TestChargeIsRenewedBeforeTheFirstAttempt(t *testing.T) {
 	q := &fakeQuota{decision: QuotaDecision{IsAdmitted: true}, refuseAgain: true}
-	_, c, b, _ := serveWithQuota(t, q, idempotentRequest, bodyResponse(200, "x"))
+	_, c, b := serveWithQuota(t, q, idempotentRequest, bodyResponse(200, "x"))
 	if e := c.writtenError; e == nil || e.Reason != verdict.LimitReached || len(b.received) != 0 || q.takes != 2 {
 		t.Errorf("got %v, %d attempts and %d calls, want a refusal at the second call", e, len(b.received), q.takes)
 	}
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -43,6 +43,9 @@
 	expected  int
 	checkedAt time.Duration
 	sentAt    time.Duration
+	// uncertainUntil is the end of a window after the term began or a node was lost. Until then, nodes
+	// that have not joined may be about to.
+	uncertainUntil time.Duration
 	// modeChanged is set if a mode has changed since the last news.
 	modeChanged bool
 }
@@ -52,7 +55,7 @@
 // which joins by Record.
 func NewLedger(now time.Duration, t Terms, self domain.NodeID, nodes int) *Ledger {
 	return &Ledger{
-		terms: t, self: self, pools: map[domain.WorkspaceName]*pool{}, startedAt: now, expected: nodes, checkedAt: now,
+		terms: t, self: self, pools: map[domain.WorkspaceName]*pool{}, startedAt: now, expected: nodes, checkedAt: now, uncertainUntil: now + t.Window,
 		members: map[domain.NodeID]*member{self: {heardAt: now, isLinked: true}}, linked: 1,
 	}
 }
@@ -132,7 +135,7 @@
 			p.refund(now, u.Refunded, part)
 		}
 		for _, a := range u.Asks {
-			answers = append(answers, p.grant(now, a, part))
+			answers = append(answers, p.grant(now, a, part, now < l.uncertainUntil))
 		}
 		l.modeChanged = p.updateMode(now, part) || l.modeChanged
 	}
@@ -176,6 +179,7 @@
 	}
 	m.isLinked, m.lostAt = false, now
 	l.linked--
+	l.uncertainUntil = now + l.terms.Window
 }
 
 // Forget records that the link to a node was lost. The node may be cut off and use its share, which
--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -20,7 +20,8 @@
 
 // newTestLedger returns a ledger with a full bucket and a number of linked nodes, the owner "a"
 // included.
-func newTestLedger(now time.Duration, nodes int) *Ledger {
+func newTestLedger(nodes int) *Ledger {
+	now := time.Duration(0)
 	l := NewLedger(now, simTerms, "a", nodes)
 	l.Configure(now, nil)
 	l.Configure(now, []Limit{testLimit})
@@ -34,7 +35,7 @@
 // Guards against a request that can never run: one that is larger than the burst passes when the
 // bucket is full, and leaves it in debt.
 func TestRequestLargerThanTheBurst(t *testing.T) {
-	l := newTestLedger(0, 1)
+	l := newTestLedger(1)
 	if a := l.Take(0, "w", 1500); !a.Granted {
 		t.Fatalf("got %+v from a full bucket, want a grant", a)
 	}
@@ -49,7 +50,7 @@
 
 // Guards against a window beyond the bound by a few requests that are much larger than the burst.
 func TestRequestLargerThanTheBound(t *testing.T) {
-	l := newTestLedger(0, 1)
+	l := newTestLedger(1)
 	if a := l.Take(0, "w", simTerms.Bound(testLimit)*1.01); a.Granted {
 		t.Error("a request beyond the bound of a window was granted")
 	}
@@ -58,7 +59,7 @@
 // Guards against a bucket that nodes share with the number of nodes of which one is lost: the share
 // of a lost node stays its own, until it joins again with what is left.
 func TestShareOfALostNode(t *testing.T) {
-	l := newTestLedger(0, 4)
+	l := newTestLedger(4)
 	capacity := l.pools["w"].capacity
 	l.Forget(0, "b")
 	if got, want := l.pools["w"].level, capacity*3/4; got != want {
@@ -78,7 +79,7 @@
 
 // Guards against a lost share that is held back for ever: after ten minutes the node counts no more.
 func TestLostShareExpires(t *testing.T) {
-	l := newTestLedger(0, 2)
+	l := newTestLedger(2)
 	l.Forget(0, "b")
 	for now := time.Duration(0); now <= lostShareLifetime+time.Second; now += time.Second {
 		l.Advance(now)
@@ -90,7 +91,7 @@
 
 // Guards against a node that is silent but linked and counts as linked for ever.
 func TestSilentNodeIsLost(t *testing.T) {
-	l := newTestLedger(0, 2)
+	l := newTestLedger(2)
 	for now := time.Duration(0); now <= silenceLimit+time.Second; now += 100 * time.Millisecond {
 		l.Advance(now)
 	}
@@ -119,7 +120,7 @@
 // Guards against an owner that was suspended and refills the bucket for that time, in which the other
 // nodes used their shares.
 func TestOwnerWasSuspended(t *testing.T) {
-	l := newTestLedger(0, 10)
+	l := newTestLedger(10)
 	l.pools["w"].level = 0
 	l.Advance(time.Minute)
 	if got, want := l.pools["w"].level, l.pools["w"].capacity/10; got > want {
@@ -129,7 +130,7 @@
 
 // Guards against a quota that a lowered limit blocks for what was used before.
 func TestLoweredLimitForgetsFormerUse(t *testing.T) {
-	l := newTestLedger(0, 1)
+	l := newTestLedger(1)
 	for range 8 {
 		l.Record(0, "a", Report{Uses: []Use{{Workspace: "w", Used: testRate}}})
 	}
@@ -148,7 +149,7 @@
 func TestGrantsStayUnderTheBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		nodes := rapid.IntRange(1, 5).Draw(t, "nodes")
-		l := newTestLedger(0, nodes)
+		l := newTestLedger(nodes)
 		now := time.Duration(0)
 		var runs []simRun
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -73,15 +73,16 @@
 }
 
 // grant charges an amount if the pool has it, and answers an ask. A request larger than the burst
-// needs a full bucket.
-func (p *pool) grant(now time.Duration, ask Ask, part float64) Answer {
+// needs a full bucket. If isUncertain is set, an amount that the shares of nodes that are not linked may
+// have room for is not refused, but not known.
+func (p *pool) grant(now time.Duration, ask Ask, part float64, isUncertain bool) Answer {
 	p.largest = max(p.largest, ask.Amount)
 	if bound := boundShare * p.terms.Bound(p.limit); p.history.sum+ask.Amount > bound*part {
-		return Answer{ID: ask.ID, Unknown: p.history.sum+ask.Amount <= bound, RetryAfter: p.terms.Window / historySlots}
+		return Answer{ID: ask.ID, Unknown: isUncertain && p.history.sum+ask.Amount <= bound, RetryAfter: p.terms.Window / historySlots}
 	}
 	if missing := min(ask.Amount, p.limit.Burst*part) - p.level; missing > 0 {
 		missing = min(ask.Amount, p.limit.Burst) - p.level
-		return Answer{ID: ask.ID, Unknown: missing <= p.capacity*(1-part), RetryAfter: retryAfter(missing, p.limit.Rate*part)}
+		return Answer{ID: ask.ID, Unknown: isUncertain && missing <= p.capacity*(1-part), RetryAfter: retryAfter(missing, p.limit.Rate*part)}
 	}
 	p.charge(now, ask.Amount)
 	return Answer{ID: ask.ID, Granted: true}
@@ -101,10 +102,14 @@
 	return false
 }
 
-// state returns the level, scaled up to all nodes.
+// state returns the level, scaled up to all nodes. A debt is not scaled: it may be all there is.
 func (p *pool) state(now time.Duration, part float64) Level {
 	isCalm := now >= p.knownFrom && p.history.sum <= calmShare*part*p.limit.Rate*p.terms.Window.Seconds()
-	return Level{Workspace: p.limit.Workspace, Amount: p.level / part, Free: p.free, Calm: isCalm}
+	amount := p.level
+	if amount > 0 {
+		amount /= part
+	}
+	return Level{Workspace: p.limit.Workspace, Amount: amount, Free: p.free, Calm: isCalm}
 }
 
 // mustSend reports whether the nodes have to be told of the level.
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -104,7 +104,8 @@
 // Level is the state of a workspace's bucket.
 type Level struct {
 	Workspace domain.WorkspaceName
-	// Amount is the content of the bucket, scaled up to all nodes. It is negative in debt.
+	// Amount is the content of the bucket, scaled up to all nodes, or the debt of the linked ones if it
+	// is negative.
 	Amount float64
 	// Free means that nodes may admit requests without asking.
 	Free bool
