--- a/hub/message.go
+++ b/hub/message.go
@@ -15,6 +15,7 @@
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fleet"
 	"github.com/parsleylug/parsleylug/placement"
+	"github.com/parsleylug/parsleylug/quota"
 	"github.com/parsleylug/parsleylug/serverload"
 	"github.com/parsleylug/parsleylug/suspects"
 )
@@ -63,6 +64,8 @@
 	Loads []serverload.Shared
 	// Prefixes are the prompt parts that servers have cached as the node has learned since then.
 	Prefixes []serverload.SharedPrefix
+	// Uses is what the node tells of the quotas of workspaces since its last report.
+	Uses quota.Report
 }
 
 // LeavingServer is a backend server that said that it leaves. Age is the time since the
@@ -103,6 +106,8 @@
 	Prefixes []serverload.SharedPrefix
 	// Keys are the API keys that the newest versions of the configuration removed.
 	Keys KeyUpdate
+	// Grants is what the owner tells of the quotas of workspaces since the last update.
+	Grants quota.News
 }
 
 // RegistrationChanges are changes of registrations as the owner read them in the platform's store.
@@ -143,7 +148,9 @@
 	Loads    []wireLoad   `cbor:",omitempty"`
 	Prefixes []wirePrefix `cbor:",omitempty"`
 	// Contents is missing in messages of earlier versions.
-	Contents []wireContent
+	Contents []wireContent `cbor:",omitempty"`
+	// Uses is nil if the node tells nothing. Earlier versions ignore it.
+	Uses *wireQuotaReport `cbor:",omitempty"`
 }
 
 type wireLeaving struct {
@@ -182,8 +189,10 @@
 	Loads         []wireLoad   `cbor:",omitempty"`
 	Prefixes      []wirePrefix `cbor:",omitempty"`
 	// Keys is nil if there is nothing to say of keys. Earlier versions ignore it.
-	Keys     *wireKeys
-	Contents []wireContent
+	Keys     *wireKeys     `cbor:",omitempty"`
+	Contents []wireContent `cbor:",omitempty"`
+	// Grants is nil if the owner tells nothing. Earlier versions ignore it.
+	Grants *wireQuotaNews `cbor:",omitempty"`
 }
 
 type wireStoreUpdate struct {
@@ -218,7 +227,10 @@
 }
 
 func encodeReport(r Report) ([]byte, error) {
-	w := wireReport{Node: string(r.Node), Suspects: encodeSuspects(r.CrashReports), Doubted: domain.Strings(r.StaleServers), Traits: encodeTraits(r.Traits), Contents: encodeContents(r.Contents)}
+	w := wireReport{
+		Node: string(r.Node), Suspects: encodeSuspects(r.CrashReports), Doubted: domain.Strings(r.StaleServers), Traits: encodeTraits(r.Traits),
+		Contents: encodeContents(r.Contents), Uses: encodeQuotaReport(r.Uses), Loads: encodeLoads(r.Loads), Prefixes: encodePrefixes(r.Prefixes),
+	}
 	for _, d := range r.Demands {
 		w.Demands = append(w.Demands, wireDemand{
 			Service: string(d.Service), Model: string(d.Model), Adapter: string(d.Adapter),
@@ -228,7 +240,6 @@
 	for _, l := range r.LeavingServers {
 		w.Leaving = append(w.Leaving, wireLeaving{ID: string(l.ID), Born: l.StartedAtMs, AgeMilliseconds: l.Age.Milliseconds()})
 	}
-	w.Loads, w.Prefixes = encodeLoads(r.Loads), encodePrefixes(r.Prefixes)
 	data, err := cbor.Marshal(w)
 	return data, errors.WithStack(err)
 }
@@ -257,7 +268,7 @@
 		r.LeavingServers = append(r.LeavingServers, LeavingServer{Incarnation: i, Age: time.Duration(l.AgeMilliseconds) * time.Millisecond})
 	}
 	r.Traits, r.Contents = w.Traits.decode(), decodeContents(w.Contents)
-	r.Loads, r.Prefixes = decodeLoads(w.Loads), decodePrefixes(w.Prefixes)
+	r.Loads, r.Prefixes, r.Uses = decodeLoads(w.Loads), decodePrefixes(w.Prefixes), w.Uses.decode()
 	var err error
 	r.CrashReports, err = decodeSuspects(w.Suspects)
 	return r, err
@@ -288,7 +299,7 @@
 	w := wireUpdate{
 		Nodes: u.NodeCount, News: store, Suspects: encodeSuspects(u.CrashReports), Traits: encodeTraits(u.Traits),
 		Registrations: encodeRegistrations(u.Registrations), Contents: encodeContents(u.Contents),
-		Loads: encodeLoads(u.Loads), Prefixes: encodePrefixes(u.Prefixes), Keys: encodeKeys(u.Keys),
+		Loads: encodeLoads(u.Loads), Prefixes: encodePrefixes(u.Prefixes), Keys: encodeKeys(u.Keys), Grants: encodeQuotaNews(u.Grants),
 	}
 	w.Candidates, w.ReadAgeMilliseconds, w.ReadOffset = u.CandidateCount, u.Store.ReadAge.Milliseconds(), uint64(u.Store.ReadOffset)
 	for _, s := range u.Servers {
@@ -345,7 +356,7 @@
 	}
 	u.Traits, u.Contents = w.Traits.decode(), decodeContents(w.Contents)
 	u.Registrations, u.Keys = w.Registrations.decode(), w.Keys.decode()
-	u.Loads, u.Prefixes = decodeLoads(w.Loads), decodePrefixes(w.Prefixes)
+	u.Loads, u.Prefixes, u.Grants = decodeLoads(w.Loads), decodePrefixes(w.Prefixes), w.Grants.decode()
 	var err error
 	u.CrashReports, err = decodeSuspects(w.Suspects)
 	return u, err
--- a/hub/outbox.go
+++ b/hub/outbox.go
@@ -88,6 +88,7 @@
 		u.Loads = mergedLoads(u.Loads, m.update.Loads)
 		u.Prefixes = mergedPrefixes(u.Prefixes, m.update.Prefixes)
 		u.Keys = u.Keys.followedBy(m.update.Keys)
+		u.Grants = u.Grants.FollowedBy(m.update.Grants)
 	}
 	return u
 }
