quota: callers of nodes that have heard no owner come back when there is one

Cause: after all nodes were killed, requests of workspaces with a quota got 503 with a Retry-After of half a second, and were refused a second time: a new owner comes about 2.5 s after the restart. Change: a node that has heard no owner since its start gives that time.

--- a/dispatch/quota.go
+++ b/dispatch/quota.go
@@ -93,7 +93,7 @@
 	case d.IsAdmitted:
 		return nil
 	case d.IsUnknown:
-		return newRefusal(time.Now(), s.request, verdict.QuotaUnknown, "this node does not know whether the quota of the workspace has room", unknownQuotaRetry)
+		return newRefusal(time.Now(), s.request, verdict.QuotaUnknown, "this node does not know whether the quota of the workspace has room", max(unknownQuotaRetry, d.RetryAfter))
 	default:
 		jitter := time.Duration(quotaRetryJitter * rand.Float64() * float64(d.RetryAfter))
 		return verdict.Refuse(verdict.LimitReached, "the quota of the workspace is used up").WithRetryAfter(d.RetryAfter + jitter)
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -20,6 +20,10 @@
 // less than a third of the excess that is permitted by default.
 const chargeLifetime = 250 * time.Millisecond
 
+// firstOwnerDelay is about how long all nodes are without an owner after they were killed: the lease
+// of the one before has to expire, and the nodes have to link to the next.
+const firstOwnerDelay = 2500 * time.Millisecond
+
 // newLimitPeriod is how long requests of workspaces are admitted that the owner may not know to be
 // limited yet, after the first limits came into force at this node.
 const newLimitPeriod = 4 * time.Second
@@ -162,8 +166,18 @@
 		c.IsTaken, c.TakenAt = true, now
 		return dispatch.QuotaDecision{IsAdmitted: true, Basis: basisShare}
 	default:
-		return dispatch.QuotaDecision{IsUnknown: true, Basis: basisShare}
+		return dispatch.QuotaDecision{IsUnknown: true, RetryAfter: q.untilFirstOwner(), Basis: basisShare}
+	}
+}
+
+// untilFirstOwner returns when a request may be sent again that this node cannot decide on, if the
+// node has not heard of any owner since its start: mostly, all nodes have been started again then. It
+// returns 0 at other nodes. The caller holds mu.
+func (q *quotas) untilFirstOwner() time.Duration {
+	if q.allowance.Nodes() > 0 {
+		return 0
 	}
+	return firstOwnerDelay
 }
 
 // takeAsOwner decides at the owner itself. The caller holds mu.
--- a/entry/quota_test.go
+++ b/entry/quota_test.go
@@ -251,3 +251,22 @@
 		t.Errorf("got report %+v and news %+v, want nothing", r, q.allNews())
 	}
 }
+
+// Load: all nodes were killed and nobody owns the ledger yet. Guards against refused callers that come
+// back before there is an owner, and are refused again.
+func TestCallersComeBackWhenThereIsAnOwner(t *testing.T) {
+	q := newQuotas(&Options{Uptime: &clock{start: time.Now()}, Logger: zerolog.Nop(), QuotaTerms: quota.Terms{Window: 8 * time.Second, Tolerance: 0.1}})
+	c := &fleet.Configuration{Workspaces: []fleet.Workspace{{Name: "w", Quota: fleet.Quota{Rate: 10, Burst: 10}}}}
+	c.Index()
+	q.configure(c)
+	d := q.Take(t.Context(), &dispatch.QuotaCharge{Workspace: "w", Amount: 1}, 0)
+	if !d.IsUnknown || d.RetryAfter != firstOwnerDelay {
+		t.Errorf("without an owner since the start: got %+v, want an unknown quota and %v", d, firstOwnerDelay)
+	}
+	q.link()
+	q.apply(quota.News{Nodes: 87})
+	q.unlink()
+	if d := q.Take(t.Context(), &dispatch.QuotaCharge{Workspace: "w", Amount: 5}, 0); d.IsAdmitted || d.RetryAfter != 0 {
+		t.Errorf("after the loss of an owner: got %+v, want no such wait", d)
+	}
+}
