--- a/admission/queue.go
+++ b/admission/queue.go
@@ -45,7 +45,7 @@
 // Outcome is the result of an offer.
 type Outcome int
 
-//go:generate go run golang.org/x/tools/cmd/stringer@v0.52.0 -type=Outcome -output=outcome_string.go
+//go:generate go run golang.org/x/tools/cmd/stringer@v0.52.0 -type=Outcome,Outlook -output=outcome_string.go
 
 // The outcomes of an offer.
 const (
