dispatch: requests wait for room by rank or are refused early

Cause: requests went to full servers, waited there or at their node until their deadlines, and less urgent ones took the last slots. Change: for services whose servers report their load, a request is sent only where package admission sees room for its rank, waits in the order of ranks, or is refused with a Retry-After. Metrics and log lines by rank.

--- a/commands/front.go
+++ b/commands/front.go
@@ -175,6 +175,7 @@
 		ReportTraits:           f.node.ReportTraits,
 		ReportStaleEngineState: f.node.RefreshEngineState,
 		ResponseMemory:         messageMemory,
+		RoomCounters:           f.metrics,
 		Counters:               f.metrics,
 	})
 	backend.OnNotice = f.node.RecordNotice
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -184,6 +184,9 @@
 	a.cancel(nil)
 	s.dispatcher.chooser.release(a.server.ID)
 	s.dispatcher.Demand.addRunning(s.demandKey, -1)
+	now := time.Now()
+	s.recordRoomEnd(now, a, result == "Answered" || result == "PassedOn")
+	s.dispatcher.handleFreed(now, s.request.Service, a.server.ID)
 }
 
 // endFailed ends an attempt that failed or was refused. Its server is avoided until
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -94,6 +94,8 @@
 	// ResponseMemory bounds the responses of all requests that are held whole; 0 means
 	// buffers.DefaultSize.
 	ResponseMemory domain.Bytes
+	// RoomCounters may be nil.
+	RoomCounters RoomCounters
 	Counters
 }
 
@@ -126,6 +128,7 @@
 type Dispatcher struct {
 	Options
 	chooser chooser
+	rooms   rooms
 
 	// shutdown is nil until Drain is called.
 	shutdown atomic.Pointer[Shutdown]
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -237,6 +237,12 @@
 func (s *session) pickHedge(silent *attempt) *fleet.Server {
 	now := time.Now()
 	candidates := s.candidates(now, s.dispatcher.Views.Get())
+	if m := s.dispatcher.rooms.find(now, s.request.Service); m != nil {
+		c := s.dispatcher.rooms.newContender(now, s.request)
+		m.mu.Lock()
+		candidates = m.withRoom(now, &c, candidates)
+		m.mu.Unlock()
+	}
 	others := slices.DeleteFunc(slices.Clone(candidates), func(c *fleet.Server) bool { return c.ID == silent.server.ID })
 	untried := slices.DeleteFunc(slices.Clone(others), func(c *fleet.Server) bool { return s.avoidedServers[c.ID] })
 	switch {
@@ -248,8 +254,7 @@
 	case now.Sub(silent.lastReceivedAt) < streamIdleTimeout:
 		return nil
 	}
-	here := location{zone: s.dispatcher.Zone, regions: s.dispatcher.Regions}
-	server, inputs := s.dispatcher.chooser.choose(now, here, candidates, s.request.Prefix, s.avoidedServers)
+	server, inputs := s.dispatcher.choose(now, s.request, candidates, s.avoidedServers)
 	inputs.keptAway = s.keptAway.text(now)
 	s.choiceInputs = inputs
 	return server
--- a/dispatch/overload_test.go
+++ b/dispatch/overload_test.go
@@ -101,6 +101,7 @@
 // measured period.
 type overloadRun struct {
 	backend     *queueingBackend
+	view        *View
 	dispatchers []*Dispatcher
 
 	mu sync.Mutex
@@ -113,16 +114,15 @@
 
 func newOverloadRun() *overloadRun {
 	o := &overloadRun{backend: &queueingBackend{requests: map[domain.ServerID]int{}, slots: map[domain.ServerID]chan struct{}{}}}
-	v := &View{Config: &fleet.Configuration{Services: map[domain.ServiceName]fleet.Service{"plain": {Name: "plain"}}}, Servers: map[domain.ServiceName][]*fleet.Server{}}
+	o.view = &View{Config: &fleet.Configuration{Services: map[domain.ServiceName]fleet.Service{"plain": {Name: "plain"}}}, Servers: map[domain.ServiceName][]*fleet.Server{}}
 	for i := range overloadServers {
-		v.Servers["plain"] = append(v.Servers["plain"], &fleet.Server{ID: domain.ServerID(fmt.Sprint("p", i)), Service: "plain", Slots: overloadSlots, Zone: "z"})
+		o.view.Servers["plain"] = append(o.view.Servers["plain"], &fleet.Server{ID: domain.ServerID(fmt.Sprint("p", i)), Service: "plain", Slots: overloadSlots, Zone: "z"})
 	}
 	for range overloadNodes {
 		d := New(Options{
 			Zone: "z", Views: &Views{}, Demand: &DemandCounter{}, Backend: o.backend, Logger: zerolog.Nop(), Counters: noCounters{},
 			SetBudget: func(w *retries.WindowBudget) { w.Length, w.Ratio, w.Reserve = 10*time.Second, 0.1, 4 },
 		})
-		d.Views.Publish(v)
 		o.dispatchers = append(o.dispatchers, d)
 	}
 	return o
@@ -171,6 +171,11 @@
 // run sends first attempts at factor times the capacity.
 func (o *overloadRun) run(t *testing.T, factor float64) {
 	synctest.Test(t, func(t *testing.T) {
+		// Requests wait for a channel of the view, which must belong to the bubble.
+		for _, d := range o.dispatchers {
+			v := *o.view
+			d.Views.Publish(&v)
+		}
 		start := time.Now()
 		measuredFrom, measuredUntil := start.Add(overloadWarmUp), start.Add(overloadWarmUp+overloadMeasurementTime)
 		isMeasured := func(at time.Time) bool { return at.After(measuredFrom) && at.Before(measuredUntil) }
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -13,14 +13,8 @@
 // request can still be completed in time.
 func (s *session) pickServer(ctx context.Context) (*fleet.Server, *verdict.Error) {
 	start := time.Now()
-	isWaiting := false
 	s.resumeDeadline = start.Add(s.stallTimeout() - resumeMargin)
-	defer func() {
-		if isWaiting {
-			s.dispatcher.Demand.stopWaiting(s.demandKey)
-			s.waitTime += time.Since(start)
-		}
-	}()
+	defer s.endWait(start)
 	for {
 		if e := s.refuseSuspect(); e != nil {
 			return nil, e
@@ -32,9 +26,20 @@
 			return nil, s.refuseShutdown(now)
 		}
 		candidates := s.candidates(now, view)
+		m := s.dispatcher.rooms.find(now, s.request.Service)
+		if m != nil && s.competes() && len(candidates) > 0 {
+			s.room = m
+			server, e := s.seekRoom(ctx, m, view, candidates, deadline)
+			if server != nil || e != nil {
+				return server, e
+			}
+			continue
+		}
+		if m != nil && len(candidates) > 0 {
+			candidates = s.preferRoom(now, m, candidates)
+		}
 		if s.hasUntried(candidates) || len(candidates) > 0 && s.attempts == 0 {
-			here := location{zone: s.dispatcher.Zone, regions: s.dispatcher.Regions}
-			server, inputs := s.dispatcher.chooser.choose(now, here, candidates, s.request.Prefix, s.avoidedServers)
+			server, inputs := s.dispatcher.choose(now, s.request, candidates, s.avoidedServers)
 			inputs.keptAway = s.keptAway.text(now)
 			s.choiceInputs = inputs
 			return server, nil
@@ -46,17 +51,37 @@
 		if now.Add(expectedWait).After(deadline) {
 			return nil, s.refuseWait(now, expectedWait)
 		}
-		if !isWaiting {
-			isWaiting = true
+		if !s.isWaiting {
 			s.logWaiting(view, expectedWait, deadline)
-			s.dispatcher.Demand.startWaiting(s.demandKey)
 		}
+		s.beginWait()
 		if e := s.waitForChange(ctx, view, deadline, len(candidates) > 0); e != nil {
 			return nil, e
 		}
 	}
 }
 
+// beginWait counts the request as waiting until endWait.
+func (s *session) beginWait() {
+	if !s.isWaiting {
+		s.isWaiting = true
+		s.dispatcher.Demand.startWaiting(s.demandKey)
+	}
+}
+
+// endWait ends the wait for a server that began with pickServer.
+func (s *session) endWait(start time.Time) {
+	if s.room != nil {
+		s.leaveRoom(s.room)
+		s.room, s.waiter = nil, nil
+	}
+	if s.isWaiting {
+		s.isWaiting = false
+		s.dispatcher.Demand.stopWaiting(s.demandKey)
+		s.waitTime += time.Since(start)
+	}
+}
+
 // waitDeadline returns the time at which the request stops waiting for a server.
 func (s *session) waitDeadline() time.Time {
 	deadline := s.callerWaitDeadline()
@@ -145,19 +170,19 @@
 
 // candidates returns the servers that can serve the request and may be sent it now.
 func (s *session) candidates(now time.Time, view *View) []*fleet.Server {
-	return s.permittedServers(now, s.capableServers(now, view))
+	return s.permittedServers(now, s.dispatcher.capableServers(now, view, s.request))
 }
 
-// capableServers returns the servers that have the model and adapter of the request loaded.
-func (s *session) capableServers(now time.Time, view *View) []*fleet.Server {
-	servers := view.Servers[s.request.Service]
-	if s.request.Model == "" {
+// capableServers returns the servers that have the model and adapter of a request loaded.
+func (d *Dispatcher) capableServers(now time.Time, view *View, r *Request) []*fleet.Server {
+	servers := view.Servers[r.Service]
+	if r.Model == "" {
 		return servers
 	}
 	candidates := make([]*fleet.Server, 0, len(servers))
 	for _, c := range servers {
-		model, ok := c.EngineState.Find(s.request.Model)
-		if ok && model.HasAdapter(s.request.Adapter) && !s.dispatcher.chooser.isMissing(now, c.ID, s.request.key()) {
+		model, ok := c.EngineState.Find(r.Model)
+		if ok && model.HasAdapter(r.Adapter) && !d.chooser.isMissing(now, c.ID, r.key()) {
 			candidates = append(candidates, c)
 		}
 	}
--- a/dispatch/response.go
+++ b/dispatch/response.go
@@ -60,6 +60,7 @@
 	s.countRun()
 	a.response, a.lastReceivedAt = r, now
 	s.dispatcher.chooser.recordResponse(now, a.server.ID, now.Sub(a.startedAt), r.Load)
+	s.recordRoomResponse(now, a.server.ID, r)
 	s.endSilence(a)
 	goesOn := r.Events != nil || r.IsSuccess() && !s.headSent
 	if len(s.running) > 1 && goesOn {
@@ -73,6 +74,7 @@
 	if r.Refusal == Full {
 		s.dispatcher.chooser.recordOverload(time.Now(), a.server)
 	}
+	s.recordRoomResponse(time.Now(), a.server.ID, r)
 	if r.Refusal == Elsewhere {
 		s.dispatcher.chooser.recordMissing(time.Now(), a.server.ID, s.request.key())
 		if s.dispatcher.ReportStaleEngineState != nil {
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -56,6 +56,11 @@
 	longestGap  time.Duration
 	// isCountedLate is true once the request was counted as late.
 	isCountedLate bool
+	// isWaiting is true while the request waits for a server. room and waiter are set while it needs
+	// room at servers that report their load.
+	isWaiting bool
+	room      *room
+	waiter    *waiter
 	// waitTime is the total time for which the request has waited for a server.
 	waitTime time.Duration
 	// keptAway is what kept the request away from servers.
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -75,6 +75,23 @@
 	m.scope.Tagged(map[string]string{"refused": strconv.FormatBool(refused)}).Counter("trait_decisions").Inc(1)
 }
 
+// CountRoomRefusal implements dispatch.RoomCounters.
+func (m *Metrics) CountRoomRefusal(rank int) { m.ofRank(rank).Counter("room_refusals").Inc(1) }
+
+// RecordRoomWait implements dispatch.RoomCounters.
+func (m *Metrics) RecordRoomWait(rank int, wait time.Duration) {
+	m.ofRank(rank).Histogram("room_waits", latencyBuckets).RecordDuration(wait)
+}
+
+// SetWaitingForRoom implements dispatch.RoomCounters.
+func (m *Metrics) SetWaitingForRoom(rank, waiting int) {
+	m.ofRank(rank).Gauge("requests_waiting_for_room").Update(float64(waiting))
+}
+
+func (m *Metrics) ofRank(rank int) tally.Scope {
+	return m.scope.Tagged(map[string]string{"rank": strconv.Itoa(rank)})
+}
+
 // CountRejected implements platform.FrontCounters.
 func (m *Metrics) CountRejected(reason verdict.Reason) {
 	m.scope.Tagged(map[string]string{"reason": reason.String()}).Counter("requests_rejected").Inc(1)
--- a/entry/metrics_test.go
+++ b/entry/metrics_test.go
@@ -18,6 +18,9 @@
 	m.CountEnd(true)
 	m.CountEndedEarly("Shutdown", false)
 	m.SetOwnerLinks(294)
+	m.CountRoomRefusal(5)
+	m.RecordRoomWait(5, 70*time.Millisecond)
+	m.SetWaitingForRoom(5, 3)
 	m.CountStoreCall("read", true, 1200)
 	m.CountStoreCall("read", false, 0)
 	text := ""
@@ -35,6 +38,9 @@
 		`parsleylug_requests_ended_early{ended_by="Shutdown",near_change="false"} 1`,
 		`parsleylug_requests_kept_away{restriction="Leaving"} 1`,
 		`parsleylug_owner_links 294`,
+		`parsleylug_room_refusals{rank="5"} 1`,
+		`parsleylug_room_waits_count{rank="5"} 1`,
+		`parsleylug_requests_waiting_for_room{rank="5"} 3`,
 		`parsleylug_store_calls{call="read",succeeded="true"} 1`,
 		`parsleylug_store_calls{call="read",succeeded="false"} 1`,
 		`parsleylug_store_answer_bytes{call="read",succeeded="true"} 1200`,
