--- a/dispatch/roomwait.go
+++ b/dispatch/roomwait.go
@@ -49,7 +49,7 @@
 	if backoff {
 		return nil, s.waitForChange(ctx, view, deadline, true)
 	}
-	return s.awaitGrant(ctx, m, view, wakeAt)
+	return s.awaitGrant(ctx, view, wakeAt)
 }
 
 // tryRoom returns a server with room, or an error if the request is refused. backoff is true if
@@ -143,7 +143,7 @@
 }
 
 // awaitGrant waits until the request has got room or should look for it again.
-func (s *session) awaitGrant(ctx context.Context, m *room, view *View, wakeAt time.Time) (*fleet.Server, *verdict.Error) {
+func (s *session) awaitGrant(ctx context.Context, view *View, wakeAt time.Time) (*fleet.Server, *verdict.Error) {
 	timer := time.NewTimer(time.Until(wakeAt))
 	defer timer.Stop()
 	select {
