--- a/dispatch/loads.go
+++ b/dispatch/loads.go
@@ -237,9 +237,16 @@
 
 // ApplyLoads applies the loads that the owner has sent.
 func (d *Dispatcher) ApplyLoads(now time.Time, list []serverload.Shared) {
-	d.chooser.mu.Lock()
-	defer d.chooser.mu.Unlock()
-	d.chooser.table.Apply(now, list)
+	d.chooser.applyLoads(now, list)
+	if len(list) > 0 {
+		d.grantAll(now)
+	}
+}
+
+func (c *chooser) applyLoads(now time.Time, list []serverload.Shared) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.Apply(now, list)
 }
 
 // TakeLoadChanges returns the loads that this node, the owner, sends to all nodes, at most the given
--- a/dispatch/response.go
+++ b/dispatch/response.go
@@ -61,6 +61,7 @@
 	a.response, a.lastReceivedAt = r, now
 	s.dispatcher.chooser.recordResponse(now, a.server, s.request, now.Sub(a.startedAt), r.Load)
 	s.dispatcher.countCache(a)
+	s.recordRoomResponse(now, a.server.ID, r)
 	s.endSilence(a)
 	goesOn := r.Events != nil || r.IsSuccess() && !s.headSent
 	if len(s.running) > 1 && goesOn {
@@ -74,6 +75,7 @@
 	if r.Refusal == Full {
 		s.dispatcher.chooser.recordOverload(time.Now(), a.server, r.Load)
 	}
+	s.recordRoomResponse(time.Now(), a.server.ID, r)
 	if r.Refusal == Elsewhere {
 		s.dispatcher.chooser.recordMissing(time.Now(), a.server.ID, s.request.key())
 		if s.dispatcher.ReportStaleEngineState != nil {
--- a/entry/metrics_test.go
+++ b/entry/metrics_test.go
@@ -24,6 +24,9 @@
 		m.CountWorkspaceRequest(domain.WorkspaceName(fmt.Sprintf("w%d", i)), "Served")
 	}
 	m.CountWorkspaceRequest("w0", "Served")
+	m.CountRoomRefusal(5)
+	m.RecordRoomWait(5, 70*time.Millisecond)
+	m.SetWaitingForRoom(5, 3)
 	m.CountStoreCall("read", true, 1200)
 	m.CountStoreCall("read", false, 0)
 	text := ""
@@ -43,6 +46,9 @@
 		`parsleylug_owner_links 294`,
 		`parsleylug_workspace_requests{outcome="Served",workspace="w0"} 2`,
 		`parsleylug_workspace_requests{outcome="Served",workspace="_others"} 10`,
+		`parsleylug_room_refusals{rank="5"} 1`,
+		`parsleylug_room_waits_count{rank="5"} 1`,
+		`parsleylug_requests_waiting_for_room{rank="5"} 3`,
 		`parsleylug_store_calls{call="read",succeeded="true"} 1`,
 		`parsleylug_store_calls{call="read",succeeded="false"} 1`,
 		`parsleylug_store_answer_bytes{call="read",succeeded="true"} 1200`,
