Bound the heads and the connections of callers

Cause: a head within 64 KiB takes up to 1 MB while it arrives and while its request runs, nothing bounds the sum, and the number of connections has no limit. Callers' connections have a limit by memory and descriptors, near which stale heads, unused connections and, at the limit, unfinished heads are closed.

--- a/commands/front.go
+++ b/commands/front.go
@@ -36,11 +36,6 @@
 	// drain bound, the time after which a draining backend server must receive no more
 	// requests.
 	registrationReadsPerDrain = 3
-	// readHeaderTimeout, idleConnectionTimeout and maximumHeaderBytes are wider than the
-	// limits that operators set, which can change while connections are open.
-	readHeaderTimeout     = 10 * time.Second
-	idleConnectionTimeout = 2 * time.Minute
-	maximumHeaderBytes    = 64 << 10
 	// memberTTLShare is the time-to-live of a group member that does not renew, as a
 	// fraction of the lease bound, the minimum time between the orders of two lease
 	// holders.
@@ -87,6 +82,7 @@
 	LogLevel       string `default:"info" enum:"debug,info,warn,error" help:"Least severe lines to write."`
 	MetricsPort    int    `default:"9464" help:"Port of the metrics, on the VM's address."`
 	LinesPerSecond int    `default:"200" help:"Most log lines a second; what is left out is counted."`
+	CallerLimits
 }
 
 // Run runs the node until a termination signal.
@@ -110,7 +106,9 @@
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	logger := zerolog.New(out).Level(level).With().Timestamp().Str("Node", s.Node).Logger()
 	redirectStandardLog(logger)
-	return newFrontNode(s, logger).run(path, net.JoinHostPort(s.IP, strconv.Itoa(c.MetricsPort)))
+	node := newFrontNode(s, logger)
+	node.callerLimits = c.serverLimits(s, openFilesLimit())
+	return node.run(path, net.JoinHostPort(s.IP, strconv.Itoa(c.MetricsPort)))
 }
 
 // redirectStandardLog makes the lines of the standard logger events of the node. The HTTP client
@@ -127,6 +125,8 @@
 	node     *entry.Node
 	frontend *platform.Frontend
 	metrics  *entry.Metrics
+	// callerLimits are those of the server for callers.
+	callerLimits platform.ServerLimits
 	// cancelRequests cancels the callers' requests in flight.
 	cancelRequests context.CancelCauseFunc
 }
@@ -189,7 +189,7 @@
 	f.node.Loads = dispatcher
 	f.frontend = &platform.Frontend{
 		Dispatcher: dispatcher, Views: &f.node.Views, IsBehind: f.node.IsConfigurationBehind, Keys: f.node, LinkDelay: f.node.LinkDelay,
-		Logger: logger, Counters: f.metrics,
+		Logger: logger, Counters: f.metrics, ConnectionCounters: f.metrics,
 	}
 	f.frontend.Bodies.Size = messageMemory
 	return f
@@ -243,7 +243,7 @@
 		cancelRequests(cause)
 		cancel()
 	}
-	callerServer := f.frontend.HTTPServer(requestsContext, platform.ServerLimits{ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleConnectionTimeout, HeaderBytes: maximumHeaderBytes})
+	callerServer := f.frontend.HTTPServer(requestsContext, f.callerLimits)
 	if err := f.listen(ctx, callerServer, metricsAddress); err != nil {
 		return err
 	}
@@ -300,9 +300,9 @@
 
 // listen starts the servers for callers, the readiness probe, the other nodes and the metrics.
 func (f *frontNode) listen(ctx context.Context, callerServer *platform.CallerServer, metricsAddress string) error {
-	peerServer := &http.Server{Handler: &f.node.Hub, ReadHeaderTimeout: readHeaderTimeout}
-	readinessServer := &http.Server{Handler: platform.ReadinessHandler(f.node.IsReady), ReadHeaderTimeout: readHeaderTimeout}
-	metricsServer := &http.Server{Handler: f.metrics.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	peerServer := &http.Server{Handler: &f.node.Hub, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maximumHeaderBytes}
+	readinessServer := &http.Server{Handler: platform.ReadinessHandler(f.node.IsReady), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maximumHeaderBytes}
+	metricsServer := &http.Server{Handler: f.metrics.Handler(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maximumHeaderBytes}
 	for _, l := range []struct {
 		server  *http.Server
 		serve   func(net.Listener) error
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -105,6 +105,11 @@
 	m.scope.Tagged(map[string]string{"ended_by": end.String()}).Counter("responses_unfinished").Inc(1)
 }
 
+// CountConnectionClosed implements platform.ConnectionCounters.
+func (m *Metrics) CountConnectionClosed(reason fmt.Stringer) {
+	m.scope.Tagged(map[string]string{"reason": reason.String()}).Counter("caller_connections_closed").Inc(1)
+}
+
 // CountWorkspaceRequest implements platform.FrontCounters.
 func (m *Metrics) CountWorkspaceRequest(w domain.WorkspaceName, outcome string) {
 	m.scope.Tagged(map[string]string{"workspace": m.workspaceLabel(w), "outcome": outcome}).Counter("workspace_requests").Inc(1)
