--- a/entry/metrics_test.go
+++ b/entry/metrics_test.go
@@ -20,6 +20,7 @@
 	m.CountEnd(true)
 	m.CountEndedEarly("Shutdown", false)
 	m.SetOwnerLinks(294)
+	m.CountConnectionClosed(fleet.Leaving)
 	for i := range maximumCountedWorkspaces + 10 {
 		m.CountWorkspaceRequest(domain.WorkspaceName(fmt.Sprintf("w%d", i)), "Served")
 	}
@@ -41,6 +42,7 @@
 		`parsleylug_requests_ended_early{ended_by="Shutdown",near_change="false"} 1`,
 		`parsleylug_requests_kept_away{restriction="Leaving"} 1`,
 		`parsleylug_owner_links 294`,
+		`parsleylug_caller_connections_closed{reason="Leaving"} 1`,
 		`parsleylug_workspace_requests{outcome="Served",workspace="w0"} 2`,
 		`parsleylug_workspace_requests{outcome="Served",workspace="_others"} 10`,
 		`parsleylug_store_calls{call="read",succeeded="true"} 1`,
