lease: no order with a lower fence after two reassignments within one renewal

Change: the token stays if no other node can have ordered; a later generation starts the settle time again; a grant after the time for orders counts as new.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -90,20 +90,21 @@
 // token. The first grant, or a grant after the lease has expired, sets a new fencing token
 // and starts the settle time.
 func (l *Lease) ApplyGrant(sentAt, receivedAt time.Duration, g Grant) {
+	isOtherGeneration := g.Generation != l.generation
 	l.generation = g.Generation
 	isListed := slices.Contains(g.Shards, l.Shard)
 	if !isListed {
 		l.held = false
 		return
 	}
-	if !l.held || l.isExpiredGrant(sentAt, receivedAt) {
+	if !l.held || l.isExpiredGrant(sentAt, receivedAt) || isOtherGeneration && l.isSettling(receivedAt) {
 		l.predecessorEnd = receivedAt
 		if !l.isLastToOrder(receivedAt) {
 			l.predecessorEnd = receivedAt + l.orderWindow()
 			l.firstOrderAt = max(receivedAt+l.settleTime(), l.returnAt())
+			l.fence = domain.Fence(g.Generation)
 		}
 		l.held = true
-		l.fence = domain.Fence(g.Generation)
 	}
 	l.renewedAt = sentAt
 	if sentAt+l.orderWindow() > l.firstOrderAt {
@@ -137,8 +138,16 @@
 	return l.lastTermEnd + l.FirstOrderDelay + l.LeaseBound
 }
 
+// isSettling reports whether the settle time has not passed where there is a LeaseBound. The former
+// holder may have got the shard back for a moment in a generation that this node has not seen, and
+// have renewed it. So a later generation starts the settle time again.
+func (l *Lease) isSettling(now time.Duration) bool {
+	return l.LeaseBound > 0 && now < l.firstOrderAt
+}
+
 // isLastToOrder reports whether no other node can have issued an order since this one last could,
-// so that a grant received at receivedAt starts no settle time. A node that got the shard after
+// so that a grant received at receivedAt starts no settle time and keeps the fencing token: an order
+// with the former one may still be in flight. A node that got the shard after
 // renewedAt had to wait for the settle time, and lost the shard before receivedAt.
 func (l *Lease) isLastToOrder(receivedAt time.Duration) bool {
 	isSettled := l.fence != 0 && l.renewedAt >= l.firstOrderAt
@@ -146,13 +155,14 @@
 }
 
 // isExpiredGrant reports whether the lease expired before the store handled a renewal. If the
-// servers do not check fencing tokens, it also does so where the lease may have expired: the
-// store may have granted the shard to another holder meanwhile.
+// servers do not check fencing tokens, it also does so where the lease may have expired, or where
+// the time has passed for which the holder may issue orders: the store may have granted the shard to
+// another holder meanwhile.
 func (l *Lease) isExpiredGrant(sentAt, receivedAt time.Duration) bool {
 	if l.ServersCheckFences {
 		return sentAt >= l.expiresAt
 	}
-	return receivedAt >= l.expiresAt
+	return receivedAt >= l.expiresAt || l.LeaseBound > 0 && receivedAt >= l.renewedAt+l.orderWindow()
 }
 
 // RecordRenewalFailure records that a renewal got no response. If the servers check
--- a/lease/turns_test.go
+++ b/lease/turns_test.go
@@ -98,6 +98,28 @@
 	mustFence(t, l, end)
 }
 
+// Guards against ONE: two reassignments within one interval between renewals. The former holder, which
+// has not noticed, renews in between, so that its orders go on for longer than a new holder waits.
+func TestLaterGenerationStartsTheSettleTimeAgain(t *testing.T) {
+	l := newBoundLease()
+	l.ApplyGrant(0, 0, testGrant)
+	again := 600 * time.Millisecond
+	l.ApplyGrant(again, again, Grant{Generation: testGrant.Generation + 2, Shards: testGrant.Shards})
+	end := again + l.settleTime()
+	renew := func(now time.Duration) {
+		l.ApplyGrant(now, now, Grant{Generation: testGrant.Generation + 2, Shards: testGrant.Shards})
+	}
+	renew(1200 * time.Millisecond)
+	renew(1800 * time.Millisecond)
+	if _, ok := l.Fence(end - time.Millisecond); ok {
+		t.Error("an order is permitted before the settle time of the later generation has passed")
+	}
+	renew(2400 * time.Millisecond)
+	if f, ok := l.Fence(end); !ok || f != domain.Fence(testGrant.Generation+2) {
+		t.Errorf("after the settle time: got %d and %v, want an order with the token of the later generation", f, ok)
+	}
+}
+
 // Guards against a former holder that orders while a new one already may: without an answer of the
 // store, orders end before the lease does.
 func TestOrdersEndWithoutRenewals(t *testing.T) {
