platform, lease: read the era of the store; generations and offsets name their era

Cause: a store that is restored from an older copy assigns offsets and generations again, so that those of two eras cannot be compared. A first grant in a later era sets a new fence; another holder waits until the former one's lease has ended. Result: without the header all is as before; the tests of lease and transfer pass.

--- a/domain/ids.go
+++ b/domain/ids.go
@@ -45,7 +45,8 @@
 type VersionName string
 
 // Offset is a position in a stream of the platform's log. The first record of a stream has
-// offset 1; the zero Offset is the position before it.
+// offset 1; the zero Offset is the position before it. An offset names its Era in its upper bits,
+// so that each offset of a later era is larger than all of the earlier ones.
 type Offset uint64
 
 // Fence is a fencing token: the offset of the lease record that made a node the owner of a
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -12,15 +12,13 @@
 	"github.com/parsleylug/parsleylug/domain"
 )
 
-// Generation numbers the versions of the membership group; every change of the
-// group raises it.
-type Generation uint64
-
 // Shard identifies a part of the backend servers that has one owner at a time.
 type Shard int
 
 // Grant is the store's response to a membership call.
 type Grant struct {
+	// Era is the era of the store that responded. Generation is of it too.
+	Era domain.Era
 	// Generation is the version of the membership group in which the shards are assigned.
 	Generation Generation
 	// Shards are the shards that the group assigns to the member.
@@ -61,8 +59,13 @@
 	// there is a newer holder, the servers reject the orders of this one.
 	ServersCheckFences bool
 
-	// generation is the last generation received.
+	// generation is the last generation received, in the era grantEra.
 	generation Generation
+	grantEra   domain.Era
+	// era is the newest era of the store that this node has seen, and eraSeenAt is when it first
+	// saw it; zero in era 0.
+	era       domain.Era
+	eraSeenAt time.Duration
 	// held is true from a grant until the shard is missing from a later grant or the
 	// lease is invalidated. The lease can be expired nevertheless.
 	held  bool
@@ -88,19 +91,25 @@
 // at sentAt. The lease runs from sentAt and the settle time from receivedAt, because the
 // store may have handled the call at any time between them. A renewal keeps the fencing
 // token. The first grant, or a grant after the lease has expired, sets a new fencing token
-// and starts the settle time.
+// and starts the settle time. So does the first grant of a later era, because the restored store
+// may have given the shard to another member in between. A grant of a former era is ignored.
 func (l *Lease) ApplyGrant(sentAt, receivedAt time.Duration, g Grant) {
-	l.generation = g.Generation
+	if g.Era < l.era {
+		return
+	}
+	l.RecordEra(receivedAt, g.Era)
+	isFirstOfEra := g.Era > l.grantEra
+	l.generation, l.grantEra = g.Generation, g.Era
 	isListed := slices.Contains(g.Shards, l.Shard)
 	if !isListed {
 		l.held = false
 		return
 	}
-	if !l.held || l.isExpiredGrant(sentAt, receivedAt) {
+	if !l.held || isFirstOfEra || l.isExpiredGrant(sentAt, receivedAt) {
 		l.predecessorEnd = receivedAt
 		if !l.isLastToOrder(receivedAt) {
 			l.predecessorEnd = receivedAt + l.orderWindow()
-			l.firstOrderAt = max(receivedAt+l.settleTime(), l.returnAt())
+			l.firstOrderAt = max(receivedAt+l.settleTime(), l.returnAt(), l.formerEraEnd(receivedAt))
 		}
 		l.held = true
 		l.fence = domain.Fence(g.Generation)
@@ -112,6 +121,26 @@
 	l.expiresAt = sentAt + l.TimeToLive - l.TimeToLive/expiryMarginDivisor
 }
 
+// RecordEra records the era of a response of the store that was received at now.
+func (l *Lease) RecordEra(now time.Duration, e domain.Era) {
+	if e > l.era {
+		l.era, l.eraSeenAt = e, now
+	}
+}
+
+// formerEraEnd returns when a holder of the former era has issued its last order at the latest, if
+// that may be another node; 0 if there is no former era. The restored store does not know of that
+// holder's last renewals and may have given the shard away at once, while the holder does not know
+// of its loss yet. This node was the last holder if it got a response with the shard so recently
+// that no other member could have got the shard since, in the former era.
+func (l *Lease) formerEraEnd(receivedAt time.Duration) time.Duration {
+	isLastHolder := l.held && receivedAt < l.renewedAt+l.orderWindow()
+	if l.era == 0 || isLastHolder {
+		return 0
+	}
+	return l.eraSeenAt + l.orderWindow() + l.FirstOrderDelay
+}
+
 // orderWindow is how long after the sending of a renewal the holder may issue orders.
 func (l *Lease) orderWindow() time.Duration {
 	if l.LeaseBound == 0 {
@@ -157,9 +186,10 @@
 
 // RecordRenewalFailure records that a renewal got no response. If the servers check
 // fencing tokens, it extends a lease that has not expired. An expired lease has to be
-// granted again; it expires, for example, while the VM is suspended.
+// granted again; it expires, for example, while the VM is suspended. It does not extend a lease of
+// a former era, because the restored store may have another holder.
 func (l *Lease) RecordRenewalFailure(now time.Duration) {
-	if l.ServersCheckFences && l.held && now < l.expiresAt {
+	if l.ServersCheckFences && l.held && l.grantEra == l.era && now < l.expiresAt {
 		l.expiresAt = now + l.TimeToLive - l.TimeToLive/expiryMarginDivisor
 	}
 }
--- a/transfer/call.go
+++ b/transfer/call.go
@@ -29,10 +29,23 @@
 	Bytes int64
 }
 
-// Do sends a request, reads the whole response and records its progress in p, which may be
-// nil. It returns the status and the body. Its errors wrap ErrNoResponse, ErrStalled or
-// ErrTooLong, or are those of the client. The status is 0 if no response began.
+// Response is what has arrived of a response. Its Status is 0 and its Header nil if none began.
+type Response struct {
+	Status int
+	Header http.Header
+	// Body is nil unless it has arrived whole.
+	Body []byte
+}
+
+// Do is Fetch without the header of the response.
 func Do(client *http.Client, r *http.Request, l Limits, p *Progress) (int, []byte, error) {
+	response, err := Fetch(client, r, l, p)
+	return response.Status, response.Body, err
+}
+
+// Fetch sends a request, reads the whole response and records its progress in p, which may be
+// nil. Its errors wrap ErrNoResponse, ErrStalled or ErrTooLong, or are those of the client.
+func Fetch(client *http.Client, r *http.Request, l Limits, p *Progress) (Response, error) {
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
 	responseTimer := time.AfterFunc(l.Response, func() { cancel(ErrNoResponse) })
@@ -40,8 +53,9 @@
 	p.RecordSent()
 	response, err := client.Do(r.WithContext(ctx))
 	if err != nil {
-		return 0, nil, withCause(ctx, err)
+		return Response{}, withCause(ctx, err)
 	}
+	result := Response{Status: response.StatusCode, Header: response.Header}
 	defer func() { _ = response.Body.Close() }()
 	responseTimer.Stop()
 	p.RecordBegun(response.StatusCode)
@@ -50,12 +64,13 @@
 	body := &bodyReader{body: response.Body, progress: p, extend: func() { stallTimer.Reset(l.Stall) }}
 	data, err := io.ReadAll(io.LimitReader(body, l.Bytes+1))
 	if err != nil {
-		return response.StatusCode, nil, withCause(ctx, err)
+		return result, withCause(ctx, err)
 	}
 	if int64(len(data)) > l.Bytes {
-		return response.StatusCode, nil, errors.Wrapf(ErrTooLong, "more than %d bytes", l.Bytes)
+		return result, errors.Wrapf(ErrTooLong, "more than %d bytes", l.Bytes)
 	}
-	return response.StatusCode, data, nil
+	result.Body = data
+	return result, nil
 }
 
 // withCause returns the reason for which Do ended the call, or err if Do did not end it.
