entry, hub, fleet: everything is read again after the store was restored

Cause: a node compared the offsets of a restored store with those of before, read nothing any more, and took lost registrations for removed ones. Change: updates of the owner name the era, those of a former era are ignored, a rise makes the node read and write everything again and renew its membership, and the configuration in force stays until the operator writes a newer one.

--- a/commands/front.go
+++ b/commands/front.go
@@ -170,6 +170,8 @@
 		ConfigurationBound:    s.ConfigurationBound,
 		RevokeBound:           s.RevokeBound,
 	})
+	store.OnEra = f.node.RecordStoreEra
+	store.OnEra = f.node.RecordStoreEra
 	dispatcher := dispatch.New(dispatch.Options{
 		Zone: s.Zone, Regions: s.Regions,
 		Views: &f.node.Views, Demand: &f.node.Demand, Notices: &f.node.Notices,
--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -33,6 +33,9 @@
 			continue
 		}
 		n.applyConfigurationRead(r)
+		if n.isOfFormerEra(r.next) {
+			continue
+		}
 		if n.needsConfiguration() && r.next <= r.read.cursor {
 			// The store has none yet, or serves an old state.
 			pause.For(ctx, startupPause, nil)
@@ -64,9 +67,17 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
+	n.recordEra(now, r.next.Era())
+	if r.next.Era() < n.restoration.era {
+		return
+	}
 	n.confirmByRead(r)
 	if c := r.config; c != nil && (n.config == nil || c.Version > n.config.Version) {
 		n.applyConfiguration(now, c, r.next, r.progress)
+	} else if n.config != nil && r.next.Era() > n.configurationOffset.Era() {
+		// The other nodes have to read the configuration of the restored store too.
+		n.configurationOffset = r.next
+		n.broadcastStoreUpdate(false, hub.RegistrationChanges{})
 	}
 	n.configurationCursor = max(n.configurationCursor, r.next)
 	n.updateBehind(now)
@@ -91,7 +102,8 @@
 	}
 	line := n.Logger.Info().Str("Event", "ConfigurationInForce").Int64("Version", int64(c.Version)).Int64("Previous", int64(previous)).
 		Int("Routes", len(c.Routes)).Int("Services", len(c.Services)).
-		Uint64("From", uint64(n.configurationCursor)).Uint64("Offset", uint64(offset)).Uint64("Announced", uint64(n.storeUpdates.ConfigurationOffset)).
+		Uint64("From", n.configurationCursor.Position()).Uint64("Offset", offset.Position()).Uint64("Announced", n.storeUpdates.ConfigurationOffset.Position()).
+		Uint64("Era", uint64(offset.Era())).
 		Int64("Bytes", read.Bytes).Int64("WaitMs", read.WaitTime().Milliseconds()).Int64("ReadMs", read.ReadTime().Milliseconds())
 	if !read.LastByteAt.IsZero() {
 		line = line.Int64("ApplyMs", time.Since(read.LastByteAt).Milliseconds())
@@ -128,6 +140,7 @@
 		version = n.config.Version
 	}
 	n.Logger.Warn().Str("Event", "ConfigurationBehind").Int64("Version", int64(version)).Int64("BehindMs", behind.Milliseconds()).
-		Uint64("From", uint64(n.configurationCursor)).Uint64("Announced", uint64(n.storeUpdates.ConfigurationOffset)).
+		Uint64("From", n.configurationCursor.Position()).Uint64("Announced", n.storeUpdates.ConfigurationOffset.Position()).
+		Uint64("Era", uint64(n.restoration.era)).
 		Msg("the owner has read a newer configuration than this node")
 }
--- a/entry/configurationread.go
+++ b/entry/configurationread.go
@@ -165,7 +165,7 @@
 
 // mayBeLost reports whether the response to a poll may be lost: it has not begun, though
 // the owner announced a newer configuration lostPollDelay ago, or the store has recovered
-// from a failure since, or no update of the owner is fresh and the poll's wait is over.
+// from a failure or was restored since, or no update of the owner is fresh and the poll's wait is over.
 func (n *Node) mayBeLost(now time.Time, r *configurationRead) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -173,6 +173,9 @@
 	if !r.isPoll || r.progress.HasBegun() {
 		return false
 	}
+	if r.cursor.Era() < n.restoration.era {
+		return true
+	}
 	if n.needsConfirmation() && now.Sub(r.sentAt) > pollCheckInterval {
 		return true
 	}
@@ -203,7 +206,7 @@
 	announced := n.storeUpdates.ConfigurationOffset
 	n.mu.Unlock()
 	n.Logger.Info().Str("Event", "ConfigurationReadEnded").Str("Result", result).Bool("Poll", r.read.isPoll).
-		Uint64("From", uint64(r.read.cursor)).Uint64("Announced", uint64(announced)).Int("Status", r.progress.Status).Int64("Bytes", r.progress.Bytes).
+		Uint64("From", r.read.cursor.Position()).Uint64("Announced", announced.Position()).Int("Status", r.progress.Status).Int64("Bytes", r.progress.Bytes).
 		Int64("WaitMs", r.progress.WaitTime().Milliseconds()).Int64("ReadMs", r.progress.ReadTime().Milliseconds()).
 		Int64("TookMs", time.Since(r.read.sentAt).Milliseconds()).AnErr("Cause", r.err).Msg("a read of the configuration ended without a result")
 }
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -114,6 +114,10 @@
 		n.applyUsable(now)
 		return
 	}
+	n.recordEra(now, offset.Era())
+	if offset.Era() < n.restoration.era {
+		return
+	}
 	var changed []domain.ServerID
 	if complete {
 		changed = n.directory.ApplyListing(now, changes, offset)
@@ -122,7 +126,7 @@
 	}
 	n.registrationsReadAt = now
 	passed := n.passedChanges(changed, offset)
-	if len(changed) > 0 {
+	if len(changed) > 0 || offset.Era() > n.registrationsOffset.Era() {
 		n.registrationsOffset = offset
 	}
 	n.registrationsKnown = max(n.registrationsKnown, offset)
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -95,7 +95,8 @@
 // needsConfirmation reports whether this node must soon ask the store for a newer configuration, to be
 // able to refuse unknown keys. The caller holds mu.
 func (n *Node) needsConfirmation() bool {
-	return n.hasWorkspaces() && n.ConfigurationBound > 0 && !n.isConfirmedWithin(confirmationShare)
+	mayConfirm := n.restoration.mayConfirm(n.version(), n.Uptime.Now())
+	return n.hasWorkspaces() && n.ConfigurationBound > 0 && mayConfirm && !n.isConfirmedWithin(confirmationShare)
 }
 
 // hasWorkspaces reports whether the configuration in force has workspaces. The caller holds mu.
@@ -103,6 +104,9 @@
 
 // confirm records that no version newer than that in force existed at an uptime. The caller holds mu.
 func (n *Node) confirm(at time.Duration) {
+	if !n.restoration.mayConfirm(n.version(), at) {
+		return
+	}
 	if !n.keys.isConfirmed || at > n.keys.confirmedAt {
 		n.keys.isConfirmed, n.keys.confirmedAt = true, at
 	}
@@ -111,6 +115,7 @@
 // confirmByRead records what a read that has succeeded says of the version that is in force after it.
 // The caller holds mu.
 func (n *Node) confirmByRead(r configurationResult) {
+	n.restoration.recordVersion(r.next.Era(), r.config)
 	isOld := r.next < r.read.cursor || r.config != nil && r.config.Version < n.version()
 	if !isOld {
 		n.confirm(r.asOf)
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -199,6 +199,9 @@
 		return
 	}
 	n.recordStoreResult(time.Now(), joinCall, err)
+	if err == nil {
+		n.recordEra(time.Now(), grant.Era)
+	}
 	switch {
 	case err != nil:
 		n.lease.RecordRenewalFailure(n.Uptime.Now())
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -132,9 +132,12 @@
 // SetConfiguration implements Counters.
 func (m *Metrics) SetConfiguration(v fleet.Version, offset domain.Offset) {
 	m.scope.Gauge("configuration_version").Update(float64(v))
-	m.scope.Gauge("configuration_read_offset").Update(float64(offset))
+	m.scope.Gauge("configuration_read_offset").Update(float64(offset.Position()))
 }
 
+// CountStoreRestoration implements Counters.
+func (m *Metrics) CountStoreRestoration() { m.scope.Counter("store_restorations").Inc(1) }
+
 // SetConfigurationBehind implements Counters.
 func (m *Metrics) SetConfigurationBehind(d time.Duration) {
 	m.scope.Gauge("configuration_behind_seconds").Update(d.Seconds())
--- a/entry/news.go
+++ b/entry/news.go
@@ -33,15 +33,17 @@
 	changed chan struct{}
 }
 
-// applyStoreUpdate records a store update from the owner. The caller holds mu.
+// applyStoreUpdate records a store update from the owner. It ignores one of a former era, which says
+// nothing of the restored store. The caller holds mu.
 func (n *Node) applyStoreUpdate(now time.Time, u hub.StoreUpdate) {
-	if u == (hub.StoreUpdate{}) {
+	if u == (hub.StoreUpdate{}) || u.Era() < n.restoration.era {
 		return
 	}
 	if u.RegistrationsRead {
 		n.storeUpdates.readReportedAt = now.Add(-u.ReadAge)
 	}
-	if u.RegistrationsRead && n.serversSeen && n.registrationsKnown >= u.RegistrationsOffset {
+	isSameEra := n.registrationsKnown.Era() == u.ReadOffset.Era()
+	if u.RegistrationsRead && n.serversSeen && isSameEra && n.registrationsKnown >= u.RegistrationsOffset {
 		// What the owner has read beyond the last change that it passed on changes nothing here.
 		n.registrationsKnown = max(n.registrationsKnown, u.ReadOffset)
 	}
@@ -85,13 +87,14 @@
 func (n *Node) mustReadRegistrations(now, lastRead time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.retainsLease() || !n.hasFreshStoreUpdate(now) || !n.serversSeen || n.registrationsKnown < n.storeUpdates.RegistrationsOffset || now.Sub(lastRead) >= maximumReadGap
+	return n.retainsLease() || !n.hasFreshStoreUpdate(now) || !n.serversSeen || n.registrationsKnown < n.storeUpdates.RegistrationsOffset || n.registrationsKnown.Era() < n.restoration.era || now.Sub(lastRead) >= maximumReadGap
 }
 
 // passedChanges returns what the owner passes on to the other nodes after it has read changes of
 // some servers' registrations up to an offset. The caller holds mu.
 func (n *Node) passedChanges(changed []domain.ServerID, offset domain.Offset) hub.RegistrationChanges {
-	if len(changed) > maximumPassedChanges {
+	isSameEra := n.registrationsOffset.Era() == offset.Era()
+	if len(changed) > maximumPassedChanges || !isSameEra {
 		return hub.RegistrationChanges{}
 	}
 	return hub.RegistrationChanges{Previous: n.registrationsOffset, Offset: offset, Changes: n.directory.Changes(changed)}
@@ -100,7 +103,8 @@
 // applyRegistrationChanges applies changes of registrations that the owner has read, if this node
 // knows all changes before them. Otherwise it reads them in the store. The caller holds mu.
 func (n *Node) applyRegistrationChanges(now time.Time, c hub.RegistrationChanges) {
-	if len(c.Changes) == 0 || c.Previous > n.registrationsKnown || c.Offset <= n.registrationsKnown || !n.serversSeen {
+	isSameEra := c.Offset.Era() == n.registrationsKnown.Era()
+	if len(c.Changes) == 0 || !isSameEra || c.Previous > n.registrationsKnown || c.Offset <= n.registrationsKnown || !n.serversSeen {
 		return
 	}
 	n.registrationsKnown = c.Offset
@@ -138,7 +142,7 @@
 	u := hub.Update{Registrations: c, CandidateCount: n.countCandidates(), Store: n.storeUpdate(registrationsRead), Keys: n.newKeyUpdate()}
 	if u.Store.ConfigurationOffset != n.announcedOffset {
 		n.announcedOffset = u.Store.ConfigurationOffset
-		n.Logger.Info().Str("Event", "ConfigurationAnnounced").Uint64("Offset", uint64(n.announcedOffset)).Int("Links", n.Hub.LinkCount()).
+		n.Logger.Info().Str("Event", "ConfigurationAnnounced").Uint64("Offset", n.announcedOffset.Position()).Uint64("Era", uint64(n.announcedOffset.Era())).Int("Links", n.Hub.LinkCount()).
 			Msg("announced a configuration to the linked nodes")
 	}
 	if err := n.Hub.Broadcast(u); err != nil {
--- a/entry/node.go
+++ b/entry/node.go
@@ -64,6 +64,8 @@
 	// SetConfigurationBehind is called with the time for which the owner has known a
 	// newer configuration; 0 if it knows none.
 	SetConfigurationBehind(d time.Duration)
+	// CountStoreRestoration counts a return of the store from an older copy.
+	CountStoreRestoration()
 	// SetOwnerLinks is called with the number of nodes that are linked to this one as the owner;
 	// 0 when it is no longer the owner.
 	SetOwnerLinks(links int)
@@ -232,8 +234,10 @@
 	traitReport    suspects.TraitReport
 	traitsReported chan struct{}
 	// traitsChanged gets a value when refused traits may have to be saved. traitsLoaded is set
-	// after the first attempt to read them, or after maximumTraitLoad.
+	// after the first attempt to read them, or after maximumTraitLoad. traitsLost gets a value when
+	// the store was restored, so that they must be read again.
 	traitsChanged chan struct{}
+	traitsLost    chan struct{}
 	traitsLoaded  bool
 	// storedTraits holds the refused traits that are in the store as far as this node knows,
 	// with the number of their refusals there; 0 if it is unknown. At most
@@ -245,6 +249,8 @@
 	// nodeCount is the largest node count that this node has received from an owner
 	// or, as the owner, computed; 0 if there was none.
 	nodeCount int
+	// restoration is what this node knows of the store's era.
+	restoration restoration
 	// failedCalls holds the names of the calls to the store that failed the last time.
 	failedCalls map[string]bool
 	// storeRecovered is closed, and replaced, when a call to the store succeeds
@@ -259,7 +265,7 @@
 
 // New returns a node that is idle until Run.
 func New(o Options) *Node {
-	n := &Node{Options: o, planTrigger: make(chan struct{}, 1), renewTrigger: make(chan struct{}, 1), traitsReported: make(chan struct{}, 1), traitsChanged: make(chan struct{}, 1), storeRecovered: make(chan struct{}), failedCalls: map[string]bool{}, configurationReads: map[*configurationRead]bool{}}
+	n := &Node{Options: o, planTrigger: make(chan struct{}, 1), renewTrigger: make(chan struct{}, 1), traitsReported: make(chan struct{}, 1), traitsChanged: make(chan struct{}, 1), traitsLost: make(chan struct{}, 1), storeRecovered: make(chan struct{}), failedCalls: map[string]bool{}, configurationReads: map[*configurationRead]bool{}}
 	n.Notices.DrainBound = o.DrainBound
 	n.storeUpdates.changed = make(chan struct{})
 	n.lease.Shard = ownedShard
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -261,7 +261,8 @@
 	defer n.mu.Unlock()
 	now := time.Now()
 	u := hub.Update{NodeCount: n.countNodes(now)}
-	if age := now.Sub(n.registrationsReadAt); n.retainsLease() && age < n.RegistrationsInterval {
+	isRead := n.registrationsKnown.Era() == n.restoration.era
+	if age := now.Sub(n.registrationsReadAt); isRead && n.retainsLease() && age < n.RegistrationsInterval {
 		u.Store = n.storeUpdate(true)
 		u.Store.ReadAge = age
 	}
--- a/entry/traitlog.go
+++ b/entry/traitlog.go
@@ -25,7 +25,8 @@
 	maximumStoredTraits = 4096
 )
 
-// loadTraits reads the refused traits when the node starts. The node is ready after the first
+// loadTraits reads the refused traits when the node starts, and again after the store was restored.
+// The node is ready after the first
 // attempt, or after maximumTraitLoad; it then learns of them later.
 func (n *Node) loadTraits(ctx context.Context) {
 	if n.TraitLog == nil || n.Traits == nil {
@@ -33,9 +34,25 @@
 	}
 	timer := time.AfterFunc(maximumTraitLoad, n.endTraitLoad)
 	defer timer.Stop()
+	n.readTraits(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.traitsLost:
+		}
+		n.readTraits(ctx)
+		// The owner writes what the restored store lacks.
+		signal(n.traitsChanged)
+	}
+}
+
+// readTraits reads the refused traits, until a read succeeds.
+func (n *Node) readTraits(ctx context.Context) {
 	for ctx.Err() == nil {
 		refusals, err := n.TraitLog.Load(ctx)
 		if err == nil {
+			n.forgetStored()
 			n.noteStored(refusals)
 			n.Traits.ApplyTraitReport(suspects.TraitReport{Refusals: refusals})
 		}
@@ -55,6 +72,20 @@
 	n.traitsLoaded = true
 }
 
+// forgetStored records that it is unknown which refusals the store has.
+func (n *Node) forgetStored() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.forgetStoredLocked()
+}
+
+// forgetStoredLocked is forgetStored for a caller that holds mu.
+func (n *Node) forgetStoredLocked() {
+	for t := range n.storedTraits {
+		n.storedTraits[t] = 0
+	}
+}
+
 // noteStored records which refusals the store has.
 func (n *Node) noteStored(refusals []suspects.TraitRefusal) {
 	n.mu.Lock()
@@ -113,6 +144,7 @@
 // saveChangedTraits saves what differs from what the store has as far as this node knows, and
 // removes what is refused no longer, also if a former owner has saved it.
 func (n *Node) saveChangedTraits(ctx context.Context) error {
+	era := n.storeEra()
 	refusals := n.Traits.TraitSnapshot().Refusals
 	changed, ended := n.traitChanges(refusals)
 	if len(changed) == 0 && len(ended) == 0 {
@@ -122,6 +154,10 @@
 		n.Logger.Info().Str("Event", "TraitsNotSaved").Int("Refused", len(changed)).Int("Ended", len(ended)).Err(err).Msg("failed to save the refused traits in the store")
 		return err
 	}
+	if n.storeEra() != era {
+		// The restored store may lack them. They are saved again after the next read.
+		return nil
+	}
 	n.mu.Lock()
 	for _, t := range ended {
 		delete(n.storedTraits, t)
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -22,14 +22,17 @@
 type entry struct {
 	// offset is the offset of the latest change applied.
 	offset domain.Offset
-	// server is the last valid registration.
-	server *Server
+	// server is the last valid registration, registeredAt its offset.
+	server       *Server
+	registeredAt domain.Offset
 	// removedAt is when the removal of the registration was applied; zero while the
 	// registration exists.
 	removedAt time.Time
 	// isDraining means that the last registration was in the state Draining. A later
 	// removal is then not explained by an outage of the store.
 	isDraining bool
+	// isLost means that the registration was missing when the store came back from an older copy.
+	isLost bool
 }
 
 // Directory is a node's view of the registered backend servers. The zero Directory
@@ -73,6 +76,9 @@
 		return false
 	}
 	e.offset = c.Offset
+	if e.isOutdated(c) {
+		return false
+	}
 	if c.Server == nil {
 		if e.removedAt.IsZero() {
 			e.removedAt = now
@@ -81,9 +87,9 @@
 		return false
 	}
 	changed := e.server == nil || !e.removedAt.IsZero() || registrationDiffers(e.server, c.Server)
-	e.removedAt = time.Time{}
+	e.removedAt, e.isLost = time.Time{}, false
 	e.isDraining = c.Server.State == Draining
-	e.server = c.Server
+	e.server, e.registeredAt = c.Server, c.Offset
 	return changed
 }
 
@@ -99,17 +105,7 @@
 // the log when the listing was read. Servers missing from the listing are removed unless
 // they registered at end or later.
 func (d *Directory) ApplyListing(now time.Time, listed []Change, end domain.Offset) []domain.ServerID {
-	isListed := make(map[domain.ServerID]bool, len(listed))
-	for _, c := range listed {
-		isListed[c.ID] = true
-	}
-	changes := listed
-	for id, e := range d.entries {
-		if !isListed[id] && e.offset < end && e.removedAt.IsZero() {
-			changes = append(changes, Change{ID: id, Offset: e.offset})
-		}
-	}
-	return d.Apply(now, changes)
+	return d.Apply(now, d.addMissing(listed, end))
 }
 
 func (d *Directory) deleteOldRemovals(now time.Time) {
@@ -121,7 +117,8 @@
 }
 
 // Usable returns the servers to which new requests may be sent at now. During a likely
-// outage of the store, they include servers whose registrations were removed recently.
+// outage of the store, they include servers whose registrations were removed recently. So they do
+// those whose registrations the store lost when it came back from an older copy.
 func (d *Directory) Usable(now time.Time) []*Server {
 	isOutageLikely := d.isStoreOutageLikely(now)
 	servers := make([]*Server, 0, len(d.entries))
@@ -130,7 +127,7 @@
 			continue
 		}
 		mayReregister := isOutageLikely && now.Sub(later(e.removedAt, d.storeFailedAt)) < reregistrationWindow
-		if e.removedAt.IsZero() || mayReregister {
+		if e.removedAt.IsZero() || mayReregister || e.mayBeRewritten(now) {
 			servers = append(servers, e.server)
 		}
 	}
--- a/hub/message.go
+++ b/hub/message.go
@@ -32,9 +32,9 @@
 	// maximumNodes is the largest number of nodes. A larger one would leave no node a share of
 	// the retry budget.
 	maximumNodes = 10_000
-	// maximumOffset is the largest offset of the store. Nodes keep the highest one announced,
-	// and count as behind until they have read up to it.
-	maximumOffset = 1 << 53
+	// maximumOffset is the largest position of an offset of the store within its era. Nodes keep
+	// the highest offset announced, and count as behind until they have read up to it.
+	maximumOffset = domain.MaximumPosition
 	// maximumStartTimeMs is the beginning of the year 2100 in Unix milliseconds.
 	maximumStartTimeMs = 4_102_444_800_000
 )
@@ -107,7 +107,8 @@
 }
 
 // StoreUpdate contains the offsets up to which the owner has seen changes in the
-// platform's store. A node that has read up to them need not read again.
+// platform's store. A node that has read up to them need not read again. A message carries only
+// the offsets of the newest era among them; one of a former era arrives as 0.
 type StoreUpdate struct {
 	ConfigurationOffset, RegistrationsOffset domain.Offset
 	// RegistrationsRead is set if the owner has read the registrations; ReadAge is the time
@@ -175,6 +176,10 @@
 	Prefixes      []wirePrefix `cbor:",omitempty"`
 	// Keys is nil if there is nothing to say of keys. Earlier versions ignore it.
 	Keys *wireKeys
+	// Era is the era of the offsets in News and ReadOffset, RegistrationsEra that of the offsets in
+	// Registrations. Earlier versions ignore them.
+	Era              uint64 `cbor:",omitempty"`
+	RegistrationsEra uint64 `cbor:",omitempty"`
 }
 
 type wireStoreUpdate struct {
@@ -274,10 +279,12 @@
 }
 
 func encodeUpdate(u Update) ([]byte, error) {
-	store := wireStoreUpdate{Configuration: uint64(u.Store.ConfigurationOffset), Registrations: uint64(u.Store.RegistrationsOffset), Read: u.Store.RegistrationsRead}
+	era := u.Store.Era()
+	store := wireStoreUpdate{Configuration: positionIn(era, u.Store.ConfigurationOffset), Registrations: positionIn(era, u.Store.RegistrationsOffset), Read: u.Store.RegistrationsRead}
 	w := wireUpdate{Nodes: u.NodeCount, News: store, Suspects: encodeSuspects(u.CrashReports), Traits: encodeTraits(u.Traits), Registrations: encodeRegistrations(u.Registrations)}
 	w.Loads, w.Prefixes = encodeLoads(u.Loads), encodePrefixes(u.Prefixes)
-	w.Candidates, w.ReadAgeMilliseconds, w.ReadOffset = u.CandidateCount, u.Store.ReadAge.Milliseconds(), uint64(u.Store.ReadOffset)
+	w.Candidates, w.ReadAgeMilliseconds, w.ReadOffset = u.CandidateCount, u.Store.ReadAge.Milliseconds(), positionIn(era, u.Store.ReadOffset)
+	w.Era, w.RegistrationsEra = uint64(era), uint64(u.Registrations.Offset.Era())
 	w.Keys = encodeKeys(u.Keys)
 	for _, s := range u.Servers {
 		w.Servers = append(w.Servers, encodeServer(s))
@@ -322,8 +329,9 @@
 	if w.Candidates >= 0 && w.Candidates <= maximumNodes {
 		u.CandidateCount = w.Candidates
 	}
-	if age, ok := decodeAge(w.ReadAgeMilliseconds); ok && w.News.isInRange() && w.ReadOffset <= maximumOffset {
-		u.Store = StoreUpdate{ConfigurationOffset: domain.Offset(w.News.Configuration), RegistrationsOffset: domain.Offset(w.News.Registrations), RegistrationsRead: w.News.Read, ReadAge: age, ReadOffset: domain.Offset(w.ReadOffset)}
+	if age, ok := decodeAge(w.ReadAgeMilliseconds); ok && w.News.isInRange() && w.ReadOffset <= maximumOffset && w.Era <= domain.MaximumEra {
+		e := domain.Era(w.Era)
+		u.Store = StoreUpdate{ConfigurationOffset: offsetIn(e, w.News.Configuration), RegistrationsOffset: offsetIn(e, w.News.Registrations), RegistrationsRead: w.News.Read, ReadAge: age, ReadOffset: offsetIn(e, w.ReadOffset)}
 	}
 	for _, s := range w.Servers {
 		if !s.isInRange() {
@@ -332,7 +340,7 @@
 		u.Servers = append(u.Servers, s.decode())
 	}
 	u.Traits = w.Traits.decode()
-	u.Registrations, u.Loads, u.Prefixes = w.Registrations.decode(), decodeLoads(w.Loads), decodePrefixes(w.Prefixes)
+	u.Registrations, u.Loads, u.Prefixes = w.Registrations.decode(w.RegistrationsEra), decodeLoads(w.Loads), decodePrefixes(w.Prefixes)
 	u.Keys = w.Keys.decode()
 	var err error
 	u.CrashReports, err = decodeSuspects(w.Suspects)
--- a/hub/outbox.go
+++ b/hub/outbox.go
@@ -96,7 +96,7 @@
 	if next == (StoreUpdate{}) {
 		return u
 	}
-	if !next.RegistrationsRead {
+	if !next.RegistrationsRead && u.Era() == next.Era() {
 		next.RegistrationsRead, next.ReadAge, next.ReadOffset = u.RegistrationsRead, u.ReadAge, u.ReadOffset
 	}
 	return next
@@ -107,7 +107,7 @@
 	if len(next.Changes) == 0 {
 		return c
 	}
-	if len(c.Changes) == 0 {
+	if len(c.Changes) == 0 || c.Offset.Era() != next.Offset.Era() {
 		return next
 	}
 	merged := RegistrationChanges{Previous: c.Previous, Offset: next.Offset}
--- a/hub/registrations.go
+++ b/hub/registrations.go
@@ -40,13 +40,15 @@
 	InMemory, OnDisk       []string
 }
 
+// encodeRegistrations encodes changes whose offsets are all of one era, without that era. It
+// returns nil for others.
 func encodeRegistrations(c RegistrationChanges) *wireRegistrations {
-	if len(c.Changes) == 0 {
+	if len(c.Changes) == 0 || !c.isOfOneEra() {
 		return nil
 	}
-	w := &wireRegistrations{Previous: uint64(c.Previous), Offset: uint64(c.Offset)}
+	w := &wireRegistrations{Previous: c.Previous.Position(), Offset: c.Offset.Position()}
 	for _, change := range c.Changes {
-		w.Changes = append(w.Changes, wireChange{ID: string(change.ID), Offset: uint64(change.Offset), Registration: encodeRegistration(change.Server)})
+		w.Changes = append(w.Changes, wireChange{ID: string(change.ID), Offset: change.Offset.Position(), Registration: encodeRegistration(change.Server)})
 	}
 	return w
 }
@@ -63,19 +65,20 @@
 	}
 }
 
-// decode returns the changes, or none if one of them is out of range: the node then reads them all
-// in the store.
-func (w *wireRegistrations) decode() RegistrationChanges {
-	if w == nil || w.Previous > maximumOffset || w.Offset > maximumOffset {
+// decode returns the changes with offsets of an era, or none if one of them is out of range: the node
+// then reads them all in the store.
+func (w *wireRegistrations) decode(era uint64) RegistrationChanges {
+	if w == nil || w.Previous > maximumOffset || w.Offset > maximumOffset || era > domain.MaximumEra {
 		return RegistrationChanges{}
 	}
-	c := RegistrationChanges{Previous: domain.Offset(w.Previous), Offset: domain.Offset(w.Offset)}
+	e := domain.Era(era)
+	c := RegistrationChanges{Previous: domain.OffsetIn(e, w.Previous), Offset: domain.OffsetIn(e, w.Offset)}
 	for _, change := range w.Changes {
 		if change.ID == "" || change.Offset > w.Offset || !change.Registration.isInRange() {
 			return RegistrationChanges{}
 		}
 		id := domain.ServerID(change.ID)
-		c.Changes = append(c.Changes, fleet.Change{ID: id, Offset: domain.Offset(change.Offset), Server: change.Registration.decode(id)})
+		c.Changes = append(c.Changes, fleet.Change{ID: id, Offset: domain.OffsetIn(e, change.Offset), Server: change.Registration.decode(id)})
 	}
 	return c
 }
--- a/hub/registrations_test.go
+++ b/hub/registrations_test.go
@@ -42,7 +42,7 @@
 	} {
 		w := encodeRegistrations(testRegistrations)
 		edit(w)
-		if got := w.decode(); len(got.Changes) != 0 {
+		if got := w.decode(0); len(got.Changes) != 0 {
 			t.Errorf("%s: got %+v, want no change", name, got)
 		}
 	}
