--- a/entry/node_test.go
+++ b/entry/node_test.go
@@ -29,6 +29,8 @@
 	// after a timeout.
 	failing, hanging bool
 	version          fleet.Version
+	// era is the era of the store.
+	era    domain.Era
 	shards           []lease.Shard
 	generation       lease.Generation
 	// rejectOrders makes the engine reject the fencing token of every order.
@@ -66,6 +68,10 @@
 	transfers    int
 	// While refuseRegistrations is set, the store refuses to list the registrations.
 	refuseRegistrations bool
+	// registrations are what each listing returns; nil for the one engine.
+	registrations []fleet.Change
+	// sentGenerations are those of the renewals.
+	sentGenerations []lease.Generation
 	// keys returns the API keys of a version of the configuration; nil if it has no workspaces.
 	keys func(fleet.Version) []string
 }
@@ -101,13 +107,14 @@
 	for end := time.Now().Add(wait); ; {
 		p.mu.Lock()
 		version := p.version
+		newest := domain.OffsetIn(p.era, uint64(version))
 		lost = lost || p.losePolls
 		p.mu.Unlock()
-		if domain.Offset(version) > after && !lost {
+		if newest > after && !lost {
 			if err := p.transfer(ctx, progress); err != nil {
 				return nil, after, err
 			}
-			return p.withKeys(testConfiguration(version)), domain.Offset(version), nil
+			return p.withKeys(testConfiguration(version)), newest, nil
 		}
 		if !time.Now().Before(end) || !pause.For(ctx, 50*time.Millisecond, nil) {
 			return nil, after, ctx.Err()
@@ -166,6 +173,9 @@
 	if p.refuseRegistrations {
 		return nil, false, after, errStore
 	}
+	if p.registrations != nil {
+		return p.registrations, true, domain.OffsetIn(p.era, 2), nil
+	}
 	if p.removedAtChange && after > 0 && after < p.changeOffset {
 		return []fleet.Change{{ID: "i", Offset: p.changeOffset}}, false, p.changeOffset + 1, nil
 	}
@@ -173,14 +183,14 @@
 		s := &fleet.Server{ID: "i", Service: "s", Slots: 8, State: fleet.Draining, EngineState: fleet.EngineState{StartedAtMs: 1}}
 		return []fleet.Change{{ID: "i", Offset: p.changeOffset, Server: s}}, false, p.changeOffset + 1, nil
 	}
-	if after > 0 {
+	if after > 0 && after.Era() == p.era {
 		return nil, false, after, nil
 	}
 	s := &fleet.Server{ID: "i", Service: "s", Slots: 8, State: fleet.Ready, EngineState: fleet.EngineState{StartedAtMs: 1, OnDisk: []domain.ModelName{"m"}}}
-	return []fleet.Change{{ID: "i", Offset: 1, Server: s}}, true, 2, nil
+	return []fleet.Change{{ID: "i", Offset: domain.OffsetIn(p.era, 1), Server: s}}, true, domain.OffsetIn(p.era, 2), nil
 }
 
-func (p *fakePlatform) Join(ctx context.Context, _ lease.Generation, _ time.Duration) (lease.Grant, error) {
+func (p *fakePlatform) Join(ctx context.Context, g lease.Generation, _ time.Duration) (lease.Grant, error) {
 	if err := p.call(ctx); err != nil {
 		return lease.Grant{}, err
 	}
@@ -189,7 +199,8 @@
 	if p.leftGroup {
 		p.joinsAfterLeave++
 	}
-	return lease.Grant{Generation: p.generation, Shards: p.shards}, nil
+	p.sentGenerations = append(p.sentGenerations, g)
+	return lease.Grant{Era: p.era, Generation: lease.GenerationIn(p.era, uint64(p.generation)), Shards: p.shards}, nil
 }
 
 func (p *fakePlatform) Leave(context.Context) error {
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -75,8 +75,9 @@
 	if e.server != nil && c.Offset < e.offset {
 		return false
 	}
+	isOutdated := e.isOutdated(c)
 	e.offset = c.Offset
-	if e.isOutdated(c) {
+	if isOutdated {
 		return false
 	}
 	if c.Server == nil {
--- a/fleet/restored.go
+++ b/fleet/restored.go
@@ -33,11 +33,11 @@
 // isOutdated reports whether a change is the registration of a server that the restored store
 // still has, though the server has left or begun to drain since: its removal, or its record with the
 // state Draining, is among what the store lost. The copy has all records that it kept at the positions
-// at which this node knew them, so a record after the last one known is a new one. One before it, which
-// the server may have written at a position that was assigned again, counts as old too: the
-// server is then used after its next record.
+// at which this node knew them, so only the first record of an era can be old, and only at a position
+// up to the last one known. A new record may be there too, because positions are assigned again; it
+// then counts as old, and the server is used after its next record.
 func (e *entry) isOutdated(c Change) bool {
-	if c.Server == nil || e.server == nil || c.Offset.Era() <= e.registeredAt.Era() {
+	if c.Server == nil || e.server == nil || e.isLost || c.Offset.Era() <= e.offset.Era() {
 		return false
 	}
 	isSameProcess := e.server.EngineState.StartedAtMs == c.Server.EngineState.StartedAtMs
