Tests of a pending poll, of reads and of saved traits beside a restoration

Change: a test each; the check of a poll's era is gone, since the channel that marks a recovery does the same.

--- a/domain/era.go
+++ b/domain/era.go
@@ -8,9 +8,10 @@
 const (
 	// positionBits is the number of bits of an Offset that hold the position within its era.
 	positionBits = 48
-	// MaximumPosition is the largest position within an era, MaximumEra the largest era.
+	// MaximumPosition is the largest position within an era.
 	MaximumPosition = 1<<positionBits - 1
-	MaximumEra      = 1<<15 - 1
+	// MaximumEra is the largest era.
+	MaximumEra = 1<<15 - 1
 )
 
 // OffsetIn returns the offset of a position in an era. The position must not exceed
--- a/entry/configurationread.go
+++ b/entry/configurationread.go
@@ -173,9 +173,6 @@
 	if !r.isPoll || r.progress.HasBegun() {
 		return false
 	}
-	if r.cursor.Era() < n.restoration.era {
-		return true
-	}
 	if n.needsConfirmation() && now.Sub(r.sentAt) > pollCheckInterval {
 		return true
 	}
--- a/entry/node.go
+++ b/entry/node.go
@@ -254,7 +254,7 @@
 	// failedCalls holds the names of the calls to the store that failed the last time.
 	failedCalls map[string]bool
 	// storeRecovered is closed, and replaced, when a call to the store succeeds
-	// after it failed the last time.
+	// after it failed the last time, and when the store was restored.
 	storeRecovered chan struct{}
 	// planTrigger makes the owner plan before its interval has passed. renewTrigger makes a member
 	// of the group renew its membership before its interval has passed.
--- a/entry/node_test.go
+++ b/entry/node_test.go
@@ -30,9 +30,9 @@
 	failing, hanging bool
 	version          fleet.Version
 	// era is the era of the store.
-	era    domain.Era
-	shards           []lease.Shard
-	generation       lease.Generation
+	era        domain.Era
+	shards     []lease.Shard
+	generation lease.Generation
 	// rejectOrders makes the engine reject the fencing token of every order.
 	rejectOrders bool
 	// orders are the accepted orders; fences are their fencing tokens.
--- a/entry/restoration_test.go
+++ b/entry/restoration_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fleet"
 	"github.com/parsleylug/parsleylug/hub"
@@ -57,6 +60,89 @@
 	}
 }
 
+// Guards against CONFIG: the response to a long poll was lost with the former era, and the node waited
+// for its end.
+func TestPendingPollOfAFormerEraIsRepeated(t *testing.T) {
+	runWithStoreUpdates(t, func(n *Node, p *fakePlatform) {
+		applyRepeatedly(n, hub.StoreUpdate{ConfigurationOffset: 1, RegistrationsOffset: 2, RegistrationsRead: true}, 4*time.Second)
+		p.update(func() { p.losePolls = true })
+		time.Sleep(100 * time.Millisecond)
+		p.update(func() { p.losePolls = false })
+		p.restore(8, 3)
+		n.RecordStoreEra(1)
+		// The update of the owner is still fresh.
+		time.Sleep(pollCheckInterval + 50*time.Millisecond)
+		if got, want := versionOf(n), fleet.Version(8); got != want {
+			t.Errorf("version 300 ms after the return: got %d, want %d", got, want)
+		}
+	})
+}
+
+// Guards against DRAIN: the node has seen the restoration, and relies on what the owner has read before.
+func TestRegistrationsAreReadAtOnceAfterARestoration(t *testing.T) {
+	runWithStoreUpdates(t, func(n *Node, p *fakePlatform) {
+		applyRepeatedly(n, hub.StoreUpdate{ConfigurationOffset: 1, RegistrationsOffset: 2, RegistrationsRead: true}, 4*time.Second)
+		p.restore(1, 3)
+		n.RecordStoreEra(1)
+		time.Sleep(100 * time.Millisecond)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if got, want := n.registrationsKnown, domain.OffsetIn(1, 2); got != want {
+			t.Errorf("registrations known up to: got %d, want %d", got, want)
+		}
+	})
+}
+
+// Guards against a node that links in the first moment of an era and takes the owner's read of the
+// former era for one of the restored store.
+func TestOwnerReportsNoReadOfAFormerEra(t *testing.T) {
+	run(t, true, func(n *Node, p *fakePlatform, _ *clock) {
+		time.Sleep(4 * time.Second)
+		p.update(func() { p.refuseRegistrations = true })
+		for _, want := range []bool{true, false} {
+			// The reads are refused from here on, but the last one is recent.
+			n.mu.Lock()
+			n.registrationsReadAt = time.Now()
+			n.mu.Unlock()
+			n.initialUpdate(func(u hub.Update) {
+				if got := u.Store.RegistrationsRead; got != want {
+					t.Errorf("read reported: got %v, want %v", got, want)
+				}
+			})
+			p.restore(1, 4)
+			n.RecordStoreEra(1)
+		}
+	})
+}
+
+// restoringTraitLog is a TraitLog whose store is restored while it acknowledges a call.
+type restoringTraitLog struct {
+	TraitLog
+	node *Node
+}
+
+func (l restoringTraitLog) Save(context.Context, []suspects.TraitRefusal, []suspects.Trait) error {
+	l.node.RecordStoreEra(1)
+	return nil
+}
+
+// Guards against BUDGET: a refusal counted as stored whose record the store had lost by then.
+func TestTraitsSavedInAFormerEraDoNotCountAsStored(t *testing.T) {
+	store := &traitStore{}
+	n := New(Options{Name: "n", Uptime: &clock{start: time.Now()}, Logger: zerolog.Nop()})
+	n.Traits, n.TraitLog = store, restoringTraitLog{node: n}
+	n.RecordStoreEra(0)
+	for _, id := range crashedServers {
+		n.ReportTraits(store.recordCrash(id))
+	}
+	if err := n.saveChangedTraits(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if changed, _ := n.traitChanges(store.TraitSnapshot().Refusals); len(changed) != 1 {
+		t.Errorf("got %+v to save after the restoration, want the refused trait", changed)
+	}
+}
+
 // Guards against 401 for a key that the operator had added: the restored store lacks the version, and
 // the node took its own for the newest.
 func TestRestoredStoreConfirmsNoOlderVersion(t *testing.T) {
@@ -233,7 +319,7 @@
 		if got, want := len(n.Views.Get().Servers["s"]), 5; got != want {
 			t.Errorf("usable servers 1 s after the return: got %d, want %d", got, want)
 		}
-		p.update(func() { p.registrations = append(kept, change(1, 13, "l")) })
+		p.update(func() { p.registrations = slices.Concat(kept, []fleet.Change{change(1, 13, "l")}) })
 		time.Sleep(4 * time.Second)
 		if got, want := len(n.Views.Get().Servers["s"]), 4; got != want {
 			t.Errorf("usable servers 5 s after the return: got %d, want %d", got, want)
--- a/hub/era_test.go
+++ b/hub/era_test.go
@@ -24,7 +24,7 @@
 
 // Guards against a node that compares offsets of two eras.
 func TestOffsetsArriveWithTheirEra(t *testing.T) {
-	in := func(e domain.Era, position uint64) domain.Offset { return domain.OffsetIn(e, position) }
+	in := domain.OffsetIn
 	u := Update{
 		Store:         StoreUpdate{ConfigurationOffset: in(3, 5), RegistrationsOffset: in(3, 6), RegistrationsRead: true, ReadOffset: in(3, 9)},
 		Registrations: RegistrationChanges{Previous: in(3, 4), Offset: in(3, 9), Changes: []fleet.Change{{ID: "j", Offset: in(3, 7)}}},
