--- a/entry/owner.go
+++ b/entry/owner.go
@@ -267,7 +267,8 @@
 	defer n.quotas.orderMu.Unlock()
 	now := time.Now()
 	u := hub.Update{NodeCount: n.countNodes(now), Grants: n.quotas.allNews()}
-	if age := now.Sub(n.registrationsReadAt); n.retainsLease() && age < n.RegistrationsInterval {
+	isRead := n.registrationsKnown.Era() == n.restoration.era
+	if age := now.Sub(n.registrationsReadAt); isRead && n.retainsLease() && age < n.RegistrationsInterval {
 		u.Store = n.storeUpdate(true)
 		u.Store.ReadAge = age
 	}
--- a/hub/message.go
+++ b/hub/message.go
@@ -33,9 +33,9 @@
 	// maximumNodes is the largest number of nodes. A larger one would leave no node a share of
 	// the retry budget.
 	maximumNodes = 10_000
-	// maximumOffset is the largest offset of the store. Nodes keep the highest one announced,
-	// and count as behind until they have read up to it.
-	maximumOffset = 1 << 53
+	// maximumOffset is the largest position of an offset of the store within its era. Nodes keep
+	// the highest offset announced, and count as behind until they have read up to it.
+	maximumOffset = domain.MaximumPosition
 	// maximumStartTimeMs is the beginning of the year 2100 in Unix milliseconds.
 	maximumStartTimeMs = 4_102_444_800_000
 )
@@ -118,7 +118,8 @@
 }
 
 // StoreUpdate contains the offsets up to which the owner has seen changes in the
-// platform's store. A node that has read up to them need not read again.
+// platform's store. A node that has read up to them need not read again. A message carries only
+// the offsets of the newest era among them; one of a former era arrives as 0.
 type StoreUpdate struct {
 	ConfigurationOffset, RegistrationsOffset domain.Offset
 	// RegistrationsRead is set if the owner has read the registrations; ReadAge is the time
@@ -193,6 +194,10 @@
 	Contents []wireContent `cbor:",omitempty"`
 	// Grants is nil if the owner tells nothing. Earlier versions ignore it.
 	Grants *wireQuotaNews `cbor:",omitempty"`
+	// Era is the era of the offsets in News and ReadOffset, RegistrationsEra that of the offsets in
+	// Registrations. Earlier versions ignore them.
+	Era              uint64 `cbor:",omitempty"`
+	RegistrationsEra uint64 `cbor:",omitempty"`
 }
 
 type wireStoreUpdate struct {
@@ -295,13 +300,15 @@
 }
 
 func encodeUpdate(u Update) ([]byte, error) {
-	store := wireStoreUpdate{Configuration: uint64(u.Store.ConfigurationOffset), Registrations: uint64(u.Store.RegistrationsOffset), Read: u.Store.RegistrationsRead}
+	era := u.Store.Era()
+	store := wireStoreUpdate{Configuration: positionIn(era, u.Store.ConfigurationOffset), Registrations: positionIn(era, u.Store.RegistrationsOffset), Read: u.Store.RegistrationsRead}
 	w := wireUpdate{
 		Nodes: u.NodeCount, News: store, Suspects: encodeSuspects(u.CrashReports), Traits: encodeTraits(u.Traits),
 		Registrations: encodeRegistrations(u.Registrations), Contents: encodeContents(u.Contents),
 		Loads: encodeLoads(u.Loads), Prefixes: encodePrefixes(u.Prefixes), Keys: encodeKeys(u.Keys), Grants: encodeQuotaNews(u.Grants),
+		Era: uint64(era), RegistrationsEra: uint64(u.Registrations.Offset.Era()),
 	}
-	w.Candidates, w.ReadAgeMilliseconds, w.ReadOffset = u.CandidateCount, u.Store.ReadAge.Milliseconds(), uint64(u.Store.ReadOffset)
+	w.Candidates, w.ReadAgeMilliseconds, w.ReadOffset = u.CandidateCount, u.Store.ReadAge.Milliseconds(), positionIn(era, u.Store.ReadOffset)
 	for _, s := range u.Servers {
 		w.Servers = append(w.Servers, encodeServer(s))
 	}
@@ -345,8 +352,9 @@
 	if w.Candidates >= 0 && w.Candidates <= maximumNodes {
 		u.CandidateCount = w.Candidates
 	}
-	if age, ok := decodeAge(w.ReadAgeMilliseconds); ok && w.News.isInRange() && w.ReadOffset <= maximumOffset {
-		u.Store = StoreUpdate{ConfigurationOffset: domain.Offset(w.News.Configuration), RegistrationsOffset: domain.Offset(w.News.Registrations), RegistrationsRead: w.News.Read, ReadAge: age, ReadOffset: domain.Offset(w.ReadOffset)}
+	if age, ok := decodeAge(w.ReadAgeMilliseconds); ok && w.News.isInRange() && w.ReadOffset <= maximumOffset && w.Era <= domain.MaximumEra {
+		e := domain.Era(w.Era)
+		u.Store = StoreUpdate{ConfigurationOffset: offsetIn(e, w.News.Configuration), RegistrationsOffset: offsetIn(e, w.News.Registrations), RegistrationsRead: w.News.Read, ReadAge: age, ReadOffset: offsetIn(e, w.ReadOffset)}
 	}
 	for _, s := range w.Servers {
 		if !s.isInRange() {
@@ -355,7 +363,7 @@
 		u.Servers = append(u.Servers, s.decode())
 	}
 	u.Traits, u.Contents = w.Traits.decode(), decodeContents(w.Contents)
-	u.Registrations, u.Keys = w.Registrations.decode(), w.Keys.decode()
+	u.Registrations, u.Keys = w.Registrations.decode(w.RegistrationsEra), w.Keys.decode()
 	u.Loads, u.Prefixes, u.Grants = decodeLoads(w.Loads), decodePrefixes(w.Prefixes), w.Grants.decode()
 	var err error
 	u.CrashReports, err = decodeSuspects(w.Suspects)
