--- a/admission/contention.go
+++ b/admission/contention.go
@@ -27,7 +27,7 @@
 	queueGoalShare = 0.5
 	// starvationRefusals is the number of refusals of a rank in a row after which one of its
 	// requests may use the slots that are reserved for more urgent ones.
-	starvationRefusals = 1000
+	starvationRefusals = 8
 	// sendingPeriod is the period over which recent sendings count for the shares of workspaces.
 	sendingPeriod = 10 * time.Second
 	// fairShareTolerance is how much of its fair share a workspace may use before its requests are
@@ -50,7 +50,7 @@
 	// Model is the model of the request. Requests for one model need room at the same servers.
 	Model domain.ModelName
 	// ArrivedAt is when this node received the request, GoalAt when its response should begin and
-	// Deadline when its caller leaves.
+	// Deadline when its caller gives up.
 	ArrivedAt, GoalAt, Deadline time.Time
 	// IsRetried is true if this node has refused a request with the same content shortly before.
 	IsRetried bool
@@ -101,11 +101,11 @@
 // RecordSending records that a request was sent to a server.
 func (c *Contention) RecordSending(now time.Time, r *Contender) {
 	c.refusals[r.rank()] = 0
-	if c.sendings == nil || len(c.sendings) >= maximumWorkspaces {
-		c.sendings = map[domain.WorkspaceName]*decayingCount{}
-	}
 	count := c.sendings[r.Workspace]
 	if count == nil {
+		if c.sendings == nil || len(c.sendings) >= maximumWorkspaces {
+			c.sendings = map[domain.WorkspaceName]*decayingCount{}
+		}
 		count = &decayingCount{}
 		c.sendings[r.Workspace] = count
 	}
@@ -185,7 +185,7 @@
 }
 
 // ExceedsFairShare reports whether a workspace takes more than its fair share of the recent
-// sendings.
+// sendings. It removes the workspaces without recent ones.
 func (c *Contention) ExceedsFairShare(now time.Time, w domain.WorkspaceName) bool {
 	count := c.sendings[w]
 	if count == nil {
--- a/admission/outlook.go
+++ b/admission/outlook.go
@@ -9,7 +9,8 @@
 	// lateHoldShare is the share of the latency goal for which a request waits that is expected to
 	// be served late.
 	lateHoldShare = 0.5
-	// minimumRoomRetryAfter is the lower bound of a Retry-After, if the deadline permits it.
+	// minimumRoomRetryAfter is the lower bound of a Retry-After before the jitter is subtracted, if the
+	// deadline permits it.
 	minimumRoomRetryAfter = 150 * time.Millisecond
 	// retryAfterShare is the upper bound of a Retry-After, as a share of the time until the deadline.
 	retryAfterShare = 0.3
--- a/admission/take.go
+++ b/admission/take.go
@@ -7,12 +7,12 @@
 )
 
 const (
-	// demandPeriod is the period over which the requests that a server gets are averaged.
+	// demandPeriod is the time constant of the average of the requests per second that a server gets.
 	demandPeriod = 500 * time.Millisecond
 	// fillPeriod is the time in which the free places of a server should be used.
 	fillPeriod = 500 * time.Millisecond
 	// minimumObservation is the shortest time between two observations of a server, and
-	// maximumObservation the longest one between which its inflow can be told.
+	// maximumObservation the longest one after which its inflow can still be computed.
 	minimumObservation = 100 * time.Millisecond
 	maximumObservation = 2 * time.Second
 	// minimumInflowShare is the least number of requests per second that is wanted, as a share of
--- a/commands/callerlimits.go
+++ b/commands/callerlimits.go
@@ -30,7 +30,7 @@
 	callerFilesShare = 0.5
 	// minimumCallerConnections is the least limit of callers' connections.
 	minimumCallerConnections = 32
-	percent                  = 0.01
+	fractionPerPercent       = 0.01
 )
 
 // CallerLimits are the flags that bound what callers take of a node.
@@ -41,8 +41,8 @@
 
 // Validate implements the check of kong.
 func (l CallerLimits) Validate() error {
-	if l.CallerConnections < 0 || l.HeadMemoryPercent < 0 || l.HeadMemoryPercent > 100 {
-		return &UsageError{Err: errors.New("--caller-connections must not be negative, and --head-memory-percent be between 0 and 100")}
+	if l.CallerConnections < 0 || !(l.HeadMemoryPercent >= 0 && l.HeadMemoryPercent <= 100) {
+		return &UsageError{Err: errors.New("--caller-connections must not be negative, and --head-memory-percent must be between 0 and 100")}
 	}
 	return nil
 }
@@ -56,7 +56,7 @@
 	}
 	return platform.ServerLimits{
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleConnectionTimeout, HeaderBytes: maximumHeaderBytes,
-		Connections: connections, HeadMemory: domain.Bytes(float64(s.Memory) * l.HeadMemoryPercent * percent),
+		Connections: connections, HeadMemory: domain.Bytes(float64(s.Memory) * l.HeadMemoryPercent * fractionPerPercent),
 	}
 }
 
--- a/dispatch/affinity_test.go
+++ b/dispatch/affinity_test.go
@@ -64,8 +64,9 @@
 	d.chooser.recordResponse(now, list[0], promptRequest(7), 80*time.Millisecond, Load{Known: true, Running: 1, Slots: 24, Pace: 1})
 	d.chooser.recordResponse(now, list[1], &Request{}, 80*time.Millisecond, Load{Known: true, Running: 1, Slots: 24, Pace: 1})
 	for own := range uint64(50) {
-		s, inputs := d.chooser.choose(now, location{zone: "z"}, list, promptRequest(100+own), nil)
-		d.chooser.release(s.ID)
+		r := promptRequest(100 + own)
+		s, inputs := d.chooser.choose(now, location{zone: "z"}, list, r, nil)
+		d.chooser.release(s, r)
 		d.countCache(&attempt{server: s, inputs: inputs})
 	}
 	if got, want := counter.tokens, domain.Tokens(50*800); got != want {
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -50,9 +50,6 @@
 	// responseTimeAt.
 	responseTime   time.Duration
 	responseTimeAt time.Time
-	// key and service are those of the run of the server that an attempt was last sent to.
-	key     serverload.Key
-	service domain.ServiceName
 	// prefixes holds the prompt prefixes of the requests that this node sent to the
 	// server, with the time of the latest request.
 	prefixes map[string]time.Time
@@ -125,8 +122,7 @@
 	l := c.loadOf(best.ID)
 	inputs.attemptsInFlight, inputs.otherLoad, inputs.loadAge = l.attemptsInFlight, l.otherLoad, min(now.Sub(l.reportedAt), time.Hour)
 	l.attemptsInFlight++
-	l.key, l.service = serverload.KeyOf(best), best.Service
-	c.table.Send(now, l.key, best.Service, r.tokens())
+	c.table.Send(now, serverload.KeyOf(best), best.Service, r.tokens())
 	l.addPrefix(now, r.Prefix)
 	return best, inputs
 }
@@ -169,13 +165,12 @@
 	return ok
 }
 
-// release removes one attempt that was not sent from those in flight at a server.
-func (c *chooser) release(id domain.ServerID) {
+// release removes an attempt that was chosen and not sent from those in flight at its server.
+func (c *chooser) release(s *fleet.Server, r *Request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	l := c.loadOf(id)
-	l.attemptsInFlight--
-	c.table.End(time.Now(), l.key, l.service, 0)
+	c.loadOf(s.ID).attemptsInFlight--
+	c.table.End(time.Now(), serverload.KeyOf(s), s.Service, r.tokens())
 }
 
 // recordResponse records the response time of a server and the load that it reported.
--- a/dispatch/choose_test.go
+++ b/dispatch/choose_test.go
@@ -51,7 +51,7 @@
 	c.recordResponse(now, near, &Request{}, 120*time.Millisecond, Load{})
 	for range 20 {
 		s, _ := c.choose(now.Add(time.Second), location{zone: "z", regions: map[domain.Zone]domain.Region{"z": "r", "y": "q"}}, list, &Request{}, nil)
-		c.release(s.ID)
+		c.release(s, &Request{})
 		if s != near {
 			t.Fatalf("got server %s in another region, want the nearby one", s.ID)
 		}
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -218,7 +218,7 @@
 		return
 	}
 	if s.admit() != nil || !s.dispatcher.spendHedge(s.request.Service) {
-		s.dispatcher.chooser.release(server.ID)
+		s.dispatcher.chooser.release(server, s.request)
 		s.silence.restart(time.Now(), viewPollInterval)
 		return
 	}
--- a/dispatch/keptaway_test.go
+++ b/dispatch/keptaway_test.go
@@ -381,7 +381,7 @@
 					if e != nil {
 						b.Fatal(e)
 					}
-					d.chooser.release(server.ID)
+					d.chooser.release(server, r)
 				}
 			})
 		}
--- a/dispatch/loads_test.go
+++ b/dispatch/loads_test.go
@@ -27,7 +27,7 @@
 	n := map[domain.ServerID]int{}
 	for range 400 {
 		s, _ := c.choose(now, location{zone: "z", regions: testRegions}, list, r, avoided)
-		c.release(s.ID)
+		c.release(s, r)
 		n[s.ID]++
 	}
 	return n
@@ -155,7 +155,7 @@
 		}
 		choose := func() {
 			s, _ := c.choose(now, location{zone: "z"}, list, &Request{}, nil)
-			c.release(s.ID)
+			c.release(s, &Request{})
 		}
 		for range 20_000 {
 			// Each server keeps its history from its first request on.
@@ -179,7 +179,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				s, _ := c.choose(now, location{zone: "z"}, list, r, nil)
-				c.release(s.ID)
+				c.release(s, r)
 			}
 		})
 	}
@@ -220,3 +220,21 @@
 		}
 	}
 }
+
+// Guards against a server that counts as fuller or emptier than it is, after a request that was chosen
+// for it was not sent.
+func TestReleasedAttemptLeavesNoTokens(t *testing.T) {
+	now := time.Now()
+	c, server := &chooser{}, &fleet.Server{ID: "a", Service: "engines", Slots: 24}
+	small, large := &Request{Size: RequestSize{Known: true, Prompt: 100}}, &Request{Size: RequestSize{Known: true, Prompt: 5000}}
+	tokens := func() float64 {
+		return c.table.State(now, serverload.KeyOf(server), server.Service, server.Slots).Tokens
+	}
+	c.choose(now, location{}, []*fleet.Server{server}, small, nil)
+	want := tokens()
+	c.choose(now, location{}, []*fleet.Server{server}, large, nil)
+	c.release(server, large)
+	if got := tokens(); got != want {
+		t.Errorf("got %v tokens after the release, want %v", got, want)
+	}
+}
--- a/dispatch/roomwait.go
+++ b/dispatch/roomwait.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"time"
 
 	"github.com/parsleylug/parsleylug/admission"
-	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fleet"
 	"github.com/parsleylug/parsleylug/verdict"
 )
@@ -65,7 +65,7 @@
 		}
 	}
 	w := s.waiter
-	w.avoidedServers = copyOf(s.avoidedServers)
+	w.avoidedServers = maps.Clone(s.avoidedServers)
 	d.grantRoom(now, m, "")
 	select {
 	case granted := <-w.granted:
@@ -118,7 +118,7 @@
 		s.dispatcher.RoomCounters.CountRoomRefusal(c.Rank)
 	}
 	e := verdict.Refuse(verdict.NoCapacity, "no server has room for the request").WithRetryAfter(m.contention.RetryAfter(now, c, wait, rand.Float64()))
-	e.Cause = fmt.Errorf("rank %d, expected wait %v, %s", c.Rank, wait.Round(time.Millisecond), s.describeRoom(now, m, candidates))
+	e.Cause = fmt.Errorf("rank %d, estimated wait %v; %s", c.Rank, wait.Round(time.Millisecond), s.describeRoom(now, m, candidates))
 	return e
 }
 
@@ -127,7 +127,7 @@
 	text := fmt.Sprintf("%d servers", len(candidates))
 	for _, c := range candidates[:min(len(candidates), maximumLoggedServers)] {
 		l := m.load(now, c)
-		text += fmt.Sprintf(", %s has %.1f of %.1f (known: %t)", c.ID, l.InUse, m.contention.Limit(now, &s.waiter.contender, l), l.IsKnown)
+		text += fmt.Sprintf(", %s: %.1f requests, limit %.1f, load known: %t", c.ID, l.InUse, m.contention.Limit(now, &s.waiter.contender, l), l.IsKnown)
 	}
 	return text
 }
@@ -175,20 +175,12 @@
 	s.dispatcher.dequeue(now, m, s.waiter)
 	select {
 	case g := <-s.waiter.granted:
-		s.dispatcher.chooser.release(g.server.ID)
+		s.dispatcher.chooser.release(g.server, s.request)
 		s.dispatcher.grantRoom(now, m, g.server.ID)
 	default:
 	}
 }
 
-func copyOf(servers map[domain.ServerID]bool) map[domain.ServerID]bool {
-	clone := make(map[domain.ServerID]bool, len(servers))
-	for id, isAvoided := range servers {
-		clone[id] = isAvoided
-	}
-	return clone
-}
-
 // preferRoom returns the servers with room for a request that may have run, or all if none has.
 func (s *session) preferRoom(now time.Time, m *room, servers []*fleet.Server) []*fleet.Server {
 	c := s.dispatcher.rooms.newContender(now, s.request)
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -171,18 +171,18 @@
 			return s.fail(ctx, e)
 		}
 		if e := s.admit(); e != nil {
-			s.dispatcher.chooser.release(server.ID)
+			s.dispatcher.chooser.release(server, s.request)
 			return s.fail(ctx, e)
 		}
 		if s.attempts == 0 {
 			// The request may have waited since it was charged.
 			if e := s.takeQuota(ctx); e != nil {
-				s.dispatcher.chooser.release(server.ID)
+				s.dispatcher.chooser.release(server, s.request)
 				return s.fail(ctx, e)
 			}
 		}
 		if s.attempts > 0 && !s.dispatcher.spendRetry(s.request.Service) {
-			s.dispatcher.chooser.release(server.ID)
+			s.dispatcher.chooser.release(server, s.request)
 			return s.fail(ctx, newRefusal(time.Now(), s.request, verdict.NoCapacity, "the budget for repeated sendings is used up", time.Second))
 		}
 		outcome, e, done := s.attempt(ctx, server)
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -37,7 +37,8 @@
 	newestVersion fleet.Version
 	// steps are the newest changes of versions that this node has made or was told of, ascending.
 	steps []hub.RevocationStep
-	// announcedVersion is the version up to which this node has announced the steps as the owner.
+	// announcedVersion is the version to which the last step leads that this node has announced as the
+	// owner.
 	announcedVersion fleet.Version
 	// isConfirmed is set once the version in force was known to be the newest; confirmedAt is the
 	// last uptime at which it was.
@@ -177,7 +178,9 @@
 // newKeyUpdate is keyUpdate with the steps that were not announced yet. The caller holds mu.
 func (n *Node) newKeyUpdate() hub.KeyUpdate {
 	u := n.keyUpdate(n.keys.announcedVersion)
-	n.keys.announcedVersion = max(n.keys.announcedVersion, u.Version)
+	if len(u.Steps) > 0 {
+		n.keys.announcedVersion = u.Steps[len(u.Steps)-1].To
+	}
 	return u
 }
 
--- a/entry/node.go
+++ b/entry/node.go
@@ -118,8 +118,8 @@
 	// It separates the first order in time from the last order of the previous
 	// owner. With a LeaseBound, it is the longest time that an order is in flight.
 	FirstOrderDelay time.Duration
-	// LeaseBound is the least time between the last order of an owner and the first of the next.
-	// It is 0 if ServersCheckFences is set.
+	// LeaseBound is the least time between the orders of one owner in two terms if another node may
+	// have issued orders between them (see lease.Lease). It is 0 if ServersCheckFences is set.
 	LeaseBound time.Duration
 	// HandOverDelay is how long a node that drains stays in the group. An owner that leaves
 	// early hands over more often while nodes are stopped one after the other; one that leaves
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -266,7 +266,7 @@
 	n.quotas.orderMu.Lock()
 	defer n.quotas.orderMu.Unlock()
 	now := time.Now()
-	u := hub.Update{NodeCount: n.countNodes(now), Grants: n.quotas.allNews()}
+	u := hub.Update{NodeCount: n.countNodes(now), Grants: n.quotas.fullUpdate()}
 	isRead := n.registrationsKnown.Era() == n.restoration.era
 	if age := now.Sub(n.registrationsReadAt); isRead && n.retainsLease() && age < n.RegistrationsInterval {
 		u.Store = n.storeUpdate(true)
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -20,8 +20,8 @@
 // less than a third of the excess that is permitted by default.
 const chargeLifetime = 250 * time.Millisecond
 
-// firstOwnerDelay is about how long all nodes are without an owner after they were killed: the lease
-// of the one before has to expire, and the nodes have to link to the next.
+// firstOwnerDelay is the usual time from the start of all nodes until they are linked to the first
+// owner: the lease of the one before the start has to expire.
 const firstOwnerDelay = 2500 * time.Millisecond
 
 // newLimitPeriod is how long requests of workspaces are admitted that the owner may not know to be
@@ -49,9 +49,9 @@
 	mu        sync.Mutex
 	allowance quota.Allowance
 	limits    []quota.Limit
-	// hasConfiguration is set once a configuration is in force. unlimitedUntil is the end of the time in
-	// which the first limits of this process have come into force everywhere, if there was a
-	// configuration without limits before.
+	// hasConfiguration is set once a configuration is in force. unlimitedUntil is the end of the
+	// newLimitPeriod that begins when the first limits of this process replace a configuration without
+	// limits. Until then, a node without an owner admits all requests.
 	hasConfiguration bool
 	unlimitedUntil   time.Duration
 	// ledger is nil unless this node is the owner.
@@ -96,6 +96,11 @@
 		q.unlimitedUntil = now + newLimitPeriod
 	}
 	q.limits = limits
+	if len(limits) == 0 {
+		q.ledger = nil
+		q.endWaits()
+		q.countContended(0)
+	}
 	q.allowance.Configure(now, limits)
 	if q.ledger != nil {
 		q.ledger.Configure(now, limits)
@@ -120,7 +125,7 @@
 	basisFree = "Free"
 	// basisOwner: the owner decided.
 	basisOwner = "Owner"
-	// basisLevel: the bucket cannot have room by the owner's latest news.
+	// basisLevel: the bucket cannot have room by the owner's latest update.
 	basisLevel = "Level"
 	// basisShare: the node's own share, since it has no owner or the owner did not answer in time.
 	basisShare = "Share"
@@ -170,9 +175,9 @@
 	}
 }
 
-// untilFirstOwner returns when a request may be sent again that this node cannot decide on, if the
-// node has not heard of any owner since its start: mostly, all nodes have been started again then. It
-// returns 0 at other nodes. The caller holds mu.
+// untilFirstOwner returns the Retry-After of a request that this node cannot decide on:
+// firstOwnerDelay if the node has not heard of an owner since its start, as after a start of all nodes,
+// otherwise 0. The caller holds mu.
 func (q *quotas) untilFirstOwner() time.Duration {
 	if q.allowance.Nodes() > 0 {
 		return 0
@@ -300,8 +305,8 @@
 	}
 }
 
-// apply applies the owner's news at another node.
-func (q *quotas) apply(n quota.News) {
+// apply applies the owner's updates at another node.
+func (q *quotas) apply(n quota.Update) {
 	if n.IsEmpty() {
 		return
 	}
--- a/entry/quota_test.go
+++ b/entry/quota_test.go
@@ -165,7 +165,7 @@
 	q.configure(&fleet.Configuration{Workspaces: []fleet.Workspace{{Name: "w", Quota: fleet.Quota{Rate: testQuotaRate, Burst: testQuotaRate}}}})
 	q.link()
 	q.report()
-	q.apply(quota.News{Nodes: 10, Levels: []quota.Level{{Workspace: "w", Amount: testQuotaRate}}})
+	q.apply(quota.Update{Nodes: 10, Levels: []quota.Level{{Workspace: "w", Amount: testQuotaRate}}})
 	return q
 }
 
@@ -186,7 +186,7 @@
 			t.Fatalf("got report %+v, want one ask", asked)
 		}
 		c.ahead = quota.GrantLifetime + time.Second
-		q.apply(quota.News{Nodes: 10, Answers: []quota.Answer{{ID: asked.Uses[0].Asks[0].ID, Granted: true}}})
+		q.apply(quota.Update{Nodes: 10, Answers: []quota.Answer{{ID: asked.Uses[0].Asks[0].ID, Granted: true}}})
 		if d := <-result; d.IsAdmitted || charge.IsTaken {
 			t.Errorf("got %+v with charge %+v, want the grant not used", d, charge)
 		}
@@ -206,7 +206,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := &jumpingClock{start: time.Now()}
 		q := newTestQuotas(c)
-		q.apply(quota.News{Nodes: 10, Levels: []quota.Level{{Workspace: "w", Amount: testQuotaRate, Free: true}}})
+		q.apply(quota.Update{Nodes: 10, Levels: []quota.Level{{Workspace: "w", Amount: testQuotaRate, Free: true}}})
 		charge := &dispatch.QuotaCharge{Workspace: "w", Amount: 30}
 		for range 2 {
 			if d := q.Take(t.Context(), charge, testQuotaWait); !d.IsAdmitted {
@@ -249,8 +249,8 @@
 	q.configure(&fleet.Configuration{Workspaces: []fleet.Workspace{{Name: "w"}}})
 	q.link()
 	q.begin("n")
-	if r := q.report(); !r.IsEmpty() || q.isOwner() || !q.allNews().IsEmpty() {
-		t.Errorf("got report %+v and news %+v, want nothing", r, q.allNews())
+	if r := q.report(); !r.IsEmpty() || q.isOwner() || !q.fullUpdate().IsEmpty() {
+		t.Errorf("got report %+v and news %+v, want nothing", r, q.fullUpdate())
 	}
 }
 
@@ -266,7 +266,7 @@
 		t.Errorf("without an owner since the start: got %+v, want an unknown quota and %v", d, firstOwnerDelay)
 	}
 	q.link()
-	q.apply(quota.News{Nodes: 87})
+	q.apply(quota.Update{Nodes: 87})
 	q.unlink()
 	if d := q.Take(t.Context(), &dispatch.QuotaCharge{Workspace: "w", Amount: 5}, 0); d.IsAdmitted || d.RetryAfter != 0 {
 		t.Errorf("after the loss of an owner: got %+v, want no such wait", d)
--- a/entry/quotaowner.go
+++ b/entry/quotaowner.go
@@ -39,7 +39,7 @@
 		if q.ledger == nil {
 			return
 		}
-		q.allowance.Apply(now, q.ledger.AllNews(now))
+		q.allowance.Apply(now, q.ledger.FullUpdate(now))
 		q.allowance.Unlink(now)
 		q.ledger = nil
 		q.countContended(0)
@@ -48,7 +48,7 @@
 
 // record applies the report of a node at the owner. It returns the reply to the node, and the news
 // for all nodes if they are due.
-func (q *quotas) record(node domain.NodeID, r quota.Report) (reply, news quota.News) {
+func (q *quotas) record(node domain.NodeID, r quota.Report) (reply, news quota.Update) {
 	q.withLimits(func(now time.Duration) {
 		if q.ledger == nil {
 			return
@@ -61,8 +61,8 @@
 
 // advance does the periodic work of the owner. The parameter nodes returns the addresses of the
 // linked nodes. It returns the news for all nodes if they are due.
-func (q *quotas) advance(nodes func() map[domain.NodeID]bool) quota.News {
-	var news quota.News
+func (q *quotas) advance(nodes func() map[domain.NodeID]bool) quota.Update {
+	var news quota.Update
 	q.withLimits(func(now time.Duration) {
 		if q.ledger == nil {
 			return
@@ -87,8 +87,8 @@
 
 // news returns the news that are due, and logs the workspaces that they concern. The caller holds
 // mu.
-func (q *quotas) news(now time.Duration) quota.News {
-	n := q.ledger.News(now)
+func (q *quotas) news(now time.Duration) quota.Update {
+	n := q.ledger.Update(now)
 	changed := false
 	for _, l := range n.Levels {
 		if l.Free == q.free[l.Workspace] {
@@ -114,12 +114,12 @@
 	}
 }
 
-// allNews returns all levels, for a node that has just linked.
-func (q *quotas) allNews() quota.News {
-	var n quota.News
+// fullUpdate returns all levels, for a node that has just linked.
+func (q *quotas) fullUpdate() quota.Update {
+	var n quota.Update
 	q.withLimits(func(now time.Duration) {
 		if q.ledger != nil {
-			n = q.ledger.AllNews(now)
+			n = q.ledger.FullUpdate(now)
 		}
 	})
 	return n
@@ -192,7 +192,7 @@
 	return addresses
 }
 
-func (n *Node) broadcastQuotas(news quota.News) {
+func (n *Node) broadcastQuotas(news quota.Update) {
 	if !news.IsEmpty() {
 		n.logQuotaFailure(n.Hub.Broadcast(hub.Update{Grants: news}))
 	}
@@ -200,6 +200,6 @@
 
 func (n *Node) logQuotaFailure(err error) {
 	if err != nil {
-		n.Logger.Error().Str("Event", "QuotaNewsFailed").Err(err).Msg("failed to encode news of quotas for the other nodes")
+		n.Logger.Error().Str("Event", "QuotaUpdateFailed").Err(err).Msg("failed to encode an update of quotas for the other nodes")
 	}
 }
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -118,8 +118,8 @@
 }
 
 // Usable returns the servers to which new requests may be sent at now. During a likely
-// outage of the store, they include servers whose registrations were removed recently. So they do
-// those whose registrations the store lost when it came back from an older copy.
+// outage of the store, they include servers whose registrations were removed recently. They also
+// include those whose registrations the store lost when it came back from an older copy.
 func (d *Directory) Usable(now time.Time) []*Server {
 	isOutageLikely := d.isStoreOutageLikely(now)
 	servers := make([]*Server, 0, len(d.entries))
--- a/hub/message.go
+++ b/hub/message.go
@@ -107,7 +107,7 @@
 	// Keys are the API keys that the newest versions of the configuration removed.
 	Keys KeyUpdate
 	// Grants is what the owner tells of the quotas of workspaces since the last update.
-	Grants quota.News
+	Grants quota.Update
 }
 
 // RegistrationChanges are changes of registrations as the owner read them in the platform's store.
@@ -193,7 +193,7 @@
 	Keys     *wireKeys     `cbor:",omitempty"`
 	Contents []wireContent `cbor:",omitempty"`
 	// Grants is nil if the owner tells nothing. Earlier versions ignore it.
-	Grants *wireQuotaNews `cbor:",omitempty"`
+	Grants *wireQuotaUpdate `cbor:",omitempty"`
 	// Era is the era of the offsets in News and ReadOffset, RegistrationsEra that of the offsets in
 	// Registrations. Earlier versions ignore them.
 	Era              uint64 `cbor:",omitempty"`
@@ -305,7 +305,7 @@
 	w := wireUpdate{
 		Nodes: u.NodeCount, News: store, Suspects: encodeSuspects(u.CrashReports), Traits: encodeTraits(u.Traits),
 		Registrations: encodeRegistrations(u.Registrations), Contents: encodeContents(u.Contents),
-		Loads: encodeLoads(u.Loads), Prefixes: encodePrefixes(u.Prefixes), Keys: encodeKeys(u.Keys), Grants: encodeQuotaNews(u.Grants),
+		Loads: encodeLoads(u.Loads), Prefixes: encodePrefixes(u.Prefixes), Keys: encodeKeys(u.Keys), Grants: encodeQuotaUpdate(u.Grants),
 		Era: uint64(era), RegistrationsEra: uint64(u.Registrations.Offset.Era()),
 	}
 	w.Candidates, w.ReadAgeMilliseconds, w.ReadOffset = u.CandidateCount, u.Store.ReadAge.Milliseconds(), positionIn(era, u.Store.ReadOffset)
--- a/hub/quota.go
+++ b/hub/quota.go
@@ -37,8 +37,8 @@
 	Amount float32
 }
 
-// wireQuotaNews is a quota.News; nil if it tells nothing.
-type wireQuotaNews struct {
+// wireQuotaUpdate is a quota.Update; nil if it tells nothing.
+type wireQuotaUpdate struct {
 	_       struct{} `cbor:",toarray"`
 	Nodes   int
 	Levels  []wireLevel
@@ -102,11 +102,11 @@
 	return r
 }
 
-func encodeQuotaNews(n quota.News) *wireQuotaNews {
+func encodeQuotaUpdate(n quota.Update) *wireQuotaUpdate {
 	if n.IsEmpty() {
 		return nil
 	}
-	w := &wireQuotaNews{Nodes: n.Nodes, Rejoins: n.Rejoins}
+	w := &wireQuotaUpdate{Nodes: n.Nodes, Rejoins: n.Rejoins}
 	for _, l := range n.Levels {
 		mode := uint8(0)
 		if l.Free {
@@ -125,11 +125,11 @@
 
 // decode returns the news without the levels and answers that are out of range. A number of nodes
 // that is out of range makes it tell nothing of the levels.
-func (w *wireQuotaNews) decode() quota.News {
+func (w *wireQuotaUpdate) decode() quota.Update {
 	if w == nil {
-		return quota.News{}
+		return quota.Update{}
 	}
-	n := quota.News{Rejoins: w.Rejoins}
+	n := quota.Update{Rejoins: w.Rejoins}
 	for _, a := range w.Answers {
 		if a.RetryAfterMilliseconds >= 0 && a.RetryAfterMilliseconds <= maximumQuotaRetry.Milliseconds() {
 			n.Answers = append(n.Answers, quota.Answer{ID: a.ID, Granted: a.Granted, Unknown: a.Unknown, RetryAfter: time.Duration(a.RetryAfterMilliseconds) * time.Millisecond})
--- a/hub/quota_test.go
+++ b/hub/quota_test.go
@@ -17,7 +17,7 @@
 	{Workspace: "w", Used: 1200, Refunded: 300, Share: -25.5, Asks: []quota.Ask{{ID: 7, Amount: 512}}},
 }}
 
-var testGrants = quota.News{
+var testGrants = quota.Update{
 	Nodes: 87, Rejoins: true, Levels: []quota.Level{{Workspace: "w", Amount: -2700, Free: true}, {Workspace: "x", Amount: 5, Calm: true}},
 	Answers: []quota.Answer{{ID: 7, Granted: true}, {ID: 8, Unknown: true, RetryAfter: 250 * time.Millisecond}},
 }
@@ -61,15 +61,15 @@
 	if !reflect.DeepEqual(r, want) {
 		t.Errorf("got %+v, want %+v", r, want)
 	}
-	n := (&wireQuotaNews{Nodes: 5, Levels: []wireLevel{{Workspace: "a", Amount: nan}, {Workspace: long}, {Workspace: "w", Amount: -7}}, Answers: []wireAnswer{
+	n := (&wireQuotaUpdate{Nodes: 5, Levels: []wireLevel{{Workspace: "a", Amount: nan}, {Workspace: long}, {Workspace: "w", Amount: -7}}, Answers: []wireAnswer{
 		{ID: 1, RetryAfterMilliseconds: -1}, {ID: 2, RetryAfterMilliseconds: math.MaxInt64}, {ID: 3, Granted: true},
 	}}).decode()
-	wantNews := quota.News{Nodes: 5, Levels: []quota.Level{{Workspace: "w", Amount: -7}}, Answers: []quota.Answer{{ID: 3, Granted: true}}}
+	wantNews := quota.Update{Nodes: 5, Levels: []quota.Level{{Workspace: "w", Amount: -7}}, Answers: []quota.Answer{{ID: 3, Granted: true}}}
 	if !reflect.DeepEqual(n, wantNews) {
 		t.Errorf("got %+v, want %+v", n, wantNews)
 	}
 	for _, nodes := range []int{-1, 0, maximumNodes + 1} {
-		if got := (&wireQuotaNews{Nodes: nodes, Levels: []wireLevel{{Workspace: "w"}}}).decode(); !got.IsEmpty() {
+		if got := (&wireQuotaUpdate{Nodes: nodes, Levels: []wireLevel{{Workspace: "w"}}}).decode(); !got.IsEmpty() {
 			t.Errorf("%d nodes: got %+v, want nothing", nodes, got)
 		}
 	}
@@ -78,7 +78,7 @@
 // Guards against answers of one node that reach all nodes, or get lost, where updates for a slow node
 // are joined.
 func TestJoinedUpdatesKeepGrants(t *testing.T) {
-	u := mergedUpdate([]*message{{update: Update{Grants: testGrants}}, {update: Update{NodeCount: 4}}, {update: Update{Grants: quota.News{Nodes: 88}}}})
+	u := mergedUpdate([]*message{{update: Update{Grants: testGrants}}, {update: Update{NodeCount: 4}}, {update: Update{Grants: quota.Update{Nodes: 88}}}})
 	want := testGrants
 	want.Nodes = 88
 	if !reflect.DeepEqual(u.Grants, want) {
@@ -89,7 +89,7 @@
 // Guards against a decoder that panics, or passes on a number that is not finite.
 func FuzzQuotaMessages(f *testing.F) {
 	report, _ := cbor.Marshal(encodeQuotaReport(testUses))
-	news, _ := cbor.Marshal(encodeQuotaNews(testGrants))
+	news, _ := cbor.Marshal(encodeQuotaUpdate(testGrants))
 	f.Add(report)
 	f.Add(news)
 	f.Fuzz(func(t *testing.T, data []byte) {
@@ -103,7 +103,7 @@
 				}
 			}
 		}
-		var n *wireQuotaNews
+		var n *wireQuotaUpdate
 		if unmarshal(data, &n) == nil {
 			for _, l := range n.decode().Levels {
 				if !(math.Abs(l.Amount) <= 2*maximumAmount) || l.Workspace == "" {
@@ -120,8 +120,8 @@
 	report, _ := encodeReport(Report{Node: "10.200.131.101:40000/18b2f0a1c3d4e5f6", Uses: quota.Report{Uses: []quota.Use{
 		{Workspace: "workspace-00", Used: 1234.5, Asks: []quota.Ask{{ID: 70_000, Amount: 512}}},
 	}}})
-	reply, _ := encodeUpdate(Update{Grants: quota.News{Nodes: 87, Levels: []quota.Level{{Workspace: "workspace-00", Amount: 1234.5}}, Answers: []quota.Answer{{ID: 70_000, RetryAfter: time.Second}}}})
-	heartbeat, _ := encodeUpdate(Update{Grants: quota.News{Nodes: 87}})
+	reply, _ := encodeUpdate(Update{Grants: quota.Update{Nodes: 87, Levels: []quota.Level{{Workspace: "workspace-00", Amount: 1234.5}}, Answers: []quota.Answer{{ID: 70_000, RetryAfter: time.Second}}}})
+	heartbeat, _ := encodeUpdate(Update{Grants: quota.Update{Nodes: 87}})
 	t.Logf("report with an ask: %d bytes, reply: %d bytes, heartbeat: %d bytes", len(report), len(reply), len(heartbeat))
 	for name, c := range map[string]struct{ got, want int }{"report": {len(report), 120 + 2*20}, "reply": {len(reply), 120 + 2*20}, "heartbeat": {len(heartbeat), 120}} {
 		if c.got > c.want {
--- a/placement/pace.go
+++ b/placement/pace.go
@@ -103,9 +103,9 @@
 
 // recordFinish removes a finished load from the running loads. If the load was slow, the
 // concurrency limit becomes the number of loads that would have run at full speed. If it ran at
-// full speed beside as many loads as the limit permits, the limit rises by one. Other
-// orders than loads of models from the weight store are ignored.
-func (s *storeLimiter) recordFinish(_ time.Time, o Order, duration time.Duration, m fleet.Model) {
+// full speed beside as many loads as the limit permits, the limit rises by one. It ignores all
+// other orders.
+func (s *storeLimiter) recordFinish(o Order, duration time.Duration, m fleet.Model) {
 	if o.Operation != Load || o.Adapter != "" || o.tier != fleet.InStore {
 		return
 	}
--- a/placement/place.go
+++ b/placement/place.go
@@ -16,6 +16,8 @@
 	// spareReplicaCost is the eviction cost of a replica that the demand does not
 	// require, in seconds per unit of the request rate of each replica.
 	spareReplicaCost = 1.0
+	// waitingRequestCost is the eviction cost, in seconds, of each request that waits for the model.
+	waitingRequestCost = 10.0
 	// unobservedReplicaCost is the eviction cost, in seconds, of a model without requests so far,
 	// for each of its replicas: the platform has placed popular models on more servers.
 	unobservedReplicaCost = 0.05
@@ -211,10 +213,10 @@
 	isUseless bool
 }
 
-// selectVictims returns the models to evict from a server to free missingMemory, and the
-// total cost in seconds. It selects models that the configuration does not list first, and then those with a low eviction cost. It returns
-// false if the memory cannot be freed, or if no request waits for the model and the cost
-// is above maxCostWithoutWaiters.
+// selectVictims returns the models to evict from a server to free missingMemory, and the total
+// eviction cost in seconds. It selects models that the configuration does not list first, and then
+// those with the lowest eviction cost. It returns false if the memory cannot be freed, or if the
+// cost exceeds need.maximumEvictionCost.
 func (p *Planner) selectVictims(now time.Time, v *engineView, e *fleet.Engine, missingMemory domain.Bytes, n need) ([]domain.ModelName, float64, bool) {
 	if missingMemory <= 0 {
 		return nil, 0, true
@@ -263,7 +265,7 @@
 	case replicas <= 1:
 		c.costSeconds = unobservedReplicaCost + rate*lastReplicaCost
 		if t.running+t.waiting > 0 {
-			c.costSeconds += busyReplicaCost + 10*float64(t.waiting)
+			c.costSeconds += busyReplicaCost + waitingRequestCost*float64(t.waiting)
 		}
 	case t.isOverloaded(now) || p.requiredReplicas(t, e) >= replicas:
 		c.costSeconds = busyReplicaCost + rate*lastReplicaCost/float64(replicas)
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -132,7 +132,7 @@
 		return
 	}
 	if previousOrder != nil {
-		p.storeLoads.recordFinish(now, *previousOrder, now.Sub(v.runningSince), p.modelConfig(v.server.Service, previousOrder.Model))
+		p.storeLoads.recordFinish(*previousOrder, now.Sub(v.runningSince), p.modelConfig(v.server.Service, previousOrder.Model))
 	}
 }
 
--- a/placement/startup_test.go
+++ b/placement/startup_test.go
@@ -85,7 +85,7 @@
 		for i := range concurrent {
 			s.recordStart(start, domain.ServerID(rune('a'+i)), "m0")
 		}
-		s.recordFinish(start, Order{Operation: Load, Server: fleet.Server{ID: "a"}, Model: "m0", tier: fleet.InStore}, duration, m)
+		s.recordFinish(Order{Operation: Load, Server: fleet.Server{ID: "a"}, Model: "m0", tier: fleet.InStore}, duration, m)
 	}
 	finish(1, 10*time.Second)
 	if got, want := s.concurrencyLimit(), 2; got != want {
--- a/quota/allowance.go
+++ b/quota/allowance.go
@@ -14,7 +14,7 @@
 	// certainMargin is the part of the capacity by which even the highest possible level must miss an
 	// amount for a node to refuse it without asking: levels change by up to levelStep unreported.
 	certainMargin = 0.12
-	// creditTime is how long after the owner's last news a node admits one request of a workspace on
+	// creditTime is how long after the owner's last update a node admits one request of a workspace on
 	// credit if the use was calm by these news. Where shares are much less than one request, nearly
 	// all requests would else fail as soon as the owner is lost. With 1.5 s, and without the factor of
 	// chance, a use of 8 times the usual exceeded the bound.
@@ -49,16 +49,16 @@
 type share struct {
 	limit    Limit
 	capacity float64
-	// pool is the level of the bucket of all nodes by the owner's last news at poolAt.
+	// pool is the level of the bucket of all nodes by the owner's last update at poolAt.
 	pool   float64
 	poolAt time.Duration
 	// free and calm are those of Level.
 	free, calm bool
 	// isKnown is set once the owner has told the level.
 	isKnown bool
-	// used and refunded are not reported yet. freeUsed is what the owner's news cannot include.
+	// used and refunded are not reported yet. freeUsed is what the owner's updates cannot include.
 	used, refunded, freeUsed float64
-	// hadCredit is set if a request was admitted on credit since the owner's last news.
+	// hadCredit is set if a request was admitted on credit since the owner's last update.
 	hadCredit bool
 	asks      []Ask
 	// own is the node's own share of the bucket at ownAt, while it decides by it.
@@ -75,8 +75,8 @@
 
 	shares map[domain.WorkspaceName]*share
 	// nodes is the number of nodes that share the buckets; 0 if this node has never heard it.
-	nodes  int
-	newsAt time.Duration
+	nodes     int
+	updatedAt time.Duration
 	// followsOwner is set while the owner decides. Otherwise the node decides by its own shares.
 	followsOwner bool
 	// mustJoin is set if the next report hands the own shares back. hasJoined is set after that
@@ -112,7 +112,7 @@
 	a.shares = shares
 }
 
-// Nodes returns the number of nodes that share the buckets by the latest news; 0 if it is unknown.
+// Nodes returns the number of nodes that share the buckets by the latest update; 0 if it is unknown.
 func (a *Allowance) Nodes() int { return a.nodes }
 
 // FollowsOwner reports whether the owner decides, and not this node's own shares.
@@ -181,9 +181,9 @@
 }
 
 // takeCredit reports whether a request is admitted on credit, and uses the credit up: the use must
-// have been calm by the owner's latest news, and the request be the first since then.
+// have been calm by the owner's latest update, and the request be the first since then.
 func (a *Allowance) takeCredit(now time.Duration, s *share, amount float64) bool {
-	if !s.calm || s.hadCredit || s.freeUsed > 0 || now-a.newsAt > creditTime || s.pool < amount {
+	if !s.calm || s.hadCredit || s.freeUsed > 0 || now-a.updatedAt > creditTime || s.pool < amount {
 		return false
 	}
 	s.hadCredit = true
@@ -232,7 +232,7 @@
 	s.own = min(s.capacity/nodes, s.own+s.limit.Rate/nodes*elapsed.Seconds())
 }
 
-// ownShare returns the node's share of the bucket by the owner's news, less what the owner does not
+// ownShare returns the node's share of the bucket by the owner's updates, less what the owner does not
 // know yet.
 func (a *Allowance) ownShare(s *share) float64 {
 	return min(s.pool, s.capacity)/float64(a.nodes) - s.freeUsed
@@ -290,10 +290,10 @@
 	return false
 }
 
-// expire makes the node decide by its own shares if the owner's news are too old.
+// expire makes the node decide by its own shares if the owner's updates are too old.
 func (a *Allowance) expire(now time.Duration) {
-	if a.followsOwner && now-a.newsAt > NewsLifetime {
-		a.leave(a.newsAt)
+	if a.followsOwner && now-a.updatedAt > UpdateLifetime {
+		a.leave(a.updatedAt)
 	}
 }
 
@@ -331,10 +331,10 @@
 	a.mustJoin, a.isUrgent = true, true
 }
 
-// Apply applies the owner's news of levels. The answers are the caller's to deliver.
-func (a *Allowance) Apply(now time.Duration, n News) {
+// Apply applies the owner's updates of levels. The answers are the caller's to deliver.
+func (a *Allowance) Apply(now time.Duration, n Update) {
 	a.expire(now)
-	if n.Rejoins && a.followsOwner && !a.mustJoin && now-a.joinedAt > NewsLifetime {
+	if n.Rejoins && a.followsOwner && !a.mustJoin && now-a.joinedAt > UpdateLifetime {
 		a.leave(now)
 		a.followsOwner, a.mustJoin, a.isUrgent = true, true, true
 	}
@@ -345,7 +345,7 @@
 		a.followsOwner, a.mustJoin = true, a.mustJoin || !a.hasJoined
 		a.isUrgent = a.isUrgent || a.mustJoin
 	}
-	a.nodes, a.newsAt = n.Nodes, now
+	a.nodes, a.updatedAt = n.Nodes, now
 	if len(n.Answers) == 0 {
 		for _, s := range a.shares {
 			// A level that is not in the news has not changed much.
--- a/quota/allowance_test.go
+++ b/quota/allowance_test.go
@@ -13,7 +13,7 @@
 	a.Link(0)
 	a.Uses(0)
 	level.Workspace = "w"
-	a.Apply(0, News{Nodes: 10, Levels: []Level{level}})
+	a.Apply(0, Update{Nodes: 10, Levels: []Level{level}})
 	return a
 }
 
@@ -52,11 +52,11 @@
 	}
 }
 
-// Guards against a permission to admit freely that outlives the owner's news: a node that is cut off,
+// Guards against a permission to admit freely that outlives the owner's updates: a node that is cut off,
 // or whose VM was suspended, decides by its share of the last level.
 func TestPermissionExpires(t *testing.T) {
 	a := newTestAllowance(Level{Amount: testRate, Free: true})
-	now := NewsLifetime + time.Millisecond
+	now := UpdateLifetime + time.Millisecond
 	if d, _, _ := a.Take(now, "w", 100); d != AdmittedByShare {
 		t.Errorf("got %v for a request within the share, want AdmittedByShare", d)
 	}
@@ -78,7 +78,7 @@
 	if wait < time.Second || wait > 4*time.Second {
 		t.Errorf("got %v to try again, want the time in which the bucket has room", wait)
 	}
-	a.Apply(wait, News{Nodes: 10, Levels: []Level{{Workspace: "w", Amount: 490}}})
+	a.Apply(wait, Update{Nodes: 10, Levels: []Level{{Workspace: "w", Amount: 490}}})
 	if d, _, _ := a.Take(wait, "w", 500); d != Asked {
 		t.Errorf("got %v when the bucket nearly has room, want Asked", d)
 	}
@@ -100,7 +100,7 @@
 			a.Withdraw(id)
 		}
 		// The news of the answer bring the node back to its owner after the suspension.
-		a.Apply(late.at, News{Nodes: 10})
+		a.Apply(late.at, Update{Nodes: 10})
 		if a.Answer(late.at, Answer{ID: id, Granted: true}) {
 			t.Errorf("%s: the late grant was used", name)
 		}
@@ -126,7 +126,7 @@
 	if !r.Joins || len(r.Uses) != 1 || r.Uses[0].Share != testRate/10 {
 		t.Errorf("got %+v, want a share of %v", r, testRate/10)
 	}
-	a.Apply(0, News{Nodes: 10})
+	a.Apply(0, Update{Nodes: 10})
 	if r := a.Uses(0); r.Joins {
 		t.Errorf("got %+v, want no second share", r)
 	}
@@ -164,8 +164,8 @@
 
 // Guards against updates that are joined for a slow node and lose a level or an answer.
 func TestNewsAreMerged(t *testing.T) {
-	first := News{Nodes: 3, Levels: []Level{{Workspace: "a", Amount: 1}, {Workspace: "b", Amount: 2}}, Answers: []Answer{{ID: 1}}}
-	second := News{Levels: []Level{{Workspace: "a", Amount: 5, Free: true}}, Answers: []Answer{{ID: 2, Granted: true}}, Rejoins: true}
+	first := Update{Nodes: 3, Levels: []Level{{Workspace: "a", Amount: 1}, {Workspace: "b", Amount: 2}}, Answers: []Answer{{ID: 1}}}
+	second := Update{Levels: []Level{{Workspace: "a", Amount: 5, Free: true}}, Answers: []Answer{{ID: 2, Granted: true}}, Rejoins: true}
 	got := first.FollowedBy(second)
 	if got.Nodes != 3 || len(got.Levels) != 2 || got.Levels[0].Amount != 5 || !got.Levels[0].Free || len(got.Answers) != 2 || !got.Rejoins {
 		t.Errorf("got %+v", got)
--- a/quota/benchmark_test.go
+++ b/quota/benchmark_test.go
@@ -15,7 +15,7 @@
 		now += 100 * time.Microsecond
 		id := s.nodes[i%940].id
 		s.ledger.Reply(now, id, r, s.ledger.Record(now, id, r))
-		s.ledger.News(now)
+		s.ledger.Update(now)
 	}
 }
 
@@ -23,7 +23,7 @@
 func BenchmarkTake(b *testing.B) {
 	s := newSimulation(1, 940, siteLimits())
 	a := s.nodes[1].allowance
-	a.Apply(s.now, News{Nodes: 940, Levels: []Level{{Workspace: "workspace-00", Amount: 1e12, Free: true}}})
+	a.Apply(s.now, Update{Nodes: 940, Levels: []Level{{Workspace: "workspace-00", Amount: 1e12, Free: true}}})
 	for range b.N {
 		a.Take(s.now, "workspace-00", 0.1)
 	}
--- a/quota/failures_sim_test.go
+++ b/quota/failures_sim_test.go
@@ -50,7 +50,7 @@
 	n.allowance.Link(s.now)
 	n.isLinked = true
 	s.report(n)
-	s.sendNews(n, s.ledger.AllNews(s.now))
+	s.sendNews(n, s.ledger.FullUpdate(s.now))
 }
 
 // cut cuts some nodes off for a time, first to first+count-1. Neither end notices at once.
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -168,7 +168,8 @@
 	}
 }
 
-// release takes the share of a linked node, or of the debt, out of the pools.
+// release marks a linked node as lost and removes its share from each pool. If the level is negative,
+// the node takes its part of the debt.
 func (l *Ledger) release(now time.Duration, m *member) {
 	if !m.isLinked {
 		return
@@ -241,14 +242,14 @@
 	}
 }
 
-// News returns what all nodes have to be told now, if anything. It is due after each NewsInterval,
+// Update returns what all nodes have to be told now, if anything. It is due after each UpdateInterval,
 // and at once after a change between free admission and asking.
-func (l *Ledger) News(now time.Duration) News {
-	if len(l.pools) == 0 || !l.modeChanged && now-l.sentAt < NewsInterval {
-		return News{}
+func (l *Ledger) Update(now time.Duration) Update {
+	if len(l.pools) == 0 || !l.modeChanged && now-l.sentAt < UpdateInterval {
+		return Update{}
 	}
 	part := l.part()
-	n := News{Nodes: l.Nodes()}
+	n := Update{Nodes: l.Nodes()}
 	for _, p := range l.pools {
 		p.refill(now, part)
 		if state := p.state(now, part); p.mustSend(state) {
@@ -261,13 +262,13 @@
 	return n
 }
 
-// AllNews returns all levels, for a node that has just linked.
-func (l *Ledger) AllNews(now time.Duration) News {
+// FullUpdate returns all levels, for a node that has just linked.
+func (l *Ledger) FullUpdate(now time.Duration) Update {
 	if len(l.pools) == 0 {
-		return News{}
+		return Update{}
 	}
 	part := l.part()
-	n := News{Nodes: l.Nodes()}
+	n := Update{Nodes: l.Nodes()}
 	for _, p := range l.pools {
 		p.refill(now, part)
 		n.Levels = append(n.Levels, p.state(now, part))
@@ -283,9 +284,9 @@
 
 // Reply returns the news that answer a node's report, with the levels of the workspaces for which it
 // asks.
-func (l *Ledger) Reply(now time.Duration, node domain.NodeID, r Report, answers []Answer) News {
+func (l *Ledger) Reply(now time.Duration, node domain.NodeID, r Report, answers []Answer) Update {
 	m := l.members[node]
-	n := News{Answers: answers, Rejoins: m != nil && !m.isLinked}
+	n := Update{Answers: answers, Rejoins: m != nil && !m.isLinked}
 	if len(answers) == 0 {
 		return n
 	}
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -33,15 +33,18 @@
 
 // pool is the part of a workspace's bucket that belongs to the linked nodes.
 type pool struct {
-	limit    Limit
-	terms    Terms
-	capacity float64
-	level    float64
-	at       time.Duration
+	limit Limit
+	terms Terms
+	// capacity is the size of the bucket of all nodes, level the content of the linked nodes' part at
+	// the time at; both are in the unit of the quota. A negative level is a debt.
+	capacity, level float64
+	at              time.Duration
+	// free means that nodes may admit without asking; askSince is when they last began to ask.
 	free     bool
 	askSince time.Duration
-	largest  float64
-	history  history
+	// largest is the largest recent request; it halves each largestHalfLife.
+	largest float64
+	history history
 	// knownFrom is from when the history holds the whole window.
 	knownFrom time.Duration
 	// sent is the level that the nodes were told last; isSent is false before that.
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -17,11 +17,11 @@
 )
 
 const (
-	// NewsInterval is how often the owner sends news to all nodes.
-	NewsInterval = 400 * time.Millisecond
-	// NewsLifetime is how long a node relies on the owner's last news. It covers one lost interval
+	// UpdateInterval is how often the owner sends news to all nodes.
+	UpdateInterval = 400 * time.Millisecond
+	// UpdateLifetime is how long a node relies on the owner's last update. It covers one lost interval
 	// and a busy owner.
-	NewsLifetime = time.Second
+	UpdateLifetime = time.Second
 	// GrantLifetime is how long after it was asked for a granted amount may be used.
 	GrantLifetime = 2 * time.Second
 	// ReportBatchDelay is how long an urgent report is held back to include further requests.
@@ -124,8 +124,8 @@
 	RetryAfter time.Duration
 }
 
-// News is what the owner tells a node. The zero News tells nothing.
-type News struct {
+// Update is what the owner tells a node. The zero Update tells nothing.
+type Update struct {
 	// Nodes is the number of nodes that share the buckets; 0 if the owner tells nothing of the
 	// levels.
 	Nodes int
@@ -138,16 +138,16 @@
 }
 
 // IsEmpty reports whether the news tell nothing.
-func (n News) IsEmpty() bool {
+func (n Update) IsEmpty() bool {
 	return n.Nodes == 0 && len(n.Levels) == 0 && len(n.Answers) == 0 && !n.Rejoins
 }
 
 // FollowedBy returns the news with the effect of n and then of next.
-func (n News) FollowedBy(next News) News {
+func (n Update) FollowedBy(next Update) Update {
 	if n.IsEmpty() {
 		return next
 	}
-	merged := News{Nodes: n.Nodes, Rejoins: n.Rejoins || next.Rejoins, Answers: append(append([]Answer(nil), n.Answers...), next.Answers...)}
+	merged := Update{Nodes: n.Nodes, Rejoins: n.Rejoins || next.Rejoins, Answers: append(append([]Answer(nil), n.Answers...), next.Answers...)}
 	if next.Nodes > 0 {
 		merged.Nodes = next.Nodes
 	}
--- a/quota/simulation_test.go
+++ b/quota/simulation_test.go
@@ -115,7 +115,7 @@
 		p.level, p.knownFrom, p.askSince = p.capacity, 0, 0
 	}
 	for _, n := range s.nodes {
-		n.allowance.Apply(s.now, s.ledger.AllNews(s.now))
+		n.allowance.Apply(s.now, s.ledger.FullUpdate(s.now))
 		n.allowance.Uses(s.now)
 	}
 	s.after(0, s.cycle)
@@ -170,7 +170,7 @@
 }
 
 func (s *simulation) broadcast() {
-	news := s.ledger.News(s.now)
+	news := s.ledger.Update(s.now)
 	if news.IsEmpty() {
 		return
 	}
@@ -186,14 +186,14 @@
 	return time.Millisecond + time.Duration(s.Float64()*float64(14*time.Millisecond))
 }
 
-func (s *simulation) sendNews(n *simNode, news News) {
+func (s *simulation) sendNews(n *simNode, news Update) {
 	ledger := s.ledger
 	n.bytes += simMessageBytes + simEntryBytes*(len(news.Levels)+len(news.Answers))
 	n.fromOwner = max(n.fromOwner, s.now+s.delay())
 	s.after(n.fromOwner-s.now, func() { s.receiveNews(n, ledger, news) })
 }
 
-func (s *simulation) receiveNews(n *simNode, from *Ledger, news News) {
+func (s *simulation) receiveNews(n *simNode, from *Ledger, news Update) {
 	if !n.isLinked || n.isCut || from != s.ledger {
 		return
 	}
--- a/serverload/estimate.go
+++ b/serverload/estimate.go
@@ -171,6 +171,10 @@
 	if d.first.isSet && c.Rank < d.first.Rank {
 		*d = Draw{}
 	}
+	if d.first.isSet && c.Index == d.first.Index || d.second.isSet && c.Index == d.second.Index {
+		// Of many candidates, one may be considered twice.
+		return
+	}
 	// The two lowest of such keys are a weighted draw without replacement.
 	next := drawn{Candidate: *c, isSet: true, key: -math.Log(1-random) / c.Weight}
 	switch {
--- a/serverload/own.go
+++ b/serverload/own.go
@@ -26,8 +26,8 @@
 	o.set(now, o.count+1)
 }
 
-// end removes one attempt. The sum of the tokens starts anew when no attempt is left, so that the
-// rounding of unknown sizes does not add up.
+// end removes one attempt. The sum of the tokens starts anew when no attempt is left: the mean size
+// that stands for an unknown one may differ between Send and End.
 func (o *ownAttempts) end(now time.Time, tokens float64) {
 	o.set(now, max(0, o.count-1))
 	o.tokens = max(0, o.tokens-tokens)
--- a/serverload/prefix.go
+++ b/serverload/prefix.go
@@ -33,8 +33,8 @@
 // hundred of them cached, so that 32 bits suffice.
 type PrefixHash uint32
 
-// Prefix is the beginning of a prompt up to the end of one of its parts, which has the given number
-// of tokens.
+// Prefix is the beginning of a prompt up to the end of one of its parts. Hash covers all parts up to
+// there; Tokens is the size of that last part alone.
 type Prefix struct {
 	Hash   PrefixHash
 	Tokens domain.Tokens
