--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -118,7 +118,6 @@
 		s.deliver(ctx, arrival{kind: noResponse, attempt: a, err: e})
 		return
 	}
-	response.Load = s.dispatcher.withPace(response.Load)
 	if response.Refusal != NotRefused || !response.Verified {
 		discard(response)
 		s.deliver(ctx, arrival{kind: discardedResponse, attempt: a, response: response})
--- a/dispatch/loads.go
+++ b/dispatch/loads.go
@@ -176,19 +176,6 @@
 	draw.Consider(&serverload.Candidate{Index: index, Rank: rank, Weight: weight, Estimate: e, Cached: cached, MayPreferCache: state.MayPreferCache(r), HomeOrder: r.Prefixes.HomeOrder(serverload.KeyOf(s))}, rand.Float64())
 }
 
-// withPace returns a reported load with the usual pace if its server reports none and the
-// configuration has workspaces: their callers compete for the servers, so that the nodes need to share
-// the loads also where the pace is not known.
-func (d *Dispatcher) withPace(l Load) Load {
-	if !l.Known || l.Pace > 0 || d.Views == nil {
-		return l
-	}
-	if config := d.Views.Get().Config; config != nil && config.HasWorkspaces() {
-		l.Pace = 1
-	}
-	return l
-}
-
 // recordReport records the load that a server reported. The caller holds mu.
 func (c *chooser) recordReport(now time.Time, s *fleet.Server, reported Load) {
 	if reported.Known {
--- a/dispatch/roomgrant.go
+++ b/dispatch/roomgrant.go
@@ -148,9 +148,8 @@
 }
 
 // recordRoomResponse records what a response says of the load of its server. Requests compete for room
-// only at services whose servers report their pace, and where the configuration has workspaces (see
-// withPace): other loads are not shared by the nodes, and one node alone does not know how full the
-// servers are.
+// only at services whose servers report their pace: the loads of others are not shared by the nodes,
+// and one node alone does not know how full their servers are.
 func (s *session) recordRoomResponse(now time.Time, server domain.ServerID, r *Response) {
 	if r.Load.Known && r.Load.Pace > 0 {
 		s.dispatcher.rooms.recordReport(now, s.request.Service, &s.dispatcher.chooser)
