--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -39,7 +39,7 @@
 		record, err = os.Create(path)
 		check(err)
 	}
-	cases := map[string]func(string) bool{"budget": budget, "lost": lost, "limit": limit, "drain": drain}
+	cases := map[string]func(string) bool{"budget": budget, "lost": lost, "limit": limit, "drain": drain, "sessions": sessions}
 	play, ok := cases[os.Args[len(os.Args)-1]]
 	if !ok {
 		tell("usage: review2 CASE")
