--- a/commands/callerlimits.go
+++ b/commands/callerlimits.go
@@ -17,11 +17,13 @@
 	idleConnectionTimeout = 2 * time.Minute
 	maximumHeaderBytes    = 64 << 10
 	// connectionMemoryShare is the fraction of the VM's memory that the connections of callers may
-	// take, and connectionCost what one takes at most beside the bounded memory of heads and
-	// messages. Measured with 600 connections: 5 KB if idle, 15 KB with a request that waits for
-	// its body, 73 KB with 59 KB of a body, of which the first 64 KiB are not bounded otherwise.
+	// take, and connectionCost what one takes at most in this process, beside the bounded memory of
+	// heads and messages: 5 KB if idle, 15 KB with a request that waits for its body, 73 KB with
+	// 59 KB of a body, of which the first 64 KiB are not bounded otherwise.
 	connectionMemoryShare = 0.35
 	connectionCost        = 80 * domain.Kibibyte
+	// The bounds of the sizes of buffers, in KiB. Smaller ones would hold back ordinary heads.
+	minimumBufferKiB, maximumBufferKiB = 4, 4096
 	// reservedFiles is the number of descriptors that are not for connections of callers and
 	// servers: the store, other nodes, listeners and files.
 	reservedFiles = 200
@@ -37,6 +39,8 @@
 type CallerLimits struct {
 	CallerConnections int     `default:"0" help:"Most open connections of callers; 0 derives it from the VM's memory and descriptors."`
 	HeadMemoryPercent float64 `default:"12" help:"Share of the VM's memory, in percent, for the heads of requests that arrive or run; 0 means no limit."`
+	ReceiveBuffer     int     `name:"receive-buffer-kib" default:"32" help:"Receive buffer of each accepted connection, in KiB; up to twice as much waits there to be read."`
+	Unsent            int     `name:"unsent-kib" default:"32" help:"Most bytes of responses that wait to be sent on each accepted connection, in KiB."`
 }
 
 // Validate implements the check of kong.
@@ -44,26 +48,37 @@
 	if l.CallerConnections < 0 || !(l.HeadMemoryPercent >= 0 && l.HeadMemoryPercent <= 100) {
 		return &UsageError{Err: errors.New("--caller-connections must not be negative, and --head-memory-percent must be between 0 and 100")}
 	}
+	for _, size := range []int{l.ReceiveBuffer, l.Unsent} {
+		if size < minimumBufferKiB || size > maximumBufferKiB {
+			return &UsageError{Err: errors.Errorf("--receive-buffer-kib and --unsent-kib must be between %d and %d", minimumBufferKiB, maximumBufferKiB)}
+		}
+	}
 	return nil
 }
 
+// socketBuffers returns the bounds of what the kernel holds for each accepted connection.
+func (l CallerLimits) socketBuffers() platform.SocketBuffers {
+	return platform.SocketBuffers{Receive: domain.Bytes(l.ReceiveBuffer) * domain.Kibibyte, Unsent: domain.Bytes(l.Unsent) * domain.Kibibyte}
+}
+
 // serverLimits returns the limits of the server for callers. openFiles is the limit of the
 // operating system, 0 if it is unknown.
 func (l CallerLimits) serverLimits(s platform.Settings, openFiles int) platform.ServerLimits {
 	connections := l.CallerConnections
 	if connections == 0 {
-		connections = defaultConnections(s, openFiles)
+		connections = defaultConnections(s, openFiles, l.socketBuffers())
 	}
 	return platform.ServerLimits{
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleConnectionTimeout, HeaderBytes: maximumHeaderBytes,
 		Connections: connections, HeadMemory: domain.Bytes(float64(s.Memory) * l.HeadMemoryPercent * fractionPerPercent),
+		ReceiveBuffer: l.socketBuffers().Receive,
 	}
 }
 
 // defaultConnections returns how many connections of callers the memory and the descriptors of the
-// VM allow.
-func defaultConnections(s platform.Settings, openFiles int) int {
-	connections := int(connectionMemoryShare * float64(s.Memory) / float64(connectionCost))
+// VM allow. Bytes that the kernel has received count like those of the process.
+func defaultConnections(s platform.Settings, openFiles int, b platform.SocketBuffers) int {
+	connections := int(connectionMemoryShare * float64(s.Memory) / float64(connectionCost+b.MaximumUnread()))
 	files := openFiles
 	if s.Files > 0 && (files == 0 || s.Files < files) {
 		files = s.Files
--- a/commands/front.go
+++ b/commands/front.go
@@ -110,7 +110,7 @@
 	logger := zerolog.New(out).Level(level).With().Timestamp().Str("Node", s.Node).Logger()
 	redirectStandardLog(logger)
 	node := newFrontNode(s, logger)
-	node.callerLimits = c.serverLimits(s, openFilesLimit())
+	node.callerLimits, node.socketBuffers = c.serverLimits(s, openFilesLimit()), c.socketBuffers()
 	return node.run(path, net.JoinHostPort(s.IP, strconv.Itoa(c.MetricsPort)))
 }
 
@@ -130,6 +130,8 @@
 	metrics  *entry.Metrics
 	// callerLimits are those of the server for callers.
 	callerLimits platform.ServerLimits
+	// socketBuffers are those of the connections of all listeners.
+	socketBuffers platform.SocketBuffers
 	// cancelRequests cancels the callers' requests in flight.
 	cancelRequests context.CancelCauseFunc
 }
@@ -198,7 +200,7 @@
 	f.node.Loads = dispatcher
 	f.frontend = &platform.Frontend{
 		Dispatcher: dispatcher, Views: &f.node.Views, IsBehind: f.node.IsConfigurationBehind, Keys: f.node, LinkDelay: f.node.LinkDelay,
-		Logger: logger, Counters: f.metrics, ConnectionCounters: f.metrics,
+		Logger: logger, Counters: f.metrics, ConnectionCounters: f.metrics, UsageGauges: f.metrics,
 	}
 	f.frontend.Bodies.Size = messageMemory
 	return f
@@ -267,6 +269,7 @@
 	}
 	f.logger.Info().Str("Event", "Started").Str("CallerAddress", f.settings.CallerAddress).Str("Zone", string(f.settings.Zone)).
 		Bool("FirstStart", f.settings.FirstStart).Msg("node started")
+	go callerServer.WatchUsage(ctx)
 	done := make(chan error, 1)
 	go func() { done <- f.node.Run(ctx) }()
 	f.awaitTermination(path, reloads, terminations)
@@ -325,14 +328,14 @@
 		server  *http.Server
 		serve   func(net.Listener) error
 		address string
-		listen  func(context.Context, string) (net.Listener, error)
+		listen  func(context.Context, string, platform.SocketBuffers) (net.Listener, error)
 	}{
 		{callerServer.Server, callerServer.Serve, f.settings.CallerAddress, platform.ListenForCallers},
 		{readinessServer, readinessServer.Serve, f.settings.ReadyAddress, platform.Listen},
 		{peerServer, peerServer.Serve, hubAddress(f.node.Name), platform.Listen},
 		{metricsServer, metricsServer.Serve, metricsAddress, platform.Listen},
 	} {
-		listener, err := l.listen(ctx, l.address)
+		listener, err := l.listen(ctx, l.address, f.socketBuffers)
 		if err != nil {
 			return errors.Wrapf(err, "listen on %s", l.address)
 		}
--- a/commands/lategrace_test.go
+++ b/commands/lategrace_test.go
@@ -85,7 +85,7 @@
 	t.Helper()
 	n := &stoppingNode{server: &workServer{runs: map[string]bool{}}, exited: make(chan struct{})}
 	listen := func() net.Listener {
-		l, err := platform.ListenForCallers(t.Context(), "127.0.0.1:0")
+		l, err := platform.ListenForCallers(t.Context(), "127.0.0.1:0", platform.SocketBuffers{})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -127,6 +127,13 @@
 	m.scope.Tagged(map[string]string{"reason": reason.String()}).Counter("caller_connections_closed").Inc(1)
 }
 
+// SetConnectionUsage implements platform.UsageGauges.
+func (m *Metrics) SetConnectionUsage(listener string, open int, unread domain.Bytes) {
+	s := m.scope.Tagged(map[string]string{"listener": listener})
+	s.Gauge("connections_open").Update(float64(open))
+	s.Gauge("connections_unread_bytes").Update(float64(unread))
+}
+
 // CountWorkspaceRequest implements platform.FrontCounters.
 func (m *Metrics) CountWorkspaceRequest(w domain.WorkspaceName, outcome string) {
 	m.scope.Tagged(map[string]string{"workspace": m.workspaceLabel(w), "outcome": outcome}).Counter("workspace_requests").Inc(1)
