--- a/commands/front.go
+++ b/commands/front.go
@@ -277,7 +277,7 @@
 }
 
 // stop shuts the node down and ends its loops, whose end done delivers.
-func (f *frontNode) stop(callerServer *platform.CallerServer, cancelLoops context.CancelFunc, done <-chan error) error {
+func (f *frontNode) stop(callerServer *platform.BoundedServer, cancelLoops context.CancelFunc, done <-chan error) error {
 	endsAt := time.Now().Add(f.settings.GracePeriod - logMargin)
 	f.shutDown(callerServer)
 	cancelLoops()
@@ -320,7 +320,7 @@
 }
 
 // listen starts the servers for callers, the readiness probe, the other nodes and the metrics.
-func (f *frontNode) listen(ctx context.Context, callerServer *platform.CallerServer, metricsAddress string) error {
+func (f *frontNode) listen(ctx context.Context, callerServer *platform.BoundedServer, metricsAddress string) error {
 	peerServer := &http.Server{Handler: &f.node.Hub, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maximumHeaderBytes}
 	readinessServer := &http.Server{Handler: platform.ReadinessHandler(f.node.IsReady), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maximumHeaderBytes}
 	metricsServer := &http.Server{Handler: f.metrics.Handler(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maximumHeaderBytes}
@@ -374,7 +374,7 @@
 
 // shutDown drains the node: it reports not ready, stops accepting connections and waits for
 // the requests that arrive or run until the grace period is nearly over. Then it cancels the rest.
-func (f *frontNode) shutDown(callerServer *platform.CallerServer) {
+func (f *frontNode) shutDown(callerServer *platform.BoundedServer) {
 	start := time.Now()
 	f.logger.Info().Str("Event", "Stopping").Int("Running", f.frontend.Dispatcher.Running()).Msg("the node stops")
 	f.node.Drain()
@@ -394,7 +394,7 @@
 
 // awaitFinalResponses waits until the cancelled requests have sent their final response, for
 // finalResponseTime at most, and closes the connections that are left.
-func awaitFinalResponses(callerServer *platform.CallerServer) {
+func awaitFinalResponses(callerServer *platform.BoundedServer) {
 	ctx, cancel := context.WithTimeout(context.Background(), finalResponseTime)
 	defer cancel()
 	if callerServer.AwaitConnections(ctx) != nil {
--- a/commands/lategrace_test.go
+++ b/commands/lategrace_test.go
@@ -73,7 +73,7 @@
 // stoppingNode is a node with one backend server, without the platform's store.
 type stoppingNode struct {
 	front        *frontNode
-	callerServer *platform.CallerServer
+	callerServer *platform.BoundedServer
 	server       *workServer
 	address      string
 	// stoppedAt is when the shutdown began; exited is closed when it has ended.
