--- a/commands/callerlimits.go
+++ b/commands/callerlimits.go
@@ -33,14 +33,31 @@
 	// minimumCallerConnections is the least limit of callers' connections.
 	minimumCallerConnections = 32
 	fractionPerPercent       = 0.01
+	// monitorTimeout bounds a request of the readiness probe or for metrics, and its response.
+	monitorTimeout = 10 * time.Second
+	// monitorHeaderBytes bounds the head of such a request, and monitorHeadMemoryShare all of them,
+	// as a fraction of the VM's memory.
+	monitorHeaderBytes     = 8 << 10
+	monitorHeadMemoryShare = 0.01
 )
 
 // CallerLimits are the flags that bound what callers take of a node.
 type CallerLimits struct {
-	CallerConnections int     `default:"0" help:"Most open connections of callers; 0 derives it from the VM's memory and descriptors."`
-	HeadMemoryPercent float64 `default:"12" help:"Share of the VM's memory, in percent, for the heads of requests that arrive or run; 0 means no limit."`
-	ReceiveBuffer     int     `name:"receive-buffer-kib" default:"32" help:"Receive buffer of each accepted connection, in KiB; up to twice as much waits there to be read."`
-	Unsent            int     `name:"unsent-kib" default:"32" help:"Most bytes of responses that wait to be sent on each accepted connection, in KiB."`
+	CallerConnections  int     `default:"0" help:"Most open connections of callers; 0 derives it from the VM's memory and descriptors."`
+	HeadMemoryPercent  float64 `default:"12" help:"Share of the VM's memory, in percent, for the heads of requests that arrive or run; 0 means no limit."`
+	MonitorConnections int     `default:"16" help:"Most open connections for the readiness probe, and as many for the metrics."`
+	ReceiveBuffer      int     `name:"receive-buffer-kib" default:"32" help:"Receive buffer of each accepted connection, in KiB; up to twice as much waits there to be read."`
+	Unsent             int     `name:"unsent-kib" default:"32" help:"Most bytes of responses that wait to be sent on each accepted connection, in KiB."`
+}
+
+// monitorLimits returns the limits of the servers for the readiness probe and the metrics. What
+// watches this node has one connection or a few, so that the oldest one can go for a new one.
+func (l CallerLimits) monitorLimits(s platform.Settings) platform.ServerLimits {
+	return platform.ServerLimits{
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleConnectionTimeout, RequestTimeout: monitorTimeout, HeaderBytes: monitorHeaderBytes,
+		Connections: l.MonitorConnections, HeadMemory: domain.Bytes(float64(s.Memory) * monitorHeadMemoryShare),
+		ReceiveBuffer: l.socketBuffers().Receive, Disposable: true,
+	}
 }
 
 // Validate implements the check of kong.
@@ -48,6 +65,9 @@
 	if l.CallerConnections < 0 || !(l.HeadMemoryPercent >= 0 && l.HeadMemoryPercent <= 100) {
 		return &UsageError{Err: errors.New("--caller-connections must not be negative, and --head-memory-percent must be between 0 and 100")}
 	}
+	if l.MonitorConnections < 1 {
+		return &UsageError{Err: errors.New("--monitor-connections must be at least 1")}
+	}
 	for _, size := range []int{l.ReceiveBuffer, l.Unsent} {
 		if size < minimumBufferKiB || size > maximumBufferKiB {
 			return &UsageError{Err: errors.Errorf("--receive-buffer-kib and --unsent-kib must be between %d and %d", minimumBufferKiB, maximumBufferKiB)}
--- a/commands/callerlimits_test.go
+++ b/commands/callerlimits_test.go
@@ -41,11 +41,19 @@
 		t.Errorf("got %d connections and %d bytes of heads, want 7 and %d", l.Connections, l.HeadMemory, 50*domain.Mebibyte)
 	}
 	for _, wrong := range []CallerLimits{
-		{CallerConnections: -1, ReceiveBuffer: 32, Unsent: 32}, {HeadMemoryPercent: -1, ReceiveBuffer: 32, Unsent: 32}, {HeadMemoryPercent: 101, ReceiveBuffer: 32, Unsent: 32},
-		{ReceiveBuffer: 3, Unsent: 32}, {ReceiveBuffer: 32, Unsent: 3}, {ReceiveBuffer: 32, Unsent: 4097},
+		{CallerConnections: -1, MonitorConnections: 16, ReceiveBuffer: 32, Unsent: 32},
+		{HeadMemoryPercent: -1, MonitorConnections: 16, ReceiveBuffer: 32, Unsent: 32},
+		{HeadMemoryPercent: 101, MonitorConnections: 16, ReceiveBuffer: 32, Unsent: 32},
+		{MonitorConnections: 16, ReceiveBuffer: 3, Unsent: 32},
+		{MonitorConnections: 16, ReceiveBuffer: 32, Unsent: 3},
+		{MonitorConnections: 16, ReceiveBuffer: 32, Unsent: 4097},
+		{MonitorConnections: 0, ReceiveBuffer: 32, Unsent: 32},
 	} {
 		if wrong.Validate() == nil {
 			t.Errorf("got no error for %+v", wrong)
 		}
 	}
+	if err := (CallerLimits{MonitorConnections: 16, ReceiveBuffer: 32, Unsent: 32}).Validate(); err != nil {
+		t.Errorf("got %v for limits that can be used", err)
+	}
 }
--- a/commands/front.go
+++ b/commands/front.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"log"
 	"net"
-	"net/http"
 	"os"
 	"os/signal"
 	"runtime"
@@ -110,7 +109,7 @@
 	logger := zerolog.New(out).Level(level).With().Timestamp().Str("Node", s.Node).Logger()
 	redirectStandardLog(logger)
 	node := newFrontNode(s, logger)
-	node.callerLimits, node.socketBuffers = c.serverLimits(s, openFilesLimit()), c.socketBuffers()
+	node.callerLimits, node.monitorLimits, node.socketBuffers = c.serverLimits(s, openFilesLimit()), c.monitorLimits(s), c.socketBuffers()
 	return node.run(path, net.JoinHostPort(s.IP, strconv.Itoa(c.MetricsPort)))
 }
 
@@ -128,8 +127,9 @@
 	node     *entry.Node
 	frontend *platform.Frontend
 	metrics  *entry.Metrics
-	// callerLimits are those of the server for callers.
-	callerLimits platform.ServerLimits
+	// callerLimits are those of the server for callers, monitorLimits those of the servers for the
+	// readiness probe and the metrics.
+	callerLimits, monitorLimits platform.ServerLimits
 	// socketBuffers are those of the connections of all listeners.
 	socketBuffers platform.SocketBuffers
 	// cancelRequests cancels the callers' requests in flight.
@@ -200,7 +200,8 @@
 	f.node.Loads = dispatcher
 	f.frontend = &platform.Frontend{
 		Dispatcher: dispatcher, Views: &f.node.Views, IsBehind: f.node.IsConfigurationBehind, Keys: f.node, LinkDelay: f.node.LinkDelay,
-		Logger: logger, Counters: f.metrics, ConnectionCounters: f.metrics, UsageGauges: f.metrics,
+		Logger: logger, Counters: f.metrics,
+		Reports: f.connectionReports(f.metrics),
 	}
 	f.frontend.Bodies.Size = messageMemory
 	return f
@@ -269,7 +270,6 @@
 	}
 	f.logger.Info().Str("Event", "Started").Str("CallerAddress", f.settings.CallerAddress).Str("Zone", string(f.settings.Zone)).
 		Bool("FirstStart", f.settings.FirstStart).Msg("node started")
-	go callerServer.WatchUsage(ctx)
 	done := make(chan error, 1)
 	go func() { done <- f.node.Run(ctx) }()
 	f.awaitTermination(path, reloads, terminations)
@@ -319,46 +319,6 @@
 	}
 }
 
-// listen starts the servers for callers, the readiness probe, the other nodes and the metrics.
-func (f *frontNode) listen(ctx context.Context, callerServer *platform.BoundedServer, metricsAddress string) error {
-	peerServer := &http.Server{Handler: &f.node.Hub, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maximumHeaderBytes}
-	readinessServer := &http.Server{Handler: platform.ReadinessHandler(f.node.IsReady), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maximumHeaderBytes}
-	metricsServer := &http.Server{Handler: f.metrics.Handler(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maximumHeaderBytes}
-	for _, l := range []struct {
-		server  *http.Server
-		serve   func(net.Listener) error
-		address string
-		listen  func(context.Context, string, platform.SocketBuffers) (net.Listener, error)
-	}{
-		{callerServer.Server, callerServer.Serve, f.settings.CallerAddress, platform.ListenForCallers},
-		{readinessServer, readinessServer.Serve, f.settings.ReadyAddress, platform.Listen},
-		{peerServer, peerServer.Serve, hubAddress(f.node.Name), platform.Listen},
-		{metricsServer, metricsServer.Serve, metricsAddress, platform.Listen},
-	} {
-		listener, err := l.listen(ctx, l.address, f.socketBuffers)
-		if err != nil {
-			return errors.Wrapf(err, "listen on %s", l.address)
-		}
-		l.server.ErrorLog = f.errorLog(listener)
-		f.startServer(l.serve, listener)
-	}
-	return nil
-}
-
-// errorLog returns the logger for the errors of the HTTP server of a listener.
-func (f *frontNode) errorLog(l net.Listener) *log.Logger {
-	return log.New(f.logger.With().Str("Event", "HTTPServerError").Str("Address", l.Addr().String()).Logger(), "", 0)
-}
-
-// startServer serves the connections of a listener.
-func (f *frontNode) startServer(serve func(net.Listener) error, l net.Listener) {
-	go func() {
-		if err := serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			f.logger.Error().Str("Event", "ListenerFailed").Str("Address", l.Addr().String()).Err(err).Msg("listener failed")
-		}
-	}()
-}
-
 // reload checks the settings file again and logs whether an address changed. The running
 // node keeps the settings that it started with.
 func (f *frontNode) reload(path string) {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -127,6 +127,19 @@
 	m.scope.Tagged(map[string]string{"reason": reason.String()}).Counter("caller_connections_closed").Inc(1)
 }
 
+// ListenerCounters counts the connections of one listener that a limit closed.
+type ListenerCounters struct{ scope tally.Scope }
+
+// OfListener returns the counters of a listener that is not the one for callers.
+func (m *Metrics) OfListener(listener string) ListenerCounters {
+	return ListenerCounters{m.scope.Tagged(map[string]string{"listener": listener})}
+}
+
+// CountConnectionClosed implements platform.ConnectionCounters.
+func (c ListenerCounters) CountConnectionClosed(reason fmt.Stringer) {
+	c.scope.Tagged(map[string]string{"reason": reason.String()}).Counter("connections_closed").Inc(1)
+}
+
 // SetConnectionUsage implements platform.UsageGauges.
 func (m *Metrics) SetConnectionUsage(listener string, open int, unread domain.Bytes) {
 	s := m.scope.Tagged(map[string]string{"listener": listener})
