--- a/commands/front.go
+++ b/commands/front.go
@@ -84,7 +84,7 @@
 	LogLevel       string `default:"info" enum:"debug,info,warn,error" help:"Least severe lines to write."`
 	MetricsPort    int    `default:"9464" help:"Port of the metrics, on the VM's address."`
 	LinesPerSecond int    `default:"200" help:"Most log lines a second; what is left out is counted."`
-	CallerLimits
+	ListenerFlags
 }
 
 // Run runs the node until a termination signal.
@@ -109,7 +109,7 @@
 	logger := zerolog.New(out).Level(level).With().Timestamp().Str("Node", s.Node).Logger()
 	redirectStandardLog(logger)
 	node := newFrontNode(s, logger)
-	node.callerLimits, node.monitorLimits, node.socketBuffers = c.serverLimits(s, openFilesLimit()), c.monitorLimits(s), c.socketBuffers()
+	node.limits = c.listenerLimits(s, openFilesLimit())
 	return node.run(path, net.JoinHostPort(s.IP, strconv.Itoa(c.MetricsPort)))
 }
 
@@ -127,11 +127,7 @@
 	node     *entry.Node
 	frontend *platform.Frontend
 	metrics  *entry.Metrics
-	// callerLimits are those of the server for callers, monitorLimits those of the servers for the
-	// readiness probe and the metrics.
-	callerLimits, monitorLimits platform.ServerLimits
-	// socketBuffers are those of the connections of all listeners.
-	socketBuffers platform.SocketBuffers
+	limits   listenerLimits
 	// cancelRequests cancels the callers' requests in flight.
 	cancelRequests context.CancelCauseFunc
 }
@@ -264,12 +260,12 @@
 		cancelRequests(cause)
 		cancel()
 	}
-	callerServer := f.frontend.HTTPServer(requestsContext, f.callerLimits)
+	callerServer := f.frontend.HTTPServer(requestsContext, f.limits.callers)
 	if err := f.listen(ctx, callerServer, metricsAddress); err != nil {
 		return err
 	}
 	f.logger.Info().Str("Event", "Started").Str("CallerAddress", f.settings.CallerAddress).Str("Zone", string(f.settings.Zone)).
-		Bool("FirstStart", f.settings.FirstStart).Msg("node started")
+		Int("CallerConnections", f.limits.callers.Connections).Int("PeerConnections", f.limits.peers.Connections).Bool("FirstStart", f.settings.FirstStart).Msg("node started")
 	done := make(chan error, 1)
 	go func() { done <- f.node.Run(ctx) }()
 	f.awaitTermination(path, reloads, terminations)
--- a/commands/listeners.go
+++ b/commands/listeners.go
@@ -15,40 +15,45 @@
 const (
 	readinessListener = "Readiness"
 	metricsListener   = "Metrics"
+	peerListener      = "Peers"
 )
 
 // listen starts the servers for callers, the readiness probe, the other nodes and the metrics.
 func (f *frontNode) listen(ctx context.Context, callerServer *platform.BoundedServer, metricsAddress string) error {
-	peerServer := &http.Server{Handler: &f.node.Hub, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maximumHeaderBytes}
-	readinessServer := f.monitorServer(readinessListener, platform.ReadinessHandler(f.node.IsReady))
-	metricsServer := f.monitorServer(metricsListener, f.metrics.Handler())
-	for _, s := range []*platform.BoundedServer{callerServer, readinessServer, metricsServer} {
-		go s.WatchUsage(ctx)
-	}
+	readinessServer := f.newServer(readinessListener, platform.ReadinessHandler(f.node.IsReady), f.limits.monitors)
+	metricsServer := f.newServer(metricsListener, f.metrics.Handler(), f.limits.monitors)
 	for _, l := range []struct {
-		server  *http.Server
-		serve   func(net.Listener) error
+		server  *platform.BoundedServer
 		address string
 		listen  func(context.Context, string, platform.SocketBuffers) (net.Listener, error)
+		buffers platform.SocketBuffers
 	}{
-		{callerServer.Server, callerServer.Serve, f.settings.CallerAddress, platform.ListenForCallers},
-		{readinessServer.Server, readinessServer.Serve, f.settings.ReadyAddress, platform.Listen},
-		{peerServer, peerServer.Serve, hubAddress(f.node.Name), platform.Listen},
-		{metricsServer.Server, metricsServer.Serve, metricsAddress, platform.Listen},
+		{callerServer, f.settings.CallerAddress, platform.ListenForCallers, f.limits.callerBuffers},
+		{readinessServer, f.settings.ReadyAddress, platform.Listen, f.limits.nodeBuffers},
+		{f.peerServer(), hubAddress(f.node.Name), platform.Listen, f.limits.nodeBuffers},
+		{metricsServer, metricsAddress, platform.Listen, f.limits.nodeBuffers},
 	} {
-		listener, err := l.listen(ctx, l.address, f.socketBuffers)
+		listener, err := l.listen(ctx, l.address, l.buffers)
 		if err != nil {
 			return errors.Wrapf(err, "listen on %s", l.address)
 		}
 		l.server.ErrorLog = f.errorLog(listener)
-		f.startServer(l.serve, listener)
+		f.startServer(l.server.Serve, listener)
+		go l.server.WatchUsage(ctx)
 	}
 	return nil
 }
 
-// monitorServer returns a server for what watches this node.
-func (f *frontNode) monitorServer(listener string, h http.Handler) *platform.BoundedServer {
-	return platform.NewBoundedServer(listener, h, f.monitorLimits, f.connectionReports(f.metrics.OfListener(listener)))
+// peerServer returns the server for the other nodes. Until a node has sent a report, its link may be
+// closed for a new one.
+func (f *frontNode) peerServer() *platform.BoundedServer {
+	f.node.Hub.OnFirstReport = platform.KeepConnection
+	return f.newServer(peerListener, &f.node.Hub, f.limits.peers)
+}
+
+// newServer returns a server for a listener that is not the one for callers.
+func (f *frontNode) newServer(listener string, h http.Handler, l platform.ServerLimits) *platform.BoundedServer {
+	return platform.NewBoundedServer(listener, h, l, f.connectionReports(f.metrics.OfListener(listener)))
 }
 
 // connectionReports returns where a server reports what its limits do.
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -24,6 +24,9 @@
 	// OnInvalidReport is called when a node sends a report that cannot be decoded, which ends its
 	// link. The node is empty if it has sent no valid one. OnInvalidReport may be nil.
 	OnInvalidReport func(domain.NodeID, error)
+	// OnFirstReport is called with the context of the HTTP request of a link when the node at its
+	// other end has sent its first valid report. It may be nil.
+	OnFirstReport func(context.Context)
 	// AcceptsLinks reports whether this node is the owner now.
 	AcceptsLinks func() bool
 	// InitialUpdate calls start with the complete state, which a node receives as its first
@@ -102,7 +105,9 @@
 			s.reportInvalid(l, err)
 			return
 		}
-		s.setNode(l, report.Node)
+		if s.setNode(l, report.Node) && s.OnFirstReport != nil {
+			s.OnFirstReport(r.Context())
+		}
 		s.OnReport(report)
 	}
 }
@@ -122,10 +127,13 @@
 	delete(s.links, l)
 }
 
-func (s *Hub) setNode(l *nodeLink, n domain.NodeID) {
+// setNode records the node at the other end of a link. It reports whether it was not known before.
+func (s *Hub) setNode(l *nodeLink, n domain.NodeID) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	isFirst := l.node == ""
 	l.node = n
+	return isFirst
 }
 
 func (s *Hub) reportInvalid(l *nodeLink, err error) {
--- a/hub/hub_test.go
+++ b/hub/hub_test.go
@@ -136,6 +136,32 @@
 	}
 }
 
+// Guards against links of nobody that count as those of nodes.
+func TestFirstReportOfEachLinkIsTold(t *testing.T) {
+	h, address, reports, _ := startHub(t)
+	var firstReports atomic.Int64
+	h.OnFirstReport = func(context.Context) { firstReports.Add(1) }
+	for links := range int64(2) {
+		l, err := Dial(t.Context(), &net.Dialer{}, address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		if got := firstReports.Load(); got != links {
+			t.Errorf("got %d first reports before that of link %d, want %d", got, links, links)
+		}
+		for range 2 {
+			if err := l.Send(t.Context(), Report{Node: "n1"}); err != nil {
+				t.Fatal(err)
+			}
+			<-reports
+		}
+		if got := firstReports.Load(); got != links+1 {
+			t.Errorf("got %d first reports after those of link %d, want %d", got, links, links+1)
+		}
+	}
+}
+
 func TestOnlyTheOwnerAcceptsLinks(t *testing.T) {
 	_, address, _, owner := startHub(t)
 	owner.Store(false)
