--- a/buffers/buffer.go
+++ b/buffers/buffer.go
@@ -81,7 +81,7 @@
 }
 
 // ReadAll reads a message of at most limit bytes. The parameter declared is the length that its
-// sender has declared, 0 or less if it is unknown. Once the first FreeSize has arrived, ReadAll
+// sender has declared, 0 or less if it is unknown. Once the first Free size has arrived, ReadAll
 // waits until there is memory for all that the sender has declared, or for the next chunk. After
 // an error that is ErrFull, nothing that was read is lost: Parts returns the beginning of the
 // message, and the reader the rest. After ReadAll the message is not given up any more.
@@ -93,7 +93,7 @@
 	whole := domain.Bytes(max(0, declared)) + 1
 	capacity := firstCapacity
 	if declared > 0 {
-		capacity = min(whole, FreeSize)
+		capacity = min(whole, b.pool.free())
 	}
 	b.data = make([]byte, 0, capacity)
 	size := domain.Bytes(0)
@@ -128,15 +128,15 @@
 }
 
 // room returns the memory for the next part of the message. It takes more if there is none
-// left: all that a message of a known length needs once its first FreeSize has arrived, and a
+// left: all that a message of a known length needs once its first Free size has arrived, and a
 // chunk at a time for others.
 func (b *Buffer) room(ctx context.Context, whole, limit domain.Bytes) ([]byte, error) {
 	switch n, length := len(b.chunks), domain.Bytes(len(b.data)); {
 	case n > 0 && len(b.chunks[n-1]) < cap(b.chunks[n-1]):
 		last := b.chunks[n-1]
 		return last[len(last):cap(last)], nil
-	case n == 0 && length < FreeSize:
-		b.enlarge(FreeSize)
+	case n == 0 && length < b.pool.free():
+		b.enlarge(b.pool.free())
 		return b.data[length:cap(b.data)], nil
 	case n == 0 && length < whole:
 		if err := b.Reserve(ctx, whole); err != nil {
@@ -197,7 +197,7 @@
 	b.ending.Wait()
 }
 
-// Reserve makes the buffer take its size, beyond FreeSize, from the pool. The buffer must not
+// Reserve makes the buffer take its size, beyond the Free size, from the pool. The buffer must not
 // take more later, unless it has released this before. Reserve waits until there is room.
 func (b *Buffer) Reserve(ctx context.Context, size domain.Bytes) error {
 	return b.reserve(ctx, size, size)
@@ -205,8 +205,8 @@
 
 // reserve is Reserve for a buffer that may take more later, up to the size claim.
 func (b *Buffer) reserve(ctx context.Context, size, claim domain.Bytes) error {
-	b.setClaim(claim - FreeSize)
-	return b.pool.reserve(ctx, b, size-FreeSize)
+	b.setClaim(claim - b.pool.free())
+	return b.pool.reserve(ctx, b, size-b.pool.free())
 }
 
 func (b *Buffer) setClaim(claim domain.Bytes) {
@@ -219,7 +219,7 @@
 func (b *Buffer) Shrink(size domain.Bytes) {
 	b.pool.mu.Lock()
 	defer b.pool.mu.Unlock()
-	b.pool.shrink(b, max(0, size-FreeSize))
+	b.pool.shrink(b, max(0, size-b.pool.free()))
 }
 
 // Release returns what the buffer has taken to the pool. Further calls do nothing.
--- a/buffers/pool.go
+++ b/buffers/pool.go
@@ -20,8 +20,8 @@
 const (
 	// DefaultSize is the size of a Pool without one.
 	DefaultSize = 12 * domain.Mebibyte
-	// FreeSize is the size up to which a Buffer takes nothing from its Pool, so that short
-	// messages are read however full the Pool is.
+	// FreeSize is the size up to which a Buffer takes nothing from a Pool without a Free size, so
+	// that short messages are read however full the Pool is.
 	FreeSize = 64 * domain.Kibibyte
 	// stallTimeout is how long the sender of a message may be silent while the message holds
 	// memory that others wait for. A sound peer may be silent for a second or so.
@@ -48,8 +48,10 @@
 //
 // The zero Pool is ready for use. It is safe for concurrent use and must not be copied.
 type Pool struct {
-	// Size is the largest sum, without the first FreeSize of each buffer; 0 means DefaultSize.
+	// Size is the largest sum, without the first Free of each buffer; 0 means DefaultSize.
 	Size domain.Bytes
+	// Free is the size up to which a buffer takes nothing from the pool; 0 means FreeSize.
+	Free domain.Bytes
 
 	mu sync.Mutex
 	// used is what all buffers take.
@@ -89,6 +91,13 @@
 	return p.Size
 }
 
+func (p *Pool) free() domain.Bytes {
+	if p.Free == 0 {
+		return FreeSize
+	}
+	return p.Free
+}
+
 // reserve makes a buffer take its size from the pool, and waits for room. The wait ends with an
 // error after the Wait of the buffer and with the context.
 func (p *Pool) reserve(ctx context.Context, b *Buffer, size domain.Bytes) error {
--- a/commands/front.go
+++ b/commands/front.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/parsleylug/parsleylug/buffers"
 	"github.com/parsleylug/parsleylug/dispatch"
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/entry"
@@ -32,6 +33,10 @@
 	// messageMemoryShare is the fraction of the VM's memory that each kind of message may take
 	// that is held whole: requests, responses, and events with the reports of servers.
 	messageMemoryShare = 0.06
+	// reportMemoryShare is the same for the reports of other nodes, without the first
+	// freeReportSize of each.
+	reportMemoryShare = 0.03
+	freeReportSize    = 16 * domain.Kibibyte
 	// registrationReadsPerDrain is the number of reads of the registrations within the
 	// drain bound, the time after which a draining backend server must receive no more
 	// requests.
@@ -192,6 +197,7 @@
 	backend.Views = &f.node.Views
 	backend.OnNotice = f.node.RecordNotice
 	f.node.OnCrashReports = dispatcher.ApplyCrashReports
+	f.node.Hub.Reports = buffers.Pool{Size: domain.Bytes(float64(s.Memory) * reportMemoryShare), Free: freeReportSize}
 	f.node.Traits, f.node.Contents = dispatcher, dispatcher
 	f.node.Loads = dispatcher
 	f.frontend = &platform.Frontend{
--- a/commands/listenerlimits.go
+++ b/commands/listenerlimits.go
@@ -22,7 +22,7 @@
 	// nodeHeaderBytes bounds the head of such a request, and nodeHeadMemoryShare all of them on one
 	// port, as a fraction of the VM's memory.
 	nodeHeaderBytes     = 8 << 10
-	nodeHeadMemoryShare = 0.01
+	nodeHeadMemoryShare = 0.005
 	// nodeReceiveBuffer is the receive buffer of a connection to such a port. Requests and the
 	// reports of nodes are short.
 	nodeReceiveBuffer = 16 * domain.Kibibyte
--- a/commands/listenerlimits_test.go
+++ b/commands/listenerlimits_test.go
@@ -58,7 +58,7 @@
 			domain.Bytes(l.callers.Connections)*(callerConnectionCost+l.callerBuffers.MaximumUnread()) + l.callers.HeadMemory +
 			domain.Bytes(l.peers.Connections)*(peerConnectionCost+l.nodeBuffers.MaximumUnread()) + l.peers.HeadMemory +
 			2*(domain.Bytes(l.monitors.Connections)*(monitorCost+l.nodeBuffers.MaximumUnread())+l.monitors.HeadMemory) +
-			messageKinds*domain.Bytes(messageMemoryShare*float64(memory))
+			domain.Bytes((messageKinds*messageMemoryShare+reportMemoryShare)*float64(memory))
 		if taken > memory {
 			t.Errorf("got %d bytes for all that the limits allow, want at most %d", taken, memory)
 		}
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -228,7 +228,7 @@
 
 // logInvalidReport logs why the link to a node ends.
 func (n *Node) logInvalidReport(id domain.NodeID, err error) {
-	n.Logger.Warn().Str("Event", "ReportInvalid").Str("From", string(id)).Err(err).Msg("a node sent a report that cannot be decoded; its link ends")
+	n.Logger.Warn().Str("Event", "ReportInvalid").Str("From", string(id)).Err(err).Msg("a node sent a report that cannot be used; its link ends")
 }
 
 // countNodes returns the number of linked nodes and this one. It returns 0 for an
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -10,6 +10,7 @@
 	"github.com/coder/websocket"
 	"golang.org/x/time/rate"
 
+	"github.com/parsleylug/parsleylug/buffers"
 	"github.com/parsleylug/parsleylug/domain"
 )
 
@@ -21,12 +22,15 @@
 type Hub struct {
 	// OnReport is called with each report that a node sends.
 	OnReport func(Report)
-	// OnInvalidReport is called when a node sends a report that cannot be decoded, which ends its
-	// link. The node is empty if it has sent no valid one. OnInvalidReport may be nil.
+	// OnInvalidReport is called when a node sends a report that cannot be decoded, is too long or
+	// stops while others wait for its memory, which ends its link. The node is empty if it has sent
+	// no valid one. OnInvalidReport may be nil.
 	OnInvalidReport func(domain.NodeID, error)
 	// OnFirstReport is called with the context of the HTTP request of a link when the node at its
 	// other end has sent its first valid report. It may be nil.
 	OnFirstReport func(context.Context)
+	// Reports bounds the memory of the reports that arrive.
+	Reports buffers.Pool
 	// AcceptsLinks reports whether this node is the owner now.
 	AcceptsLinks func() bool
 	// InitialUpdate calls start with the complete state, which a node receives as its first
@@ -93,14 +97,11 @@
 	defer s.remove(l)
 	go s.sendUpdates(ctx, c, l)
 	for {
-		_, data, err := c.Read(ctx)
-		if errors.Is(err, websocket.ErrMessageTooBig) {
-			s.reportInvalid(l, err)
-		}
-		if err != nil {
+		report, err := s.receive(ctx, c, cancel)
+		var broken *linkError
+		if errors.As(err, &broken) {
 			return
 		}
-		report, err := decodeReport(data)
 		if err != nil {
 			s.reportInvalid(l, err)
 			return
@@ -112,6 +113,30 @@
 	}
 }
 
+// linkError is the end of a link, or of the context, while a report was awaited.
+type linkError struct{ cause error }
+
+func (e *linkError) Error() string { return e.cause.Error() }
+
+// receive waits for the next report and returns it. The error is a *linkError unless the report
+// cannot be decoded, is too long, or was given up for others, whereupon end is called.
+func (s *Hub) receive(ctx context.Context, c *websocket.Conn, end func()) (Report, error) {
+	_, r, err := c.Reader(ctx)
+	if err != nil {
+		return Report{}, &linkError{err}
+	}
+	b := s.Reports.NewBuffer(end)
+	defer b.Release()
+	err = b.ReadAll(ctx, r, maximumMessageBytes, 0)
+	switch {
+	case err == nil:
+		return decodeReport(b.Bytes())
+	case errors.Is(err, websocket.ErrMessageTooBig), errors.Is(err, buffers.ErrTooLong), errors.Is(err, buffers.ErrStalled):
+		return Report{}, err
+	}
+	return Report{}, &linkError{err}
+}
+
 func (s *Hub) add(l *nodeLink) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/hub/hub_test.go
+++ b/hub/hub_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/coder/websocket"
+
 	"github.com/parsleylug/parsleylug/domain"
 	"github.com/parsleylug/parsleylug/fleet"
 	"github.com/parsleylug/parsleylug/placement"
@@ -162,6 +164,44 @@
 	}
 }
 
+// Guards against reports without end that take the memory of the node.
+func TestReportsWithoutEndAreBoundedTogether(t *testing.T) {
+	h, address, reports, _ := startHub(t)
+	h.Reports.Size, h.Reports.Free = 256<<10, 16<<10
+	for range 8 {
+		l, err := Dial(t.Context(), &net.Dialer{}, address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		go func() {
+			// The hub stops to read when there is no memory left.
+			w, err := l.conn.Writer(t.Context(), websocket.MessageBinary)
+			for part := make([]byte, 16<<10); err == nil; {
+				_, err = w.Write(part)
+			}
+		}()
+	}
+	for h.Reports.Used() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	sound, err := Dial(t.Context(), &net.Dialer{}, address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer sound.Close()
+	if err := sound.Send(t.Context(), Report{Node: "sound"}); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-reports; got.Node != "sound" {
+		t.Errorf("got a report of %q, want one of sound", got.Node)
+	}
+	// One message may be larger than the pool, so that it can end.
+	if got := h.Reports.Used(); got > maximumMessageBytes+h.Reports.Size {
+		t.Errorf("got %d bytes of reports, want at most %d", got, maximumMessageBytes+h.Reports.Size)
+	}
+}
+
 func TestOnlyTheOwnerAcceptsLinks(t *testing.T) {
 	_, address, _, owner := startHub(t)
 	owner.Store(false)
