--- a/entry/leaseexpiry_test.go
+++ b/entry/leaseexpiry_test.go
@@ -60,6 +60,29 @@
 	})
 }
 
+// Guards against links of nobody that count as nodes: the shares of the retry budget of all nodes
+// fall with the largest number of nodes that an owner has told.
+func TestLinkWithoutReportIsNoNode(t *testing.T) {
+	run(t, true, func(n *Node, _ *fakePlatform, _ *clock) {
+		time.Sleep(linkGracePeriod + 2*time.Second)
+		link, end := linkTo(t, n)
+		time.Sleep(2 * time.Second)
+		if got, want := n.NodeCount(), 1; got != want {
+			t.Errorf("got %d nodes with a link of nobody, want %d", got, want)
+		}
+		if err := link.Send(context.Background(), hub.Report{Node: "n2"}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Second)
+		if got, want := n.NodeCount(), 2; got != want {
+			t.Errorf("got %d nodes after the report of one, want %d", got, want)
+		}
+		link.Close()
+		end()
+		time.Sleep(time.Minute)
+	})
+}
+
 // linkTo links to a node's hub in memory and receives the first update. The caller must call end.
 func linkTo(t *testing.T, n *Node) (l *hub.Link, end func()) {
 	t.Helper()
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -231,14 +231,15 @@
 	n.Logger.Warn().Str("Event", "ReportInvalid").Str("From", string(id)).Err(err).Msg("a node sent a report that cannot be used; its link ends")
 }
 
-// countNodes returns the number of linked nodes and this one. It returns 0 for an
-// unknown number if this node is not the owner, or became the owner within the
+// countNodes returns the number of linked nodes that have sent a report, and this one. A link
+// without a report may be nobody's, and nodes keep the largest number that they were told. It
+// returns 0 for an unknown number if this node is not the owner, or became the owner within the
 // last linkGracePeriod. The caller holds mu.
 func (n *Node) countNodes(now time.Time) int {
 	if n.fence == 0 || now.Sub(n.ownedSince) < linkGracePeriod {
 		return 0
 	}
-	return n.Hub.LinkCount() + selfCount
+	return len(n.Hub.Nodes()) + selfCount
 }
 
 // countCandidates returns the number of linked nodes that are no standbys, this one included.
