--- a/commands/listenerlimits.go
+++ b/commands/listenerlimits.go
@@ -31,7 +31,7 @@
 	// connections of callers and of other nodes may take. The heads, the messages and the process
 	// itself need the rest.
 	callerMemoryShare = 0.30
-	peerMemoryShare   = 0.15
+	peerMemoryShare   = 0.14
 	// callerConnectionCost is what a connection of a caller takes at most in this process, beside
 	// the bounded memory of heads and messages: 5 KB if idle, 15 KB with a request that waits for
 	// its body, 73 KB with 59 KB of a body, of which the first 64 KiB are not bounded otherwise.
@@ -47,7 +47,12 @@
 	peerFilesShare   = 0.15
 	// minimumConnections is the least limit that is derived from a VM.
 	minimumConnections = 32
-	fractionPerPercent = 0.01
+	// connectionsPerWaiting is the limit of connections for each one that may wait to be accepted,
+	// and minimumBacklog the least number of these: as many as come while a node stands still for a
+	// moment.
+	connectionsPerWaiting = 2
+	minimumBacklog        = 32
+	fractionPerPercent    = 0.01
 	// The bounds of the sizes of buffers, in KiB. Smaller ones would hold back ordinary heads.
 	minimumBufferKiB, maximumBufferKiB = 4, 4096
 )
@@ -106,11 +111,11 @@
 		ReceiveBuffer: limits.callerBuffers.Receive,
 	}
 	if l.CallerConnections == 0 {
-		limits.callers.Connections = connectionLimit(callerMemoryShare, s.Memory, callerConnectionCost+limits.callerBuffers.MaximumUnread(), callerFilesShare, files)
+		limits.callers.Connections = connectionLimit(callerMemoryShare, s.Memory, connectionCost(callerConnectionCost, limits.callerBuffers), callerFilesShare, files)
 	}
 	limits.peers = nodeLimits(s, l.PeerConnections)
 	if l.PeerConnections == 0 {
-		limits.peers.Connections = connectionLimit(peerMemoryShare, s.Memory, peerConnectionCost+limits.nodeBuffers.MaximumUnread(), peerFilesShare, files)
+		limits.peers.Connections = connectionLimit(peerMemoryShare, s.Memory, connectionCost(peerConnectionCost, limits.nodeBuffers), peerFilesShare, files)
 	}
 	limits.monitors = nodeLimits(s, l.MonitorConnections)
 	return limits
@@ -126,6 +131,17 @@
 	}
 }
 
+// backlog returns how many connections may wait to be accepted.
+func backlog(l platform.ServerLimits) int {
+	return max(minimumBacklog, l.Connections/connectionsPerWaiting)
+}
+
+// connectionCost returns what a connection takes at most: in the process, in the kernel, and for its
+// part of a place among those that wait to be accepted.
+func connectionCost(process domain.Bytes, b platform.SocketBuffers) domain.Bytes {
+	return process + b.MaximumUnread() + b.MaximumUnread()/connectionsPerWaiting
+}
+
 // connectionLimit returns how many connections of the given cost fit into a share of the memory and
 // a share of the descriptors that are not reserved; files is 0 if their number is unknown.
 func connectionLimit(memoryShare float64, memory, cost domain.Bytes, filesShare float64, files int) int {
--- a/commands/listeners.go
+++ b/commands/listeners.go
@@ -27,12 +27,14 @@
 		address string
 		listen  func(context.Context, string, platform.SocketBuffers) (net.Listener, error)
 		buffers platform.SocketBuffers
+		limits  platform.ServerLimits
 	}{
-		{callerServer, f.settings.CallerAddress, platform.ListenForCallers, f.limits.callerBuffers},
-		{readinessServer, f.settings.ReadyAddress, platform.Listen, f.limits.nodeBuffers},
-		{f.peerServer(), hubAddress(f.node.Name), platform.Listen, f.limits.nodeBuffers},
-		{metricsServer, metricsAddress, platform.Listen, f.limits.nodeBuffers},
+		{callerServer, f.settings.CallerAddress, platform.ListenForCallers, f.limits.callerBuffers, f.limits.callers},
+		{readinessServer, f.settings.ReadyAddress, platform.Listen, f.limits.nodeBuffers, f.limits.monitors},
+		{f.peerServer(), hubAddress(f.node.Name), platform.Listen, f.limits.nodeBuffers, f.limits.peers},
+		{metricsServer, metricsAddress, platform.Listen, f.limits.nodeBuffers, f.limits.monitors},
 	} {
+		l.buffers.Backlog = backlog(l.limits)
 		listener, err := l.listen(ctx, l.address, l.buffers)
 		if err != nil {
 			return errors.Wrapf(err, "listen on %s", l.address)
