--- a/commands/front.go
+++ b/commands/front.go
@@ -179,7 +179,6 @@
 		QuotaTerms:            quota.Terms{Window: s.QuotaWindow, Tolerance: s.QuotaTolerance, Slack: s.QuotaSlack},
 	})
 	store.OnEra = f.node.RecordStoreEra
-	store.OnEra = f.node.RecordStoreEra
 	dispatcher := dispatch.New(dispatch.Options{
 		Zone: s.Zone, Regions: s.Regions,
 		Views: &f.node.Views, Demand: &f.node.Demand, Notices: &f.node.Notices,
