--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -140,6 +140,8 @@
 	reloadedAt atomic.Pointer[time.Time]
 	// durations are those of the requests that this node has passed on.
 	durations recentDurations
+	// eventSteps are those of the services whose streams this node has passed on.
+	eventSteps eventSteps
 
 	mu      sync.Mutex
 	budgets map[domain.ServiceName]*retries.WindowBudget
--- a/dispatch/eventorder_test.go
+++ b/dispatch/eventorder_test.go
@@ -39,24 +39,29 @@
 		want       []EventID
 		isComplete bool
 	}{
-		"one stream":                      {streams: [][]EventID{{1, 2}}, want: []EventID{1, 2}, isComplete: true},
-		"empty stream":                    {streams: [][]EventID{{}}, isComplete: true},
-		"empty stream after the last":     {order: eventOrder{last: 2}, streams: [][]EventID{{}}, isComplete: true},
-		"events without IDs":              {streams: [][]EventID{{0, 0}}, want: []EventID{0, 0}, isComplete: true},
-		"resumed":                         {streams: [][]EventID{{1, 2}, {3}}, want: []EventID{1, 2, 3}, isComplete: true},
-		"resumed from the start":          {streams: [][]EventID{{1, 2}, {1, 2, 3}}, want: []EventID{1, 2, 3}, isComplete: true},
-		"resumed after the last":          {streams: [][]EventID{{1, 2}, {1, 2}}, want: []EventID{1, 2}, isComplete: true},
-		"resumed without events":          {streams: [][]EventID{{1, 2}, {}}, want: []EventID{1, 2}},
-		"resumed with a shorter stream":   {streams: [][]EventID{{1, 2}, {1}}, want: []EventID{1, 2}},
-		"resumed with a gap":              {streams: [][]EventID{{1, 2}, {4}}, want: []EventID{1, 2}},
-		"resumed with a later gap":        {streams: [][]EventID{{1, 2}, {3, 5}}, want: []EventID{1, 2, 3}},
-		"resumed without IDs":             {streams: [][]EventID{{1, 2}, {0}}, want: []EventID{1, 2}},
-		"resumed after event without ID":  {streams: [][]EventID{{0}, {0, 1}}, want: []EventID{0}},
-		"gaps in every stream":            {streams: [][]EventID{{1, 3}, {6, 7}}, want: []EventID{1, 3, 6, 7}, isComplete: true},
-		"resumed by the caller":           {order: eventOrder{last: 2}, streams: [][]EventID{{3, 4}}, want: []EventID{3, 4}, isComplete: true},
-		"resumed by the caller with gap":  {order: eventOrder{last: 2}, streams: [][]EventID{{4}}},
-		"resumed by the caller, shorter":  {order: eventOrder{last: 2}, streams: [][]EventID{{1}}},
-		"resumed by the caller and again": {order: eventOrder{last: 2}, streams: [][]EventID{{3}, {}}, want: []EventID{3}},
+		"one stream":                          {streams: [][]EventID{{1, 2}}, want: []EventID{1, 2}, isComplete: true},
+		"empty stream":                        {streams: [][]EventID{{}}, isComplete: true},
+		"empty stream after the last":         {order: eventOrder{last: 2}, streams: [][]EventID{{}}, isComplete: true},
+		"events without IDs":                  {streams: [][]EventID{{0, 0}}, want: []EventID{0, 0}, isComplete: true},
+		"resumed":                             {streams: [][]EventID{{1, 2}, {3}}, want: []EventID{1, 2, 3}, isComplete: true},
+		"resumed from the start":              {streams: [][]EventID{{1, 2}, {1, 2, 3}}, want: []EventID{1, 2, 3}, isComplete: true},
+		"resumed after the last":              {streams: [][]EventID{{1, 2}, {1, 2}}, want: []EventID{1, 2}, isComplete: true},
+		"resumed without events":              {streams: [][]EventID{{1, 2}, {}}, want: []EventID{1, 2}},
+		"resumed with a shorter stream":       {streams: [][]EventID{{1, 2}, {1}}, want: []EventID{1, 2}},
+		"resumed with a gap":                  {streams: [][]EventID{{1, 2}, {4}}, want: []EventID{1, 2}},
+		"resumed with a later gap":            {streams: [][]EventID{{1, 2}, {3, 5}}, want: []EventID{1, 2, 3}},
+		"resumed without IDs":                 {streams: [][]EventID{{1, 2}, {0}}, want: []EventID{1, 2}},
+		"resumed after event without ID":      {streams: [][]EventID{{0}, {0, 1}}, want: []EventID{0}},
+		"gaps in every stream":                {streams: [][]EventID{{1, 3}, {6, 7}}, want: []EventID{1, 3, 6, 7}, isComplete: true},
+		"resumed by the caller":               {order: eventOrder{last: 2}, streams: [][]EventID{{3, 4}}, want: []EventID{3, 4}, isComplete: true},
+		"resumed by the caller with gap":      {order: eventOrder{last: 2}, streams: [][]EventID{{4}}},
+		"resumed by the caller, shorter":      {order: eventOrder{last: 2}, streams: [][]EventID{{1}}},
+		"steps of three, after the first":     {order: eventOrder{step: 3}, streams: [][]EventID{{3}, {6, 9}}, want: []EventID{3, 6, 9}, isComplete: true},
+		"steps of three, by the caller":       {order: eventOrder{last: 9, step: 3}, streams: [][]EventID{{12, 15}}, want: []EventID{12, 15}, isComplete: true},
+		"steps of three with a gap":           {order: eventOrder{step: 3}, streams: [][]EventID{{3}, {9}}, want: []EventID{3}},
+		"steps of three with a gap, later":    {order: eventOrder{step: 3}, streams: [][]EventID{{3}, {6, 12}}, want: []EventID{3, 6}},
+		"steps of three, a gap by the caller": {order: eventOrder{last: 9, step: 3}, streams: [][]EventID{{15}}},
+		"resumed by the caller and again":     {order: eventOrder{last: 2}, streams: [][]EventID{{3}, {}}, want: []EventID{3}},
 	} {
 		got, isComplete := join(c.order, c.streams...)
 		if want := c.want; !slices.Equal(got, want) || isComplete != c.isComplete {
@@ -65,6 +70,35 @@
 	}
 }
 
+func TestStepOfEventsIsLearnedFromWholeStreams(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		order eventOrder
+		ids   []EventID
+		want  EventID
+	}{
+		{"ones", eventOrder{}, []EventID{1, 2, 3}, 1},
+		{"threes", eventOrder{}, []EventID{3, 6, 9, 12}, 3},
+		{"from another beginning", eventOrder{}, []EventID{5, 8, 11}, 3},
+		{"too short", eventOrder{}, []EventID{3, 6}, 0},
+		{"one left out", eventOrder{}, []EventID{1, 2, 4, 5}, 0},
+		{"repeated", eventOrder{}, []EventID{3, 3, 3}, 0},
+		{"resumed", eventOrder{last: 3}, []EventID{4, 5, 6}, 0},
+		{"without IDs", eventOrder{}, []EventID{0, 0, 0}, 0},
+	} {
+		position := tt.order.start(false)
+		for _, id := range tt.ids {
+			_, _ = tt.order.accept(&position, id)
+			tt.order.advance(id)
+		}
+		var steps eventSteps
+		steps.learn("s", position)
+		if got := steps.of("s"); got != tt.want {
+			t.Errorf("%s: got a step of %d, want %d", tt.name, got, tt.want)
+		}
+	}
+}
+
 // Parts of one numbered stream, in any order and with repeats, give a prefix of it, and the
 // end counts as complete only if the caller has all that the last part has.
 func TestEventOrderJoinsPartsToAPrefix(t *testing.T) {
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -106,7 +106,7 @@
 
 func newSession(d *Dispatcher, r *Request, c Caller) *session {
 	s := &session{
-		dispatcher: d, request: r, caller: c, begunAt: time.Now(), avoidedServers: map[domain.ServerID]bool{}, order: eventOrder{last: r.LastEvent},
+		dispatcher: d, request: r, caller: c, begunAt: time.Now(), avoidedServers: map[domain.ServerID]bool{}, order: eventOrder{last: r.LastEvent, step: d.eventSteps.of(r.Service)},
 		refusalBackoff: initialRefusalBackoff,
 	}
 	s.settled.L = &s.mu
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -54,6 +54,7 @@
 	if err != nil {
 		return s.handleBrokenStream(a, err)
 	}
+	s.dispatcher.eventSteps.learn(s.request.Service, a.position)
 	return s.finishStream(a)
 }
 
