placement: orders with an unknown outcome find room after a restart

Callers saw six streams cut: a server was ordered to load 218,100 of 200,000 MB and crashed. An order without an answer arrived 11.5 s after it was sent, at the next process of its server under the same ID.

Cause: the planner kept such an order as part of its view of one process, and forgot it as the server started again. The ID is the same, the sequence and the fences start anew, so that the order is accepted once the new process is at the sequence that it expects.

Now the planner keeps each order with an unknown outcome by server ID until it can no longer arrive, and plans no order that would bring the server to a sequence which a late order of another process expects in a state without room for it, for memory and adapter places alike. At other sequences the server may be full, so that it loads again at once. A new owner whose servers check no fences keeps room for an order of the owner before. The response to an order that was planned for an earlier process is not taken for one of the new process, and an order to a server that refused the connection was not sent and holds nothing back.

--- a/entry/node.go
+++ b/entry/node.go
@@ -287,7 +287,7 @@
 	if n.IsStandby == nil {
 		n.IsStandby = func(domain.NodeID) bool { return false }
 	}
-	n.planner.LoadWindow = o.LoadWindow
+	n.planner.LoadWindow, n.planner.ServersCheckFences = o.LoadWindow, o.ServersCheckFences
 	n.Hub.BytesPerSecond = o.UpdateBytesPerSecond
 	n.Hub.OnReport = n.handleReport
 	n.Hub.OnInvalidReport = n.logInvalidReport
--- a/placement/account.go
+++ b/placement/account.go
@@ -31,6 +31,9 @@
 	Reason string
 	// tier is the storage tier from which the checkpoint is loaded.
 	tier fleet.Tier
+	// startedAtMs is the start of the server's process that the order was planned for, in Unix
+	// milliseconds; 0 if the server does not tell it.
+	startedAtMs int64
 }
 
 // Outcome is the outcome of an order.
@@ -57,6 +60,8 @@
 	// unknownOutcomeTimeout is how long a server may still accept an order with an
 	// unknown outcome, counted from the sending of the order.
 	unknownOutcomeTimeout = 13 * time.Second
+	// clockTolerance is by how much the clock of a server may differ from that of this node.
+	clockTolerance = 2 * time.Second
 	// reportLag is the longest time by which the report of a server lags behind its
 	// state.
 	reportLag = 200 * time.Millisecond
@@ -106,8 +111,8 @@
 	pollInFlight bool
 	// pollRequestedAt is when RequestPoll last scheduled a poll.
 	pollRequestedAt time.Time
-	// unresolvedOrders are the orders with an unknown outcome that the server may still
-	// execute.
+	// unresolvedOrders are the orders with an unknown outcome that this process of the server
+	// may still execute.
 	unresolvedOrders []unresolvedOrder
 	// loadingAdapters holds the estimated end of the load for each adapter that the
 	// server is loading.
@@ -119,6 +124,9 @@
 	reservedUntil time.Time
 	// lastAcceptedAt is when the latest outcome Accepted was recorded.
 	lastAcceptedAt time.Time
+	// mayHaveRestarted is false if an earlier process of the server under its ID is unlikely: this
+	// node has seen none, and the server held models when this node first saw it.
+	mayHaveRestarted bool
 }
 
 // applyState applies an engine state that was read at readAt. isReport says that the
@@ -129,6 +137,7 @@
 		return
 	}
 	if s.StartedAtMs > v.state.StartedAtMs {
+		v.mayHaveRestarted = v.mayHaveRestarted || v.state.StartedAtMs > 0
 		v.resetAfterRestart(now)
 	}
 	if !isReport {
@@ -178,7 +187,8 @@
 }
 
 // resetAfterRestart clears the view after the server has restarted, except for the
-// checkpoints that it has cached.
+// checkpoints that it has cached. The orders with an unknown outcome stay among the planner's
+// lateOrders.
 func (v *engineView) resetAfterRestart(now time.Time) {
 	v.confirmed, v.runningOrder, v.unresolvedOrders, v.loadingAdapters, v.reservedModel = false, nil, nil, nil, ""
 	v.lastAcceptedAt = time.Time{}
@@ -265,6 +275,13 @@
 	}
 }
 
+// applyOutcomeOfFormerProcess applies the outcome of an order that was planned before the server
+// started again. Either process may have responded.
+func (v *engineView) applyOutcomeOfFormerProcess(now time.Time) {
+	v.pendingOrder = nil
+	v.confirmed, v.nextPoll = false, now
+}
+
 // applyUnneeded applies the outcome Unneeded. It shows that the view was out of date,
 // because the server already had the requested state.
 func (v *engineView) applyUnneeded(now time.Time, o Order) {
--- a/placement/adapters.go
+++ b/placement/adapters.go
@@ -18,11 +18,12 @@
 	var best *engineView
 	bestFits := false
 	e := p.engineConfig(n.key.Service)
+	load := Order{Operation: Load, Model: n.key.Model, Adapter: n.key.Adapter}
 	for _, v := range p.engines {
 		if v.server.Service != n.key.Service || !v.canAcceptModelOrder() || len(v.loadingAdapters) >= maxLoadingAdapters {
 			continue
 		}
-		if _, ok := v.state.Find(n.key.Model); !ok {
+		if _, ok := v.state.Find(n.key.Model); !ok || p.waitForLateOrders(now, v, e, load) > 0 {
 			continue
 		}
 		fits := p.fitsAdapter(v, e, n.key.Model)
@@ -33,7 +34,7 @@
 	switch {
 	case best == nil:
 	case bestFits:
-		issue(best, Order{Operation: Load, Model: n.key.Model, Adapter: n.key.Adapter})
+		issue(best, load)
 	default:
 		p.makeRoomForAdapter(now, best, n.key.Model, issue)
 	}
--- a/placement/place.go
+++ b/placement/place.go
@@ -79,6 +79,7 @@
 // time.
 func (p *Planner) startPlan(now time.Time, selected plan, m fleet.Model, issue issueFunc) {
 	v := selected.engine
+	first := selected.firstOrder(m.Name)
 	if len(selected.victims) > 0 {
 		if v.reservedModel == "" {
 			v.reservedModel, v.reservedUntil = m.Name, now.Add(reservationTimeout)
@@ -86,14 +87,22 @@
 				p.plannedStoreLoads++
 			}
 		}
-		issue(v, Order{Operation: Unload, Model: selected.victims[0]})
+		issue(v, first)
 		return
 	}
 	v.reservedModel = ""
 	if selected.tier == fleet.InStore {
 		p.storeLoads.recordStart(now, v.server.ID, m.Name)
 	}
-	issue(v, Order{Operation: Load, Model: m.Name, tier: selected.tier})
+	issue(v, first)
+}
+
+// firstOrder returns the first order of the plan, for loading a model.
+func (l *plan) firstOrder(m domain.ModelName) Order {
+	if len(l.victims) > 0 {
+		return Order{Operation: Unload, Model: l.victims[0]}
+	}
+	return Order{Operation: Load, Model: m, tier: l.tier}
 }
 
 // continueReservations issues the next order on each reserved server. It removes a
@@ -127,7 +136,11 @@
 			v.reservedModel = ""
 			continue
 		}
-		p.startPlan(now, plan{engine: v, victims: victims, tier: t}, m, issue)
+		next := plan{engine: v, victims: victims, tier: t}
+		if p.waitForLateOrders(now, v, e, next.firstOrder(m.Name)) > 0 {
+			continue
+		}
+		p.startPlan(now, next, m, issue)
 	}
 }
 
@@ -153,9 +166,11 @@
 		if !ok || n.isPrewarm && cost > maxCostWithoutWaiters {
 			continue
 		}
-		cost += m.LoadTime(t).Seconds() + p.utilization(v, e)*utilizationCost + delay.Seconds() + p.paceCost(v, n)
-		if !found || cost < best.costSeconds || cost == best.costSeconds && v.server.ID < best.engine.server.ID {
-			best = plan{engine: v, victims: victims, tier: t, costSeconds: cost, delay: delay}
+		candidate := plan{engine: v, victims: victims, tier: t}
+		candidate.delay = max(delay, p.waitForLateOrders(now, v, e, candidate.firstOrder(m.Name)))
+		candidate.costSeconds = cost + m.LoadTime(t).Seconds() + p.utilization(v, e)*utilizationCost + candidate.delay.Seconds() + p.paceCost(v, n)
+		if !found || candidate.costSeconds < best.costSeconds || candidate.costSeconds == best.costSeconds && v.server.ID < best.engine.server.ID {
+			best = candidate
 			found = true
 		}
 	}
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -27,6 +27,8 @@
 	// Pace returns how long work takes at a server, relative to the usual time, over the last
 	// seconds; 0 if it is unknown. It may be nil.
 	Pace func(*fleet.Server) float64
+	// ServersCheckFences is set if the servers reject orders with an old fencing token.
+	ServersCheckFences bool
 
 	config  *fleet.Configuration
 	engines map[domain.ServerID]*engineView
@@ -41,6 +43,10 @@
 	// plannedStoreLoads is the number of servers that are reserved for a load from the weight
 	// store.
 	plannedStoreLoads int
+	lateOrders        lateOrders
+	// foreignOrdersUntil is when the last order of the previous owner can arrive; zero if there
+	// was none.
+	foreignOrdersUntil time.Time
 }
 
 // Configure sets the current configuration.
@@ -70,6 +76,7 @@
 		v.nextPoll = now
 	}
 	p.storeLoads.reset(predecessorEnd)
+	p.foreignOrdersUntil = predecessorEnd.Add(unknownOutcomeTimeout)
 }
 
 // EndTerm ends the term of this node as owner. It discards the demand, which the nodes
@@ -95,7 +102,7 @@
 		hasEngine[s.ID] = true
 		v := p.engines[s.ID]
 		if v == nil {
-			v = &engineView{nextPoll: now}
+			v = &engineView{nextPoll: now, mayHaveRestarted: len(s.EngineState.Models) == 0}
 			p.engines[s.ID] = v
 		}
 		if s.EngineState.StartedAtMs < v.server.EngineState.StartedAtMs {
@@ -165,6 +172,12 @@
 
 // RecordOutcome records the outcome of an order that was sent at sentAt.
 func (p *Planner) RecordOutcome(now, sentAt time.Time, o Order, outcome Outcome) {
+	if outcome == Unknown {
+		if p.lateOrders == nil {
+			p.lateOrders = lateOrders{}
+		}
+		p.lateOrders.add(o, sentAt.Add(unknownOutcomeTimeout))
+	}
 	v := p.engines[o.Server.ID]
 	if v == nil {
 		return
@@ -173,6 +186,10 @@
 	if isStoreLoad && outcome != Accepted && outcome != Unknown {
 		p.storeLoads.removeLoad(o)
 	}
+	if o.startedAtMs != v.state.StartedAtMs {
+		v.applyOutcomeOfFormerProcess(now)
+		return
+	}
 	if outcome == Unneeded && o.Adapter != "" && o.Operation == Unload {
 		// A server unloads an idle adapter at once and then responds as if it had not
 		// been loaded.
@@ -214,9 +231,10 @@
 	}
 	p.demands.expire(now)
 	p.storeLoads.expire(now)
+	p.lateOrders.expire(now)
 	var orders []Order
 	issue := func(v *engineView, o Order) {
-		o.Server, o.ExpectedSequence = v.server, v.state.Sequence
+		o.Server, o.ExpectedSequence, o.startedAtMs = v.server, v.state.Sequence, v.state.StartedAtMs
 		v.pendingOrder = &o
 		orders = append(orders, o)
 	}
@@ -225,7 +243,7 @@
 	}
 	p.assumeUnloaded(now)
 	p.countReplicas()
-	p.retryUnresolvedOrders(issue)
+	p.retryUnresolvedOrders(now, issue)
 	p.continueReservations(now, issue)
 	p.countPlannedStoreLoads()
 	for _, n := range p.needs(now) {
@@ -260,13 +278,13 @@
 // retryUnresolvedOrders issues again, at each server, the first order with an unknown
 // outcome. Both attempts of the order expect the same sequence, so that the server
 // accepts only one of them.
-func (p *Planner) retryUnresolvedOrders(issue issueFunc) {
+func (p *Planner) retryUnresolvedOrders(now time.Time, issue issueFunc) {
 	for _, v := range p.engines {
 		if len(v.unresolvedOrders) == 0 || !v.confirmed || v.pendingOrder != nil || v.state.Busy {
 			continue
 		}
 		o := v.unresolvedOrders[0].order
-		if o.ExpectedSequence == v.state.Sequence {
+		if o.ExpectedSequence == v.state.Sequence && p.waitForLateOrders(now, v, p.engineConfig(v.server.Service), o) == 0 {
 			issue(v, o)
 		}
 	}
