fleet, entry: only failed calls to the store are evidence of an outage

Callers saw bookings lost at servers that had left: two of three servers were replaced one after the other, neither reported that it drained, and bookings reached one of them later than 2.5 s after the store had acknowledged its removal.

Cause: fleet.Directory guessed an outage of the store from counts. More than one removal within 2 s that made up 0.34 of the entries made it use all removed servers for 2 s more, though no call to the store had failed. The read that shows a removal comes up to 0.83 s after it.

Now a removed server is used only while calls of this node to the store fail, and for 2 s after the first that succeeds; or, if calls of other nodes fail, as they tell by the owner, no longer than its drain bound allows, counted from the oldest read that may have shown it. Calls that the store rejects are no evidence. Removals that were read before an outage stay in force, which they did not.

--- a/entry/link.go
+++ b/entry/link.go
@@ -135,7 +135,7 @@
 		loads, prefixes := n.takeLoads(time.Now())
 		r := hub.Report{
 			Node: n.Name, Demands: demands, CrashReports: n.crashReports, Traits: n.takeTraitReport(), Contents: contents, StaleServers: n.staleServers,
-			LeavingServers: leaving, Loads: loads, Prefixes: prefixes, Uses: n.quotas.report(),
+			LeavingServers: leaving, Loads: loads, Prefixes: prefixes, Uses: n.quotas.report(), StoreFailure: n.storeFailure(time.Now()),
 		}
 		contents = nil
 		n.crashReports, n.staleServers = nil, nil
@@ -163,7 +163,7 @@
 
 // mustSend reports whether a report has something that the owner needs at once.
 func mustSend(r hub.Report) bool {
-	return len(r.Demands)+len(r.CrashReports)+len(r.Contents)+len(r.StaleServers)+len(r.LeavingServers) > 0 ||
+	return r.StoreFailure.Known || len(r.Demands)+len(r.CrashReports)+len(r.Contents)+len(r.StaleServers)+len(r.LeavingServers) > 0 ||
 		!r.Traits.IsEmpty() || !r.Uses.IsEmpty() || hasReports(r.Loads)
 }
 
@@ -179,6 +179,7 @@
 	if u.CandidateCount > 0 {
 		n.candidacy.RecordLinkedCandidates(n.Uptime.Now(), u.CandidateCount)
 	}
+	n.applyStoreFailure(now, u.StoreFailure)
 	n.applyRegistrationChanges(now, u.Registrations)
 	n.applyStoreUpdate(now, u.Store)
 	n.applyKeyUpdate(u.Keys)
--- a/entry/news.go
+++ b/entry/news.go
@@ -139,7 +139,7 @@
 	if !n.retainsLease() {
 		return
 	}
-	u := hub.Update{Registrations: c, CandidateCount: n.countCandidates(), Store: n.storeUpdate(registrationsRead), Keys: n.newKeyUpdate()}
+	u := hub.Update{Registrations: c, CandidateCount: n.countCandidates(), Store: n.storeUpdate(registrationsRead), Keys: n.newKeyUpdate(), StoreFailure: n.knownStoreFailure(time.Now())}
 	if u.Store.ConfigurationOffset != n.announcedOffset {
 		n.announcedOffset = u.Store.ConfigurationOffset
 		n.Logger.Info().Str("Event", "ConfigurationAnnounced").Uint64("Offset", n.announcedOffset.Position()).Uint64("Era", uint64(n.announcedOffset.Era())).Int("Links", n.Hub.LinkCount()).
--- a/entry/node.go
+++ b/entry/node.go
@@ -24,7 +24,6 @@
 	"github.com/parsleylug/parsleylug/fleet"
 	"github.com/parsleylug/parsleylug/hub"
 	"github.com/parsleylug/parsleylug/lease"
-	"github.com/parsleylug/parsleylug/pause"
 	"github.com/parsleylug/parsleylug/placement"
 	"github.com/parsleylug/parsleylug/quota"
 	"github.com/parsleylug/parsleylug/suspects"
@@ -266,6 +265,8 @@
 	restoration restoration
 	// failedCalls holds the names of the calls to the store that failed the last time.
 	failedCalls map[string]bool
+	// storeFailureSentAt is when this node, as the owner, last told all nodes that the store was away.
+	storeFailureSentAt time.Time
 	// storeRecovered is closed, and replaced, when a call to the store succeeds
 	// after it failed the last time, and when the store was restored.
 	storeRecovered chan struct{}
@@ -280,6 +281,7 @@
 func New(o Options) *Node {
 	n := &Node{Options: o, planTrigger: make(chan struct{}, 1), renewTrigger: make(chan struct{}, 1), traitsReported: make(chan struct{}, 1), traitsChanged: make(chan struct{}, 1), traitsLost: make(chan struct{}, 1), storeRecovered: make(chan struct{}), failedCalls: map[string]bool{}, configurationReads: map[*configurationRead]bool{}}
 	n.Notices.DrainBound = o.DrainBound
+	n.directory.DoubtWindow = max(0, o.DrainBound-n.storeUpdateLife()-doubtMargin)
 	n.storeUpdates.changed, n.stored.changed = make(chan struct{}), make(chan struct{}, 1)
 	n.lease.Shard = ownedShard
 	n.lease.TimeToLive, n.lease.FirstOrderDelay, n.lease.LeaseBound, n.lease.ServersCheckFences = o.TimeToLive, o.FirstOrderDelay, o.LeaseBound, o.ServersCheckFences
@@ -387,36 +389,3 @@
 	}
 	return &c
 }
-
-// recordStoreResult records whether a call to the store succeeded, and logs each
-// change between failure and success of the call with this name. The caller holds mu.
-func (n *Node) recordStoreResult(now time.Time, call string, err error) {
-	if err != nil {
-		n.directory.RecordStoreFailure(now)
-	}
-	if (err != nil) == n.failedCalls[call] {
-		return
-	}
-	if err != nil {
-		n.failedCalls[call] = true
-		n.Logger.Warn().Str("Event", "StoreLost").Str("Call", call).Err(err).Msg("the platform's store does not respond")
-		return
-	}
-	delete(n.failedCalls, call)
-	close(n.storeRecovered)
-	n.storeRecovered = make(chan struct{})
-	n.Logger.Info().Str("Event", "StoreRegained").Str("Call", call).Msg("the platform's store responds again")
-}
-
-// storeRecovery returns a channel that is closed when a call to the store next
-// succeeds after a failed one.
-func (n *Node) storeRecovery() <-chan struct{} {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.storeRecovered
-}
-
-// pauseUntilRecovery waits for d, or until the store recovers.
-func (n *Node) pauseUntilRecovery(ctx context.Context, d time.Duration) {
-	pause.For(ctx, d, n.storeRecovery())
-}
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -213,6 +213,8 @@
 		n.planner.RequestPoll(time.Now(), id)
 	}
 	n.recordReportedLeaving(time.Now(), r.LeavingServers)
+	n.applyStoreFailure(time.Now(), r.StoreFailure)
+	n.passStoreFailure(time.Now(), r.StoreFailure)
 	n.restoreContents(r.Contents)
 	n.addCrashReports(r.CrashReports)
 	n.applyTraits(r.Traits, true)
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -10,10 +10,6 @@
 	// reregistrationWindow is the time that servers have to register again after an
 	// outage of the store in which their registrations expired.
 	reregistrationWindow = 2 * time.Second
-	// massRemovalShare is the smallest share of the registrations, those of removed servers
-	// included, whose removal within reregistrationWindow indicates an outage of the store and not
-	// servers that leave.
-	massRemovalShare = 0.34
 	// removalRetention is how long the directory keeps the entry of a removed server.
 	removalRetention = time.Minute
 )
@@ -38,13 +34,45 @@
 // Directory is a node's view of the registered backend servers. The zero Directory
 // is empty. It is not safe for concurrent use.
 type Directory struct {
+	// DoubtWindow is how long a removed server stays usable if the store was away for other nodes
+	// only. The server may be among those for which it was away, or have left; it must then
+	// get no request later than its drain bound after the removal, which this node has read late.
+	DoubtWindow time.Duration
+
 	entries map[domain.ServerID]*entry
-	// storeFailedAt is when a call to the store last got no response.
-	storeFailedAt time.Time
+	// storeFailedAt is when the store was last away for this node, as far as its calls tell, and
+	// outageBeganAt when the first call of this outage failed; isAway is true if no call has succeeded
+	// since. storeDoubtedAt is when the store was last away for another node.
+	storeFailedAt, outageBeganAt, storeDoubtedAt time.Time
+	isAway                                       bool
+}
+
+// RecordStoreFailure records that a call to the store got no response at now. Failures within
+// reregistrationWindow of each other are one outage.
+func (d *Directory) RecordStoreFailure(now time.Time) {
+	if !d.isAway && now.Sub(d.storeFailedAt) >= reregistrationWindow {
+		d.outageBeganAt = now
+	}
+	d.storeFailedAt, d.isAway = now, true
+}
+
+// RecordStoreSuccess records that a call to the store succeeded at now. If one failed before, the
+// store may have been away until now.
+func (d *Directory) RecordStoreSuccess(now time.Time) {
+	if d.isAway {
+		d.storeFailedAt, d.isAway = now, false
+	}
 }
 
-// RecordStoreFailure records that a call to the store got no response at now.
-func (d *Directory) RecordStoreFailure(now time.Time) { d.storeFailedAt = now }
+// RecordStoreDoubt records that the store was away for another node at a time, or had no room for a
+// call of this one.
+func (d *Directory) RecordStoreDoubt(at time.Time) { d.storeDoubtedAt = later(d.storeDoubtedAt, at) }
+
+// StoreFailedAt returns when the store was last away for this node, as far as its calls tell; zero for never.
+func (d *Directory) StoreFailedAt() time.Time { return d.storeFailedAt }
+
+// StoreDoubtedAt returns when the store was last away for another node as far as this one was told; zero for never.
+func (d *Directory) StoreDoubtedAt() time.Time { return d.storeDoubtedAt }
 
 // Apply applies registration changes and returns the servers whose state changed. It
 // ignores a change whose offset is lower than the offset of the last change applied to
@@ -117,18 +145,18 @@
 	}
 }
 
-// Usable returns the servers to which new requests may be sent at now. During a likely
-// outage of the store, they include servers whose registrations were removed recently. They also
-// include those whose registrations the store lost when it came back from an older copy.
+// Usable returns the servers to which new requests may be sent at now. Registrations expire while the
+// store is away. So servers whose registrations were removed recently are usable while calls of this node to the store
+// failed lately, and for DoubtWindow if calls of others did. The number of removals tells nothing: a zone
+// that is drained and servers that crash beside others that leave look the same. Usable
+// includes the servers whose registrations the store lost when it came back from an older copy.
 func (d *Directory) Usable(now time.Time) []*Server {
-	isOutageLikely := d.isStoreOutageLikely(now)
 	servers := make([]*Server, 0, len(d.entries))
 	for _, e := range d.entries {
 		if e.server == nil || e.isDraining {
 			continue
 		}
-		mayReregister := isOutageLikely && now.Sub(later(e.removedAt, d.storeFailedAt)) < reregistrationWindow
-		if e.removedAt.IsZero() || mayReregister || e.mayBeRewritten(now) {
+		if e.removedAt.IsZero() || d.mayReregister(now, e) || e.mayBeRewritten(now) {
 			servers = append(servers, e.server)
 		}
 	}
@@ -174,19 +202,15 @@
 	return true
 }
 
-// isStoreOutageLikely reports whether an outage of the store is the likely cause of the
-// recent removals. Servers that drained before leave for another reason.
-func (d *Directory) isStoreOutageLikely(now time.Time) bool {
-	if !d.storeFailedAt.IsZero() && now.Sub(d.storeFailedAt) < reregistrationWindow {
+// mayReregister reports whether the registration of a removed server may have expired because the store
+// was away, so that the server registers again soon. That of a server that drained was removed for another
+// reason.
+func (d *Directory) mayReregister(now time.Time, e *entry) bool {
+	if now.Sub(d.storeFailedAt) < reregistrationWindow && !e.removedAt.Before(d.outageBeganAt) {
 		return true
 	}
-	recentRemovals := 0
-	for _, e := range d.entries {
-		if !e.removedAt.IsZero() && !e.isDraining && now.Sub(e.removedAt) < reregistrationWindow {
-			recentRemovals++
-		}
-	}
-	return recentRemovals > 1 && float64(recentRemovals) >= massRemovalShare*float64(len(d.entries))
+	wasAwayForOthers := now.Sub(d.storeDoubtedAt) < reregistrationWindow
+	return wasAwayForOthers && now.Sub(e.removedAt) < d.DoubtWindow
 }
 
 func later(a, b time.Time) time.Time {
--- a/hub/hub_test.go
+++ b/hub/hub_test.go
@@ -35,13 +35,16 @@
 	LeavingServers: []LeavingServer{{Incarnation: fleet.Incarnation{ID: "i", StartedAtMs: 5}, Age: 1500 * time.Millisecond}},
 	Traits:         testTraits,
 	Contents:       testContents,
+	StoreFailure:   StoreFailure{Known: true, Age: 300 * time.Millisecond},
 }
 
 var testUpdate = Update{
 	NodeCount: 3,
 	Traits:    testTraits,
 	Contents:  testContents,
-	Store:     StoreUpdate{ConfigurationOffset: 7, RegistrationsOffset: 9, RegistrationsRead: true},
+	// The failure is that of this moment.
+	StoreFailure: StoreFailure{Known: true},
+	Store:        StoreUpdate{ConfigurationOffset: 7, RegistrationsOffset: 9, RegistrationsRead: true},
 	Servers: []ServerState{{ID: "i", EngineState: fleet.EngineState{
 		StartedAtMs: 5, Sequence: 6, Busy: true,
 		Models: []fleet.LoadedModel{{Model: "m", Adapters: []domain.AdapterName{"a"}}},
--- a/hub/message.go
+++ b/hub/message.go
@@ -66,6 +66,15 @@
 	Prefixes []serverload.SharedPrefix
 	// Uses is what the node tells of the quotas of workspaces since its last report.
 	Uses quota.Report
+	// StoreFailure is when the platform's store was last away for the node.
+	StoreFailure StoreFailure
+}
+
+// StoreFailure tells that the platform's store was away for a node. Age is the time since then. The
+// zero StoreFailure means that it was not, or too long ago to matter.
+type StoreFailure struct {
+	Known bool
+	Age   time.Duration
 }
 
 // LeavingServer is a backend server that said that it leaves. Age is the time since the
@@ -108,6 +117,9 @@
 	Keys KeyUpdate
 	// Grants is what the owner tells of the quotas of workspaces since the last update.
 	Grants quota.Update
+	// StoreFailure is when the platform's store was last away for the owner, or for a node that has told
+	// it.
+	StoreFailure StoreFailure
 }
 
 // RegistrationChanges are changes of registrations as the owner read them in the platform's store.
@@ -152,6 +164,8 @@
 	Contents []wireContent `cbor:",omitempty"`
 	// Uses is nil if the node tells nothing. Earlier versions ignore it.
 	Uses *wireQuotaReport `cbor:",omitempty"`
+	// StoreFailureMilliseconds is nil if there was none. Earlier versions ignore it.
+	StoreFailureMilliseconds *int64 `cbor:",omitempty"`
 }
 
 type wireLeaving struct {
@@ -198,6 +212,8 @@
 	// Registrations. Earlier versions ignore them.
 	Era              uint64 `cbor:",omitempty"`
 	RegistrationsEra uint64 `cbor:",omitempty"`
+	// StoreFailureMilliseconds is nil if there was none. Earlier versions ignore it.
+	StoreFailureMilliseconds *int64 `cbor:",omitempty"`
 }
 
 type wireStoreUpdate struct {
@@ -235,6 +251,7 @@
 	w := wireReport{
 		Node: string(r.Node), Suspects: encodeSuspects(r.CrashReports), Doubted: domain.Strings(r.StaleServers), Traits: encodeTraits(r.Traits),
 		Contents: encodeContents(r.Contents), Uses: encodeQuotaReport(r.Uses), Loads: encodeLoads(r.Loads), Prefixes: encodePrefixes(r.Prefixes),
+		StoreFailureMilliseconds: encodeStoreFailure(r.StoreFailure),
 	}
 	for _, d := range r.Demands {
 		w.Demands = append(w.Demands, wireDemand{
@@ -274,6 +291,7 @@
 	}
 	r.Traits, r.Contents = w.Traits.decode(), decodeContents(w.Contents)
 	r.Loads, r.Prefixes, r.Uses = decodeLoads(w.Loads), decodePrefixes(w.Prefixes), w.Uses.decode()
+	r.StoreFailure = decodeStoreFailure(w.StoreFailureMilliseconds)
 	var err error
 	r.CrashReports, err = decodeSuspects(w.Suspects)
 	return r, err
@@ -306,7 +324,7 @@
 		Nodes: u.NodeCount, News: store, Suspects: encodeSuspects(u.CrashReports), Traits: encodeTraits(u.Traits),
 		Registrations: encodeRegistrations(u.Registrations), Contents: encodeContents(u.Contents),
 		Loads: encodeLoads(u.Loads), Prefixes: encodePrefixes(u.Prefixes), Keys: encodeKeys(u.Keys), Grants: encodeQuotaUpdate(u.Grants),
-		Era: uint64(era), RegistrationsEra: uint64(u.Registrations.Offset.Era()),
+		Era: uint64(era), RegistrationsEra: uint64(u.Registrations.Offset.Era()), StoreFailureMilliseconds: encodeStoreFailure(u.StoreFailure),
 	}
 	w.Candidates, w.ReadAgeMilliseconds, w.ReadOffset = u.CandidateCount, u.Store.ReadAge.Milliseconds(), positionIn(era, u.Store.ReadOffset)
 	for _, s := range u.Servers {
@@ -365,11 +383,29 @@
 	u.Traits, u.Contents = w.Traits.decode(), decodeContents(w.Contents)
 	u.Registrations, u.Keys = w.Registrations.decode(w.RegistrationsEra), w.Keys.decode()
 	u.Loads, u.Prefixes, u.Grants = decodeLoads(w.Loads), decodePrefixes(w.Prefixes), w.Grants.decode()
+	u.StoreFailure = decodeStoreFailure(w.StoreFailureMilliseconds)
 	var err error
 	u.CrashReports, err = decodeSuspects(w.Suspects)
 	return u, err
 }
 
+func encodeStoreFailure(f StoreFailure) *int64 {
+	if !f.Known {
+		return nil
+	}
+	age := f.Age.Milliseconds()
+	return &age
+}
+
+// decodeStoreFailure returns no failure for an age that is out of range.
+func decodeStoreFailure(milliseconds *int64) StoreFailure {
+	if milliseconds == nil {
+		return StoreFailure{}
+	}
+	age, ok := decodeAge(*milliseconds)
+	return StoreFailure{Known: ok, Age: age}
+}
+
 func encodeSuspects(list []suspects.Report) []wireSuspect {
 	var w []wireSuspect
 	for _, r := range list {
--- a/hub/outbox.go
+++ b/hub/outbox.go
@@ -89,6 +89,9 @@
 		u.Prefixes = mergedPrefixes(u.Prefixes, m.update.Prefixes)
 		u.Keys = u.Keys.followedBy(m.update.Keys)
 		u.Grants = u.Grants.FollowedBy(m.update.Grants)
+		if m.update.StoreFailure.Known {
+			u.StoreFailure = m.update.StoreFailure
+		}
 	}
 	return u
 }
--- a/hub/outbox_test.go
+++ b/hub/outbox_test.go
@@ -195,7 +195,7 @@
 	}
 	first := Update{
 		NodeCount: 3, Servers: []ServerState{stateOf(1, 1), stateOf(2, 1)}, Store: StoreUpdate{RegistrationsOffset: 5, RegistrationsRead: true},
-		CrashReports: []suspects.Report{{Crashes: 1}}, Registrations: RegistrationChanges{Previous: 1, Offset: 5, Changes: []fleet.Change{change("a", 4)}},
+		CrashReports: []suspects.Report{{Crashes: 1}}, StoreFailure: StoreFailure{Known: true, Age: time.Second}, Registrations: RegistrationChanges{Previous: 1, Offset: 5, Changes: []fleet.Change{change("a", 4)}},
 	}
 	second := Update{Servers: []ServerState{stateOf(2, 2)}, Registrations: RegistrationChanges{Previous: 5, Offset: 9, Changes: []fleet.Change{change("b", 8)}}}
 	third := Update{NodeCount: 4, Store: StoreUpdate{ConfigurationOffset: 2, RegistrationsOffset: 9}, CrashReports: []suspects.Report{{Crashes: 2}}}
@@ -204,6 +204,7 @@
 		NodeCount: 4, Servers: []ServerState{stateOf(1, 1), stateOf(2, 2)},
 		Store:         StoreUpdate{ConfigurationOffset: 2, RegistrationsOffset: 9, RegistrationsRead: true},
 		CrashReports:  []suspects.Report{{Crashes: 1}, {Crashes: 2}},
+		StoreFailure:  StoreFailure{Known: true, Age: time.Second},
 		Registrations: RegistrationChanges{Previous: 1, Offset: 9, Changes: []fleet.Change{change("a", 4), change("b", 8)}},
 	}
 	if !reflect.DeepEqual(got, want) {
