--- a/entry/contentlog.go
+++ b/entry/contentlog.go
@@ -34,6 +34,8 @@
 	changed chan struct{}
 	// isLoaded is set after the first attempt to read them, or after maximumTraitLoad.
 	isLoaded bool
+	// isRead is set once they were read.
+	isRead bool
 	// crashes holds the number of crashes that the store has of each content; 0 if it is unknown
 	// whether it has the content.
 	crashes map[suspects.Content]int
@@ -50,8 +52,9 @@
 	for ctx.Err() == nil {
 		records, err := n.ContentLog.Load(ctx)
 		if err == nil {
-			n.noteStoredContents(records)
-			n.Contents.RestoreContents(records)
+			n.noteReadContents(records)
+			isNew := n.Contents.RestoreContents(records)
+			n.logContents("Store", len(records), isNew)
 		}
 		n.endContentLoad()
 		if err == nil {
@@ -69,6 +72,14 @@
 	n.stored.isLoaded = true
 }
 
+// noteReadContents records the contents that this node has read in the store.
+func (n *Node) noteReadContents(records []suspects.ContentRecord) {
+	n.mu.Lock()
+	n.stored.isRead = true
+	n.mu.Unlock()
+	n.noteStoredContents(records)
+}
+
 // noteStoredContents records contents that the store has.
 func (n *Node) noteStoredContents(records []suspects.ContentRecord) {
 	n.mu.Lock()
@@ -111,11 +122,18 @@
 	for _, r := range records {
 		n.notePossiblyStoredContent(r.Content)
 	}
-	if n.Contents.RestoreContents(records) {
+	isNew := n.Contents.RestoreContents(records)
+	n.logContents("Link", len(records), isNew)
+	if isNew {
 		signal(n.stored.changed)
 	}
 }
 
+// logContents logs how many contents that crashed several servers this node was told of.
+func (n *Node) logContents(source string, contents int, isNew bool) {
+	n.Logger.Info().Str("Event", "ContentsLearned").Str("Source", source).Int("Contents", contents).Bool("IsNew", isNew).Msg("learned which request contents crashed several servers")
+}
+
 // contentSnapshot returns what a node needs to know of contents that has just linked.
 func (n *Node) contentSnapshot() []suspects.ContentRecord {
 	if n.Contents == nil {
--- a/entry/node.go
+++ b/entry/node.go
@@ -172,6 +172,8 @@
 	// server.
 	serversSeen bool
 	draining    bool
+	// wasReady is set once the node has been ready.
+	wasReady bool
 	// handOverAt is when a node that drains leaves the group.
 	handOverAt time.Time
 	// overlay holds engine states that are newer than those in the registrations:
@@ -315,7 +317,12 @@
 func (n *Node) IsReady() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.config != nil && n.serversSeen && !n.draining && (n.traitsLoaded || n.TraitLog == nil) && (n.stored.isLoaded || n.ContentLog == nil)
+	isReady := n.config != nil && n.serversSeen && !n.draining && (n.traitsLoaded || n.TraitLog == nil) && (n.stored.isLoaded || n.ContentLog == nil)
+	if isReady && !n.wasReady {
+		n.wasReady = true
+		n.Logger.Info().Str("Event", "Ready").Bool("HasReadContents", n.stored.isRead).Bool("IsLinked", !n.linkedAt.IsZero()).Msg("this node is ready for the first time")
+	}
+	return isReady
 }
 
 // IsConfigurationBehind reports whether the owner has announced a configuration that this
