entry: nodes tell the crashes of a content that others have missed

A request that crashes servers could be sent to two more of them by each node that had missed reports, long after another node refused it: bookings beside it are lost.

Cause: a crash report is broadcast once, to the nodes that are linked at that moment, and says one crash. If it is lost with an owner or a link, nobody repeats it: a node that knows more than a report says did not answer, and what the first report over a link told an owner stayed with the owner, so that the nodes which had linked to it before were not told. (Nodes tell of traits in both cases.)

Now the node that sees a crash of a content which has crashed several servers sends the record of all of them, a node answers a report that says fewer crashes than it knows with its record, and an owner passes on what is new to it.

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -95,6 +95,13 @@
 	return d.crashes.contents.Snapshot(time.Now())
 }
 
+// ContentRecords implements entry.Contents.
+func (d *Dispatcher) ContentRecords(contents []suspects.Content) []suspects.ContentRecord {
+	d.crashes.mu.Lock()
+	defer d.crashes.mu.Unlock()
+	return d.crashes.contents.Records(time.Now(), contents)
+}
+
 // standing returns whether a request content now runs as usual, in isolation or not at
 // all.
 func (d *Dispatcher) standing(c suspects.Content) suspects.Standing {
--- a/entry/contentlog.go
+++ b/entry/contentlog.go
@@ -15,6 +15,9 @@
 	RestoreContents(records []suspects.ContentRecord) bool
 	// ContentSnapshot returns what a node needs to know that starts.
 	ContentSnapshot() []suspects.ContentRecord
+	// ContentRecords returns what this node knows of some contents, of those that crashed several
+	// servers.
+	ContentRecords(contents []suspects.Content) []suspects.ContentRecord
 }
 
 // ContentLog keeps the contents of requests that crashed servers in the platform's store, so that a
@@ -114,10 +117,11 @@
 	}
 }
 
-// restoreContents adds what another node has sent of contents. The caller holds mu.
-func (n *Node) restoreContents(records []suspects.ContentRecord) {
+// restoreContents adds what another node has sent of contents. It reports whether there was
+// something new. The caller holds mu.
+func (n *Node) restoreContents(records []suspects.ContentRecord) bool {
 	if n.Contents == nil || len(records) == 0 {
-		return
+		return false
 	}
 	for _, r := range records {
 		n.notePossiblyStoredContent(r.Content)
@@ -127,6 +131,7 @@
 	if isNew {
 		signal(n.stored.changed)
 	}
+	return isNew
 }
 
 // logContents logs how many contents that crashed several servers this node was told of.
--- a/entry/contents_test.go
+++ b/entry/contents_test.go
@@ -32,6 +32,12 @@
 	return s.contents.Snapshot(time.Now())
 }
 
+func (s *contentStore) ContentRecords(contents []suspects.Content) []suspects.ContentRecord {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.contents.Records(time.Now(), contents)
+}
+
 func (s *contentStore) recordCrash(id domain.ServerID) suspects.Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -1,16 +1,80 @@
 package entry
 
-import "github.com/parsleylug/parsleylug/suspects"
+import (
+	"slices"
+
+	"github.com/parsleylug/parsleylug/suspects"
+)
 
 // maximumPendingReports bounds the crash reports that wait for a link to the owner. The first
 // report over a link has all traits again, and the contents that crashed several servers.
 const maximumPendingReports = 1024
 
-// ReportCrash reports a request content that crashed a backend server to the other nodes.
+// maximumContentNews bounds the contents whose records wait for a link to the owner, and those in a
+// message.
+const maximumContentNews = 256
+
+// ReportCrash reports a request content that crashed a backend server to the other nodes. If it has
+// crashed several, it tells all of these crashes, since the reports of earlier ones may have been lost
+// with a link or a node.
 func (n *Node) ReportCrash(r suspects.Report) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.addCrashReports([]suspects.Report{r})
+	if r.Crashes >= suspects.CrashLimit {
+		n.addContentNews(r.Content)
+	}
+}
+
+// applyCrashReports applies the reports of other nodes, and tells what their senders do not know.
+// The caller holds mu.
+func (n *Node) applyCrashReports(reports []suspects.Report) {
+	if len(reports) == 0 || n.OnCrashReports == nil {
+		return
+	}
+	n.OnCrashReports(reports)
+	if n.Contents == nil {
+		return
+	}
+	reported := map[suspects.Content]int{}
+	var contents []suspects.Content
+	for _, r := range reports {
+		if r.Crashes == 0 {
+			continue
+		}
+		if _, ok := reported[r.Content]; !ok {
+			contents = append(contents, r.Content)
+		}
+		reported[r.Content] = max(reported[r.Content], r.Crashes)
+	}
+	for _, r := range n.Contents.ContentRecords(contents) {
+		if len(r.Crashes) > reported[r.Content] {
+			n.addContentNews(r.Content)
+		}
+	}
+}
+
+// addContentNews makes the records of contents be sent soon. The caller holds mu.
+func (n *Node) addContentNews(contents ...suspects.Content) {
+	for _, c := range contents {
+		if len(n.contentNews) < maximumContentNews && !slices.Contains(n.contentNews, c) {
+			n.contentNews = append(n.contentNews, c)
+		}
+	}
+	if len(contents) > 0 {
+		n.triggerPlan()
+		signal(n.traitsReported)
+	}
+}
+
+// takeContentNews returns the records of contents that have not been sent. The caller holds mu.
+func (n *Node) takeContentNews() []suspects.ContentRecord {
+	if n.Contents == nil || len(n.contentNews) == 0 {
+		return nil
+	}
+	records := n.Contents.ContentRecords(n.contentNews)
+	n.contentNews = nil
+	return records
 }
 
 // addCrashReports adds reports to those that have not been sent. The caller holds mu.
--- a/entry/enginestates.go
+++ b/entry/enginestates.go
@@ -82,7 +82,7 @@
 // broadcastEngineStates sends changed engine states, crash reports and traits to all nodes. The
 // caller holds mu.
 func (n *Node) broadcastEngineStates(now time.Time, states map[domain.ServerID]fleet.EngineState, changed []hub.ServerState) {
-	u := hub.Update{NodeCount: n.countNodes(now), CrashReports: n.crashReports, Traits: n.takeTraitReport(), Servers: changed}
+	u := hub.Update{NodeCount: n.countNodes(now), CrashReports: n.crashReports, Contents: n.takeContentNews(), Traits: n.takeTraitReport(), Servers: changed}
 	n.nodeCount = max(n.nodeCount, u.NodeCount)
 	n.crashReports = nil
 	if n.sentDigests == nil {
@@ -97,7 +97,7 @@
 		}
 	}
 	n.urgentDigests = nil
-	if len(u.Servers) == 0 && len(u.CrashReports) == 0 && u.Traits.IsEmpty() {
+	if len(u.Servers) == 0 && len(u.CrashReports)+len(u.Contents) == 0 && u.Traits.IsEmpty() {
 		return
 	}
 	n.overlay = states
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -85,6 +85,8 @@
 	log   *eventCounter
 	stop  context.CancelFunc
 	loads tableLoads
+	// contents holds what the node knows of contents that crash servers.
+	contents contentStore
 	// isCut makes the store silent for this node.
 	isCut atomic.Bool
 }
@@ -152,6 +154,7 @@
 		FirstOrderDelay: 600 * time.Millisecond, ServersCheckFences: true, HandOverDelay: 6 * time.Second, LoadWindow: 5 * time.Second,
 	})
 	n.Loads = &n.loads
+	n.Contents, n.OnCrashReports = &n.contents, n.contents.apply
 	serveHub(n.host, n.Node)
 	ctx, stop := context.WithCancel(f.ctx)
 	n.stop = stop
--- a/entry/link.go
+++ b/entry/link.go
@@ -138,6 +138,9 @@
 			LeavingServers: leaving, Loads: loads, Prefixes: prefixes, Uses: n.quotas.report(), StoreFailure: n.storeFailure(time.Now()),
 		}
 		contents = nil
+		if len(r.Contents) == 0 {
+			r.Contents = n.takeContentNews()
+		}
 		n.crashReports, n.staleServers = nil, nil
 		n.mu.Unlock()
 		if mustSend(r) || time.Since(lastSent) > time.Second {
@@ -199,8 +202,6 @@
 	}
 	n.overlay = overlay
 	n.nodeCount = max(n.nodeCount, u.NodeCount)
-	if len(u.CrashReports) > 0 && n.OnCrashReports != nil {
-		n.OnCrashReports(u.CrashReports)
-	}
+	n.applyCrashReports(u.CrashReports)
 	n.publishView(now)
 }
--- a/entry/node.go
+++ b/entry/node.go
@@ -241,6 +241,9 @@
 	// crashReports are the crash reports that have not been sent yet: by the
 	// owner to the other nodes, by another node to the owner.
 	crashReports []suspects.Report
+	// contentNews are the contents whose records have to be sent, likewise; at most
+	// maximumContentNews.
+	contentNews []suspects.Content
 	// traitReport is what this node has to tell of traits, likewise. traitsReported gets a
 	// value when something was added.
 	traitReport    suspects.TraitReport
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -215,13 +215,15 @@
 	n.recordReportedLeaving(time.Now(), r.LeavingServers)
 	n.applyStoreFailure(time.Now(), r.StoreFailure)
 	n.passStoreFailure(time.Now(), r.StoreFailure)
-	n.restoreContents(r.Contents)
+	if n.restoreContents(r.Contents) {
+		for _, c := range r.Contents {
+			n.addContentNews(c.Content)
+		}
+	}
 	n.addCrashReports(r.CrashReports)
 	n.applyTraits(r.Traits, true)
 	n.mergeLoads(time.Now(), r)
-	if len(r.CrashReports) > 0 && n.OnCrashReports != nil {
-		n.OnCrashReports(r.CrashReports)
-	}
+	n.applyCrashReports(r.CrashReports)
 	if hasOnlyLoads(r) {
 		return
 	}
--- a/suspects/contentrecord.go
+++ b/suspects/contentrecord.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -38,9 +39,20 @@
 // Snapshot returns the contents that crashed at least CrashLimit servers, those with the latest
 // crash first. Other contents mostly ran beside the cause of a crash.
 func (l *List) Snapshot(now time.Time) []ContentRecord {
+	records := l.Records(now, slices.Collect(maps.Keys(l.contents)))
+	slices.SortFunc(records, func(a, b ContentRecord) int {
+		return cmp.Or(l.contents[b.Content].latestCrashAt.Compare(l.contents[a.Content].latestCrashAt), bytes.Compare(a.Content[:], b.Content[:]))
+	})
+	return records[:min(len(records), maximumSnapshotContents)]
+}
+
+// Records returns what this node knows of some contents, of those that crashed at least CrashLimit
+// servers.
+func (l *List) Records(now time.Time, contents []Content) []ContentRecord {
 	var records []ContentRecord
-	for c, e := range l.contents {
-		if l.countCrashes(c, e).all < CrashLimit || now.Sub(e.latestCrashAt) >= entryLifetime {
+	for _, c := range contents {
+		e := l.contents[c]
+		if e == nil || l.countCrashes(c, e).all < CrashLimit || now.Sub(e.latestCrashAt) >= entryLifetime {
 			continue
 		}
 		r := ContentRecord{Content: c}
@@ -49,10 +61,7 @@
 		}
 		records = append(records, r)
 	}
-	slices.SortFunc(records, func(a, b ContentRecord) int {
-		return cmp.Or(l.contents[b.Content].latestCrashAt.Compare(l.contents[a.Content].latestCrashAt), bytes.Compare(a.Content[:], b.Content[:]))
-	})
-	return records[:min(len(records), maximumSnapshotContents)]
+	return records
 }
 
 // Restore adds the crashes in the records of another node, or in stored ones, that this node does
