suspects, entry: contents that crash servers outlast those that ran beside a crash

A request that had crashed several servers was forgotten, and crashed two more as it came back after long.

Cause: two bounds dropped the wrong entries. The owner compared what is in the store with the 256 contents that a message has room for, and removed all others from the store as if they had been cleared. A node with 4,096 contents dropped the one with the oldest crash, also for one that had run beside a single crash.

Now the owner saves all contents that crashed several servers, and a full list drops those with one crash first.

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -95,6 +95,13 @@
 	return d.crashes.contents.Snapshot(time.Now())
 }
 
+// AllContents implements entry.Contents.
+func (d *Dispatcher) AllContents() []suspects.ContentRecord {
+	d.crashes.mu.Lock()
+	defer d.crashes.mu.Unlock()
+	return d.crashes.contents.All(time.Now())
+}
+
 // ContentRecords implements entry.Contents.
 func (d *Dispatcher) ContentRecords(contents []suspects.Content) []suspects.ContentRecord {
 	d.crashes.mu.Lock()
--- a/entry/contentlog.go
+++ b/entry/contentlog.go
@@ -15,6 +15,8 @@
 	RestoreContents(records []suspects.ContentRecord) bool
 	// ContentSnapshot returns what a node needs to know that starts.
 	ContentSnapshot() []suspects.ContentRecord
+	// AllContents returns the same without a bound for messages.
+	AllContents() []suspects.ContentRecord
 	// ContentRecords returns what this node knows of some contents, of those that crashed several
 	// servers.
 	ContentRecords(contents []suspects.Content) []suspects.ContentRecord
@@ -172,7 +174,7 @@
 
 // saveChangedContents saves what differs from what the store has as far as this node knows.
 func (n *Node) saveChangedContents(ctx context.Context) error {
-	changed, cleared := n.contentChanges(n.Contents.ContentSnapshot())
+	changed, cleared := n.contentChanges(n.Contents.AllContents())
 	if len(changed) == 0 && len(cleared) == 0 {
 		return nil
 	}
--- a/entry/contents_test.go
+++ b/entry/contents_test.go
@@ -32,6 +32,12 @@
 	return s.contents.Snapshot(time.Now())
 }
 
+func (s *contentStore) AllContents() []suspects.ContentRecord {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.contents.All(time.Now())
+}
+
 func (s *contentStore) ContentRecords(contents []suspects.Content) []suspects.ContentRecord {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -194,6 +200,35 @@
 	})
 }
 
+// Guards against BUDGET: the owner removed contents from the store as more than a message has room for had
+// crashed servers. A request with one of them came back after its nodes had restarted, and crashed two more.
+func TestOwnerSavesMoreContentsThanAMessageHas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const contents = 600
+		store, saved := &contentStore{}, &contentLog{}
+		n := newContentOwner(&fakePlatform{version: 1}, saved, store)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = n.Run(ctx) }()
+		time.Sleep(2 * time.Second)
+		for i := range contents {
+			c := suspects.Content{byte(i), byte(i >> 8)}
+			for _, id := range []domain.ServerID{"a", "b"} {
+				store.mu.Lock()
+				r := store.contents.RecordCrash(time.Now(), c, id, false, false)
+				store.mu.Unlock()
+				n.ReportCrash(r)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(5 * time.Second)
+		if got, want := len(saved.records), contents; got != want {
+			t.Errorf("got %d contents in the store, want %d", got, want)
+		}
+		cancel()
+		time.Sleep(10 * time.Second)
+	})
+}
+
 // Guards against BUDGET: a node was ready before it knew which contents crash servers. Without the
 // store it is ready, and learns of them once the store responds.
 func TestStartingNodeReadsContents(t *testing.T) {
--- a/suspects/contentrecord.go
+++ b/suspects/contentrecord.go
@@ -37,13 +37,19 @@
 }
 
 // Snapshot returns the contents that crashed at least CrashLimit servers, those with the latest
-// crash first. Other contents mostly ran beside the cause of a crash.
+// crash first, for a message. Other contents mostly ran beside the cause of a crash.
 func (l *List) Snapshot(now time.Time) []ContentRecord {
+	records := l.All(now)
+	return records[:min(len(records), maximumSnapshotContents)]
+}
+
+// All returns what Snapshot does, without its bound.
+func (l *List) All(now time.Time) []ContentRecord {
 	records := l.Records(now, slices.Collect(maps.Keys(l.contents)))
 	slices.SortFunc(records, func(a, b ContentRecord) int {
 		return cmp.Or(l.contents[b.Content].latestCrashAt.Compare(l.contents[a.Content].latestCrashAt), bytes.Compare(a.Content[:], b.Content[:]))
 	})
-	return records[:min(len(records), maximumSnapshotContents)]
+	return records
 }
 
 // Records returns what this node knows of some contents, of those that crashed at least CrashLimit
--- a/suspects/list.go
+++ b/suspects/list.go
@@ -291,7 +291,8 @@
 }
 
 // evict removes the expired contents. If there are none, it removes the content whose
-// latest crash is the oldest.
+// latest crash is the oldest, of those with fewer than CrashLimit crashes if there are any: most of these
+// ran beside the cause of one crash.
 func (l *List) evict(now time.Time) {
 	var oldest Content
 	found := false
@@ -300,7 +301,7 @@
 			delete(l.contents, c)
 			continue
 		}
-		if !found || e.latestCrashAt.Before(l.contents[oldest].latestCrashAt) {
+		if !found || e.isEvictedBefore(l.contents[oldest]) {
 			oldest, found = c, true
 		}
 	}
@@ -308,3 +309,11 @@
 		delete(l.contents, oldest)
 	}
 }
+
+// isEvictedBefore reports whether a record is of less use than another one.
+func (e *crashRecord) isEvictedBefore(o *crashRecord) bool {
+	if hasFew := len(e.crashes) < CrashLimit; hasFew != (len(o.crashes) < CrashLimit) {
+		return hasFew
+	}
+	return e.latestCrashAt.Before(o.latestCrashAt)
+}
--- a/suspects/list_test.go
+++ b/suspects/list_test.go
@@ -103,3 +103,27 @@
 		t.Errorf("cause: got %v, want Refused", got)
 	}
 }
+
+// Guards against BUDGET: the contents that ran beside one crash each pushed out one that had crashed several
+// servers, and it crashed two more as it came back.
+func TestContentsOfOneCrashAreEvictedFirst(t *testing.T) {
+	var l List
+	bad := Content{1}
+	for _, id := range []domain.ServerID{"a", "b", "c", "d"} {
+		l.RecordCrash(start, bad, id, false, false)
+	}
+	now := start.Add(time.Hour)
+	for i := range 2 * maximumContents {
+		l.RecordCrash(now, Content{2, byte(i), byte(i >> 8)}, "e", false, false)
+	}
+	if got, want := l.Len(), maximumContents; got > want {
+		t.Errorf("got %d contents, want %d at most", got, want)
+	}
+	if got, _ := l.Standing(now, bad); got != Refused {
+		t.Errorf("got %v, want %v", got, Refused)
+	}
+	newest := Content{2, byte((2*maximumContents - 1) & 0xff), byte((2*maximumContents - 1) >> 8)}
+	if got, _ := l.Standing(now, newest); got != Suspected {
+		t.Errorf("the newest content: got %v, want %v", got, Suspected)
+	}
+}
