suspects, hub, entry: crash reports have an age

A sound request could be refused for a minute after one crash that it merely ran beside.

Cause: a crash report has no time, so that it counts as one of this moment. Reports of one server within 3 s are one crash; one that had waited longer for a link to an owner came back from it as a second crash of the content, at each node that had seen the first.

Now a report carries the age of the crash, with the time for which it waited. Earlier versions ignore it, and their reports count as new.

--- a/caller/isolation.go
+++ b/caller/isolation.go
@@ -99,11 +99,21 @@
 	}
 }
 
+// newReport returns what another node reports, as of now: on the links of our own interface reports
+// do not wait.
+func newReport(s peer.Suspect) suspects.Report {
+	return suspects.Report{Content: s.Content, Crashes: s.Crashes, Server: s.Server, Isolated: s.Isolated, AfterToken: s.AfterToken}
+}
+
+func newSuspect(r suspects.Report) peer.Suspect {
+	return peer.Suspect{Content: r.Content, Crashes: r.Crashes, Server: r.Server, Isolated: r.Isolated, AfterToken: r.AfterToken}
+}
+
 // ApplySuspects applies crash reports and clearings of other nodes.
 func (a *API) ApplySuspects(received []peer.Suspect) {
 	reports := make([]suspects.Report, len(received))
 	for i := range received {
-		reports[i] = suspects.Report(received[i])
+		reports[i] = newReport(received[i])
 	}
 	a.isolation.mu.Lock()
 	defer a.isolation.mu.Unlock()
@@ -144,7 +154,7 @@
 	a.isolation.mu.Unlock()
 	a.reportTraits(traitReport, decisions)
 	a.Scope.Counter("suspects").Inc(1)
-	a.BroadcastSuspects([]peer.Suspect{peer.Suspect(report)})
+	a.BroadcastSuspects([]peer.Suspect{newSuspect(report)})
 }
 
 // recordCompletion clears the content of a response that one attempt generated
@@ -161,7 +171,7 @@
 	a.isolation.mu.Unlock()
 	a.reportTraits(traitReport, decisions)
 	if wasSuspected {
-		a.BroadcastSuspects([]peer.Suspect{peer.Suspect(report)})
+		a.BroadcastSuspects([]peer.Suspect{newSuspect(report)})
 	}
 }
 
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/parsleylug/parsleylug/suspects"
 )
@@ -81,7 +82,28 @@
 func (n *Node) addCrashReports(reports []suspects.Report) {
 	n.noteCrashReports(reports)
 	room := max(0, maximumPendingReports-len(n.crashReports))
-	n.crashReports = append(n.crashReports, reports[:min(room, len(reports))]...)
+	now := time.Now()
+	for _, r := range reports[:min(room, len(reports))] {
+		n.crashReports = append(n.crashReports, pendingReport{Report: r, since: now})
+	}
+}
+
+// pendingReport is a crash report that has not been sent since a time.
+type pendingReport struct {
+	suspects.Report
+	since time.Time
+}
+
+// takeCrashReports returns the crash reports that have not been sent, with their ages now: a report that
+// waited for a link would else count as one of another crash. The caller holds mu.
+func (n *Node) takeCrashReports(now time.Time) []suspects.Report {
+	var reports []suspects.Report
+	for _, p := range n.crashReports {
+		p.Age += now.Sub(p.since)
+		reports = append(reports, p.Report)
+	}
+	n.crashReports = nil
+	return reports
 }
 
 // ReportTraits reports what this node has learned of traits of requests to the other nodes.
--- a/entry/crashes_test.go
+++ b/entry/crashes_test.go
@@ -84,3 +84,28 @@
 		}
 	})
 }
+
+// Guards against DENIED: the reports of one crash waited for a link to an owner, and each node that had seen the crash
+// counted its report, as it came back from the owner, as a second one. The content was refused.
+func TestReportThatHasWaitedIsNoSecondCrash(t *testing.T) {
+	runFleet(t, 4, 0, func(f *testFleet) {
+		f.mu.Lock()
+		for _, n := range f.nodes {
+			n.isCut.Store(true)
+		}
+		f.mu.Unlock()
+		// The lease ends, and nobody is the owner.
+		time.Sleep(8 * time.Second)
+		for _, n := range f.nodes {
+			n.report("c")
+		}
+		time.Sleep(5 * time.Second)
+		for _, n := range f.nodes {
+			n.isCut.Store(false)
+		}
+		time.Sleep(10 * time.Second)
+		if got, want := f.countRefusing(), 0; got != want {
+			t.Errorf("got %d nodes that refuse the content after one crash, want %d", got, want)
+		}
+	})
+}
--- a/entry/enginestates.go
+++ b/entry/enginestates.go
@@ -82,9 +82,8 @@
 // broadcastEngineStates sends changed engine states, crash reports and traits to all nodes. The
 // caller holds mu.
 func (n *Node) broadcastEngineStates(now time.Time, states map[domain.ServerID]fleet.EngineState, changed []hub.ServerState) {
-	u := hub.Update{NodeCount: n.countNodes(now), CrashReports: n.crashReports, Contents: n.takeContentNews(), Traits: n.takeTraitReport(), Servers: changed}
+	u := hub.Update{NodeCount: n.countNodes(now), CrashReports: n.takeCrashReports(now), Contents: n.takeContentNews(), Traits: n.takeTraitReport(), Servers: changed}
 	n.nodeCount = max(n.nodeCount, u.NodeCount)
-	n.crashReports = nil
 	if n.sentDigests == nil {
 		n.sentDigests = map[domain.ServerID]engineStateDigest{}
 	}
--- a/entry/link.go
+++ b/entry/link.go
@@ -134,14 +134,14 @@
 		n.mu.Lock()
 		loads, prefixes := n.takeLoads(time.Now())
 		r := hub.Report{
-			Node: n.Name, Demands: demands, CrashReports: n.crashReports, Traits: n.takeTraitReport(), Contents: contents, StaleServers: n.staleServers,
+			Node: n.Name, Demands: demands, CrashReports: n.takeCrashReports(time.Now()), Traits: n.takeTraitReport(), Contents: contents, StaleServers: n.staleServers,
 			LeavingServers: leaving, Loads: loads, Prefixes: prefixes, Uses: n.quotas.report(), StoreFailure: n.storeFailure(time.Now()),
 		}
 		contents = nil
 		if len(r.Contents) == 0 {
 			r.Contents = n.takeContentNews()
 		}
-		n.crashReports, n.staleServers = nil, nil
+		n.staleServers = nil
 		n.mu.Unlock()
 		if mustSend(r) || time.Since(lastSent) > time.Second {
 			if err := l.Send(ctx, r); err != nil {
--- a/entry/node.go
+++ b/entry/node.go
@@ -240,7 +240,7 @@
 	broadcastAt   time.Time
 	// crashReports are the crash reports that have not been sent yet: by the
 	// owner to the other nodes, by another node to the owner.
-	crashReports []suspects.Report
+	crashReports []pendingReport
 	// contentNews are the contents whose records have to be sent, likewise; at most
 	// maximumContentNews.
 	contentNews []suspects.Content
--- a/hub/hub_test.go
+++ b/hub/hub_test.go
@@ -30,7 +30,7 @@
 var testReport = Report{
 	Node:           "n",
 	Demands:        []placement.Demand{{ModelKey: placement.ModelKey{Service: "s", Model: "m", Adapter: "a"}, Waiting: 1, Running: 2, Arrivals: 3, LateResponses: 4}},
-	CrashReports:   []suspects.Report{{Content: suspects.Content{1, 2}, Crashes: 2, Server: "i", AfterToken: true}},
+	CrashReports:   []suspects.Report{{Content: suspects.Content{1, 2}, Crashes: 2, Server: "i", AfterToken: true, Age: 1200 * time.Millisecond}},
 	StaleServers:   []domain.ServerID{"i"},
 	LeavingServers: []LeavingServer{{Incarnation: fleet.Incarnation{ID: "i", StartedAtMs: 5}, Age: 1500 * time.Millisecond}},
 	Traits:         testTraits,
--- a/hub/message.go
+++ b/hub/message.go
@@ -166,6 +166,8 @@
 	Uses *wireQuotaReport `cbor:",omitempty"`
 	// StoreFailureMilliseconds is nil if there was none. Earlier versions ignore it.
 	StoreFailureMilliseconds *int64 `cbor:",omitempty"`
+	// SuspectAges are the ages of Suspects in milliseconds. Earlier versions ignore it.
+	SuspectAges []int64 `cbor:",omitempty"`
 }
 
 type wireLeaving struct {
@@ -214,6 +216,8 @@
 	RegistrationsEra uint64 `cbor:",omitempty"`
 	// StoreFailureMilliseconds is nil if there was none. Earlier versions ignore it.
 	StoreFailureMilliseconds *int64 `cbor:",omitempty"`
+	// SuspectAges are the ages of Suspects in milliseconds. Earlier versions ignore it.
+	SuspectAges []int64 `cbor:",omitempty"`
 }
 
 type wireStoreUpdate struct {
@@ -251,7 +255,7 @@
 	w := wireReport{
 		Node: string(r.Node), Suspects: encodeSuspects(r.CrashReports), Doubted: domain.Strings(r.StaleServers), Traits: encodeTraits(r.Traits),
 		Contents: encodeContents(r.Contents), Uses: encodeQuotaReport(r.Uses), Loads: encodeLoads(r.Loads), Prefixes: encodePrefixes(r.Prefixes),
-		StoreFailureMilliseconds: encodeStoreFailure(r.StoreFailure),
+		StoreFailureMilliseconds: encodeStoreFailure(r.StoreFailure), SuspectAges: encodeSuspectAges(r.CrashReports),
 	}
 	for _, d := range r.Demands {
 		w.Demands = append(w.Demands, wireDemand{
@@ -293,7 +297,7 @@
 	r.Loads, r.Prefixes, r.Uses = decodeLoads(w.Loads), decodePrefixes(w.Prefixes), w.Uses.decode()
 	r.StoreFailure = decodeStoreFailure(w.StoreFailureMilliseconds)
 	var err error
-	r.CrashReports, err = decodeSuspects(w.Suspects)
+	r.CrashReports, err = decodeSuspects(w.Suspects, w.SuspectAges)
 	return r, err
 }
 
@@ -325,6 +329,7 @@
 		Registrations: encodeRegistrations(u.Registrations), Contents: encodeContents(u.Contents),
 		Loads: encodeLoads(u.Loads), Prefixes: encodePrefixes(u.Prefixes), Keys: encodeKeys(u.Keys), Grants: encodeQuotaUpdate(u.Grants),
 		Era: uint64(era), RegistrationsEra: uint64(u.Registrations.Offset.Era()), StoreFailureMilliseconds: encodeStoreFailure(u.StoreFailure),
+		SuspectAges: encodeSuspectAges(u.CrashReports),
 	}
 	w.Candidates, w.ReadAgeMilliseconds, w.ReadOffset = u.CandidateCount, u.Store.ReadAge.Milliseconds(), positionIn(era, u.Store.ReadOffset)
 	for _, s := range u.Servers {
@@ -385,7 +390,7 @@
 	u.Loads, u.Prefixes, u.Grants = decodeLoads(w.Loads), decodePrefixes(w.Prefixes), w.Grants.decode()
 	u.StoreFailure = decodeStoreFailure(w.StoreFailureMilliseconds)
 	var err error
-	u.CrashReports, err = decodeSuspects(w.Suspects)
+	u.CrashReports, err = decodeSuspects(w.Suspects, w.SuspectAges)
 	return u, err
 }
 
@@ -414,14 +419,28 @@
 	return w
 }
 
-func decodeSuspects(w []wireSuspect) ([]suspects.Report, error) {
+// encodeSuspectAges returns the ages of reports in milliseconds.
+func encodeSuspectAges(list []suspects.Report) []int64 {
+	var ages []int64
+	for _, r := range list {
+		ages = append(ages, r.Age.Milliseconds())
+	}
+	return ages
+}
+
+// decodeSuspects decodes reports. Those of earlier versions have no ages: they count as new, and so
+// does one with an age that is out of range.
+func decodeSuspects(w []wireSuspect, ages []int64) ([]suspects.Report, error) {
 	var list []suspects.Report
-	for _, s := range w {
+	for i, s := range w {
 		r := suspects.Report{Crashes: s.Crashes, Server: domain.ServerID(s.Server), Isolated: s.Alone, AfterToken: s.Begun}
 		if len(s.Content) != len(r.Content) {
 			return nil, errors.Errorf("content hash has %d bytes", len(s.Content))
 		}
 		copy(r.Content[:], s.Content)
+		if i < len(ages) {
+			r.Age, _ = decodeAge(ages[i])
+		}
 		list = append(list, r)
 	}
 	return list, nil
--- a/suspects/list.go
+++ b/suspects/list.go
@@ -74,6 +74,8 @@
 	// Isolated is true if the content ran in isolation in the last crash, AfterToken if
 	// it had already generated tokens.
 	Isolated, AfterToken bool
+	// Age is the time since that crash, or since the content was cleared.
+	Age time.Duration
 }
 
 // List holds the contents that ran on crashed servers. The zero List is empty. It is not
@@ -234,11 +236,12 @@
 // the content from the list.
 func (l *List) ApplyReports(now time.Time, reports []Report) {
 	for _, r := range reports {
+		at := now.Add(-max(0, r.Age))
 		if r.Crashes == 0 {
-			l.clear(now, r.Content)
+			l.clear(at, r.Content)
 			continue
 		}
-		l.addCrash(now, r.Content, crash{server: r.Server, at: now, isolated: r.Isolated, afterToken: r.AfterToken})
+		l.addCrash(now, r.Content, crash{server: r.Server, at: at, isolated: r.Isolated, afterToken: r.AfterToken})
 	}
 }
 
