buffers: readers of messages give their turns away

Ordinary requests got no answer or 503 for 20 s after a crowd had sent bodies in chunks of one byte and left.

Cause: on one core (front runs on one) a goroutine that reads such a body never waits, and keeps the processor for 10 ms at a time. With 120 of them, each step of an ordinary request, and of a call to the store, waits more than a second for its turn: the calls time out, and the node loses the store. The bytes of clients that have left are read to the end of what had arrived.

Now each read of a message, and of the rest of a rejected one, gives its turn away. Weighed and not built: ending the reads of connections whose peers have closed, since a peer may close its side after a whole request.

--- a/buffers/buffer.go
+++ b/buffers/buffer.go
@@ -96,6 +96,7 @@
 		capacity = min(whole, b.pool.free())
 	}
 	b.data = make([]byte, 0, capacity)
+	r = YieldingReader{r}
 	size := domain.Bytes(0)
 	for {
 		room, err := b.room(ctx, whole, limit)
