--- a/dispatch/session_test.go
+++ b/dispatch/session_test.go
@@ -43,7 +43,18 @@
 	return b.responses[i](ctx)
 }
 
-func (b *fakeBackend) Reach(context.Context, *fleet.Server) error { return b.reachError }
+func (b *fakeBackend) Reach(context.Context, *fleet.Server) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.reachError
+}
+
+// setReachError sets the result of Reach from now on.
+func (b *fakeBackend) setReachError(err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reachError = err
+}
 
 // fakeEvents returns its events, each after delay, and then err. If err is nil, it blocks
 // until ctx ends.
--- a/dispatch/unfinished_test.go
+++ b/dispatch/unfinished_test.go
@@ -71,7 +71,7 @@
 				d := newTestDispatcher(b)
 				server, content := leaveServer(t, d, b)
 				time.Sleep(c.delay)
-				b.reachError = c.reach
+				b.setReachError(c.reach)
 				d.checkUnfinished(&fleet.Server{ID: server})
 				time.Sleep(time.Second)
 				if got := d.standing(content); got != c.want {
--- a/entry/contents_test.go
+++ b/entry/contents_test.go
@@ -221,6 +221,8 @@
 			time.Sleep(10 * time.Millisecond)
 		}
 		time.Sleep(5 * time.Second)
+		saved.mu.Lock()
+		defer saved.mu.Unlock()
 		if got, want := len(saved.records), contents; got != want {
 			t.Errorf("got %d contents in the store, want %d", got, want)
 		}
