suspects: a clearing that has waited leaves later crashes

A report that a content had completed takes effect at its age, so that one which waited for a link does not clear the content of crashes that it has caused since. TestLateClearingLeavesLaterCrashes got Clean for a content with two crashes a minute after its completion before, Refused now.

--- a/entry/contentlog.go
+++ b/entry/contentlog.go
@@ -58,8 +58,8 @@
 		records, err := n.ContentLog.Load(ctx)
 		if err == nil {
 			n.noteReadContents(records)
-			isNew := n.Contents.RestoreContents(records)
-			n.logContents("Store", len(records), isNew)
+			n.Contents.RestoreContents(records)
+			n.logContents("Store", len(records))
 		}
 		n.endContentLoad()
 		if err == nil {
@@ -129,16 +129,16 @@
 		n.notePossiblyStoredContent(r.Content)
 	}
 	isNew := n.Contents.RestoreContents(records)
-	n.logContents("Link", len(records), isNew)
 	if isNew {
+		n.logContents("Link", len(records))
 		signal(n.stored.changed)
 	}
 	return isNew
 }
 
 // logContents logs how many contents that crashed several servers this node was told of.
-func (n *Node) logContents(source string, contents int, isNew bool) {
-	n.Logger.Info().Str("Event", "ContentsLearned").Str("Source", source).Int("Contents", contents).Bool("IsNew", isNew).Msg("learned which request contents crashed several servers")
+func (n *Node) logContents(source string, contents int) {
+	n.Logger.Info().Str("Event", "ContentsLearned").Str("Source", source).Int("Contents", contents).Msg("learned which request contents crashed several servers")
 }
 
 // contentSnapshot returns what a node needs to know of contents that has just linked.
--- a/suspects/list.go
+++ b/suspects/list.go
@@ -7,6 +7,7 @@
 package suspects
 
 import (
+	"slices"
 	"time"
 
 	"github.com/parsleylug/parsleylug/domain"
@@ -216,14 +217,22 @@
 	return Report{Content: c}, wasSuspected
 }
 
-// clear removes a content that ran to completion from the list.
-func (l *List) clear(now time.Time, c Content) {
-	delete(l.contents, c)
+// clear records that a content ran to completion at a time, and removes its crashes that do not count
+// any more. A report may have waited since then, and the content have crashed servers meanwhile.
+func (l *List) clear(at time.Time, c Content) {
 	if l.completions == nil {
 		l.completions = map[Content]time.Time{}
 	}
 	makeRoom(l.completions, maximumContentCompletions, timeItself)
-	l.completions[c] = now
+	l.completions[c] = later(l.completions[c], at)
+	e := l.contents[c]
+	if e == nil {
+		return
+	}
+	e.crashes = slices.DeleteFunc(e.crashes, func(k crash) bool { return l.isExempt(c, k.at) })
+	if len(e.crashes) == 0 {
+		delete(l.contents, c)
+	}
 }
 
 // isExempt reports whether a content had completed shortly before a time, or later.
--- a/suspects/list_test.go
+++ b/suspects/list_test.go
@@ -127,3 +127,19 @@
 		t.Errorf("the newest content: got %v, want %v", got, Suspected)
 	}
 }
+
+// Guards against BUDGET: the report that a content had completed waited for a link, and cleared it of the crashes
+// that it had caused since.
+func TestLateClearingLeavesLaterCrashes(t *testing.T) {
+	for age, want := range map[time.Duration]Standing{0: Clean, time.Minute: Refused} {
+		var l List
+		c := Content{1}
+		l.RecordCrash(start, c, "a", false, false)
+		l.RecordCrash(start.Add(5*time.Second), c, "b", false, false)
+		now := start.Add(6 * time.Second)
+		l.ApplyReports(now, []Report{{Content: c, Age: age}})
+		if got, _ := l.Standing(now, c); got != want {
+			t.Errorf("completed %v ago: got %v, want %v", age, got, want)
+		}
+	}
+}
