placement: an order that is sent again is kept once

The same order now takes one. TestOrderThatIsSentAgainIsKeptOnce got 20 before, by reading; it is new with this change.

--- a/placement/lateorders.go
+++ b/placement/lateorders.go
@@ -20,9 +20,22 @@
 // the sequence that they expect, started again or left since.
 type lateOrders map[domain.ServerID][]unresolvedOrder
 
-// add adds an order that may arrive until expiresAt.
+// add adds an order that may arrive until expiresAt. An order that was sent again counts once.
 func (l lateOrders) add(o Order, expiresAt time.Time) {
-	l[o.Server.ID] = append(l[o.Server.ID], unresolvedOrder{order: o, expiresAt: expiresAt})
+	orders := l[o.Server.ID]
+	for i := range orders {
+		if orders[i].order.isSameAs(o) {
+			orders[i].expiresAt = expiresAt
+			return
+		}
+	}
+	l[o.Server.ID] = append(orders, unresolvedOrder{order: o, expiresAt: expiresAt})
+}
+
+// isSameAs reports whether two orders to a server have the same effect at the same sequence of the same
+// process.
+func (o *Order) isSameAs(other Order) bool {
+	return o.Operation == other.Operation && o.Model == other.Model && o.Adapter == other.Adapter && o.ExpectedSequence == other.ExpectedSequence && o.startedAtMs == other.startedAtMs
 }
 
 // expire removes the orders that can no longer arrive.
@@ -90,8 +103,11 @@
 // sent an order, and a process that has got none is empty. Other servers may accept one if they have
 // started since it was sent.
 func (p *Planner) foreignOrderRoom(now time.Time, v *engineView, e *fleet.Engine) (room, time.Time) {
-	hasStartedSince := v.mayHaveRestarted && v.state.StartedAtMs >= p.foreignOrdersUntil.Add(-2*unknownOutcomeTimeout-clockTolerance).UnixMilli()
-	if p.ServersCheckFences || now.After(p.foreignOrdersUntil) || !hasStartedSince {
+	if p.ServersCheckFences || now.After(p.foreignOrdersUntil) || !v.mayHaveRestarted {
+		return room{}, time.Time{}
+	}
+	earliestSending := p.foreignOrdersUntil.Add(-2*unknownOutcomeTimeout - clockTolerance)
+	if v.state.StartedAtMs < earliestSending.UnixMilli() {
 		return room{}, time.Time{}
 	}
 	r := room{adapterSlots: 1}
--- a/placement/lateorders_test.go
+++ b/placement/lateorders_test.go
@@ -176,6 +176,26 @@
 	}
 }
 
+// Orders that are sent again and again, as while the servers are cut off, take no memory for each sending.
+func TestOrderThatIsSentAgainIsKeptOnce(t *testing.T) {
+	var p Planner
+	o := Order{Server: fleet.Server{ID: "i"}, Model: "m", ExpectedSequence: 4}
+	for i := range 20 {
+		p.RecordOutcome(start, start.Add(time.Duration(i)*time.Second), o, Unknown)
+	}
+	if got, want := len(p.lateOrders["i"]), 1; got != want {
+		t.Fatalf("got %d orders, want %d", got, want)
+	}
+	if got, want := p.lateOrders["i"][0].expiresAt, start.Add(19*time.Second+unknownOutcomeTimeout); !got.Equal(want) {
+		t.Errorf("got the end %v, want that of the last sending, %v", got, want)
+	}
+	o.ExpectedSequence++
+	p.RecordOutcome(start, start, o, Unknown)
+	if got, want := len(p.lateOrders["i"]), 2; got != want {
+		t.Errorf("another sequence: got %d orders, want %d", got, want)
+	}
+}
+
 // An order that was not sent may arrive nowhere: it holds nothing back.
 func TestOnlyUnknownOutcomesAreKept(t *testing.T) {
 	for _, outcome := range []Outcome{Accepted, Unneeded, Conflicted, Fenced, Rejected, Unknown} {
