--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -122,6 +123,8 @@
 			serviceTime = time.Second
 			duration    = time.Minute
 		)
+		// mu guards the queue and what follows: items end on goroutines of timers.
+		var mu sync.Mutex
 		var q Queue
 		q.SetCapacity(time.Now(), slots)
 		offered, deadlines := map[ID]time.Time{}, map[ID]time.Time{}
@@ -131,6 +134,8 @@
 		startItem := func(id ID) {
 			holdTime := serviceTime/2 + time.Duration(id*7919%1000)*serviceTime/1000
 			time.AfterFunc(holdTime, func() {
+				mu.Lock()
+				defer mu.Unlock()
 				if !time.Now().After(deadlines[id]) {
 					completedInTime++
 				}
@@ -147,6 +152,7 @@
 		}
 		startedAt := time.Now()
 		for id := ID(1); time.Since(startedAt) < duration; id++ {
+			mu.Lock()
 			offered[id] = time.Now()
 			deadlines[id] = time.Now().Add(time.Duration(2+id%9) * time.Second)
 			d := q.Offer(time.Now(), Item{ID: id, Deadline: domain.Deadline{At: deadlines[id]}})
@@ -157,9 +163,12 @@
 			case RefusedLate, RefusedFull:
 				refusalDelays = append(refusalDelays, 0)
 			}
+			mu.Unlock()
 			time.Sleep(serviceTime / slots / 3)
 			synctest.Wait()
 		}
+		mu.Lock()
+		defer mu.Unlock()
 		slices.Sort(refusalDelays)
 		ratio := float64(completedInTime) / (slots * duration.Seconds())
 		p95 := refusalDelays[len(refusalDelays)*95/100]
--- a/entry/contents_test.go
+++ b/entry/contents_test.go
@@ -73,8 +73,9 @@
 func TestNodesThatLinkLearnOfContents(t *testing.T) {
 	run(t, true, func(n *Node, _ *fakePlatform, _ *clock) {
 		owner, later := &contentStore{}, &contentStore{}
-		n.Contents = owner
-		n.OnCrashReports = owner.apply
+		n.mu.Lock()
+		n.Contents, n.OnCrashReports = owner, owner.apply
+		n.mu.Unlock()
 		time.Sleep(2 * time.Second)
 		var other contentStore
 		n.handleReport(hub.Report{Node: "other", CrashReports: other.crashTwice()})
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -460,6 +460,20 @@
 	return false
 }
 
+// countRenewals returns the number of renewals of memberships so far.
+func (f *testFleet) countRenewals() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.joins
+}
+
+// countOtherCalls returns the number of other calls to the store so far.
+func (f *testFleet) countOtherCalls() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls - f.joins
+}
+
 // runFleet starts nodes before 256 engines, gives them time to link, calls f and ends them.
 func runFleet(t *testing.T, large, small int, f func(f *testFleet)) {
 	t.Helper()
@@ -508,7 +522,7 @@
 		if got, want := f.linked(), 294; got != want {
 			t.Errorf("linked nodes after the start: got %d, want %d", got, want)
 		}
-		lost, expired, callsBefore := f.count("OwnerLinkLost"), f.count("LeaseExpired"), f.calls-f.joins
+		lost, expired, callsBefore := f.count("OwnerLinkLost"), f.count("LeaseExpired"), f.countOtherCalls()
 		waits := f.requestModels(30, 6*time.Second)
 		if got := f.count("OwnerLinkLost") - lost; got != 0 {
 			t.Errorf("links lost without a fault: got %d, want 0", got)
@@ -518,7 +532,7 @@
 		}
 		median, high := waits[len(waits)/2], waits[len(waits)*9/10]
 		t.Logf("waits for a cold model: p50 %v, p90 %v of %d; calls to the store a node and second %.3f, renewals %d in all",
-			median, high, len(waits), float64(f.calls-f.joins-callsBefore)/295/6, f.joins)
+			median, high, len(waits), float64(f.countOtherCalls()-callsBefore)/295/6, f.countRenewals())
 		if want := testLoadTime + 300*time.Millisecond; median > want {
 			t.Errorf("median wait for a cold model: got %v, want %v at most", median, want)
 		}
--- a/entry/ownerloss_test.go
+++ b/entry/ownerloss_test.go
@@ -44,7 +44,7 @@
 	runFleet(t, 6, 60, func(f *testFleet) {
 		lost := f.owner()
 		f.kill(lost)
-		joins := f.joins
+		joins := f.countRenewals()
 		// The store gives up the lost member, and the nodes look for the owner each 1.5 s at most.
 		if got, want := f.awaitLinks(10*time.Second), testTimeToLive+maximumRelinkInterval+500*time.Millisecond; got > want {
 			t.Errorf("all nodes are linked to a new owner after %v, want %v at most", got, want)
@@ -54,7 +54,7 @@
 		}
 		time.Sleep(5 * time.Second)
 		// 5 members renew four times in their time-to-live.
-		if got, want := f.joins-joins, 5*4*(10+5)/2; got > want {
+		if got, want := f.countRenewals()-joins, 5*4*(10+5)/2; got > want {
 			t.Errorf("renewals: got %d, want %d at most", got, want)
 		}
 		if got := f.requestModel(f.nodes[10], modelName(1), 10*time.Second); got > 2*time.Second {
@@ -151,7 +151,7 @@
 // the store in one moment.
 func TestLostLinksAreMadeAgainWithoutReads(t *testing.T) {
 	runFleet(t, 6, 60, func(f *testFleet) {
-		calls := f.calls - f.joins
+		calls := f.countOtherCalls()
 		f.owner().Hub.Close()
 		time.Sleep(20 * time.Millisecond)
 		if got, want := f.awaitLinks(10*time.Second), 2*relinkInterval; got > want {
@@ -159,7 +159,7 @@
 		}
 		time.Sleep(3 * time.Second)
 		// Each node asks for the owner once, and may read what its update did not say.
-		if got, want := f.calls-f.joins-calls, 2*len(f.nodes); got > want {
+		if got, want := f.countOtherCalls()-calls, 2*len(f.nodes); got > want {
 			t.Errorf("calls to the store: got %d, want %d at most", got, want)
 		}
 	})
@@ -169,7 +169,7 @@
 // each node for each change.
 func TestChangesOfRegistrationsArePassedOn(t *testing.T) {
 	runFleet(t, 6, 60, func(f *testFleet) {
-		calls := f.calls - f.joins
+		calls := f.countOtherCalls()
 		f.mu.Lock()
 		s := *f.engines["i-00000007"]
 		s.State = fleet.Draining
@@ -186,7 +186,7 @@
 			}
 		}
 		// The owner reads each interval.
-		if got, want := f.calls-f.joins-calls, 4; got > want {
+		if got, want := f.countOtherCalls()-calls, 4; got > want {
 			t.Errorf("calls to the store: got %d, want %d at most", got, want)
 		}
 	})
