--- a/review/standins-3/latebeat.go
+++ b/review/standins-3/latebeat.go
@@ -135,7 +135,7 @@
 		if i == 0 {
 			b.beatAddress = link.address
 		}
-		b.run = func(p *process, w http.ResponseWriter, r *http.Request, _ []byte) {
+		b.run = func(p *process, w http.ResponseWriter, r *http.Request) {
 			id := r.Header.Get("X-Parsleylug-Request-Id")
 			if p.id == "i-desk-0" {
 				mu.Lock()
--- a/review/standins-3/store.go
+++ b/review/standins-3/store.go
@@ -21,10 +21,6 @@
 	wake   chan struct{}
 	topics map[string]*topic
 	groups map[string]*group
-	// intercept is called before each call with the name of its listener; it returns true if it has
-	// answered. next carries the call out.
-	intercept func(tag string, w http.ResponseWriter, r *http.Request, next http.Handler) bool
-	mux       *http.ServeMux
 }
 
 type entry struct{ key, value string }
@@ -60,14 +56,16 @@
 func newStore() *store {
 	s := &store{wake: make(chan struct{}), topics: map[string]*topic{}, groups: map[string]*group{}}
 	mux := http.NewServeMux()
-	s.mux = mux
 	mux.HandleFunc("GET /-/log-read", s.read)
 	mux.HandleFunc("GET /-/log-newest", s.listNewest)
 	mux.HandleFunc("POST /-/log-append", s.append)
 	mux.HandleFunc("POST /-/log-join", s.join)
 	mux.HandleFunc("POST /-/log-leave", s.leave)
 	mux.HandleFunc("GET /-/log-owners", s.owners)
-	s.address = s.listen("")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must(err)
+	s.address = l.Addr().String()
+	go func() { _ = http.Serve(l, mux) }()
 	return s
 }
 
@@ -91,24 +89,6 @@
 	}
 }
 
-// listen returns a further address of the store, for calls that intercept gets with a tag.
-func (s *store) listen(tag string) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must(err)
-	go func() {
-		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			s.mu.Lock()
-			f := s.intercept
-			s.mu.Unlock()
-			if f != nil && f(tag, w, r, s.mux) {
-				return
-			}
-			s.mux.ServeHTTP(w, r)
-		}))
-	}()
-	return l.Addr().String()
-}
-
 func (s *store) topic(name string) *topic {
 	t := s.topics[name]
 	if t == nil {
@@ -207,13 +187,13 @@
 					g.held[p] = ""
 				}
 			}
-			g.deal(false)
+			g.deal()
 		}
 	}
 }
 
-// deal deals the partitions evenly; with anew set, each goes to the next member in order.
-func (g *group) deal(anew bool) {
+// deal deals the partitions evenly.
+func (g *group) deal() {
 	g.generation++
 	var names []string
 	for n := range g.members {
@@ -227,11 +207,6 @@
 	count := map[string]int{}
 	most := (partitions + len(names) - 1) / len(names)
 	for p := range g.target {
-		if anew {
-			i := sort.SearchStrings(names, g.target[p])
-			g.target[p] = names[(i+1)%len(names)]
-			continue
-		}
 		if g.members[g.target[p]] == nil || count[g.target[p]] >= most {
 			g.target[p] = ""
 			continue
@@ -251,9 +226,6 @@
 		g.target[p] = best
 		count[best]++
 	}
-	if anew {
-		g.held = g.target
-	}
 }
 
 func (s *store) join(w http.ResponseWriter, r *http.Request) {
@@ -280,7 +252,7 @@
 	if m == nil {
 		m = &member{name: c.Member}
 		g.members[c.Member] = m
-		g.deal(false)
+		g.deal()
 	}
 	m.ttl = time.Duration(c.TTL) * time.Millisecond
 	m.expires, m.sent = now.Add(m.ttl), c.Generation
@@ -311,7 +283,7 @@
 				g.held[p] = ""
 			}
 		}
-		g.deal(false)
+		g.deal()
 	}
 	_, _ = io.WriteString(w, "{}")
 }
@@ -330,24 +302,3 @@
 	}
 	_ = json.NewEncoder(w).Encode(rows)
 }
-
-// redeal deals all partitions anew at once.
-func (s *store) redeal() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, g := range s.groups {
-		g.expire(time.Now())
-		g.deal(true)
-	}
-}
-
-// owner returns the member that holds partition 0 of the only group.
-func (s *store) owner() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, g := range s.groups {
-		g.expire(time.Now())
-		return g.held[0]
-	}
-	return ""
-}
