--- a/review/standins-3/latebeat.go
+++ b/review/standins-3/latebeat.go
@@ -17,8 +17,8 @@
 func init() { cases["late-beat"] = runLateBeat }
 
 // beatLink is the link of one replica to the store. While it is cut, nothing passes. The first call that
-// was sent during the cut is what a kernel goes on to send again: it arrives at resendAt. The others got
-// no connection and are never sent.
+// was sent during the cut is held up and arrives at resendAt. The others get no connection and are never
+// sent.
 type beatLink struct {
 	log     *record
 	address string
@@ -101,9 +101,9 @@
 	drainBound   = 2500 * time.Millisecond
 	beatInterval = 1200 * time.Millisecond
 	// cutLength is within the 5 s of `srv_cut`.
-	cutLength = 3700 * time.Millisecond
-	// resendDelay is when a kernel sends unacknowledged data for the fifth time: 0.2, 0.6, 1.4, 3.0, 6.2 s.
-	resendDelay = 6200 * time.Millisecond
+	cutLength = 3 * time.Second
+	// resendDelay is within the 6 s after which a late write is done at the latest (`platform_lost`).
+	resendDelay = 5500 * time.Millisecond
 	// exitDelay is how long the replica serves after the store has accepted that it drains.
 	exitDelay = drainBound + time.Second
 	workTime  = 100 * time.Millisecond
